--- /dev/null
+++ b/caller/authenticate.go
@@ -0,0 +1,40 @@
+package caller
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+	greengageroute "greengageroute.example/greengageroute"
+)
+
+// BearerToken returns the token of an Authorization header.
+func BearerToken(header *string) (string, error) {
+	if header == nil {
+		return "", trace.AccessDenied("the request has no key; send \"Authorization: Bearer KEY\"")
+	}
+	scheme, token, found := strings.Cut(*header, " ")
+	if !found || !strings.EqualFold(scheme, "Bearer") || token == "" {
+		return "", trace.AccessDenied("the Authorization header is not \"Bearer KEY\"; correct it")
+	}
+	return token, nil
+}
+
+func (service *Service) authenticate(header *string) (greengageroute.Workspace, error) {
+	key, err := BearerToken(header)
+	if err == nil {
+		var workspace greengageroute.Workspace
+		if workspace, err = service.state.Config().WorkspaceByKey(key); err == nil {
+			return workspace, nil
+		}
+	}
+	service.counters.Add(CountDenied, 1)
+	return greengageroute.Workspace{}, err
+}
+
+func mayUse(allowed []string, kind, name, workspace string) error {
+	if !slices.Contains(allowed, name) {
+		return trace.AccessDenied("workspace %q may not use %s %q; add it to the workspace in its configuration file", workspace, kind, name)
+	}
+	return nil
+}
--- /dev/null
+++ b/caller/call.go
@@ -0,0 +1,188 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	greengageroute "greengageroute.example/greengageroute"
+	gencaller "greengageroute.example/greengageroute/gen/caller"
+	"greengageroute.example/greengageroute/target"
+)
+
+var keyPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,128}$`)
+
+type (
+	// serviceRequest is one call of a plain service on its way.
+	serviceRequest struct {
+		workspace greengageroute.Workspace
+		service   greengageroute.Service
+		call      target.ServiceCall
+		targets   []string // in the order in which they are tried
+		digest    string
+	}
+)
+
+// Call implements the caller service of the design.
+func (service *Service) Call(ctx context.Context, payload *gencaller.CallPayload, body io.ReadCloser) (*gencaller.CallResult, io.ReadCloser, error) {
+	service.counters.Add(CountCalls, 1)
+	workspace, err := service.authenticate(payload.Authorization)
+	if err != nil {
+		return nil, nil, err
+	}
+	request, err := service.prepare(ctx, workspace, payload, body)
+	if err != nil {
+		return nil, nil, err
+	}
+	release, err := service.calls.Acquire(ctx, service.ticket(request))
+	if err != nil {
+		return nil, nil, err
+	}
+	defer release()
+	var answer greengageroute.Answer
+	if request.call.Key == "" {
+		answer, err = service.repeatable(ctx, request)
+	} else {
+		answer, err = service.once(ctx, request)
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	exchangeOf(ctx).status = answer.Status
+	return &gencaller.CallResult{ContentType: answer.ContentType}, io.NopCloser(bytes.NewReader(answer.Body)), nil
+}
+
+func (service *Service) prepare(ctx context.Context, workspace greengageroute.Workspace, payload *gencaller.CallPayload, body io.Reader) (serviceRequest, error) {
+	config := service.state.Config()
+	declared, err := config.Service(payload.Service)
+	if err != nil {
+		return serviceRequest{}, err
+	}
+	if err := mayUse(workspace.Services, "service", declared.Name, workspace.Name); err != nil {
+		return serviceRequest{}, err
+	}
+	raw, err := readBody(ctx, body)
+	if err != nil {
+		return serviceRequest{}, err
+	}
+	incoming := exchangeOf(ctx).request
+	path := "/" + payload.Path
+	call := target.ServiceCall{Method: incoming.Method, Path: path, Body: raw}
+	if incoming.URL != nil && incoming.URL.RawQuery != "" {
+		call.Path += "?" + incoming.URL.RawQuery
+	}
+	if payload.ContentType != nil {
+		call.ContentType = *payload.ContentType
+	}
+	if !declared.CallFor(call.Method, path).Idempotent {
+		if payload.IdempotencyKey == nil || !keyPattern.MatchString(*payload.IdempotencyKey) {
+			return serviceRequest{}, trace.BadParameter("%s %s may not be repeated; send an Idempotency-Key of up to 128 letters, digits, dots, dashes, colons or underscores, new for each action", call.Method, path)
+		}
+		call.Key = *payload.IdempotencyKey
+	}
+	return serviceRequest{
+		workspace: workspace, service: declared, call: call, targets: service.order(declared, workspace.Name+call.Key),
+		digest: hex.EncodeToString(digestOf(declared.Name, call.Method, call.Path, string(raw))),
+	}, nil
+}
+
+// order returns the targets that are not leaving, spread by key.
+func (service *Service) order(declared greengageroute.Service, key string) []string {
+	config := service.state.Config()
+	var addresses []string
+	for _, candidate := range declared.Targets {
+		if !config.Draining(greengageroute.DrainTarget, candidate.Address) {
+			addresses = append(addresses, candidate.Address)
+		}
+	}
+	return greengageroute.Rendezvous(key, addresses, len(addresses))
+}
+
+func (service *Service) ticket(request serviceRequest) greengageroute.Ticket {
+	path, _, _ := strings.Cut(request.call.Path, "?")
+	class := request.service.CallFor(request.call.Method, path).Class
+	if class == "" {
+		class = request.workspace.Class
+	}
+	return greengageroute.Ticket{
+		Workspace: request.workspace.Name, Share: request.workspace.Share,
+		Class: service.state.Config().Class(class), Cost: 1,
+	}
+}
+
+// repeatable sends an idempotent call, to the next target if one fails and the
+// retry budget allows.
+func (service *Service) repeatable(ctx context.Context, request serviceRequest) (greengageroute.Answer, error) {
+	service.budget.First()
+	ctx, cancel := context.WithTimeout(ctx, request.service.Timeout)
+	defer cancel()
+	var last error
+	for i, address := range request.targets {
+		if i > 0 && !service.budget.Take() {
+			break
+		}
+		answer, err := service.targets.Call(ctx, address, request.call)
+		if err == nil {
+			return answer, nil
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if last == nil {
+		last = errors.New("every target is leaving")
+	}
+	return greengageroute.Answer{}, &Refusal{
+		Status: http.StatusBadGateway, Code: "no-target", RetryAfter: time.Second,
+		Message: "service " + request.service.Name + " gave no answer (" + last.Error() + "); send the request again",
+	}
+}
+
+// Action implements the caller service of the design.
+func (service *Service) Action(ctx context.Context, payload *gencaller.ActionPayload) (*gencaller.ActionOutcome, error) {
+	workspace, err := service.authenticate(payload.Authorization)
+	if err != nil {
+		return nil, err
+	}
+	stored, err := service.actions.Get(ctx, workspace.Name, payload.Key)
+	if err != nil {
+		return nil, unknownOutcome(payload.Key)
+	}
+	if stored.Version == 0 {
+		return nil, trace.NotFound("no action has the key %q; it was not run under this key, or its claim is still on its way", payload.Key)
+	}
+	stored, err = service.await(ctx, stored)
+	if err != nil {
+		return nil, err
+	}
+	outcome := &gencaller.ActionOutcome{Outcome: stored.Outcome()}
+	switch stored.Outcome() {
+	case greengageroute.OutcomeDone:
+		text := string(stored.Answer.Body)
+		outcome.Status, outcome.ContentType, outcome.Answer = &stored.Answer.Status, &stored.Answer.ContentType, &text
+	case greengageroute.OutcomeUnknown:
+		ask := "/actions/" + payload.Key
+		outcome.Ask = &ask
+	}
+	return outcome, nil
+}
+
+// Health implements the caller service of the design.
+func (service *Service) Health(context.Context) (*gencaller.HealthState, error) {
+	config := service.state.Config()
+	if service.state.Stopping() {
+		return nil, &Refusal{Status: http.StatusServiceUnavailable, Code: "stopping", Message: "the entry is stopping; send to another"}
+	}
+	if config.Revision() == 0 {
+		return nil, &Refusal{Status: http.StatusServiceUnavailable, Code: "no-configuration", Message: "the entry has no configuration yet; apply a file or wait for the platform or a peer"}
+	}
+	return &gencaller.HealthState{Entry: service.entry, Revision: config.Revision()}, nil
+}
--- /dev/null
+++ b/caller/completion.go
@@ -0,0 +1,134 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	maxBodyBytes     = 4 << 20
+	defaultMaxTokens = 256
+	maxMaxTokens     = 32768
+)
+
+type (
+	// Completion is the body of a chat completion request; fields that the
+	// system does not use are ignored.
+	Completion struct {
+		Model     string        `json:"model"`
+		Messages  []ChatMessage `json:"messages"`
+		Stream    bool          `json:"stream"`
+		MaxTokens int           `json:"max_tokens"`
+		Seed      *uint64       `json:"seed"`
+	}
+
+	// ChatMessage is one message of a chat.
+	ChatMessage struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+
+	// completionChunk is one event of a streamed answer.
+	completionChunk struct {
+		ID      string        `json:"id"`
+		Object  string        `json:"object"`
+		Model   string        `json:"model"`
+		Choices []chunkChoice `json:"choices"`
+		Usage   *usage        `json:"usage,omitempty"`
+	}
+
+	chunkChoice struct {
+		Index        int       `json:"index"`
+		Delta        chatDelta `json:"delta"`
+		FinishReason *string   `json:"finish_reason"`
+	}
+
+	chatDelta struct {
+		Content string `json:"content,omitempty"`
+	}
+
+	// completionAnswer is an answer that is not streamed.
+	completionAnswer struct {
+		ID      string         `json:"id"`
+		Object  string         `json:"object"`
+		Model   string         `json:"model"`
+		Choices []answerChoice `json:"choices"`
+		Usage   usage          `json:"usage"`
+	}
+
+	answerChoice struct {
+		Index        int         `json:"index"`
+		Message      ChatMessage `json:"message"`
+		FinishReason string      `json:"finish_reason"`
+	}
+
+	// usage counts the tokens of a whole answer.
+	usage struct {
+		CompletionTokens int `json:"completion_tokens"`
+	}
+)
+
+// readBody reads a request's body whole.
+func readBody(ctx context.Context, body io.Reader) ([]byte, error) {
+	defer exchangeOf(ctx).bodyRead()
+	raw, err := io.ReadAll(io.LimitReader(body, maxBodyBytes+1))
+	if err != nil {
+		return nil, trace.BadParameter("the body was cut off (%v); send it whole", err)
+	}
+	if len(raw) > maxBodyBytes {
+		return nil, trace.BadParameter("the body has more than %d bytes; send a shorter one", maxBodyBytes)
+	}
+	return raw, nil
+}
+
+// parseCompletion checks a chat completion request.
+func parseCompletion(raw []byte) (Completion, error) {
+	var completion Completion
+	if err := json.Unmarshal(raw, &completion); err != nil {
+		return completion, trace.BadParameter("the body is not a chat completion request (%v); correct it", err)
+	}
+	if completion.Model == "" || len(completion.Messages) == 0 {
+		return completion, trace.BadParameter("the body names no model or has no message; give \"model\" and \"messages\"")
+	}
+	if completion.MaxTokens < 0 || completion.MaxTokens > maxMaxTokens {
+		return completion, trace.BadParameter("max_tokens %d is out of range; use 1 to %d", completion.MaxTokens, maxMaxTokens)
+	}
+	if completion.MaxTokens == 0 {
+		completion.MaxTokens = defaultMaxTokens
+	}
+	return completion, nil
+}
+
+// prompt is the text that the engine is given.
+func (completion Completion) prompt() string {
+	var text strings.Builder
+	for _, message := range completion.Messages {
+		fmt.Fprintf(&text, "%s: %s\n", message.Role, message.Content)
+	}
+	return text.String()
+}
+
+// seed returns the caller's seed, or one derived from the request's id.
+func (completion Completion) seed(id string) uint64 {
+	if completion.Seed != nil {
+		return *completion.Seed
+	}
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(id)) // cannot fail
+	return hash.Sum64()
+}
+
+func digestOf(parts ...string) []byte {
+	hash := sha256.New()
+	for _, part := range parts {
+		fmt.Fprintf(hash, "%d:%s", len(part), part)
+	}
+	return hash.Sum(nil)
+}
--- /dev/null
+++ b/caller/refusal.go
@@ -0,0 +1,138 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
+	greengageroute "greengageroute.example/greengageroute"
+)
+
+const (
+	// bodyTimeout bounds the arrival of a request's body.
+	bodyTimeout = 30 * time.Second
+)
+
+type (
+	// Refusal is an error as callers and operators see it.
+	Refusal struct {
+		Status     int           `json:"-"`
+		Code       string        `json:"code"`
+		Message    string        `json:"message"`
+		Outcome    string        `json:"outcome,omitempty"` // of an action: not-run or unknown
+		Ask        string        `json:"ask,omitempty"`     // where to ask for an unknown outcome
+		RetryAfter time.Duration `json:"-"`
+	}
+
+	// exchange lets the service set what goa's generated encoders do not: the
+	// status and headers of a passed-on answer.
+	exchange struct {
+		http.ResponseWriter
+		request    *http.Request
+		status     int
+		retryAfter time.Duration
+	}
+
+	exchangeKey struct{}
+)
+
+func (refusal *Refusal) Error() string { return refusal.Message }
+
+// StatusCode implements goa's Statuser.
+func (refusal *Refusal) StatusCode() int { return refusal.Status }
+
+// Unwrap returns the writer underneath, for flushing.
+func (exchange *exchange) Unwrap() http.ResponseWriter { return exchange.ResponseWriter }
+
+// WriteHeader writes the status set by the service in place of the design's.
+func (exchange *exchange) WriteHeader(status int) {
+	if exchange.status != 0 && status == http.StatusOK {
+		status = exchange.status
+	}
+	if exchange.retryAfter > 0 {
+		seconds := int(math.Ceil(exchange.retryAfter.Seconds()))
+		exchange.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	exchange.ResponseWriter.WriteHeader(status)
+}
+
+// bodyRead lifts the deadline under which a request's body has to arrive.
+func (exchange *exchange) bodyRead() {
+	if exchange.ResponseWriter != nil {
+		_ = http.NewResponseController(exchange.ResponseWriter).SetReadDeadline(time.Time{})
+	}
+}
+
+// Exchange makes the request and the answer's status known to the service.
+func Exchange(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		exchange := &exchange{ResponseWriter: writer, request: request}
+		_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(bodyTimeout))
+		ctx := context.WithValue(request.Context(), exchangeKey{}, exchange)
+		next.ServeHTTP(exchange, request.WithContext(ctx))
+	})
+}
+
+func exchangeOf(ctx context.Context) *exchange {
+	found, ok := ctx.Value(exchangeKey{}).(*exchange)
+	if !ok {
+		return &exchange{request: &http.Request{Method: http.MethodGet}}
+	}
+	return found
+}
+
+// FormatError is goa's error formatter: it maps errors to statuses.
+func FormatError(ctx context.Context, err error) goahttp.Statuser {
+	refusal := refuse(err)
+	exchangeOf(ctx).retryAfter = refusal.RetryAfter
+	return refusal
+}
+
+func refuse(err error) *Refusal {
+	var refusal *Refusal
+	var overload *greengageroute.OverloadError
+	var malformed *goa.ServiceError
+	switch {
+	case errors.As(err, &refusal):
+		return refusal
+	case errors.As(err, &overload):
+		return &Refusal{
+			Status: http.StatusTooManyRequests, Code: "overloaded", Message: overload.Error(),
+			Outcome: greengageroute.OutcomeNotRun, RetryAfter: overload.RetryAfter,
+		}
+	case errors.As(err, &malformed):
+		return &Refusal{Status: http.StatusBadRequest, Code: "malformed", Message: malformed.Message + "; correct the request"}
+	case trace.IsAccessDenied(err):
+		return &Refusal{Status: http.StatusUnauthorized, Code: "denied", Message: trace.UserMessage(err)}
+	case trace.IsNotFound(err):
+		return &Refusal{Status: http.StatusNotFound, Code: "not-found", Message: trace.UserMessage(err)}
+	case trace.IsBadParameter(err):
+		return &Refusal{Status: http.StatusBadRequest, Code: "malformed", Message: trace.UserMessage(err)}
+	case errors.Is(err, context.Canceled):
+		return &Refusal{Status: 499, Code: "cancelled", Message: "the caller went away"}
+	default:
+		return &Refusal{Status: http.StatusInternalServerError, Code: "internal", Message: err.Error()}
+	}
+}
+
+func notRun(reason string, retryAfter time.Duration) *Refusal {
+	return &Refusal{
+		Status: http.StatusServiceUnavailable, Code: "not-run", Outcome: greengageroute.OutcomeNotRun, RetryAfter: retryAfter,
+		Message: reason + "; it was not run, send it again with the same key",
+	}
+}
+
+func unknownOutcome(key string) *Refusal {
+	ask := "/actions/" + key
+	return &Refusal{
+		Status: http.StatusGatewayTimeout, Code: "unknown", Outcome: greengageroute.OutcomeUnknown, Ask: ask, RetryAfter: time.Second,
+		Message: fmt.Sprintf("the action may have been run; ask GET %s before anything else is done", ask),
+	}
+}
--- /dev/null
+++ b/cmd/greengageroute/admin.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+	goahttp "goa.design/goa/v3/http"
+	"greengageroute.example/greengageroute/caller"
+	operatorclient "greengageroute.example/greengageroute/gen/http/operator/client"
+	genoperator "greengageroute.example/greengageroute/gen/operator"
+)
+
+const (
+	tokenVariable = "GREENGAGEROUTE_TOKEN"
+	maxErrorBytes = 1 << 20
+)
+
+type (
+	// adminFlags are the flags of every operator's command.
+	adminFlags struct {
+		entry     string
+		tokenFile string
+		output    string
+	}
+
+	// refusing turns error statuses into the refusal that the entry sent.
+	refusing struct{ next goahttp.Doer }
+)
+
+func (flags *adminFlags) register(set *pflag.FlagSet) {
+	set.StringVar(&flags.entry, "entry", "127.0.0.1:8080", "address of an entry, IP:port")
+	set.StringVar(&flags.tokenFile, "token-file", "", "file of the operator's token; else "+tokenVariable)
+	set.StringVar(&flags.output, "output", "text", "text or json")
+}
+
+func (flags *adminFlags) client() *genoperator.Client {
+	made := operatorclient.NewClient("http", flags.entry, refusing{http.DefaultClient}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	return genoperator.NewClient(made.Apply(), made.File(), made.Check(), made.Status(), made.Drain(), made.Audit())
+}
+
+func (flags *adminFlags) authorization() (*string, error) {
+	token := os.Getenv(tokenVariable)
+	if flags.tokenFile != "" {
+		text, err := os.ReadFile(flags.tokenFile)
+		if err != nil {
+			return nil, trace.Wrap(err, "reading the token")
+		}
+		token = strings.TrimSpace(string(text))
+	}
+	if token == "" {
+		return nil, usageError{trace.BadParameter("no token is given; use --token-file or set %s", tokenVariable)}
+	}
+	header := "Bearer " + token
+	return &header, nil
+}
+
+// print writes a result as the output flag asks for.
+func (flags *adminFlags) print(command *cobra.Command, value any, text func(io.Writer)) error {
+	switch flags.output {
+	case "json":
+		encoder := json.NewEncoder(command.OutOrStdout())
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	case "text":
+		text(command.OutOrStdout())
+		return nil
+	default:
+		return usageError{trace.BadParameter("unknown output %q; use text or json", flags.output)}
+	}
+}
+
+// Do implements goahttp.Doer.
+func (client refusing) Do(request *http.Request) (*http.Response, error) {
+	response, err := client.next.Do(request)
+	if err != nil {
+		return nil, &caller.Refusal{
+			Status: http.StatusServiceUnavailable, Code: "no-entry",
+			Message: fmt.Sprintf("entry %s does not answer (%v); name another with --entry", request.URL.Host, err),
+		}
+	}
+	if response.StatusCode < http.StatusBadRequest {
+		return response, nil
+	}
+	defer response.Body.Close()
+	refusal := &caller.Refusal{Status: response.StatusCode}
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	if json.Unmarshal(body, refusal) != nil || refusal.Message == "" {
+		refusal.Message = fmt.Sprintf("the entry answered with status %s: %s", response.Status, body)
+	}
+	return nil, refusal
+}
+
+// fileName is the name under which a file is applied: its own without the
+// extension.
+func fileName(path string) string {
+	return strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
+}
+
+func current(ctx context.Context, client *genoperator.Client, header *string, name string) (*genoperator.FileInForce, error) {
+	file, err := client.File(ctx, &genoperator.FilePayload{Authorization: header, Name: name})
+	if isNotFound(err) {
+		return &genoperator.FileInForce{Name: name}, nil
+	}
+	return file, err
+}
+
+func isNotFound(err error) bool {
+	var refusal *caller.Refusal
+	return errors.As(err, &refusal) && refusal.Status == http.StatusNotFound
+}
--- /dev/null
+++ b/cmd/greengageroute/apply.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+	genoperator "greengageroute.example/greengageroute/gen/operator"
+)
+
+const (
+	applyUsage = `Puts a configuration file in force as a whole.
+
+The file takes the place of the one in force under the same name. --base says on
+which version the new text is based; without it the version in force is read
+first. If another operator was faster nothing is changed, and the command says
+who was (exit code 4). If the outcome is unknown (exit code 5) run it again with
+the same --apply-id.`
+
+	waitPoll    = 200 * time.Millisecond
+	waitTimeout = 30 * time.Second
+)
+
+type applyFlags struct {
+	base    int64
+	applyID string
+	wait    bool
+	every   bool
+}
+
+func newApplyCommand(admin *adminFlags) *cobra.Command {
+	flags := &applyFlags{}
+	command := &cobra.Command{
+		Use: "apply FILE", Short: "Put a file in force", Long: applyUsage, Args: cobra.ExactArgs(1),
+		Example: "  greengageroute apply --wait groups.yaml",
+		RunE: func(command *cobra.Command, args []string) error {
+			return apply(command, admin, flags, args[0])
+		},
+	}
+	command.Flags().Int64Var(&flags.base, "base", -1, "version that the text is based on; -1 for the one in force")
+	command.Flags().StringVar(&flags.applyID, "apply-id", "", "id of this attempt; to be given again after an unknown outcome")
+	command.Flags().BoolVar(&flags.wait, "wait", false, "wait until it is in force at every live entry")
+	command.Flags().BoolVar(&flags.every, "every-data-centre", false, "refuse unless every data centre is heard from")
+	return command
+}
+
+func apply(command *cobra.Command, admin *adminFlags, flags *applyFlags, path string) error {
+	ctx := command.Context()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	header, err := admin.authorization()
+	if err != nil {
+		return err
+	}
+	client := admin.client()
+	payload := &genoperator.ApplyPayload{
+		Authorization: header, Name: fileName(path), Text: string(text), ApplyID: flags.applyID, EveryDataCentre: &flags.every,
+	}
+	if payload.ApplyID == "" {
+		payload.ApplyID = uuid.NewString()
+	}
+	if flags.base >= 0 {
+		payload.Base = uint64(flags.base)
+	} else {
+		file, err := current(ctx, client, header, payload.Name)
+		if err != nil {
+			return err
+		}
+		payload.Base = file.Version
+	}
+	applied, err := client.Apply(ctx, payload)
+	if err != nil {
+		return trace.Wrap(err, "applying %q with apply id %s", payload.Name, payload.ApplyID)
+	}
+	if flags.wait {
+		if err := waitInForce(ctx, client, header, applied.Revision); err != nil {
+			return err
+		}
+	}
+	return admin.print(command, applied, func(out io.Writer) {
+		fmt.Fprintf(out, "file %q is in force as version %d, revision %d\n", applied.Name, applied.Version, applied.Revision)
+	})
+}
+
+// waitInForce waits until every entry that is alive has the revision.
+func waitInForce(ctx context.Context, client *genoperator.Client, header *string, revision uint64) error {
+	deadline := time.Now().Add(waitTimeout)
+	for {
+		status, err := client.Status(ctx, &genoperator.StatusPayload{Authorization: header})
+		if err != nil {
+			return err
+		}
+		late := ""
+		for _, entry := range status.Entries {
+			if entry.State == "alive" && entry.Revision < revision {
+				late = fmt.Sprintf("entry %q of data centre %q is at revision %d", entry.Name, entry.DataCentre, entry.Revision)
+			}
+		}
+		if late == "" {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return trace.LimitExceeded("revision %d is accepted but not yet in force everywhere: %s; run \"greengageroute status\"", revision, late)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(waitPoll):
+		}
+	}
+}
--- /dev/null
+++ b/cmd/greengageroute/diff.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+	greengageroute "greengageroute.example/greengageroute"
+)
+
+const diffUsage = `Shows what applying a file would change, and the version it would be based on.`
+
+type difference struct {
+	Name    string   `json:"name"`
+	Base    uint64   `json:"base"`
+	Changes []string `json:"changes"`
+}
+
+func newDiffCommand(admin *adminFlags) *cobra.Command {
+	return &cobra.Command{
+		Use: "diff FILE", Short: "Show what a file would change", Long: diffUsage, Args: cobra.ExactArgs(1),
+		Example: "  greengageroute diff groups.yaml",
+		RunE: func(command *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			header, err := admin.authorization()
+			if err != nil {
+				return err
+			}
+			file, err := current(command.Context(), admin.client(), header, fileName(args[0]))
+			if err != nil {
+				return err
+			}
+			found := difference{Name: file.Name, Base: file.Version, Changes: greengageroute.Describe(file.Name, file.Text, string(text))}
+			return admin.print(command, found, func(out io.Writer) {
+				fmt.Fprintf(out, "file %q, against version %d:\n", found.Name, found.Base)
+				for _, line := range found.Changes {
+					fmt.Fprintln(out, "  "+line)
+				}
+			})
+		},
+	}
+}
--- /dev/null
+++ b/cmd/greengageroute/main.go
@@ -0,0 +1,94 @@
+// Command greengageroute runs an entry of the serving system and gives
+// operators its administration.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/caller"
+)
+
+const rootUsage = `greengageroute serves models whose replicas span several VMs.
+
+An entry runs with "greengageroute entry". The other commands are an operator's:
+they speak to any entry, named by --entry, with a token from --token-file or the
+variable GREENGAGEROUTE_TOKEN.
+
+Exit codes:
+  0  done
+  1  failed
+  2  the command line is wrong
+  3  a file has faults
+  4  another operator was first
+  5  the entry or the platform is not available, or the outcome is unknown
+  6  the token is not known or may not do this`
+
+// Exit codes.
+const (
+	exitFailed      = 1
+	exitUsage       = 2
+	exitFaults      = 3
+	exitConflict    = 4
+	exitUnavailable = 5
+	exitDenied      = 6
+)
+
+type usageError struct{ error }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newRoot().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		stop()
+		os.Exit(exitCode(err))
+	}
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use: "greengageroute", Long: rootUsage, SilenceUsage: true, SilenceErrors: true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	admin := &adminFlags{}
+	admin.register(root.PersistentFlags())
+	root.AddCommand(
+		newEntryCommand(), newApplyCommand(admin), newCheckCommand(admin), newDiffCommand(admin), newStatusCommand(admin),
+		newDrainCommand(admin), newAuditCommand(admin), newDevCommand(), newKeysCommand(), newTokenCommand(),
+	)
+	return root
+}
+
+func exitCode(err error) int {
+	var usage usageError
+	var faults *greengageroute.FaultsError
+	var refusal *caller.Refusal
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &faults):
+		return exitFaults
+	case !errors.As(err, &refusal):
+		return exitFailed
+	}
+	switch refusal.Status {
+	case http.StatusUnprocessableEntity:
+		return exitFaults
+	case http.StatusConflict:
+		return exitConflict
+	case http.StatusUnauthorized, http.StatusForbidden:
+		return exitDenied
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return exitUnavailable
+	default:
+		return exitFailed
+	}
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,107 @@
+// Command standin runs the project's stand-ins as processes of their own, for
+// tests and demonstrations.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/standin"
+)
+
+const (
+	usage = `Runs a stand-in for an outside system. Faults are set with POST
+/control/faults at its address.`
+
+	headerTimeout = 5 * time.Second
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &cobra.Command{Use: "standin", Long: usage, SilenceUsage: true}
+	root.AddCommand(platformCommand(), engineCommand(), serviceCommand())
+	if err := root.ExecuteContext(ctx); err != nil {
+		stop()
+		os.Exit(1)
+	}
+}
+
+func platformCommand() *cobra.Command {
+	var listen, vmsFile string
+	command := &cobra.Command{
+		Use: "platform", Short: "Run the platform's stand-in", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			vms, err := readVMs(vmsFile)
+			if err != nil {
+				return err
+			}
+			return serve(command.Context(), listen, standin.NewPlatform(vms...).Handler())
+		},
+	}
+	command.Flags().StringVar(&listen, "listen", "127.0.0.1:7000", "address IP:port")
+	command.Flags().StringVar(&vmsFile, "vms", "", "file of the VMs to list, in JSON")
+	return command
+}
+
+func readVMs(path string) ([]greengageroute.VM, error) {
+	if path == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var vms []greengageroute.VM
+	if err := json.Unmarshal(text, &vms); err != nil {
+		return nil, fmt.Errorf("file %q is not a list of VMs: %w", path, err)
+	}
+	return vms, nil
+}
+
+func engineCommand() *cobra.Command {
+	settings := standin.EngineSettings{}
+	command := &cobra.Command{
+		Use: "engine", Short: "Run an engine's stand-in", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return serve(command.Context(), settings.Listen, standin.NewEngine(settings).Handler())
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&settings.Listen, "listen", "127.0.0.1:7100", "address IP:port")
+	flags.StringVar(&settings.VM, "vm", "vm-1", "id of its VM")
+	flags.DurationVar(&settings.LoadTime, "load-time", 200*time.Millisecond, "time to load a model")
+	flags.DurationVar(&settings.TokenInterval, "token-interval", 20*time.Millisecond, "time between tokens")
+	flags.BoolVar(&settings.HonoursFences, "honours-fences", true, "refuse orders with an old fencing number")
+	return command
+}
+
+func serviceCommand() *cobra.Command {
+	var listen string
+	command := &cobra.Command{
+		Use: "service", Short: "Run a plain service's stand-in", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return serve(command.Context(), listen, standin.NewService(standin.NewLedger()).Handler())
+		},
+	}
+	command.Flags().StringVar(&listen, "listen", "127.0.0.1:7200", "address IP:port")
+	return command
+}
+
+func serve(ctx context.Context, listen string, handler http.Handler) error {
+	server := &http.Server{Addr: listen, Handler: handler, ReadHeaderTimeout: headerTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/config.go
@@ -0,0 +1,426 @@
+package greengageroute
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"path"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Kinds of things that can be drained.
+const (
+	DrainVM     = "vm"
+	DrainGroup  = "group"
+	DrainTarget = "target"
+
+	// DrainsFile is the file that the drain call keeps.
+	DrainsFile = "drains"
+
+	defaultDeadline = 30 * time.Second
+	defaultTimeout  = 10 * time.Second
+	lowestRank      = 1 << 20
+)
+
+type (
+	// FileVersion is one configuration file as it was accepted.
+	FileVersion struct {
+		Name     string `json:"name" cbor:"1,keyasint"`
+		Version  uint64 `json:"version" cbor:"2,keyasint"`
+		Revision uint64 `json:"revision" cbor:"3,keyasint"`
+		ApplyID  string `json:"apply-id" cbor:"4,keyasint"`
+		Who      string `json:"who" cbor:"5,keyasint"`
+		Text     string `json:"text" cbor:"6,keyasint"`
+	}
+
+	// Config is the merged set of files at one revision. It is immutable.
+	Config struct {
+		revision   uint64
+		versions   map[string]FileVersion
+		centres    map[string]DataCentre
+		models     map[string]Model
+		groups     []GroupSpec
+		services   map[string]Service
+		classes    map[string]Class
+		workspaces map[string]Workspace
+		keys       map[string]string
+		teams      []Team
+		policies   map[string]Policy
+		drains     map[Drain]struct{}
+	}
+
+	// merge builds a Config and collects faults that span files.
+	merge struct {
+		config *Config
+		owners map[string]string
+		lists  []*faultList
+	}
+)
+
+// HashKey returns the form in which workspace keys and team tokens are stored:
+// SHA-256 in lower-case hex.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// NewConfig merges files into the configuration of a revision. The error is a
+// *FaultsError that names every clash and every unknown reference.
+func NewConfig(revision uint64, versions map[string]FileVersion) (*Config, error) {
+	config := &Config{
+		revision: revision, versions: maps.Clone(versions),
+		centres: map[string]DataCentre{}, models: map[string]Model{}, services: map[string]Service{},
+		classes: map[string]Class{}, workspaces: map[string]Workspace{}, keys: map[string]string{},
+		policies: map[string]Policy{}, drains: map[Drain]struct{}{},
+	}
+	join := &merge{config: config, owners: map[string]string{}}
+	files := map[*faultList]*File{}
+	for _, name := range slices.Sorted(maps.Keys(versions)) {
+		list := &faultList{file: name}
+		file := &File{}
+		decodeYAML(list, []byte(versions[name].Text), file)
+		if len(list.faults) == 0 {
+			file.validate(list)
+		}
+		join.lists = append(join.lists, list)
+		files[list] = file
+		join.declare(list, file)
+	}
+	for _, list := range join.lists {
+		join.resolve(list, files[list])
+	}
+	var all []Fault
+	for _, list := range join.lists {
+		all = append(all, list.faults...)
+	}
+	if len(all) > 0 {
+		return nil, &FaultsError{Faults: all}
+	}
+	return config, nil
+}
+
+func (join *merge) own(list *faultList, path, kind, name string) {
+	key := kind + " " + name
+	if owner, taken := join.owners[key]; taken {
+		list.add(path, "choose another name or remove the other", "%s is already declared in file %q", key, owner)
+		return
+	}
+	join.owners[key] = list.file
+}
+
+func (join *merge) declare(list *faultList, file *File) {
+	config := join.config
+	for i, centre := range file.DataCentres {
+		join.own(list, fmt.Sprintf("data-centres[%d].name", i), "data centre", centre.Name)
+		config.centres[centre.Name] = centre
+	}
+	for i, model := range file.Models {
+		join.own(list, fmt.Sprintf("models[%d].name", i), "model", model.Name)
+		if model.Streams == 0 {
+			model.Streams = defaultStreams
+		}
+		config.models[model.Name] = model
+	}
+	for i, spec := range file.Groups {
+		join.own(list, fmt.Sprintf("groups[%d].name", i), "group", spec.Name)
+		config.groups = append(config.groups, spec)
+	}
+	for i, service := range file.Services {
+		join.own(list, fmt.Sprintf("services[%d].name", i), "service", service.Name)
+		if service.Timeout == 0 {
+			service.Timeout = defaultTimeout
+		}
+		config.services[service.Name] = service
+	}
+	for i, class := range file.Classes {
+		join.own(list, fmt.Sprintf("classes[%d].name", i), "class", class.Name)
+		config.classes[class.Name] = class
+	}
+	for i, workspace := range file.Workspaces {
+		join.own(list, fmt.Sprintf("workspaces[%d].name", i), "workspace", workspace.Name)
+		config.workspaces[workspace.Name] = workspace
+		for j, hash := range workspace.KeyHashes {
+			join.own(list, fmt.Sprintf("workspaces[%d].key-hashes[%d]", i, j), "key hash", hash)
+			config.keys[hash] = workspace.Name
+		}
+	}
+	for i, team := range file.Teams {
+		join.own(list, fmt.Sprintf("teams[%d].name", i), "team", team.Name)
+		config.teams = append(config.teams, team)
+	}
+	for i, policy := range file.Policies {
+		join.own(list, fmt.Sprintf("policies[%d].data-centre", i), "policy of data centre", policy.DataCentre)
+		config.policies[policy.DataCentre] = policy
+	}
+	for _, drain := range file.Drains {
+		config.drains[drain] = struct{}{}
+	}
+}
+
+func (join *merge) resolve(list *faultList, file *File) {
+	config := join.config
+	for i, spec := range file.Groups {
+		path := fmt.Sprintf("groups[%d]", i)
+		model, known := config.models[spec.Model]
+		if !known {
+			unknown(list, path+".model", "model", spec.Model, config.models)
+		}
+		centre, found := config.centres[spec.DataCentre]
+		if !found {
+			unknown(list, path+".data-centre", "data centre", spec.DataCentre, config.centres)
+		}
+		if known && found && model.VMsPerGroup > centre.widest() {
+			list.add(path+".model", "choose a model that spans fewer VMs or a data centre with a wider fabric domain",
+				"a group of model %q needs %d VMs, the widest fabric domain of %q has %d", model.Name, model.VMsPerGroup, centre.Name, centre.widest())
+		}
+	}
+	for i, service := range file.Services {
+		for j, target := range service.Targets {
+			if _, found := config.centres[target.DataCentre]; !found {
+				unknown(list, fmt.Sprintf("services[%d].targets[%d].data-centre", i, j), "data centre", target.DataCentre, config.centres)
+			}
+		}
+		for j, call := range service.Calls {
+			checkClass(list, fmt.Sprintf("services[%d].calls[%d].class", i, j), call.Class, config)
+		}
+	}
+	for i, workspace := range file.Workspaces {
+		path := fmt.Sprintf("workspaces[%d]", i)
+		checkClass(list, path+".class", workspace.Class, config)
+		for j, name := range workspace.Models {
+			if _, found := config.models[name]; !found {
+				unknown(list, fmt.Sprintf("%s.models[%d]", path, j), "model", name, config.models)
+			}
+		}
+		for j, name := range workspace.Services {
+			if _, found := config.services[name]; !found {
+				unknown(list, fmt.Sprintf("%s.services[%d]", path, j), "service", name, config.services)
+			}
+		}
+	}
+	for i, policy := range file.Policies {
+		if _, found := config.centres[policy.DataCentre]; !found {
+			unknown(list, fmt.Sprintf("policies[%d].data-centre", i), "data centre", policy.DataCentre, config.centres)
+		}
+	}
+}
+
+func checkClass(list *faultList, path, name string, config *Config) {
+	if _, found := config.classes[name]; name != "" && !found {
+		unknown(list, path, "class", name, config.classes)
+	}
+}
+
+func unknown[V any](list *faultList, path, kind, name string, known map[string]V) {
+	names := strings.Join(slices.Sorted(maps.Keys(known)), ", ")
+	if names == "" {
+		names = "none is declared yet"
+	}
+	list.add(path, "declare it first or use one of: "+names, "unknown %s %q", kind, name)
+}
+
+func (centre DataCentre) widest() int {
+	most := 0
+	for _, domain := range centre.Domains {
+		most = max(most, domain.VMs)
+	}
+	return most
+}
+
+// Revision is the number of the accepted change that this configuration ends with.
+func (config *Config) Revision() uint64 { return config.revision }
+
+// Versions returns the files in force by name.
+func (config *Config) Versions() map[string]FileVersion { return maps.Clone(config.versions) }
+
+// Version returns the file in force under a name.
+func (config *Config) Version(name string) (FileVersion, bool) {
+	version, ok := config.versions[name]
+	return version, ok
+}
+
+// With returns the configuration after the given files were accepted, the
+// highest revision among them being the new one.
+func (config *Config) With(revision uint64, changed ...FileVersion) (*Config, error) {
+	versions := make(map[string]FileVersion, len(config.versions)+len(changed))
+	maps.Copy(versions, config.versions)
+	for _, version := range changed {
+		versions[version.Name] = version
+	}
+	return NewConfig(revision, versions)
+}
+
+// ChangedSince returns the files accepted after a revision, by name.
+func (config *Config) ChangedSince(revision uint64) []FileVersion {
+	var changed []FileVersion
+	for _, name := range slices.Sorted(maps.Keys(config.versions)) {
+		if config.versions[name].Revision > revision {
+			changed = append(changed, config.versions[name])
+		}
+	}
+	return changed
+}
+
+// DataCentres returns the names of all data centres, sorted.
+func (config *Config) DataCentres() []string { return slices.Sorted(maps.Keys(config.centres)) }
+
+// DataCentre returns a data centre by name.
+func (config *Config) DataCentre(name string) (DataCentre, bool) {
+	centre, ok := config.centres[name]
+	return centre, ok
+}
+
+// Model returns a model by name.
+func (config *Config) Model(name string) (Model, error) {
+	model, ok := config.models[name]
+	if !ok {
+		return Model{}, trace.NotFound("model %q is not declared; declare it in a configuration file", name)
+	}
+	return model, nil
+}
+
+// Models returns all models by name.
+func (config *Config) Models() map[string]Model { return maps.Clone(config.models) }
+
+// GroupSpecs returns the groups asked for in a data centre.
+func (config *Config) GroupSpecs(dataCentre string) []GroupSpec {
+	var specs []GroupSpec
+	for _, spec := range config.groups {
+		if spec.DataCentre == dataCentre {
+			specs = append(specs, spec)
+		}
+	}
+	return specs
+}
+
+// Service returns a plain service by name.
+func (config *Config) Service(name string) (Service, error) {
+	service, ok := config.services[name]
+	if !ok {
+		return Service{}, trace.NotFound("service %q is not declared; declare it in a configuration file", name)
+	}
+	return service, nil
+}
+
+// Class returns a class by name; an unknown one is served last.
+func (config *Config) Class(name string) Class {
+	class, ok := config.classes[name]
+	if !ok {
+		return Class{Name: name, Rank: lowestRank, Deadline: defaultDeadline}
+	}
+	return class
+}
+
+// Policy returns the weights of a data centre.
+func (config *Config) Policy(dataCentre string) Policy {
+	policy, ok := config.policies[dataCentre]
+	if !ok {
+		return Policy{DataCentre: dataCentre, DowntimeWeight: 1, StrandedWeight: 1}
+	}
+	return policy
+}
+
+// Draining tells whether an operator marked the thing as leaving.
+func (config *Config) Draining(kind, name string) bool {
+	_, ok := config.drains[Drain{Kind: kind, Name: name}]
+	return ok
+}
+
+// Drains returns the marks in force, sorted by kind and name.
+func (config *Config) Drains() []Drain {
+	drains := slices.Collect(maps.Keys(config.drains))
+	slices.SortFunc(drains, func(a, b Drain) int {
+		return strings.Compare(a.Kind+" "+a.Name, b.Kind+" "+b.Name)
+	})
+	return drains
+}
+
+// WorkspaceByKey returns the workspace that a key belongs to.
+func (config *Config) WorkspaceByKey(key string) (Workspace, error) {
+	name, ok := config.keys[HashKey(key)]
+	if !ok {
+		return Workspace{}, trace.AccessDenied("the key is not known; send a workspace's key as \"Authorization: Bearer KEY\"")
+	}
+	return config.workspaces[name], nil
+}
+
+// TeamByToken returns the team that a token belongs to.
+func (config *Config) TeamByToken(token string) (Team, error) {
+	hash := HashKey(token)
+	for _, team := range config.teams {
+		if team.TokenHash == hash {
+			return team, nil
+		}
+	}
+	return Team{}, trace.AccessDenied("the token is not known; send a team's token as \"Authorization: Bearer TOKEN\"")
+}
+
+// Allows tells whether the team may use a scope on a file.
+func (team Team) Allows(scope, file string) bool {
+	if !slices.Contains(team.Scopes, scope) {
+		return false
+	}
+	if file == "" {
+		return true
+	}
+	return slices.ContainsFunc(team.Files, func(pattern string) bool {
+		matched, err := path.Match(pattern, file)
+		return err == nil && matched
+	})
+}
+
+// CallFor returns how a call of the service is treated.
+func (service Service) CallFor(method, callPath string) Call {
+	for _, call := range service.Calls {
+		if matched, err := path.Match(call.Path, callPath); err == nil && matched && call.Method == method {
+			return call
+		}
+	}
+	return Call{Method: method, Path: callPath, Idempotent: method == "GET"}
+}
+
+// Describe lists the differences between two texts by the declared things.
+func Describe(name, before, after string) []string {
+	old, _ := ParseFile(name, []byte(before))
+	changed, _ := ParseFile(name, []byte(after))
+	was, is := old.summary(), changed.summary()
+	var lines []string
+	for _, key := range slices.Sorted(maps.Keys(was)) {
+		if _, kept := is[key]; !kept {
+			lines = append(lines, "removed "+key)
+		} else if is[key] != was[key] {
+			lines = append(lines, "changed "+key)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(is)) {
+		if _, known := was[key]; !known {
+			lines = append(lines, "added "+key)
+		}
+	}
+	return lines
+}
+
+func (file *File) summary() map[string]string {
+	things := map[string]string{}
+	summarise(things, "data centre", file.DataCentres, func(centre DataCentre) string { return centre.Name })
+	summarise(things, "model", file.Models, func(model Model) string { return model.Name })
+	summarise(things, "group", file.Groups, func(spec GroupSpec) string { return spec.Name })
+	summarise(things, "service", file.Services, func(service Service) string { return service.Name })
+	summarise(things, "class", file.Classes, func(class Class) string { return class.Name })
+	summarise(things, "workspace", file.Workspaces, func(workspace Workspace) string { return workspace.Name })
+	summarise(things, "team", file.Teams, func(team Team) string { return team.Name })
+	summarise(things, "policy", file.Policies, func(policy Policy) string { return policy.DataCentre })
+	summarise(things, "drain", file.Drains, func(drain Drain) string { return drain.Kind + " " + drain.Name })
+	return things
+}
+
+func summarise[T any](things map[string]string, kind string, items []T, name func(T) string) {
+	for _, item := range items {
+		things[kind+" "+name(item)] = fmt.Sprintf("%+v", item)
+	}
+}
--- /dev/null
+++ b/entry/counters.go
@@ -0,0 +1,17 @@
+package entry
+
+// Counters of an entry besides the caller's; docs/operations.md lists them.
+const (
+	CountConfigAdopted  = "config-adopted"
+	CountFleetAdopted   = "fleet-adopted"
+	CountPlatformFailed = "platform-failed"
+	CountFetchFailed    = "peer-fetch-failed"
+	CountNewsFailed     = "peer-news-failed"
+	CountPeerDropped    = "peer-messages-dropped"
+	CountGroupsLost     = "groups-lost"
+	CountProbes         = "probes"
+	CountOrders         = "orders"
+	CountOrdersFailed   = "orders-failed"
+	CountCallersGone    = "callers-gone"
+	CountRefused        = "refused-" // followed by the class
+)
--- /dev/null
+++ b/entry/documents.go
@@ -0,0 +1,196 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/peer"
+)
+
+const (
+	// pollers is how many entries of a data centre read the platform.
+	pollers = 2
+	// joinWait is how long a new entry without the platform listens to its
+	// peers before it serves.
+	joinWait = 1500 * time.Millisecond
+)
+
+type (
+	// documents holds what all entries share: the configuration, and the fleet
+	// of the data centre. Neither is ever replaced by an older one.
+	documents struct {
+		mu       sync.Mutex // held while one is replaced
+		config   atomic.Pointer[greengageroute.Config]
+		fleet    atomic.Pointer[greengageroute.Fleet]
+		fetching sync.Mutex
+	}
+)
+
+func newDocuments(dataCentre string) *documents {
+	documents := &documents{}
+	empty, _ := greengageroute.NewConfig(0, nil) // no file, no fault
+	documents.config.Store(empty)
+	documents.fleet.Store(&greengageroute.Fleet{DataCentre: dataCentre})
+	return documents
+}
+
+// adoptConfig puts a configuration in force if it is newer.
+func (documents *documents) adoptConfig(config *greengageroute.Config) bool {
+	documents.mu.Lock()
+	defer documents.mu.Unlock()
+	if config.Revision() <= documents.config.Load().Revision() {
+		return false
+	}
+	documents.config.Store(config)
+	return true
+}
+
+// adoptFleet takes a fleet if it is newer.
+func (documents *documents) adoptFleet(fleet greengageroute.Fleet) bool {
+	documents.mu.Lock()
+	defer documents.mu.Unlock()
+	if fleet.Revision <= documents.fleet.Load().Revision {
+		return false
+	}
+	documents.fleet.Store(&fleet)
+	return true
+}
+
+// Config returns the configuration in force here.
+func (entry *Entry) Config() *greengageroute.Config { return entry.documents.config.Load() }
+
+// Fleet returns the fleet of the data centre as known here.
+func (entry *Entry) Fleet() greengageroute.Fleet { return *entry.documents.fleet.Load() }
+
+// Revisions implements peer.Documents.
+func (entry *Entry) Revisions() peer.Revisions {
+	return peer.Revisions{Config: entry.Config().Revision(), Fleet: entry.Fleet().Revision}
+}
+
+// syncLoop reads the platform at the start, and later if this entry is one of
+// the data centre's pollers.
+func (entry *Entry) syncLoop(ctx context.Context) {
+	started := time.Now()
+	ticker := time.NewTicker(2 * tick)
+	defer ticker.Stop()
+	for first := true; ; first = false {
+		if first || !entry.joined.Load() || entry.chosen("poll", pollers) {
+			entry.poll(ctx, first)
+		}
+		if time.Since(started) > joinWait && entry.Config().Revision() > 0 {
+			entry.joined.Store(true)
+		}
+		entry.setSlots()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// chosen tells whether this entry is one of the few of its data centre that
+// carry a task.
+func (entry *Entry) chosen(task string, count int) bool {
+	for _, name := range greengageroute.Rendezvous(task, entry.members.Near(), count) {
+		if name == entry.settings.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// poll reads the configuration from the platform, and the fleet too at the
+// start.
+func (entry *Entry) poll(ctx context.Context, first bool) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	config, err := entry.configs.Latest(ctx, entry.Config())
+	if err != nil {
+		entry.counters.Add(CountPlatformFailed, 1)
+		return
+	}
+	entry.joined.Store(true)
+	entry.adoptConfig(ctx, config, true)
+	if first || entry.Fleet().Revision == 0 {
+		if fleet, err := entry.fleets.Latest(ctx, entry.settings.DataCentre); err == nil {
+			entry.adoptFleet(ctx, fleet)
+		}
+	}
+}
+
+// adoptConfig puts a configuration in force and tells the data centre. far
+// tells the other data centres too.
+func (entry *Entry) adoptConfig(ctx context.Context, config *greengageroute.Config, far bool) {
+	if !entry.documents.adoptConfig(config) {
+		return
+	}
+	entry.counters.Add(CountConfigAdopted, 1)
+	entry.log.Info("configuration in force", "revision", config.Revision())
+	entry.push(ctx, peer.News{}, far)
+}
+
+func (entry *Entry) adoptFleet(ctx context.Context, fleet greengageroute.Fleet) {
+	if !entry.documents.adoptFleet(fleet) {
+		return
+	}
+	entry.counters.Add(CountFleetAdopted, 1)
+	entry.setSlots()
+	if entry.lease.Tenure().Holds(time.Now(), 0) {
+		entry.push(ctx, peer.News{}, false)
+	}
+}
+
+// Heard implements peer.Documents: a member with a newer document is asked for it.
+func (entry *Entry) Heard(from peer.Info, revisions peer.Revisions) {
+	own := entry.Revisions()
+	newConfig := revisions.Config > own.Config
+	newFleet := from.DataCentre == entry.settings.DataCentre && revisions.Fleet > own.Fleet
+	if newConfig || newFleet {
+		go entry.fetch(from, newConfig, newFleet)
+	}
+}
+
+// fetch asks one member at a time for the documents it has and this entry lacks.
+func (entry *Entry) fetch(from peer.Info, config, fleet bool) {
+	if !entry.documents.fetching.TryLock() {
+		return
+	}
+	defer entry.documents.fetching.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
+	defer cancel()
+	if config {
+		message := entry.members.Envelope()
+		message.FetchConfig = &peer.FetchConfig{After: entry.Config().Revision()}
+		entry.takeConfig(ctx, from, message)
+	}
+	if fleet {
+		message := entry.members.Envelope()
+		message.FetchFleet = &peer.FetchFleet{}
+		if reply, err := entry.node.Call(ctx, from.Address, message); err == nil && reply.Fleet != nil {
+			entry.adoptFleet(ctx, reply.Fleet.Fleet)
+		}
+	}
+}
+
+func (entry *Entry) takeConfig(ctx context.Context, from peer.Info, message peer.Message) {
+	reply, err := entry.node.Call(ctx, from.Address, message)
+	if err != nil || reply.ConfigFiles == nil {
+		entry.counters.Add(CountFetchFailed, 1)
+		return
+	}
+	known := entry.Config()
+	if known.Revision() != message.FetchConfig.After {
+		return // adopted another meanwhile; the next message tells what is missing
+	}
+	config, err := known.With(reply.ConfigFiles.Revision, reply.ConfigFiles.Files...)
+	if err != nil {
+		entry.counters.Add(CountFetchFailed, 1)
+		return
+	}
+	// News that came from another data centre is passed on in this one.
+	entry.adoptConfig(ctx, config, false)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,149 @@
+// Package entry puts an entry together: the caller and operator interfaces, the
+// documents that all entries share, probing, membership, and the duties held
+// under a lease.
+package entry
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/caller"
+	"greengageroute.example/greengageroute/peer"
+	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/target"
+)
+
+const (
+	callSlots       = 512
+	tick            = 500 * time.Millisecond
+	platformTimeout = 2 * time.Second
+	newsTimeout     = 2 * time.Second
+)
+
+type (
+	// Entry is one entry VM's process.
+	Entry struct {
+		settings greengageroute.Settings
+		log      logr.Logger
+		counters *expvar.Map
+
+		table   platform.Table
+		list    platform.List
+		configs *platform.Configs
+		fleets  *platform.Fleets
+		lease   *platform.Lease
+
+		node       *peer.Node
+		members    *peer.Membership
+		targets    *target.Client
+		verdicts   *greengageroute.Verdicts
+		quarantine *greengageroute.Quarantine
+		flights    *caller.Flights
+		chats      *greengageroute.Admission
+		calls      *greengageroute.Admission
+		events     caller.EventKey
+		documents  *documents
+		leaving    *leavingVMs
+		health     *healthTable
+
+		listener net.Listener
+		server   *http.Server
+		stopping atomic.Bool
+		joined   atomic.Bool
+	}
+)
+
+// New opens the entry's sockets. Run serves them.
+func New(settings greengageroute.Settings, log logr.Logger) (*Entry, error) {
+	keys, err := peer.LoadKeys(settings.Keys)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	events, err := caller.ReadEventKey(settings.Keys.EventKey)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	client := platform.NewClient(settings.Platform)
+	entry := &Entry{
+		settings: settings, log: log, counters: new(expvar.Map).Init(),
+		table: client, list: client, configs: platform.NewConfigs(client), fleets: platform.NewFleets(client),
+		lease:   platform.NewLease(client, "plan/"+settings.DataCentre, settings.Name, settings.LeaseTerm, target.OrderTimeout),
+		targets: target.NewClient(), quarantine: greengageroute.NewQuarantine(), flights: caller.NewFlights(),
+		events: events, leaving: newLeavingVMs(), health: newHealthTable(),
+	}
+	entry.verdicts = greengageroute.NewVerdicts(entry.groupLost)
+	entry.chats = greengageroute.NewAdmission(0, entry.countRefused)
+	entry.calls = greengageroute.NewAdmission(callSlots, entry.countRefused)
+	entry.documents = newDocuments(settings.DataCentre)
+	if entry.node, err = peer.Listen(settings.PeerListen, keys, entry, func() { entry.counters.Add(CountPeerDropped, 1) }); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	self := peer.Info{
+		Name: settings.Name, Address: settings.PeerAddress, DataCentre: settings.DataCentre,
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	entry.members = peer.NewMembership(self, settings.Seeds, entry.node, entry)
+	if entry.listener, err = net.Listen("tcp", settings.Listen); err != nil {
+		return nil, errors.Join(trace.Wrap(err, "listening at %s", settings.Listen))
+	}
+	return entry, nil
+}
+
+func (entry *Entry) countRefused(class string) { entry.counters.Add(CountRefused+class, 1) }
+
+// Counters returns the entry's counters.
+func (entry *Entry) Counters() *expvar.Map { return entry.counters }
+
+// Traffic returns the bytes sent to and received from other entries.
+func (entry *Entry) Traffic() (sent, received uint64) { return entry.node.Traffic() }
+
+// Run serves until the context ends, then stops gracefully: it fails the
+// balancer's check, takes no new connections after the grace, finishes what is
+// under way, gives up its duties and leaves its peers.
+func (entry *Entry) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var loops sync.WaitGroup
+	handler, err := entry.handler(background)
+	if err != nil {
+		return err
+	}
+	entry.server = newServer(handler)
+	for _, loop := range []func(context.Context){entry.node.Run, entry.members.Run, entry.syncLoop, entry.probeLoop, entry.planLoop} {
+		loops.Go(func() { loop(background) })
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- entry.server.Serve(entry.listener) }()
+	entry.log.Info("entry serves", "name", entry.settings.Name, "listen", entry.settings.Listen)
+	select {
+	case err := <-failed:
+		return trace.Wrap(err, "serving at %s", entry.settings.Listen)
+	case <-ctx.Done():
+	}
+	err = entry.drain(background)
+	stop()
+	loops.Wait()
+	return err
+}
+
+func (entry *Entry) drain(ctx context.Context) error {
+	entry.log.Info("entry stops", "name", entry.settings.Name)
+	entry.stopping.Store(true)
+	time.Sleep(entry.settings.StopGrace)
+	ctx, cancel := context.WithTimeout(ctx, entry.settings.StopTimeout)
+	defer cancel()
+	err := entry.server.Shutdown(ctx)
+	leaving, done := context.WithTimeout(context.WithoutCancel(ctx), newsTimeout)
+	defer done()
+	entry.members.Leave(leaving)
+	return trace.Wrap(err, "stopping after %s with requests still under way", entry.settings.StopTimeout)
+}
--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	goahttp "goa.design/goa/v3/http"
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/caller"
+	gencaller "greengageroute.example/greengageroute/gen/caller"
+	callerserver "greengageroute.example/greengageroute/gen/http/caller/server"
+	operatorserver "greengageroute.example/greengageroute/gen/http/operator/server"
+	genoperator "greengageroute.example/greengageroute/gen/operator"
+	"greengageroute.example/greengageroute/operator"
+	"greengageroute.example/greengageroute/peer"
+	"greengageroute.example/greengageroute/platform"
+)
+
+const (
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 32 << 10
+)
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+func (entry *Entry) actions(ctx context.Context) *platform.Actions {
+	return platform.NewActions(platform.NewBatcher(ctx, entry.table))
+}
+
+// handler serves both goa services and the counters.
+func (entry *Entry) handler(ctx context.Context) (http.Handler, error) {
+	mux := goahttp.NewMuxer()
+	callers := gencaller.NewEndpoints(entry.service(ctx))
+	callerserver.New(callers, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, entry.encodeFailed, caller.FormatError).Mount(mux)
+	admin := operator.New(entry, entry.configs, entry.fleets, entry.settings.OperatorTokenHash, entry.counters)
+	operators := genoperator.NewEndpoints(admin)
+	operatorserver.New(operators, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, entry.encodeFailed, caller.FormatError).Mount(mux)
+	mux.Handle(http.MethodGet, "/debug/vars", func(writer http.ResponseWriter, request *http.Request) {
+		header := request.Header.Get("Authorization")
+		if _, err := admin.Authorize(&header, greengageroute.ScopeRead, ""); err != nil {
+			http.Error(writer, err.Error(), http.StatusUnauthorized)
+			return
+		}
+		writer.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(writer, entry.counters.String())
+	})
+	return caller.Exchange(mux), nil
+}
+
+// encodeFailed notes an answer that could not be written: the caller went away.
+func (entry *Entry) encodeFailed(context.Context, http.ResponseWriter, error) {
+	entry.counters.Add(CountCallersGone, 1)
+}
+
+// Accepted implements operator.State.
+func (entry *Entry) Accepted(config *greengageroute.Config) {
+	entry.adoptConfig(context.Background(), config, true)
+}
+
+// Status implements operator.State.
+func (entry *Entry) Status() *genoperator.SystemStatus {
+	status := &genoperator.SystemStatus{
+		Entry: entry.settings.Name, Revision: entry.Config().Revision(),
+		Entries: []*genoperator.EntryStatus{{
+			Name: entry.settings.Name, DataCentre: entry.settings.DataCentre, State: peer.Alive.String(), Revision: entry.Config().Revision(),
+		}},
+		Groups: []*genoperator.GroupStatus{},
+	}
+	for _, other := range entry.members.All() {
+		status.Entries = append(status.Entries, &genoperator.EntryStatus{
+			Name: other.Name, DataCentre: other.DataCentre, State: other.State.String(), Revision: other.Revisions.Config,
+		})
+	}
+	slices.SortFunc(status.Entries, func(a, b *genoperator.EntryStatus) int { return strings.Compare(a.Name, b.Name) })
+	for _, group := range entry.Fleet().Groups {
+		state, reason := entry.describe(group)
+		status.Groups = append(status.Groups, &genoperator.GroupStatus{
+			Name: group.Name, Model: group.Model, Vms: group.VMs(), State: state, Reason: reason,
+		})
+	}
+	return status
+}
+
+// Unheard implements operator.State.
+func (entry *Entry) Unheard() []string {
+	heard := greengageroute.NewSet(entry.settings.DataCentre)
+	for _, other := range entry.members.All() {
+		if other.State == peer.Alive {
+			heard.Add(other.DataCentre)
+		}
+	}
+	return slices.DeleteFunc(entry.Config().DataCentres(), heard.Has)
+}
--- /dev/null
+++ b/entry/news.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/caller"
+	"greengageroute.example/greengageroute/peer"
+)
+
+const (
+	// leavingTerm is how long an entry takes a VM to be leaving after it heard so.
+	leavingTerm = 15 * time.Second
+	// leavingRepeat is how often an entry that sees a VM leaving says so again.
+	leavingRepeat = 5 * time.Second
+	msPerSecond   = 1000
+	oldestGood    = 60 * msPerSecond
+)
+
+type (
+	// leavingVMs holds the VMs that were heard to be leaving.
+	leavingVMs struct {
+		mu    sync.Mutex
+		heard map[string]time.Time
+		told  map[string]time.Time
+	}
+)
+
+func newLeavingVMs() *leavingVMs {
+	return &leavingVMs{heard: map[string]time.Time{}, told: map[string]time.Time{}}
+}
+
+func (leaving *leavingVMs) add(vm string, now time.Time) {
+	leaving.mu.Lock()
+	defer leaving.mu.Unlock()
+	leaving.heard[vm] = now
+}
+
+func (leaving *leavingVMs) has(vm string, now time.Time) bool {
+	leaving.mu.Lock()
+	defer leaving.mu.Unlock()
+	heard, ok := leaving.heard[vm]
+	return ok && now.Sub(heard) < leavingTerm
+}
+
+// due tells whether the other entries have to be told again.
+func (leaving *leavingVMs) due(vm string, now time.Time) bool {
+	leaving.mu.Lock()
+	defer leaving.mu.Unlock()
+	if now.Sub(leaving.told[vm]) < leavingRepeat {
+		return false
+	}
+	leaving.told[vm] = now
+	return true
+}
+
+// noteLeaving takes a VM's leaving in and tells the data centre.
+func (entry *Entry) noteLeaving(ctx context.Context, vm string) {
+	now := time.Now()
+	entry.leaving.add(vm, now)
+	if entry.leaving.due(vm, now) {
+		entry.push(ctx, peer.News{Leaving: []string{vm}}, false)
+	}
+}
+
+// Handle implements peer.Handler.
+func (entry *Entry) Handle(ctx context.Context, message peer.Message) peer.Message {
+	switch {
+	case message.Ping != nil || message.PingFor != nil:
+		return entry.members.Answer(ctx, message)
+	case message.News != nil:
+		entry.takeNews(*message.News)
+		entry.Heard(message.From, message.Revisions)
+	case message.FetchConfig != nil:
+		config := entry.Config()
+		reply := entry.members.Envelope()
+		reply.ConfigFiles = &peer.ConfigFiles{Revision: config.Revision(), Files: config.ChangedSince(message.FetchConfig.After)}
+		return reply
+	case message.FetchFleet != nil:
+		reply := entry.members.Envelope()
+		reply.Fleet = &peer.Fleet{Fleet: entry.Fleet()}
+		return reply
+	}
+	return entry.members.Envelope()
+}
+
+func (entry *Entry) takeNews(news peer.News) {
+	now := time.Now()
+	for _, bad := range news.Bad {
+		entry.verdicts.Record(greengageroute.Verdict{Group: bad.Group, Number: bad.Number, At: now, Reason: bad.Reason})
+	}
+	for _, death := range news.Deaths {
+		entry.quarantine.Died(death.Digest, death.Group, now)
+	}
+	for _, vm := range news.Leaving {
+		entry.leaving.add(vm, now)
+	}
+}
+
+// push sends news to every live entry of the data centre at once, and to a few
+// of each other data centre if far is set. What is lost on the way is made up
+// for by the revisions in pings and by good news that expires.
+func (entry *Entry) push(ctx context.Context, news peer.News, far bool) {
+	message := entry.members.Envelope()
+	message.News = &news
+	for _, address := range entry.members.Relays(far) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), newsTimeout)
+			defer cancel()
+			if _, err := entry.node.Call(ctx, address, message); err != nil {
+				entry.counters.Add(CountNewsFailed, 1)
+			}
+		}()
+	}
+}
+
+// groupLost stops the requests on a group of which bad news arrived.
+func (entry *Entry) groupLost(verdict greengageroute.Verdict) {
+	entry.flights.Lost(verdict.Group, verdict.Number, verdict.Reason)
+	entry.counters.Add(CountGroupsLost, 1)
+	entry.log.Info("group out of service", "group", verdict.Group, "number", verdict.Number, "reason", verdict.Reason)
+	if verdict.Own {
+		bad := peer.BadGroup{Group: verdict.Group, Number: verdict.Number, Reason: verdict.Reason}
+		entry.push(context.Background(), peer.News{Bad: []peer.BadGroup{bad}}, false)
+	}
+}
+
+// GroupFailed implements caller.State.
+func (entry *Entry) GroupFailed(group greengageroute.Group, reason string) {
+	entry.verdicts.Record(greengageroute.Verdict{Group: group.Name, Number: group.Number, At: time.Now(), Reason: reason, Own: true})
+}
+
+// RequestDied implements caller.State.
+func (entry *Entry) RequestDied(digest, death string) {
+	entry.push(context.Background(), peer.News{Deaths: []peer.Death{{Digest: digest, Group: death}}}, true)
+}
+
+// Good implements peer.Documents: the good news that has not expired.
+func (entry *Entry) Good() peer.Pong {
+	now := time.Now()
+	fleet := entry.Fleet()
+	verdicts := entry.verdicts.All()
+	pong := peer.Pong{Fleet: fleet.Revision}
+	for place, group := range fleet.Groups {
+		verdict, known := verdicts[group.Name]
+		age := now.Sub(verdict.At).Milliseconds() + 1 // rounded up
+		if known && verdict.Whole && verdict.Number == group.Number && age < oldestGood {
+			pong.Good = append(pong.Good, peer.GoodSet{Place: uint16(place), AgeMs: uint16(age), Streams: uint16(verdict.Streams)})
+		}
+	}
+	return pong
+}
+
+// HeardGood implements peer.Documents. Good news counts from before it was
+// asked for, less its age there.
+func (entry *Entry) HeardGood(_ peer.Info, pong peer.Pong, asked time.Time) {
+	fleet := entry.Fleet()
+	if pong.Fleet != fleet.Revision {
+		return
+	}
+	for _, good := range pong.Good {
+		if int(good.Place) >= len(fleet.Groups) {
+			continue
+		}
+		group := fleet.Groups[good.Place]
+		entry.verdicts.Record(greengageroute.Verdict{
+			Group: group.Name, Number: group.Number, At: asked.Add(-good.Age()), Whole: true, Streams: int(good.Streams),
+		})
+	}
+}
+
+// Servable implements caller.State.
+func (entry *Entry) Servable(model string, now time.Time) []greengageroute.Candidate {
+	var candidates []greengageroute.Candidate
+	for _, group := range entry.Fleet().Groups {
+		if group.Model != model {
+			continue
+		}
+		verdict, reason := entry.servable(group, now)
+		if reason == "" {
+			candidates = append(candidates, greengageroute.Candidate{Group: group, Reported: verdict.Streams, Age: now.Sub(verdict.At)})
+		}
+	}
+	return candidates
+}
+
+func (entry *Entry) servable(group greengageroute.Group, now time.Time) (greengageroute.Verdict, string) {
+	config := entry.Config()
+	if config.Draining(greengageroute.DrainGroup, group.Name) {
+		return greengageroute.Verdict{}, "an operator drains it"
+	}
+	for _, member := range group.Members {
+		if entry.leaving.has(member.VM, now) || config.Draining(greengageroute.DrainVM, member.VM) {
+			return greengageroute.Verdict{}, "VM " + member.VM + " is leaving"
+		}
+	}
+	return entry.verdicts.Servable(group, now)
+}
+
+// Stopping implements caller.State.
+func (entry *Entry) Stopping() bool { return entry.stopping.Load() || !entry.joined.Load() }
+
+// setSlots shares the groups' capacity out over the live entries.
+func (entry *Entry) setSlots() {
+	config := entry.Config()
+	streams := 0
+	for _, group := range entry.Fleet().Groups {
+		if model, err := config.Model(group.Model); err == nil && group.Ready() {
+			streams += model.Streams
+		}
+	}
+	entries := len(entry.members.Near())
+	entry.chats.SetSlots(max((streams+entries-1)/entries, 1))
+}
+
+// service returns the caller's side of the entry.
+func (entry *Entry) service(ctx context.Context) *caller.Service {
+	return caller.New(caller.Parts{
+		Entry: entry.settings.Name, State: entry, Targets: entry.targets, Actions: entry.actions(ctx),
+		Chats: entry.chats, Calls: entry.calls, Quarantine: entry.quarantine, Flights: entry.flights,
+		Events: entry.events, Counters: entry.counters, Log: entry.log.WithName("caller"),
+	})
+}
+
+// describe tells how the entry sees a group.
+func (entry *Entry) describe(group greengageroute.Group) (state, reason string) {
+	_, reason = entry.servable(group, time.Now())
+	switch {
+	case group.Draining:
+		return "draining", reason
+	case reason != "":
+		return "out", reason
+	}
+	return "serving", fmt.Sprintf("assignment %d", group.Number)
+}
--- /dev/null
+++ b/entry/probe.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+)
+
+const (
+	// probePeriod is the time between two probes of a group by one entry.
+	probePeriod = time.Second
+	// probers is how many entries probe each group.
+	probers = 2
+)
+
+type (
+	// healthTable is what this entry's own probes found of each VM.
+	healthTable struct {
+		mu  sync.Mutex
+		vms map[string]greengageroute.Health
+	}
+
+	// probed is a VM that is to be probed.
+	probed struct{ id, address string }
+)
+
+func newHealthTable() *healthTable {
+	return &healthTable{vms: map[string]greengageroute.Health{}}
+}
+
+func (table *healthTable) record(vm string, report greengageroute.Report, err error) {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	if err != nil {
+		known := table.vms[vm]
+		table.vms[vm] = greengageroute.Health{Report: known.Report, Missed: known.Missed + 1}
+		return
+	}
+	table.vms[vm] = greengageroute.Health{Report: report, Reachable: true}
+}
+
+func (table *healthTable) all() map[string]greengageroute.Health {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	return maps.Clone(table.vms)
+}
+
+// probeLoop probes the groups that this entry is responsible for.
+func (entry *Entry) probeLoop(ctx context.Context) {
+	ticker := time.NewTicker(probePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		near := entry.members.Near()
+		for _, group := range entry.Fleet().Groups {
+			if !group.Ready() {
+				continue
+			}
+			for _, name := range greengageroute.Rendezvous(group.Name, near, probers) {
+				if name == entry.settings.Name {
+					go entry.probeGroup(ctx, group)
+				}
+			}
+		}
+	}
+}
+
+// probeGroup probes the members at once and records what it finds. The finding
+// counts from before the first probe was sent.
+func (entry *Entry) probeGroup(ctx context.Context, group greengageroute.Group) {
+	began := time.Now()
+	var vms []probed
+	for _, member := range group.Members {
+		vms = append(vms, probed{member.VM, member.Address})
+	}
+	health := entry.probeVMs(ctx, vms)
+	reason := group.Whole(health)
+	entry.verdicts.Record(greengageroute.Verdict{
+		Group: group.Name, Number: group.Number, At: began, Whole: reason == "", Reason: reason,
+		Streams: health[group.Leader().VM].Report.Streams, Own: true,
+	})
+}
+
+// probeVMs probes VMs at once and returns what it found of them.
+func (entry *Entry) probeVMs(ctx context.Context, vms []probed) map[string]greengageroute.Health {
+	var calls sync.WaitGroup
+	for _, vm := range vms {
+		calls.Go(func() {
+			report, err := entry.targets.Probe(ctx, vm.address)
+			entry.counters.Add(CountProbes, 1)
+			entry.health.record(vm.id, report, err)
+			if err == nil && report.Leaving {
+				entry.noteLeaving(ctx, vm.id)
+			}
+		})
+	}
+	calls.Wait()
+	all := entry.health.all()
+	found := make(map[string]greengageroute.Health, len(vms))
+	for _, vm := range vms {
+		found[vm.id] = all[vm.id]
+	}
+	return found
+}
--- /dev/null
+++ b/fleet.go
@@ -0,0 +1,189 @@
+package greengageroute
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+type (
+	// Fleet says which VM of a data centre belongs to which group. It is one row
+	// of the platform's table, so that every change of it is one conditional
+	// write; a Fleet in which a VM stands twice cannot be made. It is immutable.
+	Fleet struct {
+		DataCentre string    `json:"data-centre" cbor:"1,keyasint"`
+		Revision   uint64    `json:"revision" cbor:"2,keyasint"`
+		Last       uint64    `json:"last" cbor:"3,keyasint"` // highest assignment number given out
+		Groups     []Group   `json:"groups" cbor:"4,keyasint"`
+		Releasing  []Release `json:"releasing" cbor:"5,keyasint"`
+	}
+
+	// Group is one replica of a model on several VMs of one fabric domain.
+	Group struct {
+		Name     string   `json:"name" cbor:"1,keyasint"`
+		Spec     string   `json:"spec" cbor:"2,keyasint"`
+		Model    string   `json:"model" cbor:"3,keyasint"`
+		Number   uint64   `json:"number" cbor:"4,keyasint"`
+		Members  []Member `json:"members" cbor:"5,keyasint"`
+		Draining bool     `json:"draining" cbor:"6,keyasint"`
+	}
+
+	// Member is a VM of a group. The first member takes the group's requests.
+	Member struct {
+		VM      string `json:"vm" cbor:"1,keyasint"`
+		Address string `json:"address" cbor:"2,keyasint"`
+		Domain  string `json:"domain" cbor:"3,keyasint"`
+		// Boot is the boot id under which the member loaded; empty until every
+		// member has.
+		Boot string `json:"boot" cbor:"4,keyasint"`
+	}
+
+	// Release is a VM that left its group and has not yet confirmed it.
+	Release struct {
+		VM      string `json:"vm" cbor:"1,keyasint"`
+		Address string `json:"address" cbor:"2,keyasint"`
+		Number  uint64 `json:"number" cbor:"3,keyasint"`
+	}
+)
+
+// Ready tells whether every member was seen loaded under the group's number.
+func (group Group) Ready() bool {
+	return len(group.Members) > 0 && group.Members[0].Boot != ""
+}
+
+// Leader is the member that takes the group's requests.
+func (group Group) Leader() Member { return group.Members[0] }
+
+// VMs returns the ids of the members.
+func (group Group) VMs() []string {
+	ids := make([]string, 0, len(group.Members))
+	for _, member := range group.Members {
+		ids = append(ids, member.VM)
+	}
+	return ids
+}
+
+// Whole checks the members' reports against the group: every member present,
+// loaded under this number, in the boot that loaded it. It returns the reason
+// why the group is not whole, or an empty string.
+func (group Group) Whole(health map[string]Health) string {
+	if !group.Ready() {
+		return "still loading"
+	}
+	for _, member := range group.Members {
+		seen, known := health[member.VM]
+		switch {
+		case !known || !seen.Reachable:
+			return "VM " + member.VM + " does not answer"
+		case seen.Report.Boot != member.Boot:
+			return "VM " + member.VM + " was restarted"
+		case seen.Report.Group != group.Name || seen.Report.Number != group.Number || !seen.Report.Loaded:
+			return "VM " + member.VM + " is not loaded for this group"
+		}
+	}
+	return ""
+}
+
+// Group returns a group by name.
+func (fleet Fleet) Group(name string) (Group, bool) {
+	for _, group := range fleet.Groups {
+		if group.Name == name {
+			return group, true
+		}
+	}
+	return Group{}, false
+}
+
+// Taken returns the VMs that belong to a group or are being released.
+func (fleet Fleet) Taken() Set[string] {
+	taken := Set[string]{}
+	for _, group := range fleet.Groups {
+		for _, member := range group.Members {
+			taken.Add(member.VM)
+		}
+	}
+	for _, release := range fleet.Releasing {
+		taken.Add(release.VM)
+	}
+	return taken
+}
+
+// WithGroup returns the fleet with a new group under the next number. It fails
+// with trace.AlreadyExists if a member belongs to a group, is being released or
+// stands twice.
+func (fleet Fleet) WithGroup(group Group) (Fleet, error) {
+	taken := fleet.Taken()
+	for _, member := range group.Members {
+		if !taken.Add(member.VM) {
+			return fleet, trace.AlreadyExists("VM %q is taken; release it before it joins group %q", member.VM, group.Name)
+		}
+	}
+	if _, exists := fleet.Group(group.Name); exists {
+		return fleet, trace.AlreadyExists("group %q exists; dissolve it first", group.Name)
+	}
+	fleet.Last++
+	group.Number = fleet.Last
+	fleet.Groups = append(slices.Clone(fleet.Groups), group)
+	slices.SortFunc(fleet.Groups, func(a, b Group) int { return strings.Compare(a.Name, b.Name) })
+	return fleet, nil
+}
+
+// WithoutGroup returns the fleet after the group was dissolved: its members are
+// being released under the next number.
+func (fleet Fleet) WithoutGroup(name string) Fleet {
+	group, exists := fleet.Group(name)
+	if !exists {
+		return fleet
+	}
+	fleet.Last++
+	fleet.Releasing = slices.Clone(fleet.Releasing)
+	for _, member := range group.Members {
+		fleet.Releasing = append(fleet.Releasing, Release{VM: member.VM, Address: member.Address, Number: fleet.Last})
+	}
+	fleet.Groups = slices.DeleteFunc(slices.Clone(fleet.Groups), func(other Group) bool { return other.Name == name })
+	return fleet
+}
+
+// WithReload returns the fleet with the group's members assigned anew under the
+// next number, so that all of them load again.
+func (fleet Fleet) WithReload(name string) Fleet {
+	fleet.Last++
+	return fleet.change(name, func(group *Group) {
+		group.Number = fleet.Last
+		for i := range group.Members {
+			group.Members[i].Boot = ""
+		}
+	})
+}
+
+// WithBoots returns the fleet with the boot ids under which the group loaded.
+func (fleet Fleet) WithBoots(name string, health map[string]Health) Fleet {
+	return fleet.change(name, func(group *Group) {
+		for i, member := range group.Members {
+			group.Members[i].Boot = health[member.VM].Report.Boot
+		}
+	})
+}
+
+// WithDrain returns the fleet with the group marked as draining.
+func (fleet Fleet) WithDrain(name string) Fleet {
+	return fleet.change(name, func(group *Group) { group.Draining = true })
+}
+
+// WithFree returns the fleet after a release was confirmed.
+func (fleet Fleet) WithFree(vm string) Fleet {
+	fleet.Releasing = slices.DeleteFunc(slices.Clone(fleet.Releasing), func(release Release) bool { return release.VM == vm })
+	return fleet
+}
+
+func (fleet Fleet) change(name string, edit func(*Group)) Fleet {
+	fleet.Groups = slices.Clone(fleet.Groups)
+	for i := range fleet.Groups {
+		if fleet.Groups[i].Name == name {
+			fleet.Groups[i].Members = slices.Clone(fleet.Groups[i].Members)
+			edit(&fleet.Groups[i])
+		}
+	}
+	return fleet
+}
--- /dev/null
+++ b/integration/cluster_test.go
@@ -0,0 +1,481 @@
+// Package integration runs the system as separate processes on loopback and
+// breaks it.
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/standin"
+)
+
+const (
+	operatorToken = "test-operator"
+	counterKey    = "test-counters"
+	lettersKey    = "test-letters"
+	modelName     = "trail-70b"
+	startTimeout  = 40 * time.Second
+	poll          = 50 * time.Millisecond
+)
+
+var binaries string
+
+type (
+	// plan says what a cluster is made of.
+	plan struct {
+		centres       []string
+		entries       int // of each data centre
+		engines       int // of each data centre
+		width         int
+		groups        int // of each data centre
+		ignoresFences bool
+		tokenInterval time.Duration
+		services      int
+	}
+
+	// process is one process that the test started.
+	process struct {
+		name string
+		args []string
+		log  string
+		cmd  *exec.Cmd
+		done chan struct{}
+	}
+
+	node struct {
+		*process
+		centre   string
+		listen   string
+		peer     string // where its socket is bound
+		platform *tcpRelay
+	}
+
+	engine struct {
+		*process
+		vm    greengageroute.VM
+		own   string // address behind the relay
+		relay *tcpRelay
+	}
+
+	cluster struct {
+		t        *testing.T
+		plan     plan
+		dir      string
+		platform *process
+		table    string // the platform's address
+		entries  []*node
+		engines  []*engine
+		services []*process
+		ledgers  []string // the services' addresses
+		relays   []*tcpRelay
+
+		mu  sync.Mutex
+		cut map[string]bool // "source>destination" of peer sockets that are cut
+	}
+)
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "greengageroute-test-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "../cmd/...")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "building the programs: %v\n%s", err, output)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// start starts a cluster and waits until it serves.
+func start(t *testing.T, plan plan) *cluster {
+	t.Helper()
+	cluster := prepare(t, plan)
+	for _, entry := range cluster.entries {
+		entry.start(t)
+	}
+	cluster.apply("base", cluster.config())
+	cluster.waitServing(len(plan.centres) * plan.groups)
+	return cluster
+}
+
+// prepare starts all but the entries.
+func prepare(t *testing.T, plan plan) *cluster {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	cluster := &cluster{t: t, plan: plan, dir: t.TempDir(), cut: map[string]bool{}}
+	var vms []greengageroute.VM
+	for _, centre := range plan.centres {
+		for i := range plan.engines {
+			vms = append(vms, cluster.addEngine(fmt.Sprintf("%s-vm-%d", centre, i), centre))
+		}
+	}
+	for i := range plan.services {
+		address := freeTCP(t)
+		service := cluster.process(fmt.Sprintf("service-%d", i), "standin", "service", "--listen", address)
+		service.start(t)
+		cluster.services = append(cluster.services, service)
+		relay := newTCPRelay(t, address)
+		cluster.relays = append(cluster.relays, relay)
+		cluster.ledgers = append(cluster.ledgers, address)
+	}
+	list := filepath.Join(cluster.dir, "vms.json")
+	cluster.writeJSON(list, vms)
+	cluster.table = freeTCP(t)
+	cluster.platform = cluster.process("platform", "standin", "platform", "--listen", cluster.table, "--vms", list)
+	cluster.platform.start(t)
+	cluster.addEntries()
+	return cluster
+}
+
+func (cluster *cluster) addEngine(id, centre string) greengageroute.VM {
+	t := cluster.t
+	own := freeTCP(t)
+	relay := newTCPRelay(t, own)
+	process := cluster.process(id, "standin", "engine", "--listen", own, "--vm", id,
+		fmt.Sprintf("--honours-fences=%t", !cluster.plan.ignoresFences), "--token-interval", cluster.plan.tokenInterval.String())
+	process.start(t)
+	vm := greengageroute.VM{ID: id, Address: relay.address(), DataCentre: centre, Domain: centre + "-1", State: greengageroute.VMLive}
+	cluster.engines = append(cluster.engines, &engine{process: process, vm: vm, own: own, relay: relay})
+	return vm
+}
+
+func (cluster *cluster) addEntries() {
+	t := cluster.t
+	var names, seeds []string
+	for _, centre := range cluster.plan.centres {
+		for i := range cluster.plan.entries {
+			name := fmt.Sprintf("%s-entry-%d", centre, i)
+			names = append(names, name)
+			entry := &node{centre: centre, listen: freeTCP(t), peer: freeUDP(t), platform: newTCPRelay(t, cluster.table)}
+			destination := entry.peer
+			front := newUDPRelay(t, entry.peer, func(source string) bool {
+				cluster.mu.Lock()
+				defer cluster.mu.Unlock()
+				return cluster.cut[source+">"+destination]
+			})
+			seeds = append(seeds, front.address())
+			settings := filepath.Join(cluster.dir, name+".yaml")
+			entry.process = cluster.process(name, "greengageroute", "entry", "--settings", settings)
+			cluster.entries = append(cluster.entries, entry)
+		}
+	}
+	cluster.run(append([]string{"keys", "--directory", cluster.dir}, names...)...)
+	for i, entry := range cluster.entries {
+		cluster.writeSettings(entry, seeds[i], seeds[:min(3, len(seeds))])
+	}
+}
+
+func (cluster *cluster) writeSettings(entry *node, address string, seeds []string) {
+	text := fmt.Sprintf(`name: %s
+data-centre: %s
+listen: %s
+peer-listen: %s
+peer-address: %s
+seeds: [%s]
+platform: %s
+operator-token-hash: %s
+lease-term: 3s
+stop-grace: 500ms
+stop-timeout: 20s
+keys:
+  authority: %s/authority.pem
+  certificate: %s/%s.pem
+  key: %s/%s.key
+  event-key: %s/event.key
+`, entry.name, entry.centre, entry.listen, entry.peer, address, strings.Join(seeds, ", "), entry.platform.address(),
+		greengageroute.HashKey(operatorToken), cluster.dir, cluster.dir, entry.name, cluster.dir, entry.name, cluster.dir)
+	if err := os.WriteFile(entry.args[len(entry.args)-1], []byte(text), 0o600); err != nil {
+		cluster.t.Fatal(err)
+	}
+}
+
+// config is the file that puts the plan in force.
+func (cluster *cluster) config() string {
+	var text strings.Builder
+	text.WriteString("data-centres:\n")
+	for _, centre := range cluster.plan.centres {
+		fmt.Fprintf(&text, "  - {name: %s, region: hills, fabric-domains: [{name: %s-1, vms: %d}]}\n", centre, centre, max(cluster.plan.engines, 1))
+	}
+	fmt.Fprintf(&text, "models:\n  - {name: %s, vms-per-group: %d}\ngroups:\n", modelName, cluster.plan.width)
+	for _, centre := range cluster.plan.centres {
+		fmt.Fprintf(&text, "  - {name: %s, model: %s, data-centre: %s, count: %d}\n", centre, modelName, centre, cluster.plan.groups)
+	}
+	text.WriteString("classes:\n  - {name: counter, rank: 0, deadline: 10s}\n  - {name: letters, rank: 2, deadline: 20s}\n")
+	if len(cluster.relays) > 0 {
+		text.WriteString("services:\n  - name: ledger\n    outcome-path: /outcomes/{key}\n    timeout: 2s\n    targets:\n")
+		for _, relay := range cluster.relays {
+			fmt.Fprintf(&text, "      - {address: %s, data-centre: %s}\n", relay.address(), cluster.plan.centres[0])
+		}
+	}
+	services := "[]"
+	if len(cluster.relays) > 0 {
+		services = "[ledger]"
+	}
+	fmt.Fprintf(&text, "workspaces:\n  - {name: counters, class: counter, models: [%s], services: %s, key-hashes: [%s]}\n", modelName, services, greengageroute.HashKey(counterKey))
+	fmt.Fprintf(&text, "  - {name: letters, class: letters, models: [%s], services: [], key-hashes: [%s]}\n", modelName, greengageroute.HashKey(lettersKey))
+	return text.String()
+}
+
+func (cluster *cluster) process(name, program string, args ...string) *process {
+	return &process{name: name, args: append([]string{program}, args...), log: filepath.Join(cluster.dir, name+".log")}
+}
+
+func (process *process) start(t *testing.T) {
+	t.Helper()
+	log, err := os.OpenFile(process.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := exec.Command(filepath.Join(binaries, process.args[0]), process.args[1:]...)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	process.cmd, process.done = command, done
+	go func() {
+		_ = command.Wait()
+		_ = log.Close()
+		close(done)
+	}()
+	t.Cleanup(func() {
+		_ = command.Process.Signal(syscall.SIGCONT)
+		_ = command.Process.Kill()
+		<-done
+		if t.Failed() {
+			text, _ := os.ReadFile(process.log)
+			t.Logf("log of %s:\n%s", process.name, text[max(0, len(text)-4000):])
+		}
+	})
+}
+
+func (process *process) signal(signal syscall.Signal) { _ = process.cmd.Process.Signal(signal) }
+
+// kill ends the process at once and waits until it is gone.
+func (process *process) kill() {
+	process.signal(syscall.SIGKILL)
+	<-process.done
+}
+
+// run runs a command of greengageroute and returns what it prints.
+func (cluster *cluster) run(args ...string) string {
+	cluster.t.Helper()
+	output, err := cluster.try(args...)
+	if err != nil {
+		cluster.t.Fatalf("greengageroute %s: %v\n%s", strings.Join(args, " "), err, output)
+	}
+	return output
+}
+
+func (cluster *cluster) try(args ...string) (string, error) {
+	command := exec.Command(filepath.Join(binaries, "greengageroute"), args...)
+	command.Env = append(os.Environ(), "GREENGAGEROUTE_TOKEN="+operatorToken)
+	output, err := command.CombinedOutput()
+	return string(output), err
+}
+
+// apply puts a file in force by way of the first entry that takes it.
+func (cluster *cluster) apply(name, text string) {
+	cluster.t.Helper()
+	path := cluster.file(name, text)
+	eventually(cluster.t, startTimeout, "file "+name+" is applied", func() bool {
+		_, err := cluster.try("apply", path, "--entry", cluster.entries[0].listen)
+		return err == nil
+	})
+}
+
+func (cluster *cluster) file(name, text string) string {
+	path := filepath.Join(cluster.dir, name+".yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		cluster.t.Fatal(err)
+	}
+	return path
+}
+
+// status is what an entry tells operators.
+type status struct {
+	Revision uint64 `json:"revision"`
+	Groups   []struct {
+		Name  string   `json:"name"`
+		State string   `json:"state"`
+		VMs   []string `json:"vms"`
+	} `json:"groups"`
+	Entries []struct {
+		Name     string `json:"name"`
+		State    string `json:"state"`
+		Revision uint64 `json:"revision"`
+	} `json:"entries"`
+}
+
+func (cluster *cluster) status(entry *node) (status, error) {
+	var found status
+	request, _ := http.NewRequest(http.MethodGet, "http://"+entry.listen+"/admin/status", nil)
+	request.Header.Set("Authorization", "Bearer "+operatorToken)
+	response, err := quick.Do(request)
+	if err != nil {
+		return found, err
+	}
+	defer response.Body.Close()
+	return found, json.NewDecoder(response.Body).Decode(&found)
+}
+
+// serving returns how many groups the entry would send to.
+func (cluster *cluster) serving(entry *node) int {
+	found, err := cluster.status(entry)
+	if err != nil {
+		return -1
+	}
+	count := 0
+	for _, group := range found.Groups {
+		if group.State == "serving" {
+			count++
+		}
+	}
+	return count
+}
+
+// waitServing waits until every entry sends to its share of the groups.
+func (cluster *cluster) waitServing(groups int) {
+	cluster.t.Helper()
+	each := groups / len(cluster.plan.centres)
+	eventually(cluster.t, startTimeout, fmt.Sprintf("%d groups serve at every entry", each), func() bool {
+		return !slices.ContainsFunc(cluster.entries, func(entry *node) bool { return cluster.serving(entry) != each })
+	})
+}
+
+// setCut cuts or heals the way of datagrams between two sets of entries.
+func (cluster *cluster) setCut(from, to []*node, cut bool) {
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	for _, source := range from {
+		for _, destination := range to {
+			cluster.cut[source.peer+">"+destination.peer] = cut
+			cluster.cut[destination.peer+">"+source.peer] = cut
+		}
+	}
+}
+
+func (cluster *cluster) of(centre string) (inside, outside []*node) {
+	for _, entry := range cluster.entries {
+		if entry.centre == centre {
+			inside = append(inside, entry)
+		} else {
+			outside = append(outside, entry)
+		}
+	}
+	return inside, outside
+}
+
+func (cluster *cluster) fault(address string, faults any) {
+	cluster.t.Helper()
+	post(cluster.t, "http://"+address+"/control/faults", faults)
+}
+
+func (cluster *cluster) platformFaults(faults standin.PlatformFaults) {
+	cluster.t.Helper()
+	cluster.fault(cluster.table, faults)
+}
+
+// records returns how often each key was recorded, over all services.
+func (cluster *cluster) records() map[string]int {
+	total := map[string]int{}
+	for _, ledger := range cluster.ledgers {
+		var records map[string]int
+		get(cluster.t, "http://"+ledger+"/control/records", &records)
+		for key, count := range records {
+			total[key] += count
+		}
+	}
+	return total
+}
+
+func (cluster *cluster) writeJSON(path string, value any) {
+	text, err := json.Marshal(value)
+	if err == nil {
+		err = os.WriteFile(path, text, 0o600)
+	}
+	if err != nil {
+		cluster.t.Fatal(err)
+	}
+}
+
+var quick = &http.Client{Timeout: 3 * time.Second}
+
+func post(t *testing.T, url string, value any) {
+	t.Helper()
+	body, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := quick.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+}
+
+func get(t *testing.T, url string, into any) {
+	t.Helper()
+	response, err := quick.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, limit time.Duration, what string, holds func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for time.Since(began) < limit {
+		if holds() {
+			return time.Since(began)
+		}
+		time.Sleep(poll)
+	}
+	t.Fatalf("after %s still not: %s", limit, what)
+	return 0
+}
+
+func freeTCP(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func freeUDP(t *testing.T) string {
+	t.Helper()
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	return socket.LocalAddr().String()
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,267 @@
+// Package operator speaks to operators: it applies configuration files, marks
+// things as leaving, and tells the state and the audit trail.
+package operator
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"go.yaml.in/yaml/v3"
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/caller"
+	genoperator "greengageroute.example/greengageroute/gen/operator"
+	"greengageroute.example/greengageroute/platform"
+)
+
+const (
+	drainAttempts = 5
+
+	// bootstrapTeam is who the token in the settings stands for.
+	bootstrapTeam = "bootstrap"
+)
+
+// Counters of the operator service; docs/operations.md lists them.
+const (
+	CountApplied = "operator-applied"
+	CountRefused = "operator-refused"
+	CountDenied  = "operator-denied"
+)
+
+type (
+	// State is what the operator service needs of its entry.
+	State interface {
+		Config() *greengageroute.Config
+		// Accepted takes in a configuration that was accepted here.
+		Accepted(config *greengageroute.Config)
+		// Status tells what this entry knows.
+		Status() *genoperator.SystemStatus
+		// Unheard returns the data centres of which no entry is known to be alive.
+		Unheard() []string
+	}
+
+	// Configs is what the operator service needs of the platform.
+	Configs interface {
+		Apply(ctx context.Context, known *greengageroute.Config, proposal platform.Proposal) (*greengageroute.Config, error)
+		Trail(ctx context.Context, after uint64) ([]greengageroute.Change, error)
+	}
+
+	// Fleets gives the audit trail of the groups.
+	Fleets interface {
+		Trail(ctx context.Context) ([]greengageroute.Change, error)
+	}
+
+	// Service implements the operator service of the design.
+	Service struct {
+		state     State
+		configs   Configs
+		fleets    Fleets
+		bootstrap string
+		counters  *expvar.Map
+	}
+)
+
+// New returns the service. The bootstrap hash is that of a token that may do
+// everything; it may be empty.
+func New(state State, configs Configs, fleets Fleets, bootstrapHash string, counters *expvar.Map) *Service {
+	return &Service{state: state, configs: configs, fleets: fleets, bootstrap: bootstrapHash, counters: counters}
+}
+
+// Authorize returns the team of an Authorization header if it may use the scope
+// on the file; an empty file asks for the scope alone.
+func (service *Service) Authorize(header *string, scope, file string) (greengageroute.Team, error) {
+	team, err := service.team(header)
+	if err != nil {
+		service.counters.Add(CountDenied, 1)
+		return team, err
+	}
+	if !team.Allows(scope, file) {
+		service.counters.Add(CountDenied, 1)
+		subject := "this"
+		if file != "" {
+			subject = "file " + file
+		}
+		return team, &caller.Refusal{
+			Status: http.StatusForbidden, Code: "forbidden",
+			Message: "team " + team.Name + " may not " + scope + " " + subject + "; ask the owners of the teams file for the scope",
+		}
+	}
+	return team, nil
+}
+
+func (service *Service) team(header *string) (greengageroute.Team, error) {
+	token, err := caller.BearerToken(header)
+	if err != nil {
+		return greengageroute.Team{}, err
+	}
+	if service.bootstrap != "" && greengageroute.HashKey(token) == service.bootstrap {
+		return greengageroute.Team{
+			Name: bootstrapTeam, Files: []string{"*"},
+			Scopes: []string{greengageroute.ScopeRead, greengageroute.ScopeApply, greengageroute.ScopeDrain},
+		}, nil
+	}
+	return service.state.Config().TeamByToken(token)
+}
+
+// Apply implements the operator service of the design.
+func (service *Service) Apply(ctx context.Context, payload *genoperator.ApplyPayload) (*genoperator.Applied, error) {
+	team, err := service.Authorize(payload.Authorization, greengageroute.ScopeApply, payload.Name)
+	if err != nil {
+		return nil, err
+	}
+	if payload.EveryDataCentre != nil && *payload.EveryDataCentre {
+		if unheard := service.state.Unheard(); len(unheard) > 0 {
+			return nil, &caller.Refusal{
+				Status: http.StatusServiceUnavailable, Code: "data-centre-unheard",
+				Message: "no entry of data centre " + unheard[0] + " is heard from; apply without --every-data-centre or wait",
+			}
+		}
+	}
+	return service.apply(ctx, platform.Proposal{
+		Name: payload.Name, Text: payload.Text, Base: payload.Base, ApplyID: payload.ApplyID, Who: team.Name,
+	})
+}
+
+func (service *Service) apply(ctx context.Context, proposal platform.Proposal) (*genoperator.Applied, error) {
+	config, err := service.configs.Apply(ctx, service.state.Config(), proposal)
+	if err != nil {
+		service.counters.Add(CountRefused, 1)
+		return nil, refuse(err)
+	}
+	service.counters.Add(CountApplied, 1)
+	service.state.Accepted(config)
+	version, _ := config.Version(proposal.Name)
+	return &genoperator.Applied{Name: proposal.Name, Version: version.Version, Revision: version.Revision}, nil
+}
+
+// refuse maps what an apply can fail with to what the operator is told.
+func refuse(err error) error {
+	var faults *greengageroute.FaultsError
+	var race *platform.LostRaceError
+	var unavailable *platform.UnavailableError
+	var uncertain *platform.UncertainError
+	refusal := &caller.Refusal{Message: err.Error()}
+	switch {
+	case errors.As(err, &faults):
+		refusal.Status, refusal.Code, refusal.Message = http.StatusUnprocessableEntity, "faults", faults.Error()
+	case errors.As(err, &race):
+		refusal.Status, refusal.Code, refusal.Message = http.StatusConflict, "conflict", race.Error()
+	case errors.As(err, &uncertain):
+		refusal.Status, refusal.Code = http.StatusGatewayTimeout, "uncertain"
+		refusal.Message = "the platform did not answer; the file may be in force, apply it again with the same apply id"
+	case errors.As(err, &unavailable):
+		refusal.Status, refusal.Code = http.StatusServiceUnavailable, "platform-unavailable"
+		refusal.Message = "the platform is not available; nothing was changed, apply again later"
+	default:
+		return trace.Wrap(err)
+	}
+	return refusal
+}
+
+// File implements the operator service of the design.
+func (service *Service) File(_ context.Context, payload *genoperator.FilePayload) (*genoperator.FileInForce, error) {
+	if _, err := service.Authorize(payload.Authorization, greengageroute.ScopeRead, payload.Name); err != nil {
+		return nil, err
+	}
+	version, ok := service.state.Config().Version(payload.Name)
+	if !ok {
+		return nil, trace.NotFound("no file %q is in force; apply it with base 0", payload.Name)
+	}
+	return &genoperator.FileInForce{Name: version.Name, Text: version.Text, Version: version.Version, Revision: version.Revision}, nil
+}
+
+// Check implements the operator service of the design.
+func (service *Service) Check(_ context.Context, payload *genoperator.CheckPayload) (*genoperator.Checked, error) {
+	if _, err := service.Authorize(payload.Authorization, greengageroute.ScopeRead, payload.Name); err != nil {
+		return nil, err
+	}
+	config := service.state.Config()
+	current, _ := config.Version(payload.Name)
+	checked := &genoperator.Checked{Base: current.Version, Faults: []string{}}
+	current.Name, current.Text = payload.Name, payload.Text
+	_, err := config.With(config.Revision(), current)
+	var faults *greengageroute.FaultsError
+	if errors.As(err, &faults) {
+		checked.Faults = faults.Lines()
+	}
+	return checked, nil
+}
+
+// Status implements the operator service of the design.
+func (service *Service) Status(_ context.Context, payload *genoperator.StatusPayload) (*genoperator.SystemStatus, error) {
+	if _, err := service.Authorize(payload.Authorization, greengageroute.ScopeRead, ""); err != nil {
+		return nil, err
+	}
+	return service.state.Status(), nil
+}
+
+// Drain implements the operator service of the design: the marks are a
+// configuration file of their own, so that they spread like any other.
+func (service *Service) Drain(ctx context.Context, payload *genoperator.DrainPayload) (*genoperator.Applied, error) {
+	team, err := service.Authorize(payload.Authorization, greengageroute.ScopeDrain, "")
+	if err != nil {
+		return nil, err
+	}
+	undo := payload.Undo != nil && *payload.Undo
+	drain := greengageroute.Drain{Kind: payload.Kind, Name: payload.Name}
+	var applied *genoperator.Applied
+	for range drainAttempts {
+		applied, err = service.mark(ctx, team.Name, drain, undo)
+		var refusal *caller.Refusal
+		if !errors.As(err, &refusal) || refusal.Status != http.StatusConflict {
+			return applied, err
+		}
+		time.Sleep(time.Duration(drainAttempts) * time.Millisecond)
+	}
+	return applied, err
+}
+
+func (service *Service) mark(ctx context.Context, who string, drain greengageroute.Drain, undo bool) (*genoperator.Applied, error) {
+	config := service.state.Config()
+	current, _ := config.Version(greengageroute.DrainsFile)
+	drains := slices.DeleteFunc(config.Drains(), func(other greengageroute.Drain) bool { return other == drain })
+	if !undo {
+		drains = append(drains, drain)
+	}
+	text, err := yaml.Marshal(map[string][]greengageroute.Drain{"drains": drains})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return service.apply(ctx, platform.Proposal{
+		Name: greengageroute.DrainsFile, Text: string(text), Base: current.Version, ApplyID: uuid.NewString(), Who: who,
+	})
+}
+
+// Audit implements the operator service of the design.
+func (service *Service) Audit(ctx context.Context, payload *genoperator.AuditPayload) (*genoperator.Trail, error) {
+	if _, err := service.Authorize(payload.Authorization, greengageroute.ScopeRead, ""); err != nil {
+		return nil, err
+	}
+	after := uint64(0)
+	if payload.After != nil {
+		after = *payload.After
+	}
+	changes, err := service.configs.Trail(ctx, after)
+	if err != nil {
+		return nil, refuse(err)
+	}
+	fleets, err := service.fleets.Trail(ctx)
+	if err != nil {
+		return nil, refuse(err)
+	}
+	changes = append(changes, fleets...)
+	slices.SortStableFunc(changes, func(a, b greengageroute.Change) int { return a.At.Compare(b.At) })
+	trail := &genoperator.Trail{Changes: []*genoperator.Change{}}
+	for _, change := range changes {
+		trail.Changes = append(trail.Changes, &genoperator.Change{
+			Revision: change.Revision, At: change.At.UTC().Format(time.RFC3339Nano), Who: change.Who,
+			Subject: change.Subject, From: change.From, To: change.To, What: change.What,
+		})
+	}
+	return trail, nil
+}
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,261 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/quic-go/quic-go"
+)
+
+const (
+	idleTimeout    = 60 * time.Second
+	streamTimeout  = 5 * time.Second
+	streamsPerPeer = 64
+
+	codeClosed    quic.ApplicationErrorCode = 0
+	codeReplaced  quic.ApplicationErrorCode = 1
+	codeMalformed quic.StreamErrorCode      = 1
+)
+
+type (
+	// Handler answers the calls of other entries.
+	Handler interface {
+		Handle(ctx context.Context, message Message) Message
+	}
+
+	// Node is one entry's QUIC socket with its connections. A connection carries
+	// calls both ways, whichever end dialled it.
+	Node struct {
+		transport *quic.Transport
+		listener  *quic.Listener
+		keys      *Keys
+		handler   Handler
+		dropped   func()
+
+		mu          sync.Mutex
+		connections map[string]*quic.Conn
+		sent        uint64 // bytes over connections that have ended
+		received    uint64
+	}
+)
+
+// Listen opens the socket at an address IP:port. dropped is called for each
+// malformed message.
+func Listen(address string, keys *Keys, handler Handler, dropped func()) (*Node, error) {
+	bound, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, trace.BadParameter("%q is not an address; write an IP address and a port", address)
+	}
+	socket, err := net.ListenUDP("udp", bound)
+	if err != nil {
+		return nil, trace.Wrap(err, "listening at %s", address)
+	}
+	config, err := keys.serverConfig()
+	if err != nil {
+		return nil, errors.Join(err, socket.Close())
+	}
+	node := &Node{
+		transport: &quic.Transport{Conn: socket}, keys: keys, handler: handler, dropped: dropped,
+		connections: map[string]*quic.Conn{},
+	}
+	node.listener, err = node.transport.Listen(config, settings())
+	return node, trace.Wrap(err, "listening at %s", address)
+}
+
+func settings() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout: idleTimeout, MaxIncomingStreams: streamsPerPeer, MaxIncomingUniStreams: -1,
+		InitialStreamReceiveWindow: 16 << 10, InitialConnectionReceiveWindow: 64 << 10,
+		HandshakeIdleTimeout: 2 * time.Second, DisablePathMTUDiscovery: true,
+	}
+}
+
+// Address returns the address the socket is bound to.
+func (node *Node) Address() string { return node.transport.Conn.LocalAddr().String() }
+
+// Run accepts connections until the context ends, then closes all.
+func (node *Node) Run(ctx context.Context) {
+	defer node.close()
+	for {
+		connection, err := node.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		go node.serve(ctx, connection)
+	}
+}
+
+func (node *Node) close() {
+	node.mu.Lock()
+	for _, connection := range node.connections {
+		_ = connection.CloseWithError(codeClosed, "")
+	}
+	node.mu.Unlock()
+	_ = node.listener.Close()
+	_ = node.transport.Close()
+	_ = node.transport.Conn.Close()
+}
+
+// serve answers the calls that arrive over a connection.
+func (node *Node) serve(ctx context.Context, connection *quic.Conn) {
+	defer node.ended(connection)
+	for {
+		stream, err := connection.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		go node.answer(ctx, connection, stream)
+	}
+}
+
+func (node *Node) answer(ctx context.Context, connection *quic.Conn, stream *quic.Stream) {
+	defer stream.Close()
+	_ = stream.SetDeadline(time.Now().Add(streamTimeout))
+	message, err := readMessage(stream)
+	if err != nil || message.From.Name != commonName(connection) {
+		node.dropped()
+		stream.CancelRead(codeMalformed)
+		stream.CancelWrite(codeMalformed)
+		return
+	}
+	node.adopt(message.From.Address, connection)
+	reply, err := encode(node.handler.Handle(ctx, message))
+	if err != nil {
+		stream.CancelWrite(codeMalformed)
+		return
+	}
+	// A reply that is lost shows as a timeout at the asker.
+	_, _ = stream.Write(reply)
+}
+
+func commonName(connection *quic.Conn) string {
+	return connection.ConnectionState().TLS.PeerCertificates[0].Subject.CommonName
+}
+
+// adopt keeps an incoming connection for calls to the same peer.
+func (node *Node) adopt(address string, connection *quic.Conn) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	if _, known := node.connections[address]; !known {
+		node.connections[address] = connection
+	}
+}
+
+// Call sends a message to the entry at an address and returns its reply. A
+// connection on which a call fails is dropped, so that the next call dials
+// anew.
+func (node *Node) Call(ctx context.Context, address string, message Message) (Message, error) {
+	connection, err := node.connect(ctx, address)
+	if err != nil {
+		return Message{}, trace.Wrap(err, "connecting to entry %s", address)
+	}
+	reply, err := exchange(ctx, connection, message)
+	if err != nil {
+		node.drop(address, connection)
+		return Message{}, trace.Wrap(err, "calling entry %s", address)
+	}
+	return reply, nil
+}
+
+func exchange(ctx context.Context, connection *quic.Conn, message Message) (Message, error) {
+	bytes, err := encode(message)
+	if err != nil {
+		return Message{}, err
+	}
+	stream, err := connection.OpenStreamSync(ctx)
+	if err != nil {
+		return Message{}, err
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(streamTimeout)
+	}
+	_ = stream.SetDeadline(deadline)
+	defer stream.CancelRead(0)
+	if _, err := stream.Write(bytes); err != nil {
+		return Message{}, err
+	}
+	if err := stream.Close(); err != nil {
+		return Message{}, err
+	}
+	reply, err := readMessage(stream)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return reply, err
+}
+
+func (node *Node) connect(ctx context.Context, address string) (*quic.Conn, error) {
+	node.mu.Lock()
+	connection, known := node.connections[address]
+	node.mu.Unlock()
+	if known && connection.Context().Err() == nil {
+		return connection, nil
+	}
+	config, err := node.keys.config()
+	if err != nil {
+		return nil, err
+	}
+	resolved, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	connection, err = node.transport.Dial(ctx, resolved, config, settings())
+	if err != nil {
+		return nil, err
+	}
+	node.mu.Lock()
+	node.connections[address] = connection
+	node.mu.Unlock()
+	// Calls that the other end makes over this connection.
+	go node.serve(connection.Context(), connection)
+	return connection, nil
+}
+
+func (node *Node) drop(address string, connection *quic.Conn) {
+	node.mu.Lock()
+	if node.connections[address] == connection {
+		delete(node.connections, address)
+	}
+	node.mu.Unlock()
+	_ = connection.CloseWithError(codeReplaced, "")
+}
+
+func (node *Node) ended(connection *quic.Conn) {
+	stats := connection.ConnectionStats()
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	node.sent += stats.BytesSent
+	node.received += stats.BytesReceived
+	for address, other := range node.connections {
+		if other == connection {
+			delete(node.connections, address)
+		}
+	}
+}
+
+// Traffic returns the bytes sent and received over connections that are kept
+// and those that have ended, without UDP and IP headers.
+func (node *Node) Traffic() (sent, received uint64) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	sent, received = node.sent, node.received
+	for _, connection := range node.connections {
+		stats := connection.ConnectionStats()
+		sent += stats.BytesSent
+		received += stats.BytesReceived
+	}
+	return sent, received
+}
+
+// Connections returns how many connections are kept.
+func (node *Node) Connections() int {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	return len(node.connections)
+}
--- /dev/null
+++ b/planner.go
@@ -0,0 +1,254 @@
+package greengageroute
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+const (
+	// missedUntilGone is how many probes in a row a VM misses before its group
+	// is regrouped.
+	missedUntilGone = 4
+)
+
+type (
+	// Situation is what a planner knows of its data centre.
+	Situation struct {
+		Fleet  Fleet
+		Specs  []GroupSpec
+		Models map[string]Model
+		VMs    []VM
+		Health map[string]Health
+		Policy Policy
+		// Drained tells whether no entry can still be sending to the group.
+		Drained func(group Group) bool
+		// Draining tells whether an operator marked the thing as leaving.
+		Draining func(kind, name string) bool
+	}
+
+	// Step is one change of the fleet with its reason.
+	Step struct {
+		Fleet  Fleet
+		Group  string
+		Reason string
+	}
+
+	// Order tells an engine to load or to release.
+	Order struct {
+		VM      string   `json:"vm"`
+		Address string   `json:"address"`
+		Group   string   `json:"group"` // empty to release
+		Model   string   `json:"model"`
+		Number  uint64   `json:"number"`
+		Members []string `json:"members"`
+		Fence   uint64   `json:"fence"` // fencing number of the lease under which it is given
+	}
+)
+
+// Plan returns the next change that the situation calls for. Each change is
+// committed before the next is planned.
+func Plan(now Situation) (Step, bool) {
+	for _, find := range []func(Situation) (Step, bool){
+		confirmRelease, dissolveBroken, dissolveUnwanted, recordLoaded, reloadRestarted, formMissing,
+	} {
+		if step, found := find(now); found {
+			return step, true
+		}
+	}
+	return Step{}, false
+}
+
+func confirmRelease(now Situation) (Step, bool) {
+	listed := now.listed()
+	for _, release := range now.Fleet.Releasing {
+		seen := now.Health[release.VM]
+		_, known := listed[release.VM]
+		if seen.Reachable && seen.Report.Idle(release.Number) {
+			return Step{Fleet: now.Fleet.WithFree(release.VM), Group: release.VM, Reason: "released"}, true
+		}
+		if !known && !seen.Reachable && seen.Missed >= missedUntilGone {
+			return Step{Fleet: now.Fleet.WithFree(release.VM), Group: release.VM, Reason: "gone from the platform's list"}, true
+		}
+	}
+	return Step{}, false
+}
+
+func dissolveBroken(now Situation) (Step, bool) {
+	for _, group := range now.Fleet.Groups {
+		for _, member := range group.Members {
+			if now.Health[member.VM].Missed >= missedUntilGone {
+				return Step{Fleet: now.Fleet.WithoutGroup(group.Name), Group: group.Name, Reason: "VM " + member.VM + " is gone"}, true
+			}
+		}
+	}
+	return Step{}, false
+}
+
+func dissolveUnwanted(now Situation) (Step, bool) {
+	for _, group := range now.Fleet.Groups {
+		reason := now.unwanted(group)
+		switch {
+		case reason == "":
+			continue
+		case !group.Draining:
+			return Step{Fleet: now.Fleet.WithDrain(group.Name), Group: group.Name, Reason: "draining: " + reason}, true
+		case now.Drained(group) && now.idle(group):
+			return Step{Fleet: now.Fleet.WithoutGroup(group.Name), Group: group.Name, Reason: "dissolved: " + reason}, true
+		}
+	}
+	return Step{}, false
+}
+
+func recordLoaded(now Situation) (Step, bool) {
+	for _, group := range now.Fleet.Groups {
+		if !group.Ready() && now.loaded(group) {
+			return Step{Fleet: now.Fleet.WithBoots(group.Name, now.Health), Group: group.Name, Reason: "loaded"}, true
+		}
+	}
+	return Step{}, false
+}
+
+func reloadRestarted(now Situation) (Step, bool) {
+	for _, group := range now.Fleet.Groups {
+		if !group.Ready() {
+			continue
+		}
+		for _, member := range group.Members {
+			seen := now.Health[member.VM]
+			if seen.Reachable && seen.Report.Boot != member.Boot {
+				return Step{Fleet: now.Fleet.WithReload(group.Name), Group: group.Name, Reason: "VM " + member.VM + " was restarted"}, true
+			}
+		}
+	}
+	return Step{}, false
+}
+
+func formMissing(now Situation) (Step, bool) {
+	free := now.free()
+	for _, spec := range now.Specs {
+		width := now.Models[spec.Model].VMsPerGroup
+		for index := range spec.Count {
+			name := fmt.Sprintf("%s-%d", spec.Name, index)
+			if _, exists := now.Fleet.Group(name); exists || now.Draining(DrainGroup, name) {
+				continue
+			}
+			members := pickDomain(free, width)
+			if members == nil {
+				break
+			}
+			fleet, err := now.Fleet.WithGroup(Group{Name: name, Spec: spec.Name, Model: spec.Model, Members: members})
+			if err != nil {
+				break
+			}
+			return Step{Fleet: fleet, Group: name, Reason: "formed"}, true
+		}
+	}
+	return Step{}, false
+}
+
+func (now Situation) unwanted(group Group) string {
+	if now.Draining(DrainGroup, group.Name) {
+		return "an operator drains the group"
+	}
+	if !now.wanted(group) {
+		return "no longer asked for"
+	}
+	listed := now.listed()
+	for _, member := range group.Members {
+		if now.Draining(DrainVM, member.VM) || listed[member.VM].State == VMLeaving || now.Health[member.VM].Report.Leaving {
+			return "VM " + member.VM + " is leaving"
+		}
+	}
+	return ""
+}
+
+func (now Situation) wanted(group Group) bool {
+	return slices.ContainsFunc(now.Specs, func(spec GroupSpec) bool {
+		for index := range spec.Count {
+			if group.Name == fmt.Sprintf("%s-%d", spec.Name, index) && group.Model == spec.Model {
+				return len(group.Members) == now.Models[spec.Model].VMsPerGroup
+			}
+		}
+		return false
+	})
+}
+
+func (now Situation) idle(group Group) bool {
+	return !slices.ContainsFunc(group.Members, func(member Member) bool {
+		seen := now.Health[member.VM]
+		return seen.Reachable && seen.Report.Streams > 0
+	})
+}
+
+func (now Situation) loaded(group Group) bool {
+	return !slices.ContainsFunc(group.Members, func(member Member) bool {
+		seen := now.Health[member.VM]
+		return !seen.Reachable || seen.Report.Group != group.Name || seen.Report.Number != group.Number || !seen.Report.Loaded
+	})
+}
+
+func (now Situation) listed() map[string]VM {
+	listed := make(map[string]VM, len(now.VMs))
+	for _, vm := range now.VMs {
+		listed[vm.ID] = vm
+	}
+	return listed
+}
+
+// free returns the VMs that can join a group, by fabric domain.
+func (now Situation) free() map[string][]Member {
+	taken := now.Fleet.Taken()
+	free := map[string][]Member{}
+	for _, vm := range now.VMs {
+		seen := now.Health[vm.ID]
+		usable := vm.State == VMLive && seen.Reachable && !seen.Report.Leaving && !now.Draining(DrainVM, vm.ID)
+		if usable && !taken.Has(vm.ID) {
+			free[vm.Domain] = append(free[vm.Domain], Member{VM: vm.ID, Address: vm.Address, Domain: vm.Domain})
+		}
+	}
+	return free
+}
+
+// pickDomain takes the members from the fabric domain with the fewest free VMs
+// that still has enough, so that wide domains stay usable.
+func pickDomain(free map[string][]Member, width int) []Member {
+	var best []Member
+	for _, domain := range slices.Sorted(maps.Keys(free)) {
+		members := free[domain]
+		if width > 0 && len(members) >= width && (best == nil || len(members) < len(best)) {
+			best = members
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	slices.SortFunc(best, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
+	return slices.Clone(best[:width])
+}
+
+// Orders returns what engines have to be told for their reports to match the
+// fleet. An engine that took an order of a superseded planner is told again.
+func Orders(fleet Fleet, health map[string]Health) []Order {
+	var orders []Order
+	for _, group := range fleet.Groups {
+		for _, member := range group.Members {
+			seen := health[member.VM]
+			matches := seen.Report.Group == group.Name && seen.Report.Number == group.Number
+			if seen.Reachable && !matches && !group.Ready() {
+				orders = append(orders, Order{
+					VM: member.VM, Address: member.Address, Group: group.Name,
+					Model: group.Model, Number: group.Number, Members: group.VMs(),
+				})
+			}
+		}
+	}
+	for _, release := range fleet.Releasing {
+		seen := health[release.VM]
+		if seen.Reachable && (seen.Report.Group != "" || seen.Report.Number < release.Number) {
+			orders = append(orders, Order{VM: release.VM, Address: release.Address, Number: release.Number})
+		}
+	}
+	return orders
+}
--- /dev/null
+++ b/quarantine.go
@@ -0,0 +1,90 @@
+package greengageroute
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// deathsUntilRefused is how many groups may die under a request.
+	deathsUntilRefused = 2
+	// QuarantineTerm is how long a request stays refused after its last death.
+	QuarantineTerm = 10 * time.Minute
+	maxSuspects    = 4096
+)
+
+type (
+	// Quarantine remembers which requests were on a group when it died.
+	Quarantine struct {
+		mu       sync.Mutex
+		suspects map[string]suspect
+	}
+
+	suspect struct {
+		deaths Set[string] // assignment under which each group died
+		last   time.Time
+	}
+
+	// Suspicion is how far a request is suspected.
+	Suspicion int
+)
+
+// How far a request is suspected.
+const (
+	Innocent Suspicion = iota
+	Suspect            // one group died under it: it runs alone
+	Refused
+)
+
+// NewQuarantine returns an empty quarantine.
+func NewQuarantine() *Quarantine {
+	return &Quarantine{suspects: map[string]suspect{}}
+}
+
+// Died notes that a group died under a request. The death names the group and
+// its assignment, so that the same death heard of twice counts once.
+func (quarantine *Quarantine) Died(digest, death string, now time.Time) {
+	quarantine.mu.Lock()
+	defer quarantine.mu.Unlock()
+	quarantine.expire(now)
+	known, exists := quarantine.suspects[digest]
+	if !exists {
+		known = suspect{deaths: Set[string]{}}
+	}
+	known.deaths.Add(death)
+	known.last = now
+	quarantine.suspects[digest] = known
+}
+
+// Finished clears a request that ran to its end.
+func (quarantine *Quarantine) Finished(digest string) {
+	quarantine.mu.Lock()
+	defer quarantine.mu.Unlock()
+	delete(quarantine.suspects, digest)
+}
+
+// Check tells how far the request is suspected.
+func (quarantine *Quarantine) Check(digest string, now time.Time) Suspicion {
+	quarantine.mu.Lock()
+	defer quarantine.mu.Unlock()
+	known, exists := quarantine.suspects[digest]
+	switch {
+	case !exists || now.Sub(known.last) > QuarantineTerm:
+		return Innocent
+	case len(known.deaths) >= deathsUntilRefused:
+		return Refused
+	default:
+		return Suspect
+	}
+}
+
+func (quarantine *Quarantine) expire(now time.Time) {
+	if len(quarantine.suspects) < maxSuspects {
+		return
+	}
+	for digest, known := range quarantine.suspects {
+		if now.Sub(known.last) > QuarantineTerm || len(quarantine.suspects) >= maxSuspects {
+			delete(quarantine.suspects, digest)
+		}
+	}
+}
--- /dev/null
+++ b/settings.go
@@ -0,0 +1,99 @@
+package greengageroute
+
+import (
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+type (
+	// Settings are what an entry is started with.
+	Settings struct {
+		Name       string `yaml:"name"`
+		DataCentre string `yaml:"data-centre"`
+		// Listen is where callers and operators connect.
+		Listen string `yaml:"listen"`
+		// PeerListen is the UDP address for the other entries.
+		PeerListen string `yaml:"peer-listen"`
+		// PeerAddress is the address that other entries reach it at, if another.
+		PeerAddress string   `yaml:"peer-address"`
+		Seeds       []string `yaml:"seeds"`
+		Platform    string   `yaml:"platform"`
+		Keys        KeyPaths `yaml:"keys"`
+		// OperatorTokenHash is the hash of a token that may do everything, for
+		// the first file.
+		OperatorTokenHash string        `yaml:"operator-token-hash"`
+		LeaseTerm         time.Duration `yaml:"lease-term"`
+		StopGrace         time.Duration `yaml:"stop-grace"`
+		StopTimeout       time.Duration `yaml:"stop-timeout"`
+	}
+
+	// KeyPaths name the files that an entry proves itself with, in PEM, and the
+	// file of the key that authenticates event ids.
+	KeyPaths struct {
+		Authority   string `yaml:"authority"`
+		Certificate string `yaml:"certificate"`
+		Key         string `yaml:"key"`
+		EventKey    string `yaml:"event-key"`
+	}
+)
+
+// ReadSettings reads and checks a settings file. The error is a *FaultsError,
+// or that of reading the file.
+func ReadSettings(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, trace.Wrap(err, "reading settings %q", path)
+	}
+	list := &faultList{file: path}
+	settings := Settings{}
+	decodeYAML(list, text, &settings)
+	if len(list.faults) > 0 {
+		return settings, list.err()
+	}
+	settings = settings.Defaults()
+	settings.validate(list)
+	return settings, list.err()
+}
+
+// Defaults returns the settings with what was left out filled in.
+func (settings Settings) Defaults() Settings {
+	if settings.PeerAddress == "" {
+		settings.PeerAddress = settings.PeerListen
+	}
+	settings.LeaseTerm = orElse(settings.LeaseTerm, 6*time.Second)
+	settings.StopGrace = orElse(settings.StopGrace, 2*time.Second)
+	settings.StopTimeout = orElse(settings.StopTimeout, 5*time.Minute)
+	return settings
+}
+
+func orElse(value, fallback time.Duration) time.Duration {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+func (settings Settings) validate(list *faultList) {
+	checkName(list, "name", settings.Name)
+	checkName(list, "data-centre", settings.DataCentre)
+	checkAddress(list, "listen", settings.Listen)
+	checkAddress(list, "peer-listen", settings.PeerListen)
+	checkAddress(list, "peer-address", settings.PeerAddress)
+	checkAddress(list, "platform", settings.Platform)
+	for _, seed := range settings.Seeds {
+		checkAddress(list, "seeds", seed)
+	}
+	if settings.OperatorTokenHash != "" {
+		checkHash(list, "operator-token-hash", settings.OperatorTokenHash)
+	}
+	for path, value := range map[string]string{
+		"keys.authority": settings.Keys.Authority, "keys.certificate": settings.Keys.Certificate,
+		"keys.key": settings.Keys.Key, "keys.event-key": settings.Keys.EventKey,
+	} {
+		if value == "" {
+			list.add(path, "run \"greengageroute keys\" and name its files", "no file is named")
+		}
+	}
+}
--- /dev/null
+++ b/target/service.go
@@ -0,0 +1,66 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/gravitational/trace"
+	greengageroute "greengageroute.example/greengageroute"
+)
+
+const maxAnswerBytes = 4 << 20
+
+type (
+	// ServiceCall is a call of a plain service.
+	ServiceCall struct {
+		Method      string
+		Path        string // with its query
+		ContentType string
+		Key         string // idempotency key; empty for idempotent calls
+		Body        []byte
+	}
+)
+
+// Call passes a call on to a target of a plain service. A call with a key goes
+// over a new connection: if none can be made nothing has reached the target,
+// and the error is an *UnreachableError. Any status is an answer.
+func (client *Client) Call(ctx context.Context, address string, call ServiceCall) (greengageroute.Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return greengageroute.Answer{}, trace.Wrap(err)
+	}
+	request.Header.Set("Content-Type", call.ContentType)
+	via := client.pooled
+	if call.Key != "" {
+		request.Header.Set("Idempotency-Key", call.Key)
+		via = client.fresh
+	}
+	response, err := via.Do(request)
+	if err != nil {
+		return greengageroute.Answer{}, failure(address, err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = fmt.Errorf("the answer has more than %d bytes", maxAnswerBytes)
+	}
+	if err != nil {
+		return greengageroute.Answer{}, &LostError{Address: address, Cause: err}
+	}
+	return greengageroute.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// Outcome asks a target what became of a key. known is false if the target has
+// no record of it, which does not prove that it will never run.
+func (client *Client) Outcome(ctx context.Context, address, path, key string) (answer greengageroute.Answer, known bool, err error) {
+	path = strings.ReplaceAll(path, "{key}", key)
+	answer, err = client.Call(ctx, address, ServiceCall{Method: http.MethodGet, Path: path})
+	if err != nil {
+		return answer, false, err
+	}
+	return answer, answer.Status == http.StatusOK, nil
+}
--- /dev/null
+++ b/target/stream.go
@@ -0,0 +1,204 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	// maxReattach bounds the broken connections in a row without a token. Silent
+	// ones are not counted: a slow engine is waited for until the deadline.
+	maxReattach = 3
+	lineBuffer  = 16
+)
+
+var (
+	// ErrWhole is returned by Next after the end mark, when every token was yielded.
+	ErrWhole = errors.New("the answer is whole")
+
+	errSilent   = errors.New("the connection went silent")
+	errRepeated = errors.New("the token was yielded before")
+)
+
+type (
+	// Stream is an answer under way. It yields tokens in order, without gaps or
+	// repeats, whatever the connection under it does.
+	Stream struct {
+		client     *Client
+		address    string
+		generation Generation
+		next       int // offset of the next token
+		reattached func()
+		connection *connection
+		attempts   int // broken connections since the last token
+	}
+
+	// connection is one HTTP response being read line by line.
+	connection struct {
+		cancel context.CancelFunc
+		opened chan error
+		lines  chan line
+	}
+
+	// line is a chunk, or the end of the connection with its cause.
+	line struct {
+		chunk Chunk
+		err   error
+	}
+)
+
+// Generate asks an engine for an answer. reattached is called for each
+// connection that went silent and was replaced.
+func (client *Client) Generate(ctx context.Context, address string, generation Generation, reattached func()) (*Stream, error) {
+	stream := &Stream{client: client, address: address, generation: generation, next: generation.From, reattached: reattached}
+	if err := stream.connect(ctx, client.pooled); err != nil {
+		return nil, err
+	}
+	return stream, nil
+}
+
+// Next returns the next token, ErrWhole behind the last, or why the engine
+// gives no more.
+func (stream *Stream) Next(ctx context.Context) (Chunk, error) {
+	stall := time.NewTimer(StallTimeout)
+	defer stall.Stop()
+	for {
+		cause := errSilent
+		select {
+		case <-ctx.Done():
+			return Chunk{}, trace.Wrap(context.Cause(ctx))
+		case <-stall.C:
+		case line := <-stream.connection.lines:
+			cause = stream.accept(line)
+			if cause == nil || errors.Is(cause, ErrWhole) {
+				return line.chunk, cause
+			}
+		}
+		if errors.Is(cause, errRepeated) {
+			continue
+		}
+		if err := stream.reattach(ctx, cause); err != nil {
+			return Chunk{}, err
+		}
+		stall.Reset(StallTimeout)
+	}
+}
+
+// accept tells a new token from a repeat, a gap and the end.
+func (stream *Stream) accept(line line) error {
+	chunk := line.chunk
+	switch {
+	case line.err != nil:
+		return line.err
+	case chunk.End && chunk.Count == stream.next:
+		return ErrWhole
+	case chunk.End:
+		return fmt.Errorf("the end mark counts %d tokens after %d", chunk.Count, stream.next)
+	case chunk.Offset < stream.next:
+		return errRepeated
+	case chunk.Offset > stream.next:
+		return fmt.Errorf("token %d came where %d was next", chunk.Offset, stream.next)
+	}
+	stream.next++
+	stream.attempts = 0
+	return nil
+}
+
+// reattach asks the engine on a new connection whether it lives and goes on
+// from the last token. It gives up when the engine does not answer.
+func (stream *Stream) reattach(ctx context.Context, cause error) error {
+	stream.connection.cancel()
+	if ctx.Err() != nil {
+		return trace.Wrap(context.Cause(ctx))
+	}
+	report, err := stream.client.ProbeFresh(ctx, stream.address)
+	if err != nil {
+		return &LostError{Address: stream.address, Cause: cause}
+	}
+	if report.Group != stream.generation.Group || report.Number != stream.generation.Number || !report.Loaded {
+		return &LostError{Address: stream.address, Cause: errors.New("the engine left the group")}
+	}
+	if !errors.Is(cause, errSilent) {
+		stream.attempts++
+	}
+	if stream.attempts > maxReattach {
+		return &LostError{Address: stream.address, Cause: cause}
+	}
+	stream.reattached()
+	return stream.connect(ctx, stream.client.fresh)
+}
+
+// connect opens a connection from the next token on and waits for its header.
+func (stream *Stream) connect(ctx context.Context, via *http.Client) error {
+	generation := stream.generation
+	generation.From = stream.next
+	body, err := json.Marshal(generation)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stream.connection = &connection{cancel: cancel, opened: make(chan error, 1), lines: make(chan line, lineBuffer)}
+	go stream.connection.read(ctx, via, stream.address, body)
+	stall := time.NewTimer(StallTimeout)
+	defer stall.Stop()
+	select {
+	case err := <-stream.connection.opened:
+		if err != nil {
+			cancel()
+		}
+		return err
+	case <-stall.C:
+		return stream.reattach(ctx, errSilent)
+	case <-ctx.Done():
+		cancel()
+		return trace.Wrap(context.Cause(ctx))
+	}
+}
+
+// Close drops the connection, which makes the engine cancel what it has not
+// sent.
+func (stream *Stream) Close() {
+	if stream.connection != nil {
+		stream.connection.cancel()
+	}
+}
+
+func (connection *connection) read(ctx context.Context, via *http.Client, address string, body []byte) {
+	response, err := send(ctx, via, http.MethodPost, address, "/generate", body)
+	connection.opened <- err
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	scanner := bufio.NewScanner(response.Body)
+	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	for scanner.Scan() {
+		var next line
+		next.err = json.Unmarshal(scanner.Bytes(), &next.chunk)
+		if !connection.put(ctx, next) || next.err != nil {
+			return
+		}
+	}
+	err = scanner.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	connection.put(ctx, line{err: err})
+}
+
+func (connection *connection) put(ctx context.Context, next line) bool {
+	select {
+	case connection.lines <- next:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/vm.go
@@ -0,0 +1,42 @@
+package greengageroute
+
+// States of a VM in the platform's list.
+const (
+	VMLive    = "live"
+	VMLeaving = "leaving"
+)
+
+type (
+	// VM is a machine with accelerators as the platform's list shows it. The
+	// list lags behind what is true.
+	VM struct {
+		ID         string `json:"id"`
+		Address    string `json:"address"` // IP:port of the engine
+		DataCentre string `json:"data-centre"`
+		Domain     string `json:"fabric-domain"`
+		State      string `json:"state"`
+	}
+
+	// Report is what a target says of itself when probed.
+	Report struct {
+		VM      string `json:"vm"`
+		Boot    string `json:"boot"`   // changes with every start of the engine
+		Group   string `json:"group"`  // empty while the engine belongs to none
+		Number  uint64 `json:"number"` // assignment under which it was loaded or released
+		Loaded  bool   `json:"loaded"`
+		Leaving bool   `json:"leaving"`
+		Streams int    `json:"streams"` // answers being generated
+	}
+
+	// Health is what a prober knows of one VM.
+	Health struct {
+		Report    Report
+		Reachable bool
+		Missed    int // probes in a row without an answer
+	}
+)
+
+// Idle tells whether the target has taken note of a release and runs nothing.
+func (report Report) Idle(number uint64) bool {
+	return report.Number >= number && report.Group == "" && report.Streams == 0
+}
