Never close a claim that another entry has taken over

Cause: an entry frozen between its claim and its mark, woken after another entry had closed the claim and run the action, lost the mark's condition and then closed the row it had just read: the other's finished row. The key could be claimed a second time.

Ruled out: the conditional write itself (it failed as it should), and the reader's poll (the row was right until the woken entry wrote).

Change: a claim that is lost is left alone; its entry goes back to reading the row and tells its caller what became of the action there. An entry closes only rows of its own attempt.

--- a/caller/claim.go
+++ b/caller/claim.go
@@ -25,6 +25,10 @@
 	notRunRetry   = time.Second
 )
 
+// errSuperseded says that another entry closed this entry's claim before it was
+// marked as sent; what became of the action since stands in its row.
+var errSuperseded = errors.New("the claim was closed by another entry")
+
 // once runs a call that may not be repeated: it claims the key, marks the row
 // as sent, sends to one target, and stores the answer. Only the claim's winner
 // sends, and only after the mark was written.
@@ -42,7 +46,11 @@
 		}
 		if won {
 			// A caller that goes away must not leave the action half done.
-			return service.send(context.WithoutCancel(ctx), request, stored)
+			answer, err := service.send(context.WithoutCancel(ctx), request, stored)
+			if errors.Is(err, errSuperseded) {
+				continue
+			}
+			return answer, err
 		}
 		if stored.Digest != request.digest {
 			return greengageroute.Answer{}, keyReused(request.call.Key)
@@ -60,7 +68,11 @@
 				return service.refuseNotRun("the platform did not take the claim")
 			}
 			if won {
-				return service.send(context.WithoutCancel(ctx), request, stored)
+				answer, err := service.send(context.WithoutCancel(ctx), request, stored)
+				if errors.Is(err, errSuperseded) {
+					continue
+				}
+				return answer, err
 			}
 		default:
 			service.counters.Add(CountUnknown, 1)
@@ -94,12 +106,15 @@
 func (service *Service) send(ctx context.Context, request serviceRequest, stored platform.Stored) (greengageroute.Answer, error) {
 	for _, address := range request.targets {
 		marked, won, err := service.actions.Advance(ctx, stored, stored.WithSent(address))
-		if err != nil || !won {
+		if err != nil {
 			// The row may say that it was sent, but this entry is the only one
 			// that could, and does not.
-			go service.close(ctx, marked)
+			go service.close(ctx, stored)
 			return service.refuseNotRun("the platform did not take the mark")
 		}
+		if !won {
+			return greengageroute.Answer{}, errSuperseded
+		}
 		stored = marked
 		calling, cancel := context.WithTimeout(ctx, request.service.Timeout)
 		answer, err := service.targets.Call(calling, address, request.call)
--- /dev/null
+++ b/caller/claim_test.go
@@ -0,0 +1,368 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	greengageroute "greengageroute.example/greengageroute"
+	gencaller "greengageroute.example/greengageroute/gen/caller"
+	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/target"
+)
+
+const (
+	// tableDelay is the way to the table, and as much back.
+	tableDelay = 5 * time.Millisecond
+	// targetDelay is the way to the target, and as much back.
+	targetDelay = 10 * time.Millisecond
+)
+
+const claimFile = `
+data-centres: [{name: ne, region: hills, fabric-domains: [{name: ne-1, vms: 4}]}]
+classes: [{name: counter, rank: 0, deadline: 30s}]
+services:
+  - name: ledger
+    timeout: 2s
+    targets: [{address: "10.0.0.1:1", data-centre: ne}]
+%s
+workspaces:
+  - name: counters
+    class: counter
+    services: [ledger]
+    key-hashes: [%s]
+`
+
+type (
+	// stop halts an entry at one point of an action: before or after the nth
+	// write, or before or after the effect at the target.
+	stop struct {
+		point string
+		after time.Time // halt at whatever comes first from then on
+		once  sync.Once
+		hit   chan struct{}
+		wake  chan struct{}
+	}
+
+	// haltedTable passes an entry's writes on to the shared table.
+	haltedTable struct {
+		*platform.Memory
+		stop   *stop
+		writes int
+	}
+
+	// ledger is a target that records each call it receives.
+	ledger struct {
+		mu      sync.Mutex
+		records map[string]int
+	}
+
+	// haltedTargets are an entry's way to the ledger.
+	haltedTargets struct {
+		Targets
+		ledger *ledger
+		stop   *stop
+		lost   bool // the answers of calls are lost
+	}
+
+	staticState struct{ config *greengageroute.Config }
+
+	// claimIsSend is the protocol with one write before the send: the claim
+	// itself marks the action as sent.
+	claimIsSend struct{ *platform.Actions }
+)
+
+func (stop *stop) at(point string) {
+	if stop == nil || stop.point != point && (stop.after.IsZero() || time.Now().Before(stop.after)) {
+		return
+	}
+	stop.once.Do(func() {
+		close(stop.hit)
+		<-stop.wake
+	})
+}
+
+func (table *haltedTable) Commit(ctx context.Context, writes ...platform.Write) error {
+	table.writes++
+	point := fmt.Sprintf("write %d", table.writes)
+	time.Sleep(tableDelay)
+	table.stop.at("before " + point)
+	err := table.Memory.Commit(ctx, writes...)
+	time.Sleep(tableDelay)
+	table.stop.at("after " + point)
+	return err
+}
+
+func (targets *haltedTargets) Call(_ context.Context, address string, call target.ServiceCall) (greengageroute.Answer, error) {
+	time.Sleep(targetDelay)
+	targets.stop.at("before effect")
+	targets.ledger.mu.Lock()
+	targets.ledger.records[string(call.Body)]++
+	targets.ledger.mu.Unlock()
+	time.Sleep(targetDelay)
+	targets.stop.at("after effect")
+	if targets.lost {
+		return greengageroute.Answer{}, &target.LostError{Address: address, Cause: errors.New("lost")}
+	}
+	return greengageroute.Answer{Status: http.StatusCreated, Body: []byte("recorded")}, nil
+}
+
+func (targets *haltedTargets) Outcome(_ context.Context, _, _, key string) (greengageroute.Answer, bool, error) {
+	targets.ledger.mu.Lock()
+	defer targets.ledger.mu.Unlock()
+	known := key == "k" && len(targets.ledger.records) > 0
+	return greengageroute.Answer{Status: http.StatusOK, Body: []byte("recorded")}, known, nil
+}
+
+func (state staticState) Config() *greengageroute.Config                        { return state.config }
+func (state staticState) Servable(string, time.Time) []greengageroute.Candidate { return nil }
+func (state staticState) GroupFailed(greengageroute.Group, string)              {}
+func (state staticState) RequestDied(string, string)                            {}
+func (state staticState) Stopping() bool                                        { return false }
+
+func (actions claimIsSend) Claim(ctx context.Context, action greengageroute.Action) (platform.Stored, bool, error) {
+	stored, won, err := actions.Actions.Claim(ctx, action)
+	if !won && stored.State == greengageroute.ActionClaimed {
+		stored.State = greengageroute.ActionSent // a claim of another may have been sent
+	}
+	return stored, won, err
+}
+
+func (actions claimIsSend) Get(ctx context.Context, workspace, key string) (platform.Stored, error) {
+	stored, err := actions.Actions.Get(ctx, workspace, key)
+	if stored.State == greengageroute.ActionClaimed {
+		stored.State = greengageroute.ActionSent
+	}
+	return stored, err
+}
+
+func (actions claimIsSend) Advance(ctx context.Context, from platform.Stored, next greengageroute.Action) (platform.Stored, bool, error) {
+	if next.State == greengageroute.ActionSent {
+		from.Action = next
+		return from, true, nil
+	}
+	return actions.Actions.Advance(ctx, from, next)
+}
+
+func claimConfig(t *testing.T, asks bool) *greengageroute.Config {
+	t.Helper()
+	outcome := ""
+	if asks {
+		outcome = "    outcome-path: /outcomes/{key}"
+	}
+	text := fmt.Sprintf(claimFile, outcome, greengageroute.HashKey("key"))
+	config, err := greengageroute.NewConfig(1, map[string]greengageroute.FileVersion{"base": {Name: "base", Version: 1, Revision: 1, Text: text}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config
+}
+
+func newClaimer(config *greengageroute.Config, name string, actions Actions, targets Targets) *Service {
+	refused := func(string) {}
+	return New(Parts{
+		Entry: name, State: staticState{config}, Targets: targets, Actions: actions,
+		Chats: greengageroute.NewAdmission(1, refused), Calls: greengageroute.NewAdmission(64, refused),
+		Quarantine: greengageroute.NewQuarantine(), Flights: NewFlights(), Counters: new(expvar.Map).Init(), Log: logr.Discard(),
+	})
+}
+
+// deposit sends an action through an entry and returns what it was told.
+func deposit(service *Service, key, body string) string {
+	request := &http.Request{Method: http.MethodPost, URL: &url.URL{Path: "/services/ledger/deposits"}}
+	ctx := context.WithValue(context.Background(), exchangeKey{}, &exchange{request: request})
+	bearer := "Bearer key"
+	payload := &gencaller.CallPayload{Authorization: &bearer, IdempotencyKey: &key, Service: "ledger", Path: "deposits"}
+	_, _, err := service.Call(ctx, payload, bodyOf(body))
+	var refusal *Refusal
+	switch {
+	case err == nil:
+		return greengageroute.OutcomeDone
+	case errors.As(err, &refusal):
+		return refusal.Outcome
+	default:
+		return err.Error()
+	}
+}
+
+type textBody struct{ *strings.Reader }
+
+func (textBody) Close() error { return nil }
+
+func bodyOf(text string) textBody { return textBody{strings.NewReader(text)} }
+
+var haltPoints = []string{
+	"before write 1", "after write 1", "before write 2", "after write 2", "before effect", "after effect", "before write 3", "after write 3",
+}
+
+type (
+	// halted is one action whose first entry is halted at a point, killed or
+	// woken later, while the caller sends it again through a second entry.
+	halted struct {
+		told   []told
+		writes int
+		ledger *ledger
+	}
+
+	// told is one thing that a caller was told, and what was recorded by then.
+	told struct {
+		body    string
+		outcome string
+		records int
+	}
+)
+
+func (halted *halted) tell(body, outcome string) {
+	halted.told = append(halted.told, told{body: body, outcome: outcome, records: halted.ledger.count(body)})
+}
+
+func (ledger *ledger) count(body string) int {
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	return ledger.records[body]
+}
+
+func haltAt(point string) *stop {
+	return &stop{point: point, hit: make(chan struct{}), wake: make(chan struct{})}
+}
+
+func haltAfter(length time.Duration) *stop {
+	return &stop{after: time.Now().Add(length), hit: make(chan struct{}), wake: make(chan struct{})}
+}
+
+func runHalted(config *greengageroute.Config, stop *stop, killed, oneWrite bool, secondBody string) *halted {
+	memory := platform.NewMemory()
+	book := &ledger{records: map[string]int{}}
+	actions := func(table platform.Table) Actions {
+		if oneWrite {
+			return claimIsSend{platform.NewActions(table)}
+		}
+		return platform.NewActions(table)
+	}
+	first := newClaimer(config, "first", actions(&haltedTable{Memory: memory, stop: stop}), &haltedTargets{ledger: book, stop: stop})
+	second := newClaimer(config, "second", actions(memory), &haltedTargets{ledger: book})
+	result := &halted{ledger: book}
+	outcomes := make(chan string, 1)
+	go func() { outcomes <- deposit(first, "k", "41") }()
+	halted := false
+	select {
+	case <-stop.hit:
+		halted = true
+	case outcome := <-outcomes: // the action does not pass this point
+		result.tell("41", outcome)
+	}
+	result.tell(secondBody, deposit(second, "k", secondBody))
+	if !killed && halted {
+		close(stop.wake)
+		result.tell("41", <-outcomes)
+	}
+	time.Sleep(time.Minute)
+	result.tell("41", deposit(second, "k", "41"))
+	_, result.writes = memory.Counts()
+	if killed && halted {
+		// A killed entry never goes on; here it does once all is counted, so
+		// that its goroutines end.
+		close(stop.wake)
+		time.Sleep(time.Minute)
+	}
+	return result
+}
+
+// violations lists what must never be.
+func (halted *halted) violations() []string {
+	var broken []string
+	recorded := 0
+	for _, told := range halted.told {
+		recorded = max(recorded, told.records)
+		if told.outcome == greengageroute.OutcomeDone && told.records == 0 {
+			broken = append(broken, fmt.Sprintf("%s told done, not recorded", told.body))
+		}
+		if told.outcome == greengageroute.OutcomeNotRun && told.records > 0 {
+			broken = append(broken, fmt.Sprintf("%s told not run, recorded", told.body))
+		}
+	}
+	if recorded > 1 || halted.last("41").records > 0 && halted.last("42").records > 0 {
+		broken = append(broken, "recorded twice")
+	}
+	return broken
+}
+
+// last returns what was told last of a body.
+func (halted *halted) last(body string) told {
+	found := told{}
+	for _, told := range halted.told {
+		if told.body == body {
+			found = told
+		}
+	}
+	return found
+}
+
+func TestActionsRunAtMostOnceWhereverAnEntryHalts(t *testing.T) {
+	for _, asks := range []bool{false, true} {
+		for _, killed := range []bool{false, true} {
+			for _, point := range haltPoints {
+				for _, body := range []string{"41", "42"} {
+					name := fmt.Sprintf("asks=%t/killed=%t/%s/body=%s", asks, killed, point, body)
+					t.Run(name, func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) {
+							result := runHalted(claimConfig(t, asks), haltAt(point), killed, false, body)
+							report(t, result)
+						})
+					})
+				}
+			}
+		}
+	}
+}
+
+// TestClaimProtocols compares one write before the send with two: writes for
+// each action, and the share of outcomes that stay unknown when the entry is
+// killed at any millisecond of an action.
+func TestClaimProtocols(t *testing.T) {
+	const length = 60 * time.Millisecond
+	for _, test := range []struct {
+		name     string
+		oneWrite bool
+		asks     bool
+	}{
+		{"one write", true, false},
+		{"two writes", false, false},
+		{"one write, target asked", true, true},
+		{"two writes, target asked", false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			unknown, kills, writes := 0, 0, 0
+			for at := time.Duration(0); at < length; at += time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					result := runHalted(claimConfig(t, test.asks), haltAfter(at), true, test.oneWrite, "41")
+					report(t, result)
+					kills++
+					if result.last("41").outcome == greengageroute.OutcomeUnknown {
+						unknown++
+					}
+				})
+			}
+			synctest.Test(t, func(t *testing.T) {
+				writes = runHalted(claimConfig(t, test.asks), haltAfter(time.Hour), false, test.oneWrite, "41").writes
+			})
+			t.Logf("%s: %d writes an action, outcome unknown after %d of %d kills", test.name, writes, unknown, kills)
+		})
+	}
+}
+
+func report(t *testing.T, result *halted) {
+	t.Helper()
+	for _, broken := range result.violations() {
+		t.Errorf("%s: %+v", broken, result.told)
+	}
+}
