Assign a group anew when a member left it without a restart

Cause: an engine that took an order of a superseded planner reported another assignment in the same boot. The group went out of service, as it must, but the planner repaired only members with a new boot id, so it stayed out for good. Found by freezing the planner past its lease and giving old orders: 2 groups wanted, 1 served after 40 s, with engines that honour fences and that ignore them (a fence equal to the last is honoured).

Ruled out: probing (the verdict named the right member), the lease (taken up in time), orders (none was due: the group counted as loaded).

Change: a group whose members all answer and that is not whole is assigned anew under the next number.

--- a/entry/http.go
+++ b/entry/http.go
@@ -91,13 +91,10 @@
 	return status
 }
 
-// Unheard implements operator.State.
-func (entry *Entry) Unheard() []string {
-	heard := greengageroute.NewSet(entry.settings.DataCentre)
-	for _, other := range entry.members.All() {
-		if other.State == peer.Alive {
-			heard.Add(other.DataCentre)
-		}
-	}
+// Unheard implements operator.State: it pings a few entries of each data centre
+// now and returns the data centres of which none answers.
+func (entry *Entry) Unheard(ctx context.Context) []string {
+	heard := entry.members.Reach(ctx)
+	heard.Add(entry.settings.DataCentre)
 	return slices.DeleteFunc(entry.Config().DataCentres(), heard.Has)
 }
--- a/integration/check_test.go
+++ b/integration/check_test.go
@@ -1,10 +1,13 @@
 package integration
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 type (
@@ -21,8 +24,11 @@
 		reply  reply
 	}
 
+	// acted is one try of an action.
 	acted struct {
 		key     string
+		sent    time.Time
+		told    time.Time
 		outcome outcome
 	}
 )
@@ -33,10 +39,14 @@
 	history.answers = append(history.answers, answered{prompt, from, reply})
 }
 
-func (history *history) action(key string, outcome outcome) {
+// act sends an action and records what it was told.
+func (history *history) act(ctx context.Context, listen, key, body string) outcome {
+	sent := time.Now()
+	outcome := act(ctx, listen, key, body)
 	history.mu.Lock()
 	defer history.mu.Unlock()
-	history.actions = append(history.actions, acted{key, outcome})
+	history.actions = append(history.actions, acted{key, sent, time.Now(), outcome})
+	return outcome
 }
 
 // checkWhole finds answers that were delivered as whole but are not what their
@@ -61,32 +71,40 @@
 	return broken
 }
 
-// checkOnce finds actions that were recorded more than once, and actions whose
-// last word was not run or done against what was recorded.
-func (history *history) checkOnce(records map[string]int) []string {
+// checkOnce finds actions that were recorded more than once, that were told done
+// and are not recorded, and that were told not run though they had been recorded
+// by then or were recorded later without another try of the caller.
+func (history *history) checkOnce(records map[string][]time.Time) []string {
 	history.mu.Lock()
 	defer history.mu.Unlock()
 	var broken []string
-	for key, count := range records {
-		if count > 1 {
-			broken = append(broken, fmt.Sprintf("action %s was recorded %d times", key, count))
+	for key, times := range records {
+		if len(times) > 1 {
+			broken = append(broken, fmt.Sprintf("action %s was recorded %d times", key, len(times)))
 		}
 	}
-	done := map[string]bool{}
 	for _, action := range history.actions {
-		done[action.key] = done[action.key] || action.outcome.done()
-	}
-	for _, action := range history.actions {
-		if action.outcome.done() && records[action.key] == 0 {
+		times := records[action.key]
+		switch {
+		case action.outcome.done() && len(times) == 0:
 			broken = append(broken, fmt.Sprintf("action %s was told done and not recorded", action.key))
-		}
-		if action.outcome.notRun() && records[action.key] > 0 && !done[action.key] {
+		case action.outcome.notRun() && len(times) > 0 && !history.explained(action.key, times[0]):
 			broken = append(broken, fmt.Sprintf("action %s was told not run and was recorded", action.key))
+		case action.outcome.notRun() && len(times) > 0 && times[0].Before(action.told):
+			broken = append(broken, fmt.Sprintf("action %s was told not run after it was recorded", action.key))
 		}
 	}
 	return broken
 }
 
+// explained tells whether a try that was not told not run can have led to a
+// record at the given time.
+func (history *history) explained(key string, at time.Time) bool {
+	return slices.ContainsFunc(history.actions, func(try acted) bool {
+		return try.key == key && !try.outcome.notRun() && try.sent.Before(at)
+	})
+}
+
 func (outcome outcome) done() bool {
 	return outcome.Outcome == "done" || outcome.status == 201 && strings.HasPrefix(outcome.body, "recorded ") ||
 		outcome.status == 200 && strings.HasPrefix(outcome.body, "recorded ")
@@ -104,10 +122,13 @@
 func TestCheckersFindWhatTheyAreFor(t *testing.T) {
 	asked := prompt{content: "ridge", seed: 7, tokens: 2}
 	good := []string{asked.want(0), asked.want(1)}
+	second := func(n int) time.Time { return time.Unix(int64(n), 0) }
+	done, notRun, lost := outcome{Outcome: "done"}, outcome{Outcome: "not-run"}, outcome{}
+	recorded := func(times ...time.Time) map[string][]time.Time { return map[string][]time.Time{"k": times} }
 	for _, test := range []struct {
 		name    string
 		history *history
-		records map[string]int
+		records map[string][]time.Time
 		want    int
 	}{
 		{"whole", &history{answers: []answered{{asked, 0, reply{tokens: good, whole: true, count: 2}}}}, nil, 0},
@@ -115,11 +136,13 @@
 		{"short", &history{answers: []answered{{asked, 0, reply{tokens: good[:1], whole: true, count: 2}}}}, nil, 1},
 		{"another's token", &history{answers: []answered{{asked, 0, reply{tokens: []string{"x", good[1]}, whole: true, count: 2}}}}, nil, 1},
 		{"repeated token", &history{answers: []answered{{asked, 0, reply{tokens: []string{good[0], good[0]}, whole: true, count: 2}}}}, nil, 1},
-		{"done once", &history{actions: []acted{{"k", outcome{status: 201, body: "recorded k: x"}}}}, map[string]int{"k": 1}, 0},
-		{"twice", &history{}, map[string]int{"k": 2}, 1},
-		{"done and not recorded", &history{actions: []acted{{"k", outcome{Outcome: "done"}}}}, nil, 1},
-		{"false not run", &history{actions: []acted{{"k", outcome{Outcome: "not-run"}}}}, map[string]int{"k": 1}, 1},
-		{"not run, then run", &history{actions: []acted{{"k", outcome{Outcome: "not-run"}}, {"k", outcome{Outcome: "done"}}}}, map[string]int{"k": 1}, 0},
+		{"done once", &history{actions: []acted{{"k", second(1), second(3), done}}}, recorded(second(2)), 0},
+		{"twice", &history{}, recorded(second(2), second(3)), 1},
+		{"done and not recorded", &history{actions: []acted{{"k", second(1), second(3), done}}}, nil, 1},
+		{"not run, recorded before", &history{actions: []acted{{"k", second(1), second(3), notRun}}}, recorded(second(2)), 1},
+		{"not run, recorded later", &history{actions: []acted{{"k", second(1), second(2), notRun}}}, recorded(second(3)), 1},
+		{"not run, then run", &history{actions: []acted{{"k", second(1), second(2), notRun}, {"k", second(3), second(5), done}}}, recorded(second(4)), 0},
+		{"run by a try that was lost, then told not run", &history{actions: []acted{{"k", second(1), second(2), lost}, {"k", second(4), second(5), notRun}}}, recorded(second(3)), 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			broken := append(test.history.checkWhole(), test.history.checkOnce(test.records)...)
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -396,14 +396,14 @@
 	cluster.fault(cluster.table, faults)
 }
 
-// records returns how often each key was recorded, over all services.
-func (cluster *cluster) records() map[string]int {
-	total := map[string]int{}
+// records returns when each key was recorded, over all services.
+func (cluster *cluster) records() map[string][]time.Time {
+	total := map[string][]time.Time{}
 	for _, ledger := range cluster.ledgers {
-		var records map[string]int
+		var records map[string][]time.Time
 		get(cluster.t, "http://"+ledger+"/control/records", &records)
-		for key, count := range records {
-			total[key] += count
+		for key, times := range records {
+			total[key] = append(total[key], times...)
 		}
 	}
 	return total
@@ -446,6 +446,15 @@
 	}
 }
 
+func decode[T any](t *testing.T, text []byte) T {
+	t.Helper()
+	var value T
+	if err := json.Unmarshal(text, &value); err != nil {
+		t.Fatalf("decoding %q: %v", text, err)
+	}
+	return value
+}
+
 // eventually waits until the condition holds.
 func eventually(t *testing.T, limit time.Duration, what string, holds func() bool) time.Duration {
 	t.Helper()
--- /dev/null
+++ b/integration/leaving_test.go
@@ -0,0 +1,196 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/standin"
+)
+
+// leaveBound is the time after which a target that is known to leave gets no
+// new work.
+const leaveBound = 3 * time.Second
+
+func TestLeavingVMGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name  string
+		leave func(*testing.T, *cluster, *engine)
+	}{
+		{"by the list", func(t *testing.T, cluster *cluster, engine *engine) {
+			vm := engine.vm
+			vm.State = greengageroute.VMLeaving
+			post(t, "http://"+cluster.table+"/control/vms", vm)
+		}},
+		{"by its own report, the platform down", func(_ *testing.T, cluster *cluster, engine *engine) {
+			cluster.setPlatformCut(true)
+			cluster.fault(engine.own, standin.EngineFaults{Leaving: true})
+		}},
+		{"by an operator, the list lagging", func(_ *testing.T, cluster *cluster, engine *engine) {
+			cluster.run("drain", "vm", engine.vm.ID, "--entry", cluster.entries[1].listen)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			cluster := start(t, plan{centres: []string{"ne"}, entries: 3, engines: 4, width: 2, groups: 2, tokenInterval: time.Millisecond})
+			ctx, stop := context.WithCancel(context.Background())
+			history := &history{}
+			workers := cluster.load(ctx, history, 6, cluster.entries...)
+			leaving := cluster.engineOf(cluster.firstGroup())
+			long := make(chan reply, 1)
+			asked := prompt{content: "long", seed: 5, tokens: 2500}
+			go func() { long <- chat(context.Background(), cluster.entries[0].listen, asked, nil) }()
+			time.Sleep(500 * time.Millisecond)
+			test.leave(t, cluster, leaving)
+			known := time.Now()
+			time.Sleep(leaveBound + 3*time.Second)
+			late := 0
+			for _, served := range leaving.served(t) {
+				if served.At.After(known.Add(leaveBound)) {
+					late++
+				}
+			}
+			if late > 0 {
+				t.Errorf("%d requests were begun at the VM more than %s after it was known to leave", late, leaveBound)
+			}
+			reply := <-long
+			history.answer(asked, 0, reply)
+			if !reply.whole {
+				t.Errorf("a long answer was cut off: %d tokens, %s, %v", len(reply.tokens), reply.body, reply.err)
+			}
+			stop()
+			workers.Wait()
+			for _, answer := range history.answers {
+				if !answer.reply.whole {
+					t.Errorf("an answer was cut off: status %d, %d tokens, %s, %v", answer.reply.status, len(answer.reply.tokens), answer.reply.body, answer.reply.err)
+				}
+			}
+			report(t, history.checkWhole())
+		})
+	}
+}
+
+// TestDrainedGroupFinishesItsRequests drains a group under load; it is dissolved
+// only after its last answer.
+func TestDrainedGroupFinishesItsRequests(t *testing.T) {
+	t.Parallel()
+	cluster := start(t, plan{centres: []string{"ne"}, entries: 2, engines: 4, width: 2, groups: 2, tokenInterval: 10 * time.Millisecond})
+	history := &history{}
+	var callers sync.WaitGroup
+	for i := range 8 {
+		callers.Go(func() {
+			asked := prompt{content: fmt.Sprintf("minutes %d", i), seed: uint64(i), tokens: 500}
+			reply := chat(context.Background(), cluster.entries[i%2].listen, asked, nil)
+			history.answer(asked, 0, reply)
+			if !reply.whole {
+				t.Errorf("minutes %d: cut off after %d tokens: %s", i, len(reply.tokens), reply.body)
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	cluster.run("drain", "group", "ne-0", "--entry", cluster.entries[0].listen)
+	callers.Wait()
+	dissolved := eventually(t, startTimeout, "the group is dissolved", func() bool {
+		found, err := cluster.status(cluster.entries[1])
+		return err == nil && len(found.Groups) == 1 && found.Groups[0].Name == "ne-1"
+	})
+	t.Logf("dissolved %s after the last answer", dissolved.Round(10*time.Millisecond))
+	if count := cut(history); count > 0 {
+		t.Errorf("%d answers moved or were cut off", count)
+	}
+	cluster.run("drain", "group", "ne-0", "--undo", "--entry", cluster.entries[0].listen)
+	cluster.waitServing(2)
+	report(t, history.checkWhole())
+}
+
+func cut(history *history) int {
+	count := 0
+	for _, answer := range history.answers {
+		if !answer.reply.whole {
+			count++
+		}
+	}
+	return count
+}
+
+// TestRollingRestart restarts every entry gracefully under load; callers go
+// through a balancer that asks for each entry's health.
+func TestRollingRestart(t *testing.T) {
+	t.Parallel()
+	cluster := start(t, plan{centres: []string{"ne"}, entries: 3, engines: 4, width: 2, groups: 2, services: 1, tokenInterval: 5 * time.Millisecond})
+	balancer := &balancer{cluster: cluster, healthy: map[*node]bool{}}
+	ctx, stop := context.WithCancel(context.Background())
+	var workers sync.WaitGroup
+	workers.Go(func() { balancer.run(ctx) })
+	history := &history{}
+	time.Sleep(time.Second)
+	for i := range 6 {
+		workers.Go(func() {
+			for round := 0; ctx.Err() == nil; round++ {
+				entry := balancer.pick(i + round)
+				asked := prompt{content: fmt.Sprintf("rolling %d %d", i, round), seed: uint64(i), tokens: 60}
+				history.answer(asked, 0, chat(context.Background(), entry.listen, asked, nil))
+				history.act(context.Background(), entry.listen, fmt.Sprintf("tag-%d-%d", i, round), "tag")
+			}
+		})
+	}
+	for _, entry := range cluster.entries {
+		time.Sleep(time.Second)
+		entry.signal(syscall.SIGTERM)
+		<-entry.done
+		entry.start(t)
+		eventually(t, startTimeout, "the entry is healthy again", func() bool { return healthy(entry) })
+		time.Sleep(2 * time.Second)
+	}
+	stop()
+	workers.Wait()
+	t.Logf("%d answers and %d actions during the restart of %d entries, %d cut off", len(history.answers), len(history.actions), len(cluster.entries), cut(history))
+	for _, answer := range history.answers {
+		if !answer.reply.whole {
+			t.Errorf("cut off: status %d, %d tokens, %s, %v", answer.reply.status, len(answer.reply.tokens), answer.reply.body, answer.reply.err)
+		}
+	}
+	for _, action := range history.actions {
+		if !action.outcome.done() {
+			t.Errorf("action %s was not done: %+v", action.key, action.outcome)
+		}
+	}
+	report(t, history.checkWhole())
+	report(t, history.checkOnce(cluster.records()))
+}
+
+// balancer knows which entries pass the health check, as the platform's does.
+type balancer struct {
+	cluster *cluster
+	mu      sync.Mutex
+	healthy map[*node]bool
+}
+
+func (balancer *balancer) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, entry := range balancer.cluster.entries {
+			found := healthy(entry)
+			balancer.mu.Lock()
+			balancer.healthy[entry] = found
+			balancer.mu.Unlock()
+		}
+		time.Sleep(poll)
+	}
+}
+
+func (balancer *balancer) pick(turn int) *node {
+	balancer.mu.Lock()
+	defer balancer.mu.Unlock()
+	entries := balancer.cluster.entries
+	for i := range entries {
+		if entry := entries[(turn+i)%len(entries)]; balancer.healthy[entry] {
+			return entry
+		}
+	}
+	return entries[turn%len(entries)]
+}
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -21,14 +21,13 @@
 		if !reply.whole {
 			t.Errorf("entry %s: answer not whole: %+v", entry.name, reply)
 		}
-		outcome := act(ctx, entry.listen, "deposit-1", "snowshoes 41")
-		history.action("deposit-1", outcome)
+		outcome := history.act(ctx, entry.listen, "deposit-1", "snowshoes 41")
 		if want := "recorded deposit-1: snowshoes 41"; outcome.status != http.StatusCreated || outcome.body != want {
 			t.Errorf("entry %s: got %d %q, want %q", entry.name, outcome.status, outcome.body, want)
 		}
 	}
-	if count := cluster.records()["deposit-1"]; count != 1 {
-		t.Errorf("deposit recorded %d times, want 1", count)
+	if times := cluster.records()["deposit-1"]; len(times) != 1 {
+		t.Errorf("deposit recorded %d times, want 1", len(times))
 	}
 	report(t, history.checkWhole())
 	report(t, history.checkOnce(cluster.records()))
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -41,8 +41,8 @@
 		Accepted(config *greengageroute.Config)
 		// Status tells what this entry knows.
 		Status() *genoperator.SystemStatus
-		// Unheard returns the data centres of which no entry is known to be alive.
-		Unheard() []string
+		// Unheard returns the data centres of which no entry answers now.
+		Unheard(ctx context.Context) []string
 	}
 
 	// Configs is what the operator service needs of the platform.
@@ -115,10 +115,10 @@
 		return nil, err
 	}
 	if payload.EveryDataCentre != nil && *payload.EveryDataCentre {
-		if unheard := service.state.Unheard(); len(unheard) > 0 {
+		if unheard := service.state.Unheard(ctx); len(unheard) > 0 {
 			return nil, &caller.Refusal{
 				Status: http.StatusServiceUnavailable, Code: "data-centre-unheard",
-				Message: "no entry of data centre " + unheard[0] + " is heard from; apply without --every-data-centre or wait",
+				Message: "no entry of data centre " + unheard[0] + " answers; apply without --every-data-centre or wait",
 			}
 		}
 	}
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -232,6 +232,31 @@
 	}
 }
 
+// Reach pings a few members of each other data centre and returns the data
+// centres that answered.
+func (membership *Membership) Reach(ctx context.Context) greengageroute.Set[string] {
+	var mu sync.Mutex
+	var pings sync.WaitGroup
+	reached := greengageroute.Set[string]{}
+	for centre, names := range membership.farNames() {
+		for _, name := range names[:min(farContacts, len(names))] {
+			known, ok := membership.Member(name)
+			if !ok {
+				continue
+			}
+			pings.Go(func() {
+				if membership.exchange(ctx, known.Address, &Ping{}) {
+					mu.Lock()
+					defer mu.Unlock()
+					reached.Add(centre)
+				}
+			})
+		}
+	}
+	pings.Wait()
+	return reached
+}
+
 // reached asks other members of this data centre to ping.
 func (membership *Membership) reached(ctx context.Context, other Info) bool {
 	var helpers []Info
--- a/planner.go
+++ b/planner.go
@@ -51,7 +51,7 @@
 // committed before the next is planned.
 func Plan(now Situation) (Step, bool) {
 	for _, find := range []func(Situation) (Step, bool){
-		confirmRelease, dissolveBroken, dissolveUnwanted, recordLoaded, reloadRestarted, formMissing,
+		confirmRelease, dissolveBroken, dissolveUnwanted, recordLoaded, reloadBroken, formMissing,
 	} {
 		if step, found := find(now); found {
 			return step, true
@@ -110,16 +110,15 @@
 	return Step{}, false
 }
 
-func reloadRestarted(now Situation) (Step, bool) {
+// reloadBroken assigns a group anew when a member lost what it had loaded: it
+// was restarted, or took an order of a superseded planner.
+func reloadBroken(now Situation) (Step, bool) {
 	for _, group := range now.Fleet.Groups {
-		if !group.Ready() {
+		if !group.Ready() || !now.reachable(group) {
 			continue
 		}
-		for _, member := range group.Members {
-			seen := now.Health[member.VM]
-			if seen.Reachable && seen.Report.Boot != member.Boot {
-				return Step{Fleet: now.Fleet.WithReload(group.Name), Group: group.Name, Reason: "VM " + member.VM + " was restarted"}, true
-			}
+		if reason := group.Whole(now.Health); reason != "" {
+			return Step{Fleet: now.Fleet.WithReload(group.Name), Group: group.Name, Reason: reason}, true
 		}
 	}
 	return Step{}, false
@@ -182,6 +181,10 @@
 	})
 }
 
+func (now Situation) reachable(group Group) bool {
+	return !slices.ContainsFunc(group.Members, func(member Member) bool { return !now.Health[member.VM].Reachable })
+}
+
 func (now Situation) loaded(group Group) bool {
 	return !slices.ContainsFunc(group.Members, func(member Member) bool {
 		seen := now.Health[member.VM]
--- a/standin/service.go
+++ b/standin/service.go
@@ -16,7 +16,7 @@
 	// under each key, and how often.
 	Ledger struct {
 		mu      sync.Mutex
-		records map[string]int
+		records map[string][]time.Time
 		answers map[string]greengageroute.Answer
 	}
 
@@ -37,11 +37,11 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{records: map[string]int{}, answers: map[string]greengageroute.Answer{}}
+	return &Ledger{records: map[string][]time.Time{}, answers: map[string]greengageroute.Answer{}}
 }
 
-// Records returns how often each key was recorded.
-func (ledger *Ledger) Records() map[string]int {
+// Records returns when each key was recorded.
+func (ledger *Ledger) Records() map[string][]time.Time {
 	ledger.mu.Lock()
 	defer ledger.mu.Unlock()
 	return maps.Clone(ledger.records)
@@ -50,7 +50,7 @@
 func (ledger *Ledger) record(key, body string) greengageroute.Answer {
 	ledger.mu.Lock()
 	defer ledger.mu.Unlock()
-	ledger.records[key]++
+	ledger.records[key] = append(ledger.records[key], time.Now())
 	answer := greengageroute.Answer{
 		Status: http.StatusCreated, ContentType: "text/plain", Body: fmt.Appendf(nil, "recorded %s: %s", key, body),
 	}
