Close a claim whose reply was lost; tell every fault at once

Cause: with one write before the send nobody but its entry may close a claim, and the entry did not: a claim that took effect while all replies were lost stood as sent for good, so a caller truthfully told not run was told unknown when it sent again. Change: the entry closes its own claim behind the refusal. After: told not run, then done once when sent again; another entry's claim of the key is left alone.

Also: a file with a key of the wrong type had its other faults hidden; now all are told in the order of the file, a missing key at the place of its parent.

--- a/caller/claim.go
+++ b/caller/claim.go
@@ -50,6 +50,7 @@
 	if err != nil {
 		// The claim may have taken effect, but only this entry could send it,
 		// and does not.
+		go service.close(context.WithoutCancel(ctx), stored)
 		return service.refuseNotRun("the platform did not take the claim")
 	}
 	// A caller that goes away must not leave the action half done.
--- a/caller/claim_test.go
+++ b/caller/claim_test.go
@@ -58,6 +58,7 @@
 		*platform.Memory
 		stop   *stop
 		writes int
+		lossy  bool // takes effect, then neither replies nor can be asked
 	}
 
 	// ledger is a target that records each call it receives.
@@ -95,9 +96,19 @@
 	err := table.Memory.Commit(ctx, writes...)
 	time.Sleep(tableDelay)
 	table.stop.at("after " + point)
+	if table.lossy {
+		return &platform.UncertainError{}
+	}
 	return err
 }
 
+func (table *haltedTable) Read(ctx context.Context, key string) (platform.Row, error) {
+	if table.lossy {
+		return platform.Row{}, &platform.UnavailableError{}
+	}
+	return table.Memory.Read(ctx, key)
+}
+
 func (targets *haltedTargets) Call(_ context.Context, address string, call target.ServiceCall) (greengageroute.Answer, error) {
 	time.Sleep(targetDelay)
 	targets.stop.at("before effect")
@@ -291,6 +302,42 @@
 	}
 }
 
+// TestClaimWhoseReplyIsLostIsClosed has the claim take effect while its reply and
+// all later ones are lost: the caller is told not run, and may send again.
+func TestClaimWhoseReplyIsLostIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		book := &ledger{records: map[string]int{}}
+		table := &haltedTable{Memory: platform.NewMemory(), lossy: true}
+		service := newClaimer(claimConfig(t, false), "first", platform.NewActions(table), &haltedTargets{ledger: book})
+		if told := deposit(service, "k", "41"); told != greengageroute.OutcomeNotRun || book.count("41") > 0 {
+			t.Errorf("told %s with %d records, want not run and none", told, book.count("41"))
+		}
+		table.lossy = false
+		time.Sleep(time.Minute)
+		if told := deposit(service, "k", "41"); told != greengageroute.OutcomeDone || book.count("41") != 1 {
+			t.Errorf("sent again: told %s with %d records, want done and one", told, book.count("41"))
+		}
+	})
+}
+
+// TestCloseLeavesAnotherClaimAlone closes a claim that never took effect, after
+// another entry's claim of the same key did.
+func TestCloseLeavesAnotherClaimAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		actions := platform.NewActions(platform.NewMemory())
+		service := newClaimer(claimConfig(t, false), "first", actions, &haltedTargets{})
+		other, _, err := actions.Claim(ctx, greengageroute.Action{Workspace: "counters", Key: "k"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		service.close(ctx, platform.Stored{Action: greengageroute.Action{Workspace: "counters", Key: "k", Attempt: "lost"}})
+		if found, err := actions.Get(ctx, "counters", "k"); err != nil || found.Attempt != other.Attempt || found.Version != other.Version {
+			t.Errorf("the row is %+v, want that of the other claim (%v)", found.Action, err)
+		}
+	})
+}
+
 // TestShareOfUnknownOutcomes kills the entry at each millisecond of an action:
 // the outcome may stay unknown only from the claim's effect to the answer's
 // storing, and, if the target is asked, only until the action's effect.
--- a/config.go
+++ b/config.go
@@ -84,9 +84,7 @@
 		list := &faultList{file: name}
 		file := &File{}
 		decodeYAML(list, []byte(versions[name].Text), file)
-		if len(list.faults) == 0 {
-			file.validate(list)
-		}
+		file.validate(list)
 		join.lists = append(join.lists, list)
 		files[list] = file
 		join.declare(list, file)
@@ -96,7 +94,7 @@
 	}
 	var all []Fault
 	for _, list := range join.lists {
-		all = append(all, list.faults...)
+		all = append(all, list.sorted()...)
 	}
 	if len(all) > 0 {
 		return nil, &FaultsError{Faults: all}
--- a/fault.go
+++ b/fault.go
@@ -1,7 +1,9 @@
 package greengageroute
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -28,12 +30,17 @@
 		file   string
 		places map[string]position
 		faults []Fault
+		faulty Set[string] // paths that have a fault
 	}
 )
 
 // String formats the fault as file:line:column: path: problem; remedy.
 func (fault Fault) String() string {
-	return fmt.Sprintf("%s:%d:%d: %s: %s; %s", fault.File, fault.Line, fault.Column, fault.Path, fault.Problem, fault.Remedy)
+	what := fault.Problem
+	if fault.Path != "" {
+		what = fault.Path + ": " + what
+	}
+	return fmt.Sprintf("%s:%d:%d: %s; %s", fault.File, fault.Line, fault.Column, what, fault.Remedy)
 }
 
 // Error lists all faults, one on a line.
@@ -50,17 +57,43 @@
 	return lines
 }
 
+// add notes a fault. A path has at most one: what follows from a first fault is
+// not worth telling.
 func (list *faultList) add(path, remedy, problem string, args ...any) {
-	place := list.places[path]
+	if list.faulty == nil {
+		list.faulty = Set[string]{}
+	}
+	if !list.faulty.Add(path) {
+		return
+	}
+	place := list.place(path)
 	list.faults = append(list.faults, Fault{
 		File: list.file, Line: place.line, Column: place.column,
 		Path: path, Problem: fmt.Sprintf(problem, args...), Remedy: remedy,
 	})
 }
 
+// place returns where a path stands, or what it belongs to if it is missing.
+func (list *faultList) place(path string) position {
+	for {
+		if place, found := list.places[path]; found {
+			return place
+		}
+		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
+	}
+}
+
 func (list *faultList) err() error {
 	if len(list.faults) == 0 {
 		return nil
 	}
-	return &FaultsError{Faults: list.faults}
+	return &FaultsError{Faults: list.sorted()}
+}
+
+// sorted returns the faults in the order of the file.
+func (list *faultList) sorted() []Fault {
+	slices.SortStableFunc(list.faults, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	return list.faults
 }
--- a/file.go
+++ b/file.go
@@ -145,9 +145,7 @@
 	list := &faultList{file: name}
 	file := &File{}
 	decodeYAML(list, text, file)
-	if len(list.faults) == 0 {
-		file.validate(list)
-	}
+	file.validate(list)
 	return file, list.err()
 }
 
--- a/settings.go
+++ b/settings.go
@@ -49,9 +49,6 @@
 	list := &faultList{file: path}
 	settings := Settings{}
 	decodeYAML(list, text, &settings)
-	if len(list.faults) > 0 {
-		return settings, list.err()
-	}
 	settings = settings.Defaults()
 	settings.validate(list)
 	return settings, list.err()
--- /dev/null
+++ b/verdict_test.go
@@ -0,0 +1,93 @@
+package greengageroute
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func servedGroup(number uint64) Group {
+	return Group{Name: "g", Number: number, Members: []Member{{VM: "vm-1", Boot: "b"}}}
+}
+
+func TestVerdicts(t *testing.T) {
+	good := func(number uint64, age time.Duration) Verdict {
+		return Verdict{Group: "g", Number: number, At: time.Now().Add(-age), Whole: true}
+	}
+	bad := func(number uint64) Verdict {
+		return Verdict{Group: "g", Number: number, At: time.Now(), Reason: "VM vm-1 does not answer"}
+	}
+	for _, test := range []struct {
+		name  string
+		heard func(*Verdicts)
+		after time.Duration
+		want  string
+		lost  int
+	}{
+		{"nothing heard", func(*Verdicts) {}, 0, "no probe has found it whole yet", 0},
+		{"good", func(table *Verdicts) { table.Record(good(2, 0)) }, 0, "", 0},
+		{"good, then silence", func(table *Verdicts) { table.Record(good(2, 0)) }, VerdictTerm, "no probe has found it whole lately", 0},
+		{"good news that is old when it comes", func(table *Verdicts) { table.Record(good(2, VerdictTerm)) }, 0, "no probe has found it whole lately", 0},
+		{"good, then bad", func(table *Verdicts) { table.Record(good(2, time.Second)); table.Record(bad(2)) }, 0, "VM vm-1 does not answer", 1},
+		{"bad, then good from before it", func(table *Verdicts) { table.Record(bad(2)); table.Record(good(2, time.Second)) }, 0, "VM vm-1 does not answer", 1},
+		{"bad, then good from after it", func(table *Verdicts) {
+			table.Record(bad(2))
+			time.Sleep(time.Second)
+			table.Record(good(2, 0))
+		}, 0, "", 1},
+		{"good for the assignment before", func(table *Verdicts) { table.Record(good(1, 0)) }, 0, "no probe has found it whole yet", 0},
+		{"bad for the assignment before", func(table *Verdicts) { table.Record(good(2, 0)); table.Record(bad(1)) }, 0, "", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lost := 0
+				table := NewVerdicts(func(Verdict) { lost++ })
+				test.heard(table)
+				time.Sleep(test.after)
+				if _, got := table.Servable(servedGroup(2), time.Now()); got != test.want || lost != test.lost {
+					t.Errorf("got %q, lost %d times, want %q and %d", got, lost, test.want, test.lost)
+				}
+			})
+		})
+	}
+}
+
+func TestQuarantine(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		name   string
+		deaths []string
+		after  time.Duration
+		want   Suspicion
+	}{
+		{"no death", nil, 0, Innocent},
+		{"one death", []string{"g#1"}, 0, Suspect},
+		{"the same death heard of twice", []string{"g#1", "g#1"}, 0, Suspect},
+		{"two deaths", []string{"g#1", "h#2"}, 0, Refused},
+		{"two deaths long ago", []string{"g#1", "h#2"}, QuarantineTerm + time.Second, Innocent},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			quarantine := NewQuarantine()
+			for _, death := range test.deaths {
+				quarantine.Died("digest", death, now)
+			}
+			if got := quarantine.Check("digest", now.Add(test.after)); got != test.want {
+				t.Errorf("got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+func TestRendezvousMovesOnlyTheLostNodesKeys(t *testing.T) {
+	nodes := []string{"a", "b", "c", "d", "e"}
+	for _, key := range []string{"g-0", "g-1", "g-2", "g-3", "g-4", "g-5", "g-6", "g-7"} {
+		before := Rendezvous(key, nodes, 2)
+		after := Rendezvous(key, []string{"a", "b", "d", "e"}, 2)
+		for _, node := range before {
+			kept := node == after[0] || node == after[1]
+			if node != "c" && !kept {
+				t.Errorf("key %s moved from %v to %v though %s is still there", key, before, after, node)
+			}
+		}
+	}
+}
