Choose groups by the expected time to the first token

Cause: the first router scored streams in flight less a fixed bonus for a prefix's home.

Change: score = wait for a free stream (mean excess of a load that is the less sure the older the report) + prefill (low quantile seen at homes and at groups that were sent the prefix lately, high quantile elsewhere), times the slowness that the group has shown. Other entries are taken to have begun as many answers since the report as this one and still run as many.

Cache events are not used yet.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -70,6 +70,7 @@
 		Chats      *greengageroute.Admission
 		Calls      *greengageroute.Admission
 		Quarantine *greengageroute.Quarantine
+		Router     *greengageroute.Router
 		Flights    *Flights
 		Events     EventKey
 		Counters   *expvar.Map
@@ -95,7 +96,7 @@
 func New(parts Parts) *Service {
 	return &Service{
 		entry: parts.Entry, state: parts.State, targets: parts.Targets, actions: parts.Actions,
-		chats: parts.Chats, calls: parts.Calls, quarantine: parts.Quarantine, router: greengageroute.NewRouter(),
+		chats: parts.Chats, calls: parts.Calls, quarantine: parts.Quarantine, router: parts.Router,
 		flights: parts.Flights, budget: NewRetryBudget(), events: parts.Events, counters: parts.Counters, log: parts.Log,
 	}
 }
--- a/caller/generate.go
+++ b/caller/generate.go
@@ -35,6 +35,7 @@
 		first      bool // a token was delivered
 		avoid      greengageroute.Set[string]
 
+		choice greengageroute.Choice
 		group  greengageroute.Group
 		stream *target.Stream
 		ctx    context.Context // ends when the group is lost
@@ -84,7 +85,7 @@
 func (run *run) delivered(chunk target.Chunk) {
 	if !run.first {
 		run.first = true
-		run.service.router.FirstToken(run.group.Name, time.Since(run.started))
+		run.service.router.FirstToken(run.choice, time.Now())
 	}
 	run.generation.From = chunk.Offset + 1
 	run.service.counters.Add(CountTokens, 1)
@@ -129,8 +130,8 @@
 		if suspicion == greengageroute.Suspect {
 			candidates = run.quiet(candidates)
 		}
-		if index := run.service.router.Pick(run.prefix, candidates, now); index >= 0 {
-			return candidates[index].Group, nil
+		if run.choice = run.service.router.Pick(run.prefix, candidates, now); run.choice.Index >= 0 {
+			return candidates[run.choice.Index].Group, nil
 		}
 		if now.Sub(run.started) > run.class.Deadline {
 			return greengageroute.Group{}, noGroup(run.generation.Model)
@@ -191,7 +192,7 @@
 	if run.end != nil {
 		run.end()
 		run.end = nil
-		run.service.router.Done(run.group.Name)
+		run.service.router.Done(run.choice, time.Now())
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,7 @@
 		targets    *target.Client
 		verdicts   *greengageroute.Verdicts
 		quarantine *greengageroute.Quarantine
+		router     *greengageroute.Router
 		flights    *caller.Flights
 		chats      *greengageroute.Admission
 		calls      *greengageroute.Admission
@@ -77,7 +78,8 @@
 		settings: settings, log: log, counters: new(expvar.Map).Init(),
 		table: client, list: client, configs: platform.NewConfigs(client), fleets: platform.NewFleets(client),
 		lease:   platform.NewLease(client, "plan/"+settings.DataCentre, settings.Name, settings.LeaseTerm, target.OrderTimeout),
-		targets: target.NewClient(), quarantine: greengageroute.NewQuarantine(), flights: caller.NewFlights(),
+		targets: target.NewClient(), quarantine: greengageroute.NewQuarantine(),
+		router: greengageroute.NewRouter(), flights: caller.NewFlights(),
 		events: events, leaving: newLeavingVMs(), health: newHealthTable(),
 	}
 	entry.verdicts = greengageroute.NewVerdicts(entry.groupLost)
--- a/entry/news.go
+++ b/entry/news.go
@@ -175,13 +175,19 @@
 // Servable implements caller.State.
 func (entry *Entry) Servable(model string, now time.Time) []greengageroute.Candidate {
 	var candidates []greengageroute.Candidate
+	streams := 0
+	if declared, err := entry.Config().Model(model); err == nil {
+		streams = declared.Streams
+	}
 	for _, group := range entry.Fleet().Groups {
 		if group.Model != model {
 			continue
 		}
 		verdict, reason := entry.servable(group, now)
 		if reason == "" {
-			candidates = append(candidates, greengageroute.Candidate{Group: group, Reported: verdict.Streams, Age: now.Sub(verdict.At)})
+			candidates = append(candidates, greengageroute.Candidate{
+				Group: group, Streams: streams, Reported: verdict.Streams, Age: now.Sub(verdict.At),
+			})
 		}
 	}
 	return candidates
@@ -214,13 +220,14 @@
 	}
 	entries := len(entry.members.Near())
 	entry.chats.SetSlots(max((streams+entries-1)/entries, 1))
+	entry.router.SetPeers(entries - 1)
 }
 
 // service returns the caller's side of the entry.
 func (entry *Entry) service(ctx context.Context) *caller.Service {
 	return caller.New(caller.Parts{
 		Entry: entry.settings.Name, State: entry, Targets: entry.targets, Actions: entry.actions(ctx),
-		Chats: entry.chats, Calls: entry.calls, Quarantine: entry.quarantine, Flights: entry.flights,
+		Chats: entry.chats, Calls: entry.calls, Quarantine: entry.quarantine, Router: entry.router, Flights: entry.flights,
 		Events: entry.events, Counters: entry.counters, Log: entry.log.WithName("caller"),
 	})
 }
