Hold the VMs that groups need, bounded by one contract row

A broken group is formed anew at once where its fabric domain has the VMs, or a whole spare set stands in another; else it waits out a restart. A VM that stays away is given back before another is taken; what is taken is first written into the contract's row, which all data centres share. Who weighs downtime at least twice as much holds one whole group of spares.

--- a/config.go
+++ b/config.go
@@ -323,6 +323,16 @@
 	return policy
 }
 
+// PeakVMs is the most VMs that all data centres may hold together; 0 if the
+// policies set no bound, and what is held is left to others.
+func (config *Config) PeakVMs() int {
+	total := 0
+	for _, policy := range config.policies {
+		total += policy.PeakVMs
+	}
+	return total
+}
+
 // Draining tells whether an operator marked the thing as leaving.
 func (config *Config) Draining(kind, name string) bool {
 	_, ok := config.drains[Drain{Kind: kind, Name: name}]
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -12,6 +12,9 @@
 	CountProbes         = "probes"
 	CountOrders         = "orders"
 	CountOrdersFailed   = "orders-failed"
+	CountTaken          = "vms-taken"
+	CountGivenBack      = "vms-given-back"
+	CountSupplyRefused  = "supply-refused"
 	CountCallersGone    = "callers-gone"
 	CountRefused        = "refused-" // followed by the class
 )
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,7 +40,11 @@
 		list    platform.List
 		configs *platform.Configs
 		fleets  *platform.Fleets
-		lease   *platform.Lease
+		// contracts and supplier are used by the planner only.
+		contracts *platform.Contracts
+		supplier  platform.Supplier
+		tookAt    time.Time // when VMs were last taken; used by the planner only
+		lease     *platform.Lease
 
 		node       *peer.Node
 		members    *peer.Membership
@@ -77,6 +81,7 @@
 	entry := &Entry{
 		settings: settings, log: log, counters: new(expvar.Map).Init(),
 		table: client, list: client, configs: platform.NewConfigs(client), fleets: platform.NewFleets(client),
+		contracts: platform.NewContracts(client), supplier: client,
 		lease:   platform.NewLease(client, "plan/"+settings.DataCentre, settings.Name, settings.LeaseTerm, target.OrderTimeout),
 		targets: target.NewClient(), quarantine: greengageroute.NewQuarantine(),
 		router: greengageroute.NewRouter(), flights: caller.NewFlights(),
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -19,8 +19,9 @@
 type (
 	// healthTable is what this entry's own probes found of each VM.
 	healthTable struct {
-		mu  sync.Mutex
-		vms map[string]greengageroute.Health
+		mu   sync.Mutex
+		vms  map[string]greengageroute.Health
+		lost map[string]time.Time // since when a VM has not answered
 	}
 
 	// probed is a VM that is to be probed.
@@ -28,7 +29,7 @@
 )
 
 func newHealthTable() *healthTable {
-	return &healthTable{vms: map[string]greengageroute.Health{}}
+	return &healthTable{vms: map[string]greengageroute.Health{}, lost: map[string]time.Time{}}
 }
 
 func (table *healthTable) record(vm string, report greengageroute.Report, err error) {
@@ -36,10 +37,25 @@
 	defer table.mu.Unlock()
 	if err != nil {
 		known := table.vms[vm]
+		if known.Missed == 0 {
+			table.lost[vm] = time.Now()
+		}
 		table.vms[vm] = greengageroute.Health{Report: known.Report, Missed: known.Missed + 1}
 		return
 	}
 	table.vms[vm] = greengageroute.Health{Report: report, Reachable: true}
+	delete(table.lost, vm)
+}
+
+// missing returns how long each VM that does not answer has not.
+func (table *healthTable) missing(now time.Time) map[string]time.Duration {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	missing := make(map[string]time.Duration, len(table.lost))
+	for vm, since := range table.lost {
+		missing[vm] = now.Sub(since)
+	}
+	return missing
 }
 
 func (table *healthTable) all() map[string]greengageroute.Health {
--- a/file.go
+++ b/file.go
@@ -193,6 +193,9 @@
 	}
 }
 
+// group is the name of one of the groups asked for.
+func (spec GroupSpec) group(index int) string { return fmt.Sprintf("%s-%d", spec.Name, index) }
+
 func (service Service) validate(list *faultList, path string) {
 	checkName(list, path+".name", service.Name)
 	if len(service.Targets) == 0 {
--- a/planner.go
+++ b/planner.go
@@ -2,9 +2,9 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
+	"time"
 )
 
 const (
@@ -21,11 +21,16 @@
 		Models map[string]Model
 		VMs    []VM
 		Health map[string]Health
-		Policy Policy
+		// Missing is how long each VM has not answered.
+		Missing map[string]time.Duration
+		Policy  Policy
 		// Drained tells whether no entry can still be sending to the group.
 		Drained func(group Group) bool
 		// Draining tells whether an operator marked the thing as leaving.
 		Draining func(kind, name string) bool
+
+		listed map[string]VM
+		models map[string]string // of the groups asked for, by name
 	}
 
 	// Step is one change of the fleet with its reason.
@@ -50,6 +55,16 @@
 // Plan returns the next change that the situation calls for. Each change is
 // committed before the next is planned.
 func Plan(now Situation) (Step, bool) {
+	now.listed = make(map[string]VM, len(now.VMs))
+	for _, vm := range now.VMs {
+		now.listed[vm.ID] = vm
+	}
+	now.models = map[string]string{}
+	for _, spec := range now.Specs {
+		for index := range spec.Count {
+			now.models[spec.group(index)] = spec.Model
+		}
+	}
 	for _, find := range []func(Situation) (Step, bool){
 		confirmRelease, dissolveBroken, dissolveUnwanted, recordLoaded, reloadBroken, formMissing,
 	} {
@@ -61,29 +76,76 @@
 }
 
 func confirmRelease(now Situation) (Step, bool) {
-	listed := now.listed()
 	for _, release := range now.Fleet.Releasing {
 		seen := now.Health[release.VM]
-		_, known := listed[release.VM]
+		_, known := now.listed[release.VM]
 		if seen.Reachable && seen.Report.Idle(release.Number) {
 			return Step{Fleet: now.Fleet.WithFree(release.VM), Group: release.VM, Reason: "released"}, true
 		}
-		if !known && !seen.Reachable && seen.Missed >= missedUntilGone {
-			return Step{Fleet: now.Fleet.WithFree(release.VM), Group: release.VM, Reason: "gone from the platform's list"}, true
+		gone := !known || now.Missing[release.VM] > now.patience(now.listed[release.VM].Domain)
+		if gone && !seen.Reachable && seen.Missed >= missedUntilGone {
+			return Step{Fleet: now.Fleet.WithFree(release.VM), Group: release.VM, Reason: "gone"}, true
 		}
 	}
 	return Step{}, false
 }
 
+// dissolveBroken dissolves a group that lost a member if that lets a whole one
+// be formed at once: in the same fabric domain, from VMs that are free and from
+// survivors of broken groups, or in another from free VMs alone. Otherwise the
+// group waits for the member to come back, until patience ends or the VM is no
+// longer listed.
 func dissolveBroken(now Situation) (Step, bool) {
 	for _, group := range now.Fleet.Groups {
+		lost := now.lost(group)
+		if lost == "" {
+			continue
+		}
+		_, known := now.listed[lost]
+		waited := now.Missing[lost] > now.patience(group.Members[0].Domain)
+		if !known || waited || now.formable(group) {
+			return Step{Fleet: now.Fleet.WithoutGroup(group.Name), Group: group.Name, Reason: "VM " + lost + " is gone"}, true
+		}
+	}
+	return Step{}, false
+}
+
+// lost returns a member of the group that no longer answers.
+func (now Situation) lost(group Group) string {
+	for _, member := range group.Members {
+		if now.Health[member.VM].Missed >= missedUntilGone {
+			return member.VM
+		}
+	}
+	return ""
+}
+
+// patience is how long a VM of the fabric domain is waited for.
+func (now Situation) patience(domain string) time.Duration {
+	return patienceWith(darkDomains(now.VMs, now.Missing).Has(domain))
+}
+
+// formable tells whether a whole group can be formed without the lost member.
+func (now Situation) formable(broken Group) bool {
+	domain := broken.Members[0].Domain
+	free := now.free()
+	for _, members := range free {
+		if len(members) >= len(broken.Members) {
+			return true
+		}
+	}
+	usable := len(free[domain])
+	for _, group := range now.Fleet.Groups {
+		if group.Members[0].Domain != domain || now.lost(group) == "" {
+			continue
+		}
 		for _, member := range group.Members {
-			if now.Health[member.VM].Missed >= missedUntilGone {
-				return Step{Fleet: now.Fleet.WithoutGroup(group.Name), Group: group.Name, Reason: "VM " + member.VM + " is gone"}, true
+			if now.Health[member.VM].Missed < missedUntilGone {
+				usable++
 			}
 		}
 	}
-	return Step{}, false
+	return usable >= len(broken.Members)
 }
 
 func dissolveUnwanted(now Situation) (Step, bool) {
@@ -125,18 +187,17 @@
 }
 
 func formMissing(now Situation) (Step, bool) {
+	if len(now.models) <= len(now.Fleet.Groups) && !slices.ContainsFunc(now.Fleet.Groups, func(group Group) bool { return !now.wanted(group) }) {
+		return Step{}, false
+	}
 	free := now.free()
 	for _, spec := range now.Specs {
-		width := now.Models[spec.Model].VMsPerGroup
-		for index := range spec.Count {
-			name := fmt.Sprintf("%s-%d", spec.Name, index)
+		members := pickDomain(free, now.Models[spec.Model].VMsPerGroup)
+		for index := 0; index < spec.Count && members != nil; index++ {
+			name := spec.group(index)
 			if _, exists := now.Fleet.Group(name); exists || now.Draining(DrainGroup, name) {
 				continue
 			}
-			members := pickDomain(free, width)
-			if members == nil {
-				break
-			}
 			fleet, err := now.Fleet.WithGroup(Group{Name: name, Spec: spec.Name, Model: spec.Model, Members: members})
 			if err != nil {
 				break
@@ -154,9 +215,8 @@
 	if !now.wanted(group) {
 		return "no longer asked for"
 	}
-	listed := now.listed()
 	for _, member := range group.Members {
-		if now.Draining(DrainVM, member.VM) || listed[member.VM].State == VMLeaving || now.Health[member.VM].Report.Leaving {
+		if now.Draining(DrainVM, member.VM) || now.listed[member.VM].State == VMLeaving || now.Health[member.VM].Report.Leaving {
 			return "VM " + member.VM + " is leaving"
 		}
 	}
@@ -164,14 +224,7 @@
 }
 
 func (now Situation) wanted(group Group) bool {
-	return slices.ContainsFunc(now.Specs, func(spec GroupSpec) bool {
-		for index := range spec.Count {
-			if group.Name == fmt.Sprintf("%s-%d", spec.Name, index) && group.Model == spec.Model {
-				return len(group.Members) == now.Models[spec.Model].VMsPerGroup
-			}
-		}
-		return false
-	})
+	return now.models[group.Name] == group.Model && len(group.Members) == now.Models[group.Model].VMsPerGroup
 }
 
 func (now Situation) idle(group Group) bool {
@@ -192,21 +245,13 @@
 	})
 }
 
-func (now Situation) listed() map[string]VM {
-	listed := make(map[string]VM, len(now.VMs))
-	for _, vm := range now.VMs {
-		listed[vm.ID] = vm
-	}
-	return listed
-}
-
 // free returns the VMs that can join a group, by fabric domain.
 func (now Situation) free() map[string][]Member {
 	taken := now.Fleet.Taken()
 	free := map[string][]Member{}
 	for _, vm := range now.VMs {
 		seen := now.Health[vm.ID]
-		usable := vm.State == VMLive && seen.Reachable && !seen.Report.Leaving && !now.Draining(DrainVM, vm.ID)
+		usable := vm.State == VMLive && seen.Reachable && seen.Report.Streams == 0 && !seen.Report.Leaving && !now.Draining(DrainVM, vm.ID)
 		if usable && !taken.Has(vm.ID) {
 			free[vm.Domain] = append(free[vm.Domain], Member{VM: vm.ID, Address: vm.Address, Domain: vm.Domain})
 		}
--- a/planner_test.go
+++ b/planner_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 )
@@ -18,7 +19,8 @@
 func newPlanBench() *planBench {
 	bench := &planBench{draining: map[Drain]bool{}}
 	bench.now = Situation{
-		Fleet: Fleet{DataCentre: "ne"}, Health: map[string]Health{},
+		Fleet: Fleet{DataCentre: "ne"}, Health: map[string]Health{}, Missing: map[string]time.Duration{},
+		Policy:   Policy{DowntimeWeight: 1, StrandedWeight: 1},
 		Models:   map[string]Model{"m": {Name: "m", VMsPerGroup: 2}},
 		Drained:  func(Group) bool { return !bench.busy },
 		Draining: func(kind, name string) bool { return bench.draining[Drain{Kind: kind, Name: name}] },
@@ -79,7 +81,7 @@
 	bench.now.Health[vm.ID] = Health{Reachable: true, Report: Report{VM: vm.ID, Boot: vm.ID + "/1"}}
 }
 
-// report changes what a VM reports: report ID lost|back|boot=B|streams=N.
+// report changes what a VM reports: report ID missed|lost|gone|boot=B|streams=N.
 func (bench *planBench) report(data *datadriven.TestData) {
 	id := data.CmdArgs[0].Key
 	health := bench.now.Health[id]
@@ -89,10 +91,11 @@
 			health.Reachable, health.Missed = false, missedUntilGone
 		case "missed":
 			health.Reachable, health.Missed = false, 1
-		case "back":
-			health.Reachable, health.Missed = true, 0
+		case "gone":
+			bench.now.Missing[id] = restartPatience + time.Second
 		case "boot":
 			health = Health{Reachable: true, Report: Report{VM: id, Boot: arg.Vals[0]}}
+			delete(bench.now.Missing, id)
 		case "streams":
 			_, _ = fmt.Sscan(arg.Vals[0], &health.Report.Streams)
 		}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -51,7 +51,10 @@
 	served.HandleFunc("GET /scan", standin.scan)
 	served.HandleFunc("GET /vms", standin.vms)
 	served.HandleFunc("POST /commit", standin.commit)
+	served.HandleFunc("POST /supply/take", standin.take)
+	served.HandleFunc("POST /supply/give-back", standin.giveBack)
 	mux := http.NewServeMux()
+	mux.HandleFunc("POST /control/idle", standin.addIdle)
 	mux.Handle("/", standin.faulty(served))
 	mux.Handle("POST /control/faults", &standin.faults)
 	mux.HandleFunc("POST /control/vms", standin.setVM)
@@ -129,6 +132,29 @@
 	}
 }
 
+func (standin *Platform) addIdle(writer http.ResponseWriter, request *http.Request) {
+	var vm greengageroute.VM
+	if readJSON(writer, request, &vm) {
+		standin.AddIdle(vm)
+	}
+}
+
+func (standin *Platform) take(writer http.ResponseWriter, request *http.Request) {
+	var body platform.TakeRequest
+	if readJSON(writer, request, &body) {
+		_ = standin.Take(request.Context(), body.DataCentre, body.Domain, body.VMs) // cannot fail
+		writeJSON(writer, platform.CommitReply{})
+	}
+}
+
+func (standin *Platform) giveBack(writer http.ResponseWriter, request *http.Request) {
+	var body platform.GiveBackRequest
+	if readJSON(writer, request, &body) {
+		_ = standin.GiveBack(request.Context(), body.VMs...) // cannot fail
+		writeJSON(writer, platform.CommitReply{})
+	}
+}
+
 func (standin *Platform) counts(writer http.ResponseWriter, _ *http.Request) {
 	reads, writes := standin.Counts()
 	writeJSON(writer, PlatformCounts{Reads: reads, Writes: writes})
