Read each configuration file once

Ruled out: validation across files (it stays). Change: a configuration keeps each file as it was read, and reads only those whose text changed.

--- a/config.go
+++ b/config.go
@@ -52,6 +52,14 @@
 		teams      []Team
 		policies   map[string]Policy
 		drains     map[Drain]struct{}
+		parsed     map[string]*parsedFile
+	}
+
+	// parsedFile is a file as it was read once. It is not changed.
+	parsedFile struct {
+		text   string
+		file   *File
+		faults faultList
 	}
 
 	// merge builds a Config and collects faults that span files.
@@ -72,7 +80,14 @@
 // NewConfig merges files into the configuration of a revision. The error is a
 // *FaultsError that names every clash and every unknown reference.
 func NewConfig(revision uint64, versions map[string]FileVersion) (*Config, error) {
+	return newConfig(revision, versions, nil)
+}
+
+// newConfig is NewConfig with files that were read before and need not be again.
+func newConfig(revision uint64, versions map[string]FileVersion, known map[string]*parsedFile) (*Config, error) {
 	config := &Config{
+		parsed: make(map[string]*parsedFile, len(versions)),
+
 		revision: revision, versions: maps.Clone(versions),
 		centres: map[string]DataCentre{}, models: map[string]Model{}, services: map[string]Service{},
 		classes: map[string]Class{}, workspaces: map[string]Workspace{}, keys: map[string]string{},
@@ -81,13 +96,15 @@
 	join := &merge{config: config, owners: map[string]string{}}
 	files := map[*faultList]*File{}
 	for _, name := range slices.Sorted(maps.Keys(versions)) {
-		list := &faultList{file: name}
-		file := &File{}
-		decodeYAML(list, []byte(versions[name].Text), file)
-		file.validate(list)
+		parsed, same := known[name]
+		if !same || parsed.text != versions[name].Text {
+			parsed = parse(name, versions[name].Text)
+		}
+		config.parsed[name] = parsed
+		list := parsed.faults.clone()
 		join.lists = append(join.lists, list)
-		files[list] = file
-		join.declare(list, file)
+		files[list] = parsed.file
+		join.declare(list, parsed.file)
 	}
 	for _, list := range join.lists {
 		join.resolve(list, files[list])
@@ -250,7 +267,14 @@
 	for _, version := range changed {
 		versions[version.Name] = version
 	}
-	return NewConfig(revision, versions)
+	return newConfig(revision, versions, config.parsed)
+}
+
+func parse(name, text string) *parsedFile {
+	parsed := &parsedFile{text: text, file: &File{}, faults: faultList{file: name}}
+	decodeYAML(&parsed.faults, []byte(text), parsed.file)
+	parsed.file.validate(&parsed.faults)
+	return parsed
 }
 
 // ChangedSince returns the files accepted after a revision, by name.
--- /dev/null
+++ b/config_test.go
@@ -0,0 +1,83 @@
+package greengageroute
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// manyFiles returns a configuration of the given number of files, each with a
+// model, a group, five workspaces and a class.
+func manyFiles(b testing.TB, count int) *Config {
+	b.Helper()
+	versions := map[string]FileVersion{"centres": {
+		Name: "centres", Version: 1, Revision: 1,
+		Text: "data-centres: [{name: dc, region: r, fabric-domains: [{name: d, vms: 16}]}]",
+	}}
+	for i := range count {
+		var text strings.Builder
+		fmt.Fprintf(&text, "models: [{name: m%d, vms-per-group: 4}]\ngroups: [{name: g%d, model: m%d, data-centre: dc, count: 1}]\n", i, i, i)
+		fmt.Fprintf(&text, "classes: [{name: c%d, rank: 1, deadline: 5s}]\nworkspaces:\n", i)
+		for j := range 5 {
+			fmt.Fprintf(&text, "  - {name: w%d-%d, class: c%d, models: [m%d], key-hashes: [%s]}\n", i, j, i, i, HashKey(fmt.Sprint(i, j)))
+		}
+		name := fmt.Sprintf("file-%d", i)
+		versions[name] = FileVersion{Name: name, Version: 1, Revision: uint64(i + 2), Text: text.String()}
+	}
+	config, err := NewConfig(uint64(count+1), versions)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return config
+}
+
+// BenchmarkConfigWith measures what one accepted change costs each entry.
+func BenchmarkConfigWith(b *testing.B) {
+	for _, count := range []int{10, 100, 400} {
+		b.Run(fmt.Sprintf("files=%d", count), func(b *testing.B) {
+			config := manyFiles(b, count)
+			changed, _ := config.Version("file-0")
+			b.ReportAllocs()
+			for b.Loop() {
+				changed.Version++
+				if _, err := config.With(config.Revision()+1, changed); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkPlan measures one look of the planner that finds nothing to do.
+func BenchmarkPlan(b *testing.B) {
+	for _, groups := range []int{5, 44} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			now := settledSituation(groups)
+			b.ReportAllocs()
+			for b.Loop() {
+				if step, found := Plan(now); found {
+					b.Fatalf("found %s: %s", step.Group, step.Reason)
+				}
+			}
+		})
+	}
+}
+
+func settledSituation(groups int) Situation {
+	now := Situation{
+		Fleet: Fleet{DataCentre: "dc"}, Specs: []GroupSpec{{Name: "g", Model: "m", Count: groups}},
+		Models: map[string]Model{"m": {Name: "m", VMsPerGroup: 4}}, Health: map[string]Health{},
+		Drained: func(Group) bool { return true }, Draining: func(string, string) bool { return false },
+	}
+	for i := range groups {
+		group := Group{Name: fmt.Sprintf("g-%d", i), Spec: "g", Model: "m", Number: uint64(i + 1)}
+		for j := range 4 {
+			id := fmt.Sprintf("vm-%d-%d", i, j)
+			group.Members = append(group.Members, Member{VM: id, Domain: "d", Boot: "b"})
+			now.VMs = append(now.VMs, VM{ID: id, Domain: "d", State: VMLive})
+			now.Health[id] = Health{Reachable: true, Report: Report{VM: id, Boot: "b", Group: group.Name, Number: group.Number, Loaded: true}}
+		}
+		now.Fleet.Groups = append(now.Fleet.Groups, group)
+	}
+	return now
+}
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +21,7 @@
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/peer"
 	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/standin"
 )
 
 const (
@@ -40,8 +43,9 @@
 	// fleetRun is a number of entries in this process, before engines and a
 	// platform in another.
 	fleetRun struct {
-		entries []*Entry
-		stop    func()
+		entries  []*Entry
+		platform string // its address
+		stop     func()
 	}
 
 	// controlCost is what control costs one entry.
@@ -51,6 +55,8 @@
 		processor  float64 // share of a core
 		heap       float64 // bytes
 		unserved   float64 // share of whole groups that an entry does not send to
+		reads      float64 // of the platform by all entries, a second
+		writes     float64
 	}
 )
 
@@ -65,6 +71,7 @@
 	}
 	writeFile(t, directory, "authority.pem", authority.Certificate)
 	writeFile(t, directory, "event.key", make([]byte, 32))
+	run.platform = platformAddress
 	ctx, cancel := context.WithCancel(context.Background())
 	var runs sync.WaitGroup
 	var seeds []string
@@ -186,6 +193,7 @@
 	runtime.ReadMemStats(&memory)
 	peers, probes := run.traffic()
 	processor := processorTime()
+	counts := run.platformCounts()
 	groups, missing := 0, 0
 	for began := time.Now(); time.Since(began) < length; time.Sleep(tick) {
 		for _, entry := range run.entries {
@@ -195,15 +203,29 @@
 		}
 	}
 	peersAfter, probesAfter := run.traffic()
+	countsAfter := run.platformCounts()
 	per := float64(len(run.entries)) * length.Seconds()
 	return controlCost{
 		peerBytes: float64(peersAfter-peers) / per, probeBytes: float64(probesAfter-probes) / per,
 		processor: (processorTime() - processor).Seconds() / per,
 		heap:      float64(memory.HeapAlloc) / float64(len(run.entries)),
 		unserved:  float64(missing) / float64(max(groups, 1)),
+		reads:     float64(countsAfter.Reads-counts.Reads) / length.Seconds(),
+		writes:    float64(countsAfter.Writes-counts.Writes) / length.Seconds(),
 	}
 }
 
+func (run *fleetRun) platformCounts() standin.PlatformCounts {
+	var counts standin.PlatformCounts
+	response, err := http.Get("http://" + run.platform + "/control/counts")
+	if err != nil {
+		return counts
+	}
+	defer response.Body.Close()
+	_ = json.NewDecoder(response.Body).Decode(&counts) // zero counts show in the figures
+	return counts
+}
+
 func (run *fleetRun) traffic() (peers, probes uint64) {
 	for _, entry := range run.entries {
 		peer, probe := entry.Traffic()
@@ -238,6 +260,8 @@
 			b.ReportMetric(cost.probeBytes, "probeB/s")
 			b.ReportMetric(100*cost.processor, "%core")
 			b.ReportMetric(cost.heap/1024, "heapKB")
+			b.ReportMetric(cost.reads, "reads/s")
+			b.ReportMetric(cost.writes, "writes/s")
 			b.ReportMetric(100*cost.unserved, "%unserved")
 			b.ReportMetric(0, "ns/op")
 		})
--- a/fault.go
+++ b/fault.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -73,6 +74,14 @@
 	})
 }
 
+// clone returns a list that can grow on its own.
+func (list *faultList) clone() *faultList {
+	grown := *list
+	grown.faults = slices.Clone(list.faults)
+	grown.faulty = maps.Clone(list.faulty)
+	return &grown
+}
+
 // place returns where a path stands, or what it belongs to if it is missing.
 func (list *faultList) place(path string) position {
 	for {
--- a/file.go
+++ b/file.go
@@ -142,11 +142,8 @@
 // ParseFile reads a configuration file and checks all that can be checked
 // without the other files. The error is a *FaultsError.
 func ParseFile(name string, text []byte) (*File, error) {
-	list := &faultList{file: name}
-	file := &File{}
-	decodeYAML(list, text, file)
-	file.validate(list)
-	return file, list.err()
+	parsed := parse(name, string(text))
+	return parsed.file, parsed.faults.err()
 }
 
 func (file *File) validate(list *faultList) {
