Look at the clock before each connection to a group; answer elsewhere; limits

Ruled out: verdicts heard after waking (aged from before the question), probes begun before the freeze (counted from their begin). Change: a connection to a group is made before its good news expires or not at all; the time is looked at when the last byte of the request goes out.

The wait is now counted from the loss; half of it is for an idle group.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"expvar"
+	"io"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -21,17 +22,23 @@
 		Config() *greengageroute.Config
 		// Servable returns the groups that may take a request of the model now.
 		Servable(model string, now time.Time) []greengageroute.Candidate
+		// WholeUntil returns when the latest good news of the group expires.
+		WholeUntil(group greengageroute.Group) time.Time
 		// GroupFailed notes that a request saw its group fail.
 		GroupFailed(group greengageroute.Group, reason string)
 		// RequestDied tells the other entries that a group died under a request.
 		RequestDied(digest, death string)
+		// Elsewhere has a chat completion answered in another data centre.
+		Elsewhere(ctx context.Context, workspace string, body []byte, lastEventID string) (Forwarded, error)
+		// Entries returns how many live entries the data centre has.
+		Entries() int
 		// Stopping tells whether the entry takes no new connections.
 		Stopping() bool
 	}
 
 	// Targets is what the chain needs of the targets.
 	Targets interface {
-		Generate(ctx context.Context, address string, generation target.Generation, reattached func()) (*target.Stream, error)
+		Generate(ctx context.Context, address string, generation target.Generation, until func() time.Time, reattached func()) (*target.Stream, error)
 		Call(ctx context.Context, address string, call target.ServiceCall) (greengageroute.Answer, error)
 		Outcome(ctx context.Context, address, path, key string) (greengageroute.Answer, bool, error)
 	}
@@ -44,6 +51,12 @@
 		Advance(ctx context.Context, from platform.Stored, next greengageroute.Action) (platform.Stored, bool, error)
 	}
 
+	// Forwarded is an answer from another data centre.
+	Forwarded struct {
+		ContentType string
+		Body        io.Reader
+	}
+
 	// Service implements the caller service of the design.
 	Service struct {
 		entry      string
@@ -56,6 +69,7 @@
 		router     *greengageroute.Router
 		flights    *Flights
 		budget     *RetryBudget
+		limits     *Limits
 		events     EventKey
 		counters   *expvar.Map
 		log        logr.Logger
@@ -90,6 +104,7 @@
 	CountNotRun      = "caller-actions-not-run"
 	CountUnknown     = "caller-actions-unknown"
 	CountDenied      = "caller-denied"
+	CountForwarded   = "caller-forwarded"
 )
 
 // New returns the service made of its parts.
@@ -97,6 +112,6 @@
 	return &Service{
 		entry: parts.Entry, state: parts.State, targets: parts.Targets, actions: parts.Actions,
 		chats: parts.Chats, calls: parts.Calls, quarantine: parts.Quarantine, router: parts.Router,
-		flights: parts.Flights, budget: NewRetryBudget(), events: parts.Events, counters: parts.Counters, log: parts.Log,
+		flights: parts.Flights, budget: NewRetryBudget(), limits: NewLimits(), events: parts.Events, counters: parts.Counters, log: parts.Log,
 	}
 }
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -49,6 +49,24 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	lastEventID := ""
+	if payload.LastEventID != nil {
+		lastEventID = *payload.LastEventID
+	}
+	return service.complete(ctx, workspace, raw, lastEventID, true)
+}
+
+// AnswerForwarded answers a chat completion that an entry of another data centre
+// has authenticated. It is not forwarded again.
+func (service *Service) AnswerForwarded(ctx context.Context, workspace string, raw []byte, lastEventID string) (*gencaller.ChatResult, io.ReadCloser, error) {
+	known, err := service.state.Config().Workspace(workspace)
+	if err != nil {
+		return nil, nil, err
+	}
+	return service.complete(ctx, known, raw, lastEventID, false)
+}
+
+func (service *Service) complete(ctx context.Context, workspace greengageroute.Workspace, raw []byte, lastEventID string, forward bool) (*gencaller.ChatResult, io.ReadCloser, error) {
 	completion, err := parseCompletion(raw)
 	if err != nil {
 		return nil, nil, err
@@ -61,8 +79,8 @@
 	}
 	answer := &chatBody{ctx: ctx, service: service, id: uuid.NewString(), digest: digestOf(workspace.Name, string(raw))}
 	from, seed := 0, completion.seed(answer.id)
-	if payload.LastEventID != nil {
-		event, err := service.resume(*payload.LastEventID, answer.digest)
+	if lastEventID != "" {
+		event, err := service.resume(lastEventID, answer.digest)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -71,7 +89,35 @@
 	if err := service.quarantineCheck(answer.digest); err != nil {
 		return nil, nil, err
 	}
-	if answer.release, err = service.limit(ctx, workspace, completion); err != nil {
+	if forward {
+		if err := service.limits.Take(workspace, completion.MaxTokens-from, service.state.Entries(), time.Now()); err != nil {
+			return nil, nil, err
+		}
+	}
+	if len(service.state.Servable(completion.Model, time.Now())) == 0 {
+		if !forward {
+			return nil, nil, noGroup(completion.Model)
+		}
+		if result, body, err := service.elsewhere(ctx, workspace, raw, lastEventID); err == nil {
+			return result, body, nil
+		}
+	}
+	return service.answer(answer, workspace, completion, from, seed)
+}
+
+// elsewhere has the request answered in another data centre.
+func (service *Service) elsewhere(ctx context.Context, workspace greengageroute.Workspace, raw []byte, lastEventID string) (*gencaller.ChatResult, io.ReadCloser, error) {
+	forwarded, err := service.state.Elsewhere(ctx, workspace.Name, raw, lastEventID)
+	if err != nil {
+		return nil, nil, err
+	}
+	service.counters.Add(CountForwarded, 1)
+	return &gencaller.ChatResult{ContentType: forwarded.ContentType}, &forwardedBody{forwarded.Body}, nil
+}
+
+func (service *Service) answer(answer *chatBody, workspace greengageroute.Workspace, completion Completion, from int, seed uint64) (*gencaller.ChatResult, io.ReadCloser, error) {
+	var err error
+	if answer.release, err = service.limit(answer.ctx, workspace, completion); err != nil {
 		return nil, nil, err
 	}
 	service.budget.First()
--- a/caller/claim_test.go
+++ b/caller/claim_test.go
@@ -135,6 +135,11 @@
 func (state staticState) GroupFailed(greengageroute.Group, string)              {}
 func (state staticState) RequestDied(string, string)                            {}
 func (state staticState) Stopping() bool                                        { return false }
+func (state staticState) WholeUntil(greengageroute.Group) time.Time             { return time.Time{} }
+func (state staticState) Entries() int                                          { return 1 }
+func (state staticState) Elsewhere(context.Context, string, []byte, string) (Forwarded, error) {
+	return Forwarded{}, errors.New("there is no other data centre")
+}
 
 func claimConfig(t *testing.T, asks bool) *greengageroute.Config {
 	t.Helper()
--- /dev/null
+++ b/caller/forwarded.go
@@ -0,0 +1,54 @@
+package caller
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+)
+
+const forwardBuffer = 16 << 10
+
+type (
+	// forwardedBody passes an answer on from another data centre, piece by piece
+	// as it comes.
+	forwardedBody struct{ from io.Reader }
+)
+
+// Read is not used: goa calls WriteTo.
+func (body *forwardedBody) Read(into []byte) (int, error) { return body.from.Read(into) }
+
+// Close does nothing: the answer ends with the request's context.
+func (body *forwardedBody) Close() error { return nil }
+
+// WriteTo implements io.WriterTo. An answer that breaks off ends without its end
+// mark, and the caller resumes it by the last event's id.
+func (body *forwardedBody) WriteTo(writer io.Writer) (int64, error) {
+	flush := func() {}
+	if response, ok := writer.(http.ResponseWriter); ok {
+		controller := http.NewResponseController(response)
+		flush = func() { _ = controller.Flush() }
+	}
+	written := int64(0)
+	buffer := make([]byte, forwardBuffer)
+	for {
+		count, err := body.from.Read(buffer)
+		if count > 0 {
+			wrote, err := writer.Write(buffer[:count])
+			written += int64(wrote)
+			if err != nil {
+				return written, nil // the caller went away
+			}
+			flush()
+		}
+		if err != nil {
+			return written, nil
+		}
+	}
+}
+
+// EncodeRefusal returns the status and the JSON body that tell of an error.
+func EncodeRefusal(err error) (status int, body []byte) {
+	refusal := refuse(err)
+	body, _ = json.Marshal(refusal) // a Refusal always encodes
+	return refusal.Status, body
+}
--- a/caller/generate.go
+++ b/caller/generate.go
@@ -101,8 +101,9 @@
 		run.group = group
 		run.generation.Group, run.generation.Number = group.Name, group.Number
 		run.ctx, run.end = run.service.flights.Start(ctx, group)
+		until := func() time.Time { return run.service.state.WholeUntil(group) }
 		reattached := func() { run.service.counters.Add(CountReattached, 1) }
-		run.stream, err = run.service.targets.Generate(run.ctx, group.Leader().Address, run.generation, reattached)
+		run.stream, err = run.service.targets.Generate(run.ctx, group.Leader().Address, run.generation, until, reattached)
 		if err == nil {
 			return nil
 		}
@@ -116,8 +117,10 @@
 	}
 }
 
-// pick waits for a servable group until the deadline of the class.
+// pick waits for a servable group for as long as the class's deadline. For half
+// of that time a suspected request waits for one that runs nothing.
 func (run *run) pick(ctx context.Context) (greengageroute.Group, error) {
+	began := time.Now()
 	for {
 		now := time.Now()
 		suspicion := run.service.quarantine.Check(run.digest, now)
@@ -127,13 +130,13 @@
 		candidates := slices.DeleteFunc(run.service.state.Servable(run.generation.Model, now), func(candidate greengageroute.Candidate) bool {
 			return run.avoid.Has(fmt.Sprintf("%s#%d", candidate.Group.Name, candidate.Group.Number))
 		})
-		if suspicion == greengageroute.Suspect {
+		if suspicion == greengageroute.Suspect && now.Sub(began) < run.class.Deadline/2 {
 			candidates = run.quiet(candidates)
 		}
 		if run.choice = run.service.router.Pick(run.prefix, candidates, now); run.choice.Index >= 0 {
 			return candidates[run.choice.Index].Group, nil
 		}
-		if now.Sub(run.started) > run.class.Deadline {
+		if now.Sub(began) > run.class.Deadline {
 			return greengageroute.Group{}, noGroup(run.generation.Model)
 		}
 		select {
--- a/config.go
+++ b/config.go
@@ -381,6 +381,15 @@
 	return config.workspaces[name], nil
 }
 
+// Workspace returns a workspace by name.
+func (config *Config) Workspace(name string) (Workspace, error) {
+	workspace, ok := config.workspaces[name]
+	if !ok {
+		return Workspace{}, trace.NotFound("workspace %q is not declared; declare it in a configuration file", name)
+	}
+	return workspace, nil
+}
+
 // TeamByToken returns the team that a token belongs to.
 func (config *Config) TeamByToken(token string) (Team, error) {
 	hash := HashKey(token)
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -16,5 +16,6 @@
 	CountGivenBack      = "vms-given-back"
 	CountSupplyRefused  = "supply-refused"
 	CountCallersGone    = "callers-gone"
-	CountRefused        = "refused-" // followed by the class
+	CountForwardRefused = "forward-refused-" // followed by the code
+	CountRefused        = "refused-"         // followed by the class
 )
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,12 +50,14 @@
 		members    *peer.Membership
 		targets    *target.Client
 		verdicts   *greengageroute.Verdicts
+		good       *goodNews
 		quarantine *greengageroute.Quarantine
 		router     *greengageroute.Router
 		flights    *caller.Flights
 		chats      *greengageroute.Admission
 		calls      *greengageroute.Admission
 		events     caller.EventKey
+		callers    *caller.Service
 		documents  *documents
 		leaving    *leavingVMs
 		health     *healthTable
@@ -64,6 +66,8 @@
 		server   *http.Server
 		stopping atomic.Bool
 		joined   atomic.Bool
+		lifetime context.Context // ends when Run does
+		end      context.CancelFunc
 	}
 )
 
@@ -91,6 +95,9 @@
 	entry.chats = greengageroute.NewAdmission(0, entry.countRefused)
 	entry.calls = greengageroute.NewAdmission(callSlots, entry.countRefused)
 	entry.documents = newDocuments(settings.DataCentre)
+	entry.good = &goodNews{verdicts: entry.verdicts, fleet: entry.Fleet}
+	entry.lifetime, entry.end = context.WithCancel(context.Background())
+	entry.callers = entry.service(entry.lifetime)
 	if entry.node, err = peer.Listen(settings.PeerListen, keys, entry, func() { entry.counters.Add(CountPeerDropped, 1) }); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -127,14 +134,10 @@
 // balancer's check, takes no new connections after the grace, finishes what is
 // under way, gives up its duties and leaves its peers.
 func (entry *Entry) Run(ctx context.Context) error {
-	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	background, stop := entry.lifetime, entry.end
 	defer stop()
 	var loops sync.WaitGroup
-	handler, err := entry.handler(background)
-	if err != nil {
-		return err
-	}
-	entry.server = newServer(handler)
+	entry.server = newServer(entry.handler())
 	for _, loop := range []func(context.Context){entry.node.Run, entry.members.Run, entry.syncLoop, entry.probeLoop, entry.planLoop} {
 		loops.Go(func() { loop(background) })
 	}
@@ -146,7 +149,7 @@
 		return trace.Wrap(err, "serving at %s", entry.settings.Listen)
 	case <-ctx.Done():
 	}
-	err = entry.drain(background)
+	err := entry.drain(background)
 	stop()
 	loops.Wait()
 	return err
--- /dev/null
+++ b/entry/good.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/peer"
+)
+
+const (
+	// oldestGood is the greatest age that good news is passed on at.
+	oldestGood = time.Minute
+)
+
+// goodNews passes on which groups were found whole. It moves in replies only.
+type goodNews struct {
+	verdicts *greengageroute.Verdicts
+	fleet    func() greengageroute.Fleet
+}
+
+// tell returns the good news known here.
+func (good *goodNews) tell(now time.Time) peer.Pong {
+	fleet := good.fleet()
+	verdicts := good.verdicts.All()
+	pong := peer.Pong{Fleet: fleet.Revision}
+	for place, group := range fleet.Groups {
+		verdict, known := verdicts[group.Name]
+		age := now.Sub(verdict.At) + time.Millisecond // rounded up
+		if known && verdict.Whole && verdict.Number == group.Number && age < oldestGood {
+			pong.Good = append(pong.Good, peer.GoodSet{
+				Place: uint16(place), AgeMs: uint16(age.Milliseconds()), Streams: uint16(verdict.Streams),
+			})
+		}
+	}
+	return pong
+}
+
+// hear takes good news in. It counts from before it was asked for, less its age
+// where it came from.
+func (good *goodNews) hear(pong peer.Pong, asked time.Time) {
+	fleet := good.fleet()
+	if pong.Fleet != fleet.Revision {
+		return
+	}
+	for _, set := range pong.Good {
+		if int(set.Place) >= len(fleet.Groups) {
+			continue
+		}
+		group := fleet.Groups[set.Place]
+		good.verdicts.Record(greengageroute.Verdict{
+			Group: group.Name, Number: group.Number, At: asked.Add(-set.Age()), Whole: true, Streams: int(set.Streams),
+		})
+	}
+}
--- a/entry/http.go
+++ b/entry/http.go
@@ -38,9 +38,9 @@
 }
 
 // handler serves both goa services and the counters.
-func (entry *Entry) handler(ctx context.Context) (http.Handler, error) {
+func (entry *Entry) handler() http.Handler {
 	mux := goahttp.NewMuxer()
-	callers := gencaller.NewEndpoints(entry.service(ctx))
+	callers := gencaller.NewEndpoints(entry.callers)
 	callerserver.New(callers, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, entry.encodeFailed, caller.FormatError).Mount(mux)
 	admin := operator.New(entry, entry.configs, entry.fleets, entry.settings.OperatorTokenHash, entry.counters)
 	operators := genoperator.NewEndpoints(admin)
@@ -57,7 +57,7 @@
 		writer.Header().Set("Content-Type", "application/json")
 		_, _ = io.WriteString(writer, entry.counters.String())
 	})
-	return caller.Exchange(mux), nil
+	return caller.Exchange(mux)
 }
 
 // encodeFailed notes an answer that could not be written: the caller went away.
--- a/entry/news.go
+++ b/entry/news.go
@@ -16,8 +16,6 @@
 	leavingTerm = 15 * time.Second
 	// leavingRepeat is how often an entry that sees a VM leaving says so again.
 	leavingRepeat = 5 * time.Second
-	msPerSecond   = 1000
-	oldestGood    = 60 * msPerSecond
 )
 
 type (
@@ -138,38 +136,12 @@
 	entry.push(context.Background(), peer.News{Deaths: []peer.Death{{Digest: digest, Group: death}}}, true)
 }
 
-// Good implements peer.Documents: the good news that has not expired.
-func (entry *Entry) Good() peer.Pong {
-	now := time.Now()
-	fleet := entry.Fleet()
-	verdicts := entry.verdicts.All()
-	pong := peer.Pong{Fleet: fleet.Revision}
-	for place, group := range fleet.Groups {
-		verdict, known := verdicts[group.Name]
-		age := now.Sub(verdict.At).Milliseconds() + 1 // rounded up
-		if known && verdict.Whole && verdict.Number == group.Number && age < oldestGood {
-			pong.Good = append(pong.Good, peer.GoodSet{Place: uint16(place), AgeMs: uint16(age), Streams: uint16(verdict.Streams)})
-		}
-	}
-	return pong
-}
+// Good implements peer.Documents.
+func (entry *Entry) Good() peer.Pong { return entry.good.tell(time.Now()) }
 
-// HeardGood implements peer.Documents. Good news counts from before it was
-// asked for, less its age there.
+// HeardGood implements peer.Documents.
 func (entry *Entry) HeardGood(_ peer.Info, pong peer.Pong, asked time.Time) {
-	fleet := entry.Fleet()
-	if pong.Fleet != fleet.Revision {
-		return
-	}
-	for _, good := range pong.Good {
-		if int(good.Place) >= len(fleet.Groups) {
-			continue
-		}
-		group := fleet.Groups[good.Place]
-		entry.verdicts.Record(greengageroute.Verdict{
-			Group: group.Name, Number: group.Number, At: asked.Add(-good.Age()), Whole: true, Streams: int(good.Streams),
-		})
-	}
+	entry.good.hear(pong, asked)
 }
 
 // Servable implements caller.State.
@@ -193,6 +165,11 @@
 	return candidates
 }
 
+// WholeUntil implements caller.State.
+func (entry *Entry) WholeUntil(group greengageroute.Group) time.Time {
+	return entry.verdicts.WholeUntil(group)
+}
+
 func (entry *Entry) servable(group greengageroute.Group, now time.Time) (greengageroute.Verdict, string) {
 	config := entry.Config()
 	if config.Draining(greengageroute.DrainGroup, group.Name) {
--- a/file.go
+++ b/file.go
@@ -218,6 +218,9 @@
 		checkHash(list, fmt.Sprintf("%s.key-hashes[%d]", path, i), hash)
 	}
 	checkRange(list, path+".share", workspace.Share, 0, maxGroupCount)
+	if workspace.TokensPerMinute < 0 {
+		list.add(path+".tokens-per-minute", "use 0 for no limit", "%d is out of range", workspace.TokensPerMinute)
+	}
 }
 
 func (team Team) validate(list *faultList, path string) {
--- /dev/null
+++ b/integration/elsewhere_test.go
@@ -0,0 +1,75 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestDataCentreWithoutGroups loses every engine of a data centre; its entries
+// have requests answered in the other, byte for byte, until it has groups again.
+func TestDataCentreWithoutGroups(t *testing.T) {
+	t.Parallel()
+	cluster := start(t, plan{centres: []string{"ne", "hp"}, entries: 2, engines: 2, width: 2, groups: 1, tokenInterval: 2 * time.Millisecond})
+	inside, _ := cluster.of("ne")
+	history := &history{}
+	ask := func(entry *node, content string) reply {
+		asked := prompt{content: content, seed: 3, tokens: 60}
+		found := chat(context.Background(), entry.listen, asked, nil)
+		history.answer(asked, 0, found)
+		return found
+	}
+	for _, engine := range cluster.engines {
+		if engine.vm.DataCentre == "ne" {
+			engine.kill()
+		}
+	}
+	eventually(t, startTimeout, "the data centre has no group", func() bool {
+		return cluster.serving(inside[0]) == 0 && cluster.serving(inside[1]) == 0
+	})
+	for i, entry := range inside {
+		if found := ask(entry, fmt.Sprintf("dark %d", i)); !found.whole {
+			t.Errorf("entry %s: not answered elsewhere: status %d, %d tokens, %s, %v", entry.name, found.status, len(found.tokens), found.body, found.err)
+		}
+		if count := cluster.counter(entry, "caller-forwarded"); count != 1 {
+			t.Errorf("entry %s forwarded %d requests, want 1", entry.name, count)
+		}
+	}
+	for _, engine := range cluster.engines {
+		if engine.vm.DataCentre == "ne" {
+			engine.start(t)
+		}
+	}
+	cluster.waitServing(2)
+	if found := ask(inside[0], "light again"); !found.whole || cluster.counter(inside[0], "caller-forwarded") != 1 {
+		t.Errorf("not answered at home: %+v", found)
+	}
+	report(t, history.checkWhole())
+}
+
+// TestWorkspaceLimit holds a workspace to its tokens a minute.
+func TestWorkspaceLimit(t *testing.T) {
+	t.Parallel()
+	cluster := prepare(t, plan{centres: []string{"ne"}, entries: 1, engines: 1, width: 1, groups: 1, tokenInterval: time.Millisecond})
+	cluster.entries[0].start(t)
+	cluster.apply("base", strings.Replace(cluster.config(), "{name: letters, class: letters,", "{name: letters, class: letters, tokens-per-minute: 100,", 1))
+	cluster.waitServing(1)
+	served, refused := 0, 0
+	for range 10 {
+		found := chat(context.Background(), cluster.entries[0].listen, prompt{key: lettersKey, content: "letter", tokens: 20}, nil)
+		switch {
+		case found.whole:
+			served++
+		case found.status == 429 && strings.Contains(found.body, "tokens of this minute"):
+			refused++
+		}
+	}
+	if served != 5 || refused != 5 {
+		t.Errorf("%d served and %d refused, want 5 of 20 tokens each and 5", served, refused)
+	}
+	if found := chat(context.Background(), cluster.entries[0].listen, prompt{content: "another workspace", tokens: 20}, nil); !found.whole {
+		t.Errorf("another workspace was held back: %+v", found)
+	}
+}
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -61,7 +62,6 @@
 		mu      sync.Mutex
 		self    Info
 		members map[string]*member
-		queue   []string // members still to be pinged in this round
 		round   int
 	}
 
@@ -132,7 +132,7 @@
 	membership.round++
 	round := membership.round
 	membership.mu.Unlock()
-	if next, ok := membership.nextNear(); ok {
+	if next, ok := membership.nextNear(round); ok {
 		go membership.probe(ctx, next)
 	}
 	if round%farEvery == 0 {
@@ -147,29 +147,20 @@
 	}
 }
 
-// nextNear returns the next member of this data centre in a shuffled round, so
-// that each is pinged once a round.
-func (membership *Membership) nextNear() (Info, bool) {
-	membership.mu.Lock()
-	defer membership.mu.Unlock()
-	for range 2 {
-		for len(membership.queue) > 0 {
-			name := membership.queue[0]
-			membership.queue = membership.queue[1:]
-			if known, ok := membership.members[name]; ok && known.info.State <= SuspectState {
-				return known.info, true
-			}
-		}
-		for name, known := range membership.members {
-			if known.info.DataCentre == membership.self.DataCentre && known.info.State <= SuspectState {
-				membership.queue = append(membership.queue, name)
-			}
-		}
-		rand.Shuffle(len(membership.queue), func(i, j int) {
-			membership.queue[i], membership.queue[j] = membership.queue[j], membership.queue[i]
-		})
+// nextNear returns the member of this data centre to be pinged in a round: in
+// the order of names the one 1, 2, 4, 8 and so on places behind this entry. Each
+// entry pings, and is pinged by, few others, and news doubles its reach with each
+// round, so that the time in which it has reached all is bounded.
+func (membership *Membership) nextNear(round int) (Info, bool) {
+	self := membership.Self()
+	near := slices.DeleteFunc(membership.Alive(), func(other Status) bool { return other.DataCentre != self.DataCentre })
+	if len(near) == 0 {
+		return Info{}, false
 	}
-	return Info{}, false
+	behind, _ := slices.BinarySearchFunc(near, self.Name, func(other Status, name string) int { return cmp.Compare(other.Name, name) })
+	distances := bits.Len(uint(len(near)))
+	distance := 1 << (round % distances)
+	return near[(behind+distance-1)%len(near)].Info, true
 }
 
 // nextFar returns one of the few contacts in other data centres.
@@ -486,6 +477,26 @@
 	return names
 }
 
+// Far returns the addresses of a few live entries of other data centres, in an
+// order of the key's.
+func (membership *Membership) Far(key string) []string {
+	byName := map[string]string{}
+	var names []string
+	for _, others := range membership.farNames() {
+		for _, name := range greengageroute.Rendezvous(key, others, farContacts) {
+			if known, ok := membership.Member(name); ok && known.State == Alive {
+				byName[name] = known.Address
+				names = append(names, name)
+			}
+		}
+	}
+	var addresses []string
+	for _, name := range greengageroute.Rendezvous(key, names, len(names)) {
+		addresses = append(addresses, byName[name])
+	}
+	return addresses
+}
+
 // Relays returns the addresses to which news is pushed at once: every live
 // entry of this data centre and, if the news began here, a few of each other.
 func (membership *Membership) Relays(far bool) []string {
--- a/peer/message.go
+++ b/peer/message.go
@@ -40,6 +40,21 @@
 		State       State  `cbor:"5,keyasint"`
 	}
 
+	// Forward asks an entry of another data centre to answer a chat completion.
+	// The reply is a ForwardHead and then the answer's body.
+	Forward struct {
+		Workspace   string `cbor:"1,keyasint"` // authenticated by the asking entry
+		Body        []byte `cbor:"2,keyasint"`
+		LastEventID string `cbor:"3,keyasint,omitempty"`
+	}
+
+	// ForwardHead precedes a forwarded answer's body.
+	ForwardHead struct {
+		Status      int    `cbor:"1,keyasint"`
+		ContentType string `cbor:"2,keyasint,omitempty"`
+		Refusal     []byte `cbor:"3,keyasint,omitempty"` // in JSON, in place of a body
+	}
+
 	// Revisions says which documents a member has.
 	Revisions struct {
 		Config uint64 `cbor:"1,keyasint"`
@@ -60,6 +75,7 @@
 		ConfigFiles *ConfigFiles `cbor:"9,keyasint,omitempty"`
 		FetchFleet  *FetchFleet  `cbor:"10,keyasint,omitempty"`
 		Fleet       *Fleet       `cbor:"11,keyasint,omitempty"`
+		Forward     *Forward     `cbor:"12,keyasint,omitempty"`
 	}
 
 	// Ping asks whether a member lives, and for all members if it joins.
--- a/peer/node.go
+++ b/peer/node.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 	"github.com/quic-go/quic-go"
 )
@@ -26,6 +27,8 @@
 	// Handler answers the calls of other entries.
 	Handler interface {
 		Handle(ctx context.Context, message Message) Message
+		// Forward answers a forwarded request; the head comes first.
+		Forward(ctx context.Context, request Forward, head func(ForwardHead) error, body io.Writer)
 	}
 
 	// Node is one entry's QUIC socket with its connections. A connection carries
@@ -124,6 +127,11 @@
 		return
 	}
 	node.adopt(message.From.Address, connection)
+	if message.Forward != nil {
+		_ = stream.SetDeadline(time.Time{})
+		node.handler.Forward(stream.Context(), *message.Forward, func(head ForwardHead) error { return cbor.NewEncoder(stream).Encode(head) }, stream)
+		return
+	}
 	reply, err := encode(node.handler.Handle(ctx, message))
 	if err != nil {
 		stream.CancelWrite(codeMalformed)
@@ -162,6 +170,41 @@
 	return reply, nil
 }
 
+// Forward sends a request to an entry of another data centre and returns the
+// head of its answer, and the body, which ends with the context.
+func (node *Node) Forward(ctx context.Context, address string, message Message) (ForwardHead, io.Reader, error) {
+	var head ForwardHead
+	dialling, cancel := context.WithTimeout(ctx, streamTimeout)
+	defer cancel()
+	connection, err := node.connect(dialling, address)
+	if err != nil {
+		return head, nil, trace.Wrap(err, "connecting to entry %s", address)
+	}
+	stream, err := connection.OpenStreamSync(dialling)
+	if err != nil {
+		return head, nil, trace.Wrap(err)
+	}
+	context.AfterFunc(ctx, func() {
+		stream.CancelRead(0)
+		stream.CancelWrite(0)
+	})
+	bytes, err := encode(message)
+	if err == nil {
+		_, err = stream.Write(bytes)
+	}
+	if err != nil {
+		return head, nil, trace.Wrap(err, "forwarding to entry %s", address)
+	}
+	if err := stream.Close(); err != nil {
+		return head, nil, trace.Wrap(err)
+	}
+	decoder := cbor.NewDecoder(stream)
+	if err := decoder.Decode(&head); err != nil {
+		return head, nil, trace.Wrap(err, "entry %s gave no answer", address)
+	}
+	return head, io.MultiReader(decoder.Buffered(), stream), nil
+}
+
 func exchange(ctx context.Context, connection *quic.Conn, message Message) (Message, error) {
 	bytes, err := encode(message)
 	if err != nil {
--- a/target/engine.go
+++ b/target/engine.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -38,7 +37,7 @@
 	var report greengageroute.Report
 	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
 	defer cancel()
-	response, err := send(ctx, via, http.MethodGet, address, "/report", nil)
+	response, err := send(ctx, via, http.MethodGet, address, "/report", body{})
 	if err != nil {
 		return report, err
 	}
@@ -52,13 +51,13 @@
 // Order gives an engine an order. The error is a *RefusedError if the engine
 // honours fencing numbers and has seen a higher one.
 func (client *Client) Order(ctx context.Context, order greengageroute.Order) error {
-	body, err := json.Marshal(order)
+	encoded, err := json.Marshal(order)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
 	defer cancel()
-	response, err := send(ctx, client.fresh, http.MethodPost, order.Address, "/order", body)
+	response, err := send(ctx, client.fresh, http.MethodPost, order.Address, "/order", body{bytes: encoded})
 	if err != nil {
 		return err
 	}
@@ -66,13 +65,18 @@
 }
 
 // send makes a call and sorts its failures by whether the target was reached.
-func send(ctx context.Context, via *http.Client, method, address, path string, body []byte) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+func send(ctx context.Context, via *http.Client, method, address, path string, body body) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body.reader())
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	request.ContentLength = int64(len(body.bytes))
+	request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(body.reader()), nil }
 	request.Header["User-Agent"] = nil // a probe's bytes count
 	response, err := via.Do(request)
+	if errors.Is(err, errTooLate) {
+		return nil, &RefusedError{Address: address, Reason: errTooLate.Error()}
+	}
 	if err != nil {
 		return nil, failure(address, err)
 	}
--- a/target/stream.go
+++ b/target/stream.go
@@ -35,7 +35,8 @@
 		client     *Client
 		address    string
 		generation Generation
-		next       int // offset of the next token
+		until      func() time.Time // when what allows a new connection ends
+		next       int              // offset of the next token
 		reattached func()
 		connection *connection
 		attempts   int // broken connections since the last token
@@ -55,10 +56,11 @@
 	}
 )
 
-// Generate asks an engine for an answer. reattached is called for each
-// connection that went silent and was replaced.
-func (client *Client) Generate(ctx context.Context, address string, generation Generation, reattached func()) (*Stream, error) {
-	stream := &Stream{client: client, address: address, generation: generation, next: generation.From, reattached: reattached}
+// Generate asks an engine for an answer. Each connection is made before the time
+// that until returns then, or not at all: a *RefusedError says that the engine was
+// not asked. reattached is called for each connection that was replaced.
+func (client *Client) Generate(ctx context.Context, address string, generation Generation, until func() time.Time, reattached func()) (*Stream, error) {
+	stream := &Stream{client: client, address: address, generation: generation, until: until, next: generation.From, reattached: reattached}
 	if err := stream.connect(ctx, client.pooled); err != nil {
 		return nil, err
 	}
@@ -140,13 +142,13 @@
 func (stream *Stream) connect(ctx context.Context, via *http.Client) error {
 	generation := stream.generation
 	generation.From = stream.next
-	body, err := json.Marshal(generation)
+	encoded, err := json.Marshal(generation)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	stream.connection = &connection{cancel: cancel, opened: make(chan error, 1), lines: make(chan line, lineBuffer)}
-	go stream.connection.read(ctx, via, stream.address, body)
+	go stream.connection.read(ctx, via, stream.address, body{bytes: encoded, until: stream.until()})
 	stall := time.NewTimer(StallTimeout)
 	defer stall.Stop()
 	select {
@@ -171,7 +173,7 @@
 	}
 }
 
-func (connection *connection) read(ctx context.Context, via *http.Client, address string, body []byte) {
+func (connection *connection) read(ctx context.Context, via *http.Client, address string, body body) {
 	response, err := send(ctx, via, http.MethodPost, address, "/generate", body)
 	connection.opened <- err
 	if err != nil {
--- a/verdict.go
+++ b/verdict.go
@@ -85,6 +85,19 @@
 	return verdict, ""
 }
 
+// WholeUntil returns when the latest good news of the group expires; a time that
+// has passed if there is none. A connection to the group is made before then,
+// also for an answer that is under way.
+func (table *Verdicts) WholeUntil(group Group) time.Time {
+	table.mu.RLock()
+	defer table.mu.RUnlock()
+	verdict, known := table.latest[group.Name]
+	if !known || !verdict.Whole || verdict.Number != group.Number {
+		return time.Time{}.Add(VerdictTerm)
+	}
+	return verdict.At.Add(VerdictTerm)
+}
+
 // All returns the latest findings by group.
 func (table *Verdicts) All() map[string]Verdict {
 	table.mu.RLock()
