--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -283,3 +283,50 @@
 		t.Errorf("control sends and receives %.0f bytes a second at each entry, want at most %d", total, controlBytes)
 	}
 }
+
+// BenchmarkSpread measures what one accepted file costs each entry, and how long
+// it takes until the last has it. Run it with -benchtime 20x.
+func BenchmarkSpread(b *testing.B) {
+	for _, size := range []struct{ centres, each int }{{1, 5}, {1, 33}, {12, 3}} {
+		b.Run(fmt.Sprintf("%dx%d", size.centres, size.each), func(b *testing.B) {
+			run := startFleet(b, size.centres, size.each)
+			defer run.stop()
+			time.Sleep(farRound) // every connection has been made
+			quiet := run.measure(0, measureTime)
+			before, _ := run.traffic()
+			began := time.Now()
+			slowest := time.Duration(0)
+			b.ResetTimer()
+			for i := range b.N {
+				slowest = max(slowest, run.spread(b, i))
+			}
+			after, _ := run.traffic()
+			each := float64(after-before)/float64(len(run.entries)) - quiet.peerBytes*time.Since(began).Seconds()
+			b.ReportMetric(each/float64(b.N), "B/change")
+			b.ReportMetric(float64(slowest.Milliseconds()), "ms-slowest")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// spread applies a file of about 1 KB by one entry and waits for all the others.
+func (run *fleetRun) spread(b *testing.B, turn int) time.Duration {
+	b.Helper()
+	first := run.entries[turn%len(run.entries)]
+	current, _ := first.Config().Version("spread")
+	text := fmt.Sprintf("# %s\nclasses: [{name: spread, rank: 9, deadline: %ds}]", strings.Repeat("x", 1000), turn+1)
+	config, err := first.configs.Apply(context.Background(), first.Config(), platform.Proposal{
+		Name: "spread", Text: text, Base: current.Version, ApplyID: uuid.NewString(), Who: "test",
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	began := time.Now()
+	first.Accepted(config)
+	for _, entry := range run.entries {
+		for entry.Config().Revision() < config.Revision() && time.Since(began) < settleTimeout {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(began)
+}
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -6,6 +6,7 @@
 	CountFleetAdopted   = "fleet-adopted"
 	CountPlatformFailed = "platform-failed"
 	CountFetchFailed    = "peer-fetch-failed"
+	CountNews           = "peer-news"
 	CountNewsFailed     = "peer-news-failed"
 	CountPeerDropped    = "peer-messages-dropped"
 	CountGroupsLost     = "groups-lost"
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -114,7 +114,7 @@
 		return
 	}
 	entry.joined.Store(true)
-	entry.adoptConfig(ctx, config, true)
+	entry.adoptConfig(ctx, config, near)
 	if first || entry.Fleet().Revision == 0 {
 		if fleet, err := entry.fleets.Latest(ctx, entry.settings.DataCentre); err == nil {
 			entry.adoptFleet(ctx, fleet)
@@ -122,15 +122,14 @@
 	}
 }
 
-// adoptConfig puts a configuration in force and tells the data centre. far
-// tells the other data centres too.
-func (entry *Entry) adoptConfig(ctx context.Context, config *greengageroute.Config, far bool) {
+// adoptConfig puts a configuration in force and tells others of it.
+func (entry *Entry) adoptConfig(ctx context.Context, config *greengageroute.Config, reach reach) {
 	if !entry.documents.adoptConfig(config) {
 		return
 	}
 	entry.counters.Add(CountConfigAdopted, 1)
 	entry.log.Info("configuration in force", "revision", config.Revision())
-	entry.push(ctx, peer.News{}, far)
+	entry.push(ctx, peer.News{}, reach)
 }
 
 func (entry *Entry) adoptFleet(ctx context.Context, fleet greengageroute.Fleet) {
@@ -140,7 +139,7 @@
 	entry.counters.Add(CountFleetAdopted, 1)
 	entry.setSlots()
 	if entry.lease.Tenure().Holds(time.Now(), 0) {
-		entry.push(ctx, peer.News{}, false)
+		entry.push(ctx, peer.News{}, near)
 	}
 }
 
@@ -191,6 +190,9 @@
 		entry.counters.Add(CountFetchFailed, 1)
 		return
 	}
-	// News that came from another data centre is passed on in this one.
-	entry.adoptConfig(ctx, config, false)
+	reach := nobody // who told this entry told the whole data centre
+	if from.DataCentre != entry.settings.DataCentre {
+		reach = near
+	}
+	entry.adoptConfig(ctx, config, reach)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"net"
 	"net/http"
@@ -110,16 +109,13 @@
 	}
 	entry.members = peer.NewMembership(self, settings.Seeds, entry.node, entry)
 	if entry.listener, err = net.Listen("tcp", settings.Listen); err != nil {
-		return nil, errors.Join(trace.Wrap(err, "listening at %s", settings.Listen))
+		return nil, trace.Wrap(err, "listening at %s", settings.Listen)
 	}
 	return entry, nil
 }
 
 func (entry *Entry) countRefused(class string) { entry.counters.Add(CountRefused+class, 1) }
 
-// Counters returns the entry's counters.
-func (entry *Entry) Counters() *expvar.Map { return entry.counters }
-
 // PeerAddress returns the address that other entries reach this one at.
 func (entry *Entry) PeerAddress() string { return entry.members.Self().Address }
 
--- a/entry/http.go
+++ b/entry/http.go
@@ -67,7 +67,7 @@
 
 // Accepted implements operator.State.
 func (entry *Entry) Accepted(config *greengageroute.Config) {
-	entry.adoptConfig(context.Background(), config, true)
+	entry.adoptConfig(context.Background(), config, everywhere)
 }
 
 // Status implements operator.State.
--- a/entry/news.go
+++ b/entry/news.go
@@ -18,7 +18,17 @@
 	leavingRepeat = 5 * time.Second
 )
 
+// Whom news is pushed to.
+const (
+	nobody     reach = iota
+	near             // every live entry of the data centre
+	everywhere       // and a few of each other data centre
+)
+
 type (
+	// reach says whom news is pushed to.
+	reach int
+
 	// leavingVMs holds the VMs that were heard to be leaving.
 	leavingVMs struct {
 		mu    sync.Mutex
@@ -60,7 +70,7 @@
 	now := time.Now()
 	entry.leaving.add(vm, now)
 	if entry.leaving.due(vm, now) {
-		entry.push(ctx, peer.News{Leaving: []string{vm}}, false)
+		entry.push(ctx, peer.News{Leaving: []string{vm}}, near)
 	}
 }
 
@@ -98,13 +108,16 @@
 	}
 }
 
-// push sends news to every live entry of the data centre at once, and to a few
-// of each other data centre if far is set. What is lost on the way is made up
-// for by the revisions in pings and by good news that expires.
-func (entry *Entry) push(ctx context.Context, news peer.News, far bool) {
+// push sends news at once. What is lost on the way is made up for by the
+// revisions in pings and by good news that expires.
+func (entry *Entry) push(ctx context.Context, news peer.News, reach reach) {
+	if reach == nobody {
+		return
+	}
 	message := entry.members.Envelope()
 	message.News = &news
-	for _, address := range entry.members.Relays(far) {
+	for _, address := range entry.members.Relays(reach == everywhere) {
+		entry.counters.Add(CountNews, 1)
 		go func() {
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), newsTimeout)
 			defer cancel()
@@ -122,7 +135,7 @@
 	entry.log.Info("group out of service", "group", verdict.Group, "number", verdict.Number, "reason", verdict.Reason)
 	if verdict.Own {
 		bad := peer.BadGroup{Group: verdict.Group, Number: verdict.Number, Reason: verdict.Reason}
-		entry.push(context.Background(), peer.News{Bad: []peer.BadGroup{bad}}, false)
+		entry.push(context.Background(), peer.News{Bad: []peer.BadGroup{bad}}, near)
 	}
 }
 
@@ -133,7 +146,7 @@
 
 // RequestDied implements caller.State.
 func (entry *Entry) RequestDied(digest, death string) {
-	entry.push(context.Background(), peer.News{Deaths: []peer.Death{{Digest: digest, Group: death}}}, true)
+	entry.push(context.Background(), peer.News{Deaths: []peer.Death{{Digest: digest, Group: death}}}, everywhere)
 }
 
 // Good implements peer.Documents.
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -11,7 +11,7 @@
 
 const (
 	// probePeriod is the time between two probes of a group by one entry.
-	probePeriod = time.Second
+	probePeriod = 1250 * time.Millisecond
 	// probers is how many entries probe each group.
 	probers = 2
 )
--- a/peer/node.go
+++ b/peer/node.go
@@ -14,7 +14,10 @@
 )
 
 const (
-	idleTimeout    = 60 * time.Second
+	idleTimeout = 60 * time.Second
+	// keepAlive is sent well within the idle timeout: what news needs is open
+	// when it comes, without a handshake.
+	keepAlive      = 25 * time.Second
 	streamTimeout  = 5 * time.Second
 	streamsPerPeer = 64
 
@@ -72,7 +75,7 @@
 
 func settings() *quic.Config {
 	return &quic.Config{
-		MaxIdleTimeout: idleTimeout, MaxIncomingStreams: streamsPerPeer, MaxIncomingUniStreams: -1,
+		MaxIdleTimeout: idleTimeout, KeepAlivePeriod: keepAlive, MaxIncomingStreams: streamsPerPeer, MaxIncomingUniStreams: -1,
 		InitialStreamReceiveWindow: 16 << 10, InitialConnectionReceiveWindow: 64 << 10,
 		HandshakeIdleTimeout: 2 * time.Second, DisablePathMTUDiscovery: true,
 	}
@@ -295,10 +298,3 @@
 	}
 	return sent, received
 }
-
-// Connections returns how many connections are kept.
-func (node *Node) Connections() int {
-	node.mu.Lock()
-	defer node.mu.Unlock()
-	return len(node.connections)
-}
--- a/verdict.go
+++ b/verdict.go
@@ -85,15 +85,15 @@
 	return verdict, ""
 }
 
-// WholeUntil returns when the latest good news of the group expires; a time that
-// has passed if there is none. A connection to the group is made before then,
-// also for an answer that is under way.
+// WholeUntil returns when the latest good news of the group expires; a time long
+// passed if there is none. A connection to the group is made before then, also
+// for an answer that is under way.
 func (table *Verdicts) WholeUntil(group Group) time.Time {
 	table.mu.RLock()
 	defer table.mu.RUnlock()
 	verdict, known := table.latest[group.Name]
 	if !known || !verdict.Whole || verdict.Number != group.Number {
-		return time.Time{}.Add(VerdictTerm)
+		return time.Unix(0, 0)
 	}
 	return verdict.At.Add(VerdictTerm)
 }
