--- a/integration/groups_test.go
+++ b/integration/groups_test.go
@@ -140,18 +140,47 @@
 func (cluster *cluster) checkNumbers() []string {
 	var broken []string
 	for _, engine := range cluster.engines {
-		highest := uint64(0)
-		group := ""
-		for _, served := range engine.served(cluster.t) {
-			if served.Number < highest || served.Number == highest && served.Group != group {
-				broken = append(broken, fmt.Sprintf("VM %s served group %s under number %d after number %d", engine.vm.ID, served.Group, served.Number, highest))
-			}
-			highest, group = served.Number, served.Group
+		broken = append(broken, outOfOrder(engine.vm.ID, engine.served(cluster.t))...)
+	}
+	return broken
+}
+
+func outOfOrder(vm string, history []standin.Served) []string {
+	var broken []string
+	last := standin.Served{}
+	for _, served := range history {
+		if served.Number < last.Number || served.Number == last.Number && served.Group != last.Group {
+			broken = append(broken, fmt.Sprintf("VM %s served group %s under number %d after number %d", vm, served.Group, served.Number, last.Number))
 		}
+		last = served
 	}
 	return broken
 }
 
+func TestOrderCheckersFindWhatTheyAreFor(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		history []standin.Served
+		want    int
+	}{
+		{"one group, then the next", []standin.Served{{Group: "a", Number: 1}, {Group: "a", Number: 1}, {Group: "b", Number: 2}}, 0},
+		{"back to an earlier assignment", []standin.Served{{Group: "a", Number: 1}, {Group: "b", Number: 2}, {Group: "a", Number: 1}}, 1},
+		{"two groups under one number", []standin.Served{{Group: "a", Number: 1}, {Group: "b", Number: 1}}, 1},
+	} {
+		if found := outOfOrder("vm", test.history); len(found) != test.want {
+			t.Errorf("%s: got %q, want %d findings", test.name, found, test.want)
+		}
+	}
+	sampled := &revisions{highest: map[*node]uint64{}}
+	entry := &node{process: &process{name: "entry"}}
+	for _, revision := range []uint64{1, 3, 3, 2} {
+		sampled.sample(entry, revision)
+	}
+	if len(sampled.broken) != 1 {
+		t.Errorf("got %q, want one revision that went back", sampled.broken)
+	}
+}
+
 // TestIsolatedEntryNoticesALoss cuts an entry off from its peers and the
 // platform, not from the engines.
 func TestIsolatedEntryNoticesALoss(t *testing.T) {
