Write once what stood twice

Whether a report shows a group's assignment loaded stood in the verdict, the planner and the stream; the name of a group under its number was formatted twice; who is responsible for a task was a loop in two places. The planner's situation held a policy that nothing read since patience no longer depends on the weights, and a run the time of its start.

--- a/caller/generate.go
+++ b/caller/generate.go
@@ -31,7 +31,6 @@
 		digest     string
 		generation target.Generation
 		prefix     string
-		started    time.Time
 		first      bool // a token was delivered
 		avoid      greengageroute.Set[string]
 
@@ -47,7 +46,7 @@
 	prompt := completion.prompt()
 	class := service.state.Config().Class(workspace.Class)
 	return &run{
-		service: service, class: class, digest: hex.EncodeToString(digest), started: time.Now(),
+		service: service, class: class, digest: hex.EncodeToString(digest),
 		prefix: greengageroute.PrefixKey(completion.Model, prompt), avoid: greengageroute.Set[string]{},
 		generation: target.Generation{
 			ID: uuid.NewString(), Model: completion.Model, Prompt: prompt, Seed: seed, From: from,
@@ -128,7 +127,7 @@
 			return greengageroute.Group{}, quarantined()
 		}
 		candidates := slices.DeleteFunc(run.service.state.Servable(run.generation.Model, now), func(candidate greengageroute.Candidate) bool {
-			return run.avoid.Has(fmt.Sprintf("%s#%d", candidate.Group.Name, candidate.Group.Number))
+			return run.avoid.Has(candidate.Group.Assignment())
 		})
 		if suspicion == greengageroute.Suspect && now.Sub(began) < run.class.Deadline/2 {
 			candidates = run.quiet(candidates)
@@ -161,7 +160,7 @@
 	group := run.group
 	run.leave()
 	run.service.counters.Add(CountFailovers, 1)
-	death := fmt.Sprintf("%s#%d", group.Name, group.Number)
+	death := group.Assignment()
 	run.avoid.Add(death)
 	var refused *target.RefusedError
 	if errors.As(cause, &refused) {
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -95,12 +96,7 @@
 // chosen tells whether this entry is one of the few of its data centre that
 // carry a task.
 func (entry *Entry) chosen(task string, count int) bool {
-	for _, name := range greengageroute.Rendezvous(task, entry.members.Near(), count) {
-		if name == entry.settings.Name {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(greengageroute.Rendezvous(task, entry.members.Near(), count), entry.settings.Name)
 }
 
 // poll reads the configuration from the platform, and the fleet too at the
--- a/entry/plan.go
+++ b/entry/plan.go
@@ -104,7 +104,7 @@
 	config := entry.Config()
 	return greengageroute.Situation{
 		Fleet: entry.Fleet(), Specs: config.GroupSpecs(entry.settings.DataCentre), Models: config.Models(),
-		VMs: vms, Health: health, Missing: entry.health.missing(time.Now()), Policy: config.Policy(entry.settings.DataCentre),
+		VMs: vms, Health: health, Missing: entry.health.missing(time.Now()),
 		Drained: entry.drained, Draining: config.Draining,
 	}
 }
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -76,13 +77,9 @@
 		}
 		near := entry.members.Near()
 		for _, group := range entry.Fleet().Groups {
-			if !group.Ready() {
-				continue
-			}
-			for _, name := range greengageroute.Rendezvous(group.Name, near, probers) {
-				if name == entry.settings.Name {
-					go entry.probeGroup(ctx, group)
-				}
+			responsible := slices.Contains(greengageroute.Rendezvous(group.Name, near, probers), entry.settings.Name)
+			if group.Ready() && responsible {
+				go entry.probeGroup(ctx, group)
 			}
 		}
 	}
--- a/fleet.go
+++ b/fleet.go
@@ -1,6 +1,7 @@
 package greengageroute
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 
@@ -52,6 +53,9 @@
 	return len(group.Members) > 0 && group.Members[0].Boot != ""
 }
 
+// Assignment names the group under its number.
+func (group Group) Assignment() string { return fmt.Sprintf("%s#%d", group.Name, group.Number) }
+
 // Leader is the member that takes the group's requests.
 func (group Group) Leader() Member { return group.Members[0] }
 
@@ -78,7 +82,7 @@
 			return "VM " + member.VM + " does not answer"
 		case seen.Report.Boot != member.Boot:
 			return "VM " + member.VM + " was restarted"
-		case seen.Report.Group != group.Name || seen.Report.Number != group.Number || !seen.Report.Loaded:
+		case !seen.Report.LoadedFor(group.Name, group.Number):
 			return "VM " + member.VM + " is not loaded for this group"
 		}
 	}
--- a/planner.go
+++ b/planner.go
@@ -23,7 +23,6 @@
 		Health map[string]Health
 		// Missing is how long each VM has not answered.
 		Missing map[string]time.Duration
-		Policy  Policy
 		// Drained tells whether no entry can still be sending to the group.
 		Drained func(group Group) bool
 		// Draining tells whether an operator marked the thing as leaving.
@@ -241,7 +240,7 @@
 func (now Situation) loaded(group Group) bool {
 	return !slices.ContainsFunc(group.Members, func(member Member) bool {
 		seen := now.Health[member.VM]
-		return !seen.Reachable || seen.Report.Group != group.Name || seen.Report.Number != group.Number || !seen.Report.Loaded
+		return !seen.Reachable || !seen.Report.LoadedFor(group.Name, group.Number)
 	})
 }
 
--- a/planner_test.go
+++ b/planner_test.go
@@ -20,7 +20,6 @@
 	bench := &planBench{draining: map[Drain]bool{}}
 	bench.now = Situation{
 		Fleet: Fleet{DataCentre: "ne"}, Health: map[string]Health{}, Missing: map[string]time.Duration{},
-		Policy:   Policy{DowntimeWeight: 1, StrandedWeight: 1},
 		Models:   map[string]Model{"m": {Name: "m", VMsPerGroup: 2}},
 		Drained:  func(Group) bool { return !bench.busy },
 		Draining: func(kind, name string) bool { return bench.draining[Drain{Kind: kind, Name: name}] },
--- a/supply_test.go
+++ b/supply_test.go
@@ -144,7 +144,7 @@
 
 func (day *day) situation() Situation {
 	now := Situation{
-		Fleet: day.fleet, Specs: daySpecs, Models: dayModels, Policy: day.policy, Health: map[string]Health{}, Missing: map[string]time.Duration{},
+		Fleet: day.fleet, Specs: daySpecs, Models: dayModels, Health: map[string]Health{}, Missing: map[string]time.Duration{},
 		Drained: func(Group) bool { return true }, Draining: func(string, string) bool { return false },
 	}
 	for _, vm := range day.vms {
--- a/target/stream.go
+++ b/target/stream.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return &LostError{Address: stream.address, Cause: cause}
 	}
-	if report.Group != stream.generation.Group || report.Number != stream.generation.Number || !report.Loaded {
+	if !report.LoadedFor(stream.generation.Group, stream.generation.Number) {
 		return &LostError{Address: stream.address, Cause: errors.New("the engine left the group")}
 	}
 	if !errors.Is(cause, errSilent) {
--- a/vm.go
+++ b/vm.go
@@ -36,6 +36,11 @@
 	}
 )
 
+// LoadedFor tells whether the target is loaded for a group under the number.
+func (report Report) LoadedFor(group string, number uint64) bool {
+	return report.Loaded && report.Group == group && report.Number == number
+}
+
 // Idle tells whether the target has taken note of a release and runs nothing.
 func (report Report) Idle(number uint64) bool {
 	return report.Number >= number && report.Group == "" && report.Streams == 0
