Move what the product keeps in its table from platform/ to table/

platform/ is to hold only the adapter to the users' platform, which decides nothing. The leases, actions, configurations and contracts that were there decide, so they move, unchanged, to the package named for what they speak to.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -12,7 +12,7 @@
 
 	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
-	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/table"
 	"greengageroute.example/greengageroute/target"
 )
 
@@ -45,10 +45,10 @@
 
 	// Actions is what the chain needs of the platform.
 	Actions interface {
-		Get(ctx context.Context, workspace, key string) (platform.Stored, error)
-		Claim(ctx context.Context, action greengageroute.Action) (platform.Stored, bool, error)
-		Reclaim(ctx context.Context, closed platform.Stored, action greengageroute.Action) (platform.Stored, bool, error)
-		Advance(ctx context.Context, from platform.Stored, next greengageroute.Action) (platform.Stored, bool, error)
+		Get(ctx context.Context, workspace, key string) (table.Stored, error)
+		Claim(ctx context.Context, action greengageroute.Action) (table.Stored, bool, error)
+		Reclaim(ctx context.Context, closed table.Stored, action greengageroute.Action) (table.Stored, bool, error)
+		Advance(ctx context.Context, from table.Stored, next greengageroute.Action) (table.Stored, bool, error)
 	}
 
 	// Forwarded is an answer from another data centre.
--- a/caller/claim_test.go
+++ b/caller/claim_test.go
@@ -16,7 +16,7 @@
 	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
 	gencaller "greengageroute.example/greengageroute/gen/caller"
-	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/table"
 	"greengageroute.example/greengageroute/target"
 )
 
@@ -55,7 +55,7 @@
 
 	// haltedTable passes an entry's writes on to the shared table.
 	haltedTable struct {
-		*platform.Memory
+		*table.Memory
 		stop   *stop
 		writes int
 		lossy  bool // takes effect, then neither replies nor can be asked
@@ -88,25 +88,25 @@
 	})
 }
 
-func (table *haltedTable) Commit(ctx context.Context, writes ...platform.Write) error {
-	table.writes++
-	point := fmt.Sprintf("write %d", table.writes)
+func (halted *haltedTable) Commit(ctx context.Context, writes ...table.Write) error {
+	halted.writes++
+	point := fmt.Sprintf("write %d", halted.writes)
 	time.Sleep(tableDelay)
-	table.stop.at("before " + point)
-	err := table.Memory.Commit(ctx, writes...)
+	halted.stop.at("before " + point)
+	err := halted.Memory.Commit(ctx, writes...)
 	time.Sleep(tableDelay)
-	table.stop.at("after " + point)
-	if table.lossy {
-		return &platform.UncertainError{}
+	halted.stop.at("after " + point)
+	if halted.lossy {
+		return &table.UncertainError{}
 	}
 	return err
 }
 
-func (table *haltedTable) Read(ctx context.Context, key string) (platform.Row, error) {
-	if table.lossy {
-		return platform.Row{}, &platform.UnavailableError{}
+func (halted *haltedTable) Read(ctx context.Context, key string) (table.Row, error) {
+	if halted.lossy {
+		return table.Row{}, &table.UnavailableError{}
 	}
-	return table.Memory.Read(ctx, key)
+	return halted.Memory.Read(ctx, key)
 }
 
 func (targets *haltedTargets) Call(_ context.Context, address string, call target.ServiceCall) (greengageroute.Answer, error) {
@@ -228,10 +228,10 @@
 }
 
 func runHalted(config *greengageroute.Config, stop *stop, killed bool, secondBody string) *halted {
-	memory := platform.NewMemory()
+	memory := table.NewMemory()
 	book := &ledger{records: map[string]int{}}
-	first := newClaimer(config, "first", platform.NewActions(&haltedTable{Memory: memory, stop: stop}), &haltedTargets{ledger: book, stop: stop})
-	second := newClaimer(config, "second", platform.NewActions(memory), &haltedTargets{ledger: book})
+	first := newClaimer(config, "first", table.NewActions(&haltedTable{Memory: memory, stop: stop}), &haltedTargets{ledger: book, stop: stop})
+	second := newClaimer(config, "second", table.NewActions(memory), &haltedTargets{ledger: book})
 	result := &halted{ledger: book}
 	outcomes := make(chan string, 1)
 	go func() { outcomes <- deposit(first, "k", "41") }()
@@ -312,12 +312,12 @@
 func TestClaimWhoseReplyIsLostIsClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		book := &ledger{records: map[string]int{}}
-		table := &haltedTable{Memory: platform.NewMemory(), lossy: true}
-		service := newClaimer(claimConfig(t, false), "first", platform.NewActions(table), &haltedTargets{ledger: book})
+		halted := &haltedTable{Memory: table.NewMemory(), lossy: true}
+		service := newClaimer(claimConfig(t, false), "first", table.NewActions(halted), &haltedTargets{ledger: book})
 		if told := deposit(service, "k", "41"); told != greengageroute.OutcomeNotRun || book.count("41") > 0 {
 			t.Errorf("told %s with %d records, want not run and none", told, book.count("41"))
 		}
-		table.lossy = false
+		halted.lossy = false
 		time.Sleep(time.Minute)
 		if told := deposit(service, "k", "41"); told != greengageroute.OutcomeDone || book.count("41") != 1 {
 			t.Errorf("sent again: told %s with %d records, want done and one", told, book.count("41"))
@@ -330,13 +330,13 @@
 func TestCloseLeavesAnotherClaimAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx := context.Background()
-		actions := platform.NewActions(platform.NewMemory())
+		actions := table.NewActions(table.NewMemory())
 		service := newClaimer(claimConfig(t, false), "first", actions, &haltedTargets{})
 		other, _, err := actions.Claim(ctx, greengageroute.Action{Workspace: "counters", Key: "k"})
 		if err != nil {
 			t.Fatal(err)
 		}
-		service.close(ctx, platform.Stored{Action: greengageroute.Action{Workspace: "counters", Key: "k", Attempt: "lost"}})
+		service.close(ctx, table.Stored{Action: greengageroute.Action{Workspace: "counters", Key: "k", Attempt: "lost"}})
 		if found, err := actions.Get(ctx, "counters", "k"); err != nil || found.Attempt != other.Attempt || found.Version != other.Version {
 			t.Errorf("the row is %+v, want that of the other claim (%v)", found.Action, err)
 		}
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -20,7 +20,7 @@
 	"github.com/google/uuid"
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/peer"
-	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/table"
 	"greengageroute.example/greengageroute/standin"
 )
 
@@ -162,7 +162,7 @@
 	for i := range centres {
 		fmt.Fprintf(&text, "  - {name: g%d, model: m, data-centre: dc-%d, count: %d}\n", i, i, groups)
 	}
-	proposal := platform.Proposal{Name: "fleet", Text: text.String(), ApplyID: uuid.NewString(), Who: "test"}
+	proposal := table.Proposal{Name: "fleet", Text: text.String(), ApplyID: uuid.NewString(), Who: "test"}
 	config, err := run.entries[0].configs.Apply(context.Background(), run.entries[0].Config(), proposal)
 	if err != nil {
 		t.Fatal(err)
@@ -315,7 +315,7 @@
 	first := run.entries[turn%len(run.entries)]
 	current, _ := first.Config().Version("spread")
 	text := fmt.Sprintf("# %s\nclasses: [{name: spread, rank: 9, deadline: %ds}]", strings.Repeat("x", 1000), turn+1)
-	config, err := first.configs.Apply(context.Background(), first.Config(), platform.Proposal{
+	config, err := first.configs.Apply(context.Background(), first.Config(), table.Proposal{
 		Name: "spread", Text: text, Base: current.Version, ApplyID: uuid.NewString(), Who: "test",
 	})
 	if err != nil {
--- a/entry/datapath_test.go
+++ b/entry/datapath_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
-	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/table"
 	"greengageroute.example/greengageroute/standin"
 	"greengageroute.example/greengageroute/target"
 )
@@ -204,6 +204,6 @@
 	return memory.HeapAlloc + memory.StackInuse
 }
 
-func pathProposal(text string) platform.Proposal {
-	return platform.Proposal{Name: "path", Text: text, ApplyID: "path", Who: "test"}
+func pathProposal(text string) table.Proposal {
+	return table.Proposal{Name: "path", Text: text, ApplyID: "path", Who: "test"}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,7 +17,7 @@
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/caller"
 	"greengageroute.example/greengageroute/peer"
-	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/table"
 	"greengageroute.example/greengageroute/target"
 )
 
@@ -35,15 +35,15 @@
 		log      logr.Logger
 		counters *expvar.Map
 
-		table   platform.Table
-		list    platform.List
-		configs *platform.Configs
-		fleets  *platform.Fleets
+		table   table.Table
+		list    table.List
+		configs *table.Configs
+		fleets  *table.Fleets
 		// contracts and supplier are used by the planner only.
-		contracts *platform.Contracts
-		supplier  platform.Supplier
+		contracts *table.Contracts
+		supplier  table.Supplier
 		tookAt    time.Time // when VMs were last taken; used by the planner only
-		lease     *platform.Lease
+		lease     *table.Lease
 
 		node       *peer.Node
 		members    *peer.Membership
@@ -80,12 +80,12 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	client := platform.NewClient(settings.Platform)
+	client := table.NewClient(settings.Platform)
 	entry := &Entry{
 		settings: settings, log: log, counters: new(expvar.Map).Init(),
-		table: client, list: client, configs: platform.NewConfigs(client), fleets: platform.NewFleets(client),
-		contracts: platform.NewContracts(client), supplier: client,
-		lease:   platform.NewLease(client, "plan/"+settings.DataCentre, settings.Name, settings.LeaseTerm, target.OrderTimeout),
+		table: client, list: client, configs: table.NewConfigs(client), fleets: table.NewFleets(client),
+		contracts: table.NewContracts(client), supplier: client,
+		lease:   table.NewLease(client, "plan/"+settings.DataCentre, settings.Name, settings.LeaseTerm, target.OrderTimeout),
 		targets: target.NewClient(), quarantine: greengageroute.NewQuarantine(),
 		router: greengageroute.NewRouter(), flights: caller.NewFlights(),
 		events: events, leaving: newLeavingVMs(), health: newHealthTable(),
--- a/entry/http.go
+++ b/entry/http.go
@@ -17,7 +17,7 @@
 	genoperator "greengageroute.example/greengageroute/gen/operator"
 	"greengageroute.example/greengageroute/operator"
 	"greengageroute.example/greengageroute/peer"
-	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/table"
 )
 
 const (
@@ -33,8 +33,8 @@
 	}
 }
 
-func (entry *Entry) actions(ctx context.Context) *platform.Actions {
-	return platform.NewActions(platform.NewBatcher(ctx, entry.table))
+func (entry *Entry) actions(ctx context.Context) *table.Actions {
+	return table.NewActions(table.NewBatcher(ctx, entry.table))
 }
 
 // handler serves both goa services and the counters.
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -16,7 +16,7 @@
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/caller"
 	genoperator "greengageroute.example/greengageroute/gen/operator"
-	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/table"
 )
 
 const (
@@ -47,7 +47,7 @@
 
 	// Configs is what the operator service needs of the platform.
 	Configs interface {
-		Apply(ctx context.Context, known *greengageroute.Config, proposal platform.Proposal) (*greengageroute.Config, error)
+		Apply(ctx context.Context, known *greengageroute.Config, proposal table.Proposal) (*greengageroute.Config, error)
 		Trail(ctx context.Context, after uint64) ([]greengageroute.Change, error)
 	}
 
@@ -122,12 +122,12 @@
 			}
 		}
 	}
-	return service.apply(ctx, platform.Proposal{
+	return service.apply(ctx, table.Proposal{
 		Name: payload.Name, Text: payload.Text, Base: payload.Base, ApplyID: payload.ApplyID, Who: team.Name,
 	})
 }
 
-func (service *Service) apply(ctx context.Context, proposal platform.Proposal) (*genoperator.Applied, error) {
+func (service *Service) apply(ctx context.Context, proposal table.Proposal) (*genoperator.Applied, error) {
 	config, err := service.configs.Apply(ctx, service.state.Config(), proposal)
 	if err != nil {
 		service.counters.Add(CountRefused, 1)
@@ -142,9 +142,9 @@
 // refuse maps what an apply can fail with to what the operator is told.
 func refuse(err error) error {
 	var faults *greengageroute.FaultsError
-	var race *platform.LostRaceError
-	var unavailable *platform.UnavailableError
-	var uncertain *platform.UncertainError
+	var race *table.LostRaceError
+	var unavailable *table.UnavailableError
+	var uncertain *table.UncertainError
 	refusal := &caller.Refusal{Message: err.Error()}
 	switch {
 	case errors.As(err, &faults):
@@ -232,7 +232,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return service.apply(ctx, platform.Proposal{
+	return service.apply(ctx, table.Proposal{
 		Name: greengageroute.DrainsFile, Text: string(text), Base: current.Version, ApplyID: uuid.NewString(), Who: who,
 	})
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -9,13 +9,13 @@
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
-	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/table"
 )
 
 type (
 	// Platform stands in for the platform's table and list of VMs.
 	Platform struct {
-		*platform.Memory
+		*table.Memory
 		faults faults[PlatformFaults]
 	}
 
@@ -36,7 +36,7 @@
 
 // NewPlatform returns a platform that lists the given VMs.
 func NewPlatform(vms ...greengageroute.VM) *Platform {
-	return &Platform{Memory: platform.NewMemory(vms...)}
+	return &Platform{Memory: table.NewMemory(vms...)}
 }
 
 // SetFaults replaces the faults in force.
@@ -95,13 +95,13 @@
 }
 
 func (standin *Platform) commit(writer http.ResponseWriter, request *http.Request) {
-	var body platform.CommitRequest
+	var body table.CommitRequest
 	if !readJSON(writer, request, &body) {
 		return
 	}
-	reply := platform.CommitReply{}
+	reply := table.CommitReply{}
 	err := standin.Commit(context.WithoutCancel(request.Context()), body.Writes...)
-	var conflict *platform.ConflictError
+	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
 		reply.Conflict = conflict.Key
 	}
@@ -116,7 +116,7 @@
 	writeJSON(writer, reply)
 }
 
-func touches(writes []platform.Write, prefix string) bool {
+func touches(writes []table.Write, prefix string) bool {
 	for _, write := range writes {
 		if strings.HasPrefix(write.Key, prefix) {
 			return true
@@ -140,18 +140,18 @@
 }
 
 func (standin *Platform) take(writer http.ResponseWriter, request *http.Request) {
-	var body platform.TakeRequest
+	var body table.TakeRequest
 	if readJSON(writer, request, &body) {
 		_ = standin.Take(request.Context(), body.DataCentre, body.Domain, body.VMs) // cannot fail
-		writeJSON(writer, platform.CommitReply{})
+		writeJSON(writer, table.CommitReply{})
 	}
 }
 
 func (standin *Platform) giveBack(writer http.ResponseWriter, request *http.Request) {
-	var body platform.GiveBackRequest
+	var body table.GiveBackRequest
 	if readJSON(writer, request, &body) {
 		_ = standin.GiveBack(request.Context(), body.VMs...) // cannot fail
-		writeJSON(writer, platform.CommitReply{})
+		writeJSON(writer, table.CommitReply{})
 	}
 }
 
--- a/platform/actions.go
+++ b/table/actions.go
@@ -1,4 +1,4 @@
-package platform
+package table
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/table/table.go
@@ -1,7 +1,7 @@
-// Package platform speaks to the platform's table, object store and list of
+// Package table speaks to the platform's table, object store and list of
 // VMs, and keeps there what must last: configuration, leases, fleets, actions
 // and the audit trail.
-package platform
+package table
 
 import (
 	"context"
