Form the first replicas once the list stands still; make room for a starved model

Change: before the first request the planner waits one heartbeat without a new target; a model with under 0.4 of another's share has replicas dissolved for it.

--- a/control/directory.go
+++ b/control/directory.go
@@ -39,7 +39,7 @@
 	View struct {
 		Listed   bool // the list has been read
 		Targets  map[string]greengageroute.Target
-		Pools    map[string][]greengageroute.Target               // plain and free targets too
+		Pools    map[string][]greengageroute.Target             // plain and free targets too
 		Replicas map[string]map[string][]greengageroute.Replica // open ones, by pool and model
 	}
 )
--- a/control/planner.go
+++ b/control/planner.go
@@ -55,6 +55,10 @@
 		log       logr.Logger
 		wake      chan struct{}
 
+		settle  time.Duration // how long the list must stand still before the first replicas
+		listed  int
+		changed time.Time
+
 		fence      uint64
 		formations map[string]*greengageroute.Formation
 
@@ -76,9 +80,9 @@
 )
 
 // NewPlanner returns a planner.
-func NewPlanner(lease *Lease, orderer Orderer, directory *Directory, routes func() *greengageroute.RouteTable, serving func() bool, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Planner {
+func NewPlanner(lease *Lease, orderer Orderer, directory *Directory, routes func() *greengageroute.RouteTable, serving func() bool, settle time.Duration, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Planner {
 	return &Planner{
-		lease: lease, orderer: orderer, directory: directory, routes: routes, serving: serving, clock: clock,
+		lease: lease, orderer: orderer, directory: directory, routes: routes, serving: serving, settle: settle, clock: clock,
 		counters: counters, log: log, wake: make(chan struct{}, 1),
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staged: map[string]stagedModel{},
 	}
@@ -151,6 +155,9 @@
 
 func (planner *Planner) planPool(ctx context.Context, view greengageroute.PoolView) {
 	formation, known := planner.formations[view.Pool]
+	if !known && !planner.settled(view) {
+		return
+	}
 	if !known {
 		formation = greengageroute.NewFormation(view, planner.fence*epochsPerFence)
 		planner.formations[view.Pool] = formation
@@ -169,6 +176,17 @@
 	}
 }
 
+// settled tells whether the list is likely complete: targets that start together
+// list themselves within about a heartbeat of each other, and replicas formed of
+// the first to come would suit the first models only.
+func (planner *Planner) settled(view greengageroute.PoolView) bool {
+	now := planner.clock.Now()
+	if len(view.Targets) != planner.listed {
+		planner.listed, planner.changed = len(view.Targets), now
+	}
+	return view.Serving || planner.listed > 0 && now.Sub(planner.changed) >= planner.settle
+}
+
 // loadsLeft returns how many loads for spares may start now, so that joins find
 // the weights' store free.
 func (planner *Planner) loadsLeft(view greengageroute.PoolView) int {
--- a/formation.go
+++ b/formation.go
@@ -13,6 +13,10 @@
 // replacement takes to load.
 const spareShare = 0.08
 
+// imbalance is how much less, against their shares, one model may have than
+// another before replicas are dissolved: that costs their loads anew.
+const imbalance = 0.4
+
 type (
 	// Assignment says which targets form a replica, or are to form it.
 	Assignment struct {
@@ -77,12 +81,66 @@
 	return formation
 }
 
-// Update repairs the assignments that have lost members and forms new ones from
-// free targets. It returns the replicas that changed.
+// Update repairs the assignments that have lost members, makes room for a model
+// that has far too little, and forms new replicas from free targets. It returns
+// the replicas that changed.
 func (formation *Formation) Update(view PoolView) []Assignment {
 	formation.noteOpened(view)
 	changed := formation.repair(view)
-	return append(changed, formation.grow(view)...)
+	changed = append(changed, formation.grow(view)...)
+	if formation.rebalance(view) {
+		changed = append(changed, formation.grow(view)...)
+	}
+	return changed
+}
+
+// rebalance dissolves replicas of the model that has most against its share, in
+// the domain where the fewest make room for one of the model that has least. It
+// tells whether it did.
+func (formation *Formation) rebalance(view PoolView) bool {
+	covered := formation.covered(view.Engine)
+	models := slices.Clone(view.Engine.Models)
+	if len(models) < 2 {
+		return false
+	}
+	ratio := func(model EngineModel) float64 { return covered[model.Name] / max(model.Share, 0.01) }
+	slices.SortStableFunc(models, func(a, b EngineModel) int { return cmp.Compare(ratio(a), ratio(b)) })
+	poor, rich := models[0], models[len(models)-1]
+	if ratio(poor) >= imbalance*ratio(rich) || covered[rich.Name] < 2*float64(rich.Size) {
+		return false
+	}
+	names, _ := view.domains()
+	best, fewest := "", 0
+	for _, name := range names {
+		needed := (poor.Size - len(formation.free(view, name, nil)) + rich.Size - 1) / rich.Size
+		if needed > 0 && needed <= formation.count(name, rich.Name) && (best == "" || needed < fewest) {
+			best, fewest = name, needed
+		}
+	}
+	left := covered[rich.Name] - float64(fewest*rich.Size)
+	if fewest == 0 || left/max(rich.Share, 0.01) < ratio(poor) {
+		return false
+	}
+	dissolved := 0
+	formation.Assignments = slices.DeleteFunc(formation.Assignments, func(assignment Assignment) bool {
+		if dissolved == fewest || assignment.Domain != best || assignment.Model != rich.Name {
+			return false
+		}
+		dissolved++
+		return true
+	})
+	return true
+}
+
+// count returns how many replicas of the model a domain has.
+func (formation *Formation) count(domain, model string) int {
+	count := 0
+	for _, assignment := range formation.Assignments {
+		if assignment.Domain == domain && assignment.Model == model {
+			count++
+		}
+	}
+	return count
 }
 
 func (formation *Formation) noteOpened(view PoolView) {
