Close a head that is not listed before its members join another replica

Also, rebalancing ignored the spares it has to leave and dissolved the same replicas again in each round. Ruled out: a stale lease (one holder throughout), late orders (none sent). Change: the planner remembers heads; an absent head is told to close, and its members are free once it refused, closed, or left orders unanswered while no entry hears of it; a member whose head nobody knows waits 2.5 s.

--- a/control/directory.go
+++ b/control/directory.go
@@ -16,6 +16,9 @@
 	// lostFor is how long a target found dead stays out although it is listed: the
 	// list drops it after three heartbeats.
 	lostFor = 5 * time.Second
+	// absentFor is how long a target that has vanished is remembered: its replica's
+	// members may have to be freed from it.
+	absentFor = time.Minute
 )
 
 type (
@@ -27,6 +30,7 @@
 		mu      sync.Mutex
 		targets map[string]greengageroute.Target
 		dropAt  map[string]time.Time // vanished during an outage of the store
+		absent  map[string]absentTarget
 		lost    map[mesh.LostTarget]time.Time
 		routes  *greengageroute.RouteTable
 		watch   map[uint64]func()
@@ -35,9 +39,15 @@
 		view atomic.Pointer[View]
 	}
 
+	absentTarget struct {
+		target greengageroute.Target
+		since  time.Time
+	}
+
 	// View is the directory at one moment. It is not changed.
 	View struct {
-		Listed   bool // the list has been read
+		Listed   bool                             // the list has been read
+		Absent   map[string]greengageroute.Target // vanished from the list, or found dead
 		Targets  map[string]greengageroute.Target
 		Pools    map[string][]greengageroute.Target             // plain and free targets too
 		Replicas map[string]map[string][]greengageroute.Replica // open ones, by pool and model
@@ -48,7 +58,8 @@
 func NewDirectory(clock greengageroute.Clock) *Directory {
 	directory := &Directory{
 		clock: clock, targets: map[string]greengageroute.Target{}, dropAt: map[string]time.Time{},
-		lost: map[mesh.LostTarget]time.Time{}, watch: map[uint64]func(){},
+		absent: map[string]absentTarget{},
+		lost:   map[mesh.LostTarget]time.Time{}, watch: map[uint64]func(){},
 	}
 	directory.view.Store(&View{})
 	return directory
@@ -108,17 +119,22 @@
 }
 
 func (directory *Directory) put(target greengageroute.Target) {
-	if known, found := directory.targets[target.ID]; found && known.Revision > target.Revision {
+	known, found := directory.targets[target.ID]
+	if found && known.Revision > target.Revision {
 		return
 	}
+	target.Since = directory.clock.Now()
+	if found && known.Born == target.Born {
+		target.Since = known.Since
+	}
+	delete(directory.absent, target.ID)
 	directory.targets[target.ID] = target
 	delete(directory.dropAt, target.ID)
 }
 
 func (directory *Directory) vanish(id string, drop time.Time) {
 	if !drop.After(directory.clock.Now()) {
-		delete(directory.targets, id)
-		delete(directory.dropAt, id)
+		directory.drop(id)
 		return
 	}
 	if _, waiting := directory.dropAt[id]; !waiting {
@@ -126,6 +142,14 @@
 	}
 }
 
+func (directory *Directory) drop(id string) {
+	if target, found := directory.targets[id]; found {
+		directory.absent[id] = absentTarget{target, directory.clock.Now()}
+	}
+	delete(directory.targets, id)
+	delete(directory.dropAt, id)
+}
+
 // MarkLost notes targets that were found dead. It returns those that are news.
 func (directory *Directory) MarkLost(lost ...mesh.LostTarget) []mesh.LostTarget {
 	var news []mesh.LostTarget
@@ -164,10 +188,10 @@
 	directory.change(func() {
 		for id, at := range directory.dropAt {
 			if !at.After(now) {
-				delete(directory.dropAt, id)
-				delete(directory.targets, id)
+				directory.drop(id)
 			}
 		}
+		maps.DeleteFunc(directory.absent, func(_ string, gone absentTarget) bool { return now.Sub(gone.since) > absentFor })
 		maps.DeleteFunc(directory.lost, func(_ mesh.LostTarget, since time.Time) bool { return now.Sub(since) > lostFor })
 	})
 }
@@ -188,11 +212,15 @@
 
 func (directory *Directory) build() *View {
 	view := &View{
-		Listed: len(directory.targets) > 0, Targets: make(map[string]greengageroute.Target, len(directory.targets)),
+		Listed: len(directory.targets) > 0, Absent: map[string]greengageroute.Target{}, Targets: make(map[string]greengageroute.Target, len(directory.targets)),
 		Pools: map[string][]greengageroute.Target{}, Replicas: map[string]map[string][]greengageroute.Replica{},
 	}
+	for id, gone := range directory.absent {
+		view.Absent[id] = gone.target
+	}
 	for id, target := range directory.targets {
 		if _, lost := directory.lost[mesh.LostTarget{ID: id, Born: target.Born}]; lost {
+			view.Absent[id] = target
 			continue
 		}
 		view.Targets[id] = target
--- a/control/planner.go
+++ b/control/planner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -26,6 +27,10 @@
 	// stagingShare of the loads that may start is used for spares; the rest is for
 	// joins.
 	stagingShare = 0.8
+	// silentOrders is how many orders in a row a dead target leaves unanswered.
+	silentOrders = 2
+	// signsWithin is how recent an answer to any entry shows that a target lives.
+	signsWithin = 600 * time.Millisecond
 )
 
 // Counters of the planner; docs/OPERATIONS.md lists them.
@@ -38,6 +43,11 @@
 )
 
 type (
+	// Witness tells whether any entry has had an answer from a target lately.
+	Witness interface {
+		Signs(target string, within time.Duration) bool
+	}
+
 	// Orderer gives orders to targets.
 	Orderer interface {
 		Give(ctx context.Context, order greengageroute.TargetOrder, timeout time.Duration) error
@@ -47,6 +57,7 @@
 	Planner struct {
 		lease     *Lease
 		orderer   Orderer
+		witness   Witness
 		directory *Directory
 		routes    func() *greengageroute.RouteTable
 		serving   func() bool
@@ -65,7 +76,11 @@
 		mu     sync.Mutex
 		sent   map[string]sentOrder // by target
 		staged map[string]stagedModel
-		loads  []time.Time // when loads were started
+		// settledAt is when an absent head was last found closed or dead, and silentFor
+		// how many orders in a row it has left unanswered.
+		settledAt map[string]time.Time
+		silentFor map[string]int
+		loads     []time.Time // when loads were started
 	}
 
 	sentOrder struct {
@@ -80,11 +95,12 @@
 )
 
 // NewPlanner returns a planner.
-func NewPlanner(lease *Lease, orderer Orderer, directory *Directory, routes func() *greengageroute.RouteTable, serving func() bool, settle time.Duration, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Planner {
+func NewPlanner(lease *Lease, orderer Orderer, witness Witness, directory *Directory, routes func() *greengageroute.RouteTable, serving func() bool, settle time.Duration, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Planner {
 	return &Planner{
-		lease: lease, orderer: orderer, directory: directory, routes: routes, serving: serving, settle: settle, clock: clock,
+		lease: lease, orderer: orderer, witness: witness, directory: directory, routes: routes, serving: serving, settle: settle, clock: clock,
 		counters: counters, log: log, wake: make(chan struct{}, 1),
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staged: map[string]stagedModel{},
+		settledAt: map[string]time.Time{}, silentFor: map[string]int{},
 	}
 }
 
@@ -150,7 +166,10 @@
 		}
 		targets[target.ID] = target
 	}
-	return greengageroute.PoolView{Pool: name, Engine: engine, Targets: targets, Serving: planner.serving()}
+	return greengageroute.PoolView{
+		Pool: name, Engine: engine, Targets: targets, Serving: planner.serving(), Now: now,
+		Absent: view.Absent, Settled: maps.Clone(planner.settledAt),
+	}
 }
 
 func (planner *Planner) planPool(ctx context.Context, view greengageroute.PoolView) {
@@ -246,7 +265,32 @@
 		outcome = "not answered: " + err.Error()
 		planner.counters.Add(CountOrdersLost, 1)
 	}
+	if order.Kind == greengageroute.OrderClose {
+		planner.settleHead(order, err)
+	}
 	planner.log.Info("order", "kind", order.Kind.String(), "target", order.Target.ID, "replica", order.Replica, "epoch", order.Epoch,
 		"model", order.Model, "cut", order.Cut, "took", planner.clock.Now().Sub(began).String(), "outcome", outcome)
 	planner.Wake()
 }
+
+// settleHead takes note of how a head took the order to close. A head that isn't
+// listed is settled once it has refused, which it does if it doesn't serve, or
+// has left orders unanswered while no entry hears of it either.
+func (planner *Planner) settleHead(order greengageroute.TargetOrder, err error) {
+	var refused *greengageroute.OrderRefusedError
+	id, now := order.Target.ID, planner.clock.Now()
+	planner.mu.Lock()
+	defer planner.mu.Unlock()
+	switch {
+	case err == nil && order.Cut:
+		planner.silentFor[id] = 0
+		planner.settledAt[id] = now
+	case errors.As(err, &refused):
+		planner.settledAt[id] = now
+	default:
+		planner.silentFor[id]++
+		if planner.silentFor[id] >= silentOrders && !planner.witness.Signs(id, signsWithin) {
+			planner.settledAt[id] = now
+		}
+	}
+}
--- a/edge/tracker.go
+++ b/edge/tracker.go
@@ -42,7 +42,7 @@
 		Running  int
 		Reading  int // prompt tokens sent and not yet read
 		Latency  time.Duration
-		Failures float64 // decayed share
+		Failures float64   // decayed share
 		LastSign time.Time // of the last event or answer
 		failedAt time.Time
 		slowness float64 // of the pace of events against the published one
@@ -147,7 +147,8 @@
 		shard.mu.Lock()
 		for id, seen := range shard.targets {
 			if seen.Running > 0 {
-				loads = append(loads, mesh.Load{Target: id, Running: seen.Running, Reading: seen.Reading})
+				silent := time.Since(seen.LastSign).Milliseconds()
+				loads = append(loads, mesh.Load{Target: id, Running: seen.Running, Reading: seen.Reading, Silent: silent})
 			} else if time.Since(seen.LastSign) > time.Minute {
 				delete(shard.targets, id)
 			}
--- a/engine.go
+++ b/engine.go
@@ -10,24 +10,24 @@
 	// An engine works in passes: each pass that writes makes a few token steps for
 	// all running requests, and reads pieces of waiting prompts in between.
 	Engine struct {
-		Slots            int // requests that run at once
-		Models           []EngineModel
-		StepTime         time.Duration // of a token step with no request
-		SequenceTime     time.Duration // a token step's share for each running request
-		ContextTime      time.Duration // a token step's share for each 1,000 tokens of context
-		ReadRate         float64       // prompt tokens read a second
-		PairTime         time.Duration // for each million pairs of a token and an earlier one
-		Chunk            int           // most prompt tokens read in one step
-		Stride           int           // token steps of a pass
-		KeyValueTokens   int           // that fit into memory
-		UsualPrompt      int           // mean tokens
-		UsualAnswer      int           // mean tokens
-		ReportLag        time.Duration
-		LoadsPerSecond   float64 // that may start at the weights' store, all together
-		LoadsAtOnce      int     // beyond which each takes longer
-		StagedModels     int     // that a host keeps
-		FarFactor        float64 // slower across fabric domains
-		FormationTime    time.Duration
+		Slots          int // requests that run at once
+		Models         []EngineModel
+		StepTime       time.Duration // of a token step with no request
+		SequenceTime   time.Duration // a token step's share for each running request
+		ContextTime    time.Duration // a token step's share for each 1,000 tokens of context
+		ReadRate       float64       // prompt tokens read a second
+		PairTime       time.Duration // for each million pairs of a token and an earlier one
+		Chunk          int           // most prompt tokens read in one step
+		Stride         int           // token steps of a pass
+		KeyValueTokens int           // that fit into memory
+		UsualPrompt    int           // mean tokens
+		UsualAnswer    int           // mean tokens
+		ReportLag      time.Duration
+		LoadsPerSecond float64 // that may start at the weights' store, all together
+		LoadsAtOnce    int     // beyond which each takes longer
+		StagedModels   int     // that a host keeps
+		FarFactor      float64 // slower across fabric domains
+		FormationTime  time.Duration
 	}
 
 	// EngineModel is one model that a pool's targets can form replicas of.
--- a/formation.go
+++ b/formation.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // spareShare is the share of a domain's targets that stays free to replace lost
@@ -36,6 +37,12 @@
 		Targets map[string]Target
 		// Serving tells whether requests have come: loads take their full time.
 		Serving bool
+		// Now is the moment of the view.
+		Now time.Time
+		// Absent are targets that were listed and no longer are, or were found dead.
+		Absent map[string]Target
+		// Settled is when an absent head was last found closed or dead.
+		Settled map[string]time.Time
 	}
 
 	// Formation is the planner's working state: it is changed in place, by one
@@ -44,13 +51,14 @@
 		Assignments []Assignment
 		epoch       uint64
 		names       uint64
+		heads       map[ReplicaKey]string // of all replicas that targets may still be members of
 	}
 )
 
 // NewFormation returns a formation whose epochs start above the given one and
 // adopts the replicas that the targets report.
 func NewFormation(view PoolView, epoch uint64) *Formation {
-	formation := &Formation{epoch: epoch, names: epoch}
+	formation := &Formation{epoch: epoch, names: epoch, heads: map[ReplicaKey]string{}}
 	newest := map[string]Assignment{}
 	for _, target := range view.Targets {
 		member := target.Member
@@ -70,6 +78,7 @@
 		}
 		assignment.Members[member.Rank] = target.ID
 		if member.Rank == 0 {
+			formation.heads[ReplicaKey{member.Replica, member.Epoch}] = target.ID
 			assignment.Opened = member.State == MemberOpen
 		}
 		newest[member.Replica] = assignment
@@ -109,10 +118,11 @@
 	if ratio(poor) >= imbalance*ratio(rich) || covered[rich.Name] < 2*float64(rich.Size) {
 		return false
 	}
-	names, _ := view.domains()
+	names, sizes := view.domains()
 	best, fewest := "", 0
 	for _, name := range names {
-		needed := (poor.Size - len(formation.free(view, name, nil)) + rich.Size - 1) / rich.Size
+		missing := poor.Size + reserveOf(sizes[name], covered[poor.Name]) - len(formation.free(view, name, nil))
+		needed := (missing + rich.Size - 1) / rich.Size
 		if needed > 0 && needed <= formation.count(name, rich.Name) && (best == "" || needed < fewest) {
 			best, fewest = name, needed
 		}
@@ -197,11 +207,17 @@
 		assignment.Epoch, assignment.Opened = formation.epoch, false
 		assignment.Members = append(slices.Clone(survivors[assignment.Name]), spares[:missing]...)
 		formation.Assignments = append(formation.Assignments, assignment)
+		formation.noteHead(assignment)
 		changed = append(changed, assignment)
 	}
 	return changed
 }
 
+// noteHead remembers the head of a replica for as long as targets may be its members.
+func (formation *Formation) noteHead(assignment Assignment) {
+	formation.heads[ReplicaKey{assignment.Name, assignment.Epoch}] = assignment.Members[0]
+}
+
 // needsRepair tells whether the replica can't serve, or soon won't.
 func (view PoolView) needsRepair(assignment Assignment) bool {
 	for _, id := range assignment.Members {
@@ -317,6 +333,7 @@
 		}
 		assignment.Members = formation.spares(view, assignment, nil)[:model.Size]
 		formation.Assignments = append(formation.Assignments, assignment)
+		formation.noteHead(assignment)
 		changed = append(changed, assignment)
 	}
 }
@@ -332,11 +349,7 @@
 		best, most := "", 0
 		for _, name := range names {
 			left := len(formation.free(view, name, nil)) - model.Size
-			reserve := int(math.Ceil(spareShare * float64(sizes[name])))
-			if covered[model.Name] == 0 {
-				reserve = 0
-			}
-			if left >= reserve && left+1 > most {
+			if left >= reserveOf(sizes[name], covered[model.Name]) && left+1 > most {
 				best, most = name, left+1
 			}
 		}
@@ -347,6 +360,15 @@
 	return EngineModel{}, "", false
 }
 
+// reserveOf returns how many targets of a domain stay free when a replica is
+// formed of a model that has the given number of targets.
+func reserveOf(domain int, covered float64) int {
+	if covered == 0 {
+		return 0
+	}
+	return int(math.Ceil(spareShare * float64(domain)))
+}
+
 // covered returns how many targets each model's replicas have.
 func (formation *Formation) covered(engine *Engine) map[string]float64 {
 	covered := map[string]float64{}
--- a/formationorders.go
+++ b/formationorders.go
@@ -3,38 +3,49 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
+// absentGrace is how long a member waits for its head to be listed again: the
+// entries of live targets are back within two seconds of an outage.
+const absentGrace = 2500 * time.Millisecond
+
+// tie is what holds a target in its replica.
+type tie struct {
+	bound bool
+	close bool // the head has to be told
+	head  Target
+}
+
 // Orders returns what to tell which targets now, so that the assignments come
 // about. Nothing is said to targets that are on their way already.
 func (formation *Formation) Orders(view PoolView) []TargetOrder {
 	var orders []TargetOrder
 	closed := NewSet[string]()
 	for _, assignment := range formation.Assignments {
-		orders = append(orders, assignment.orders(view, closed)...)
+		orders = append(orders, formation.ordersFor(assignment, view, closed)...)
 	}
 	return append(orders, formation.closeAbandoned(view, closed)...)
 }
 
-func (assignment Assignment) orders(view PoolView, closed Set[string]) []TargetOrder {
+func (formation *Formation) ordersFor(assignment Assignment, view PoolView, closed Set[string]) []TargetOrder {
 	var joins, closes []TargetOrder
 	formed, blocked := 0, false
 	for _, id := range assignment.Members {
 		target, found := view.Targets[id]
-		switch {
-		case !found:
+		if !found {
 			return nil // Update replaces the member
-		case target.Member.Serves(assignment.Name, assignment.Epoch):
+		}
+		if target.Member.Serves(assignment.Name, assignment.Epoch) {
 			if target.Member.Formed() {
 				formed++
 			}
 			continue
 		}
-		if head, serves := view.servingHead(target); serves {
-			blocked = true
-			if head.Member.State == MemberOpen && closed.Add(head.ID) {
-				closes = append(closes, closeOrder(head, !view.complete(head)))
-			}
+		tie := formation.tieOf(target, view)
+		blocked = blocked || tie.bound
+		if tie.close && closed.Add(tie.head.ID) {
+			closes = append(closes, closeOrder(tie.head, target.Member, !view.complete(tie.head)))
 		}
 		joins = append(joins, TargetOrder{
 			Kind: OrderJoin, Target: target, Replica: assignment.Name, Epoch: assignment.Epoch,
@@ -54,19 +65,43 @@
 	return nil
 }
 
-// servingHead returns the live head of the replica that a target is a member
-// of, if that head is open or closing: no member may join another replica then.
-func (view PoolView) servingHead(target Target) (Target, bool) {
+// tieOf tells whether a target has to stay in its replica for now: the replica's
+// head serves, or nobody knows yet that it doesn't.
+func (formation *Formation) tieOf(target Target, view PoolView) tie {
 	member := target.Member
 	if member.Replica == "" {
-		return Target{}, false
+		return tie{}
+	}
+	id, known := formation.headOf(member, view)
+	if !known {
+		return tie{bound: view.Now.Sub(target.Since) < absentGrace}
+	}
+	if head, listed := view.Targets[id]; listed {
+		serves := head.Member.Serves(member.Replica, member.Epoch)
+		open := serves && head.Member.State == MemberOpen
+		return tie{bound: open || serves && head.Member.State == MemberClosing, close: open, head: head}
 	}
-	for _, head := range view.Targets {
-		if head.Member.Rank == 0 && head.Member.Serves(member.Replica, member.Epoch) {
-			return head, head.Member.State == MemberOpen || head.Member.State == MemberClosing
+	if settled, found := view.Settled[id]; found && settled.After(target.Since) {
+		return tie{}
+	}
+	head, found := view.Absent[id]
+	if !found {
+		return tie{bound: view.Now.Sub(target.Since) < absentGrace}
+	}
+	return tie{bound: true, close: true, head: head}
+}
+
+// headOf returns the head of the replica that a membership names.
+func (formation *Formation) headOf(member Membership, view PoolView) (string, bool) {
+	if id, known := formation.heads[ReplicaKey{member.Replica, member.Epoch}]; known {
+		return id, true
+	}
+	for id, target := range view.Targets {
+		if target.Member.Rank == 0 && target.Member.Serves(member.Replica, member.Epoch) {
+			return id, true
 		}
 	}
-	return Target{}, false
+	return "", false
 }
 
 // complete tells whether all members of the replica of a head still belong to it.
@@ -81,10 +116,8 @@
 	return members >= model.Size
 }
 
-func closeOrder(head Target, cut bool) TargetOrder {
-	return TargetOrder{
-		Kind: OrderClose, Target: head, Replica: head.Member.Replica, Epoch: head.Member.Epoch, Cut: cut,
-	}
+func closeOrder(head Target, member Membership, cut bool) TargetOrder {
+	return TargetOrder{Kind: OrderClose, Target: head, Replica: member.Replica, Epoch: member.Epoch, Cut: cut}
 }
 
 // closeAbandoned closes open heads whose replica no assignment has any more.
@@ -97,7 +130,7 @@
 	for _, target := range view.Targets {
 		member := target.Member
 		if member.Rank == 0 && member.State == MemberOpen && !wanted[ReplicaKey{member.Replica, member.Epoch}] && closed.Add(target.ID) {
-			orders = append(orders, closeOrder(target, !view.complete(target)))
+			orders = append(orders, closeOrder(target, member, !view.complete(target)))
 		}
 	}
 	return orders
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -32,6 +32,7 @@
 		Target  string `cbor:"1,keyasint"`
 		Running int    `cbor:"2,keyasint"`
 		Reading int    `cbor:"3,keyasint,omitempty"` // prompt tokens not yet read
+		Silent  int64  `cbor:"4,keyasint,omitempty"` // milliseconds since the target last sent anything
 	}
 
 	// LostTarget is a target that the sender found dead.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -201,6 +201,22 @@
 	return loads
 }
 
+// Signs tells whether this or another entry has heard from a target lately.
+func (node *Node) Signs(target string, within time.Duration) bool {
+	now := node.clock.Now()
+	loads := node.source.Loads()
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	for _, other := range node.peers {
+		if !other.heard.IsZero() && now.Sub(other.heard) <= within {
+			loads = append(loads, other.message.Loads...)
+		}
+	}
+	return slices.ContainsFunc(loads, func(load Load) bool {
+		return load.Target == target && time.Duration(load.Silent)*time.Millisecond < within
+	})
+}
+
 func (other *peer) live(now time.Time) bool {
 	return !other.heard.IsZero() && now.Sub(other.heard) < liveFor && !other.message.Leaving
 }
--- a/routetable.go
+++ b/routetable.go
@@ -18,12 +18,12 @@
 
 	// RouteTable is one version of what the operator configured.
 	RouteTable struct {
-		Version    uint64
-		Pools      map[string]Pool
-		Limits     CallerLimits
-		hosts      map[string][]Route // by descending length of prefix
-		holders    map[string]KeyHolder
-		keyed      bool
+		Version uint64
+		Pools   map[string]Pool
+		Limits  CallerLimits
+		hosts   map[string][]Route // by descending length of prefix
+		holders map[string]KeyHolder
+		keyed   bool
 	}
 
 	// Route says which requests go where.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	orders := platform.NewTargets()
-	entry.planner = control.NewPlanner(entry.lease, orders, entry.directory, entry.follower.Routes, entry.serving, deployment.Bounds.Heartbeat, clock, entry.counters, entry.log)
+	entry.planner = control.NewPlanner(entry.lease, orders, entry.node, entry.directory, entry.follower.Routes, entry.serving, deployment.Bounds.Heartbeat, clock, entry.counters, entry.log)
 	entry.prober = control.NewProber(orders, entry.directory, entry.node.ReportLost, clock, entry.counters, entry.log)
 	entry.callers = edge.New(edge.Parts{
 		DataCentre: deployment.DataCentre, Bounds: deployment.Bounds, Config: entry.follower, Directory: entry.directory,
--- a/target.go
+++ b/target.go
@@ -33,12 +33,14 @@
 		Domain     string // fabric domain; empty for plain services
 		State      TargetState
 		Slots      int
-		Born       int64  // Unix milliseconds of its start; another one means that it restarted
+		Born       int64 // Unix milliseconds of its start; another one means that it restarted
 		Staged     []string
 		Member     Membership
 		// Revision is that of the list's row, so that an older reading never
 		// replaces a newer one.
 		Revision uint64
+		// Since is when this entry saw the target listed, without a break since.
+		Since time.Time
 	}
 
 	// Membership is a target's place in a replica. The zero value is none.
