Tell peers of each request at once; keep passes below the gap target

Several entries chose the same replica within one pass, 120 ms of old news apart. Also, prompts counted as unread until the first event, a pass too long. Change: a datagram for each request sent, at most each 12 ms; a prompt counts as read a pass before its predicted first token; a replica whose next pass would exceed 0.85 of the gap target costs 150 ms more. Conclusion: what entries know of each other within a pass decides.

--- a/balance.go
+++ b/balance.go
@@ -6,6 +6,11 @@
 	// remoteCost is what a replica in another data centre has to be faster by: its
 	// events cross a link that is billed by the byte.
 	remoteCost = 12 * time.Millisecond
+	// gapMargin is the part of the longest allowed gap that a pass may take.
+	gapMargin = 0.85
+	// gapCost is what a replica has to be faster by whose next pass would make the
+	// streams that run on it late.
+	gapCost = 150 * time.Millisecond
 )
 
 type (
@@ -34,10 +39,18 @@
 	return time.Duration(expected)
 }
 
+// NextPass predicts how long the streams that run at the replica wait while it
+// reads the prompt beside what it has to read already.
+func (choice ReplicaChoice) NextPass(engine *Engine, model EngineModel, prompt int) time.Duration {
+	reading := min(choice.Load.Reading+prompt, engine.Chunk*max(engine.Stride, 1))
+	pass := engine.PassTime(model, choice.Load.Running+1) + engine.ReadTime(model, reading)
+	return time.Duration(float64(pass) * max(choice.Slowness, 1))
+}
+
 // ChooseReplica returns the place of the replica that is expected to give the
 // first token soonest, or -1. Replicas that are silent are chosen only if there
 // is no other.
-func ChooseReplica(engine *Engine, model EngineModel, prompt int, choices []ReplicaChoice) (place int, expected time.Duration) {
+func ChooseReplica(engine *Engine, model EngineModel, prompt int, gap time.Duration, choices []ReplicaChoice) (place int, expected time.Duration) {
 	place = -1
 	best := time.Duration(0)
 	for i, choice := range choices {
@@ -45,6 +58,9 @@
 		if !choice.Local {
 			cost += remoteCost
 		}
+		if choice.Load.Running > 0 && gap > 0 && choice.NextPass(engine, model, prompt) > time.Duration(gapMargin*float64(gap)) {
+			cost += gapCost
+		}
 		if choice.Suspect {
 			cost += time.Hour
 		}
--- a/edge/call.go
+++ b/edge/call.go
@@ -38,17 +38,15 @@
 		var notSent *upstream.NotSentError
 		switch {
 		case ctx.Err() != nil:
-			return exchange.expired(ctx)
+			return exchange.expired()
 		case errors.As(err, &notSent):
 			reason = "the targets can't be reached"
 			continue
 		case err != nil:
-			exchange.ran = true
 			reason = "the target did not answer"
 		case answer.NotRun:
 			reason = "the targets are full"
 		case answer.Status >= http.StatusInternalServerError && exchange.again(target, passed):
-			exchange.ran = true
 			reason = "the target failed"
 		default:
 			return exchange.deliver(answer, body)
@@ -89,6 +87,7 @@
 		return nil, nil, err
 	}
 	exchange.noteSent(target)
+	exchange.ran = exchange.ran || err != nil || !answer.NotRun
 	if err != nil {
 		return nil, nil, err
 	}
@@ -97,11 +96,11 @@
 	return answer, body, err
 }
 
-func (exchange *exchange) expired(ctx context.Context) error {
+// expired ends a request whose time is up.
+func (exchange *exchange) expired() error {
 	if exchange.caller.Context().Err() != nil {
 		return errCallerGone
 	}
-	_ = ctx
 	return exchange.unanswered(http.StatusGatewayTimeout, "the request was not answered in time", 0)
 }
 
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -31,6 +31,8 @@
 	Peers interface {
 		Live() int
 		Loads() map[string]greengageroute.EngineLoad
+		// LoadChanged has them told of a request that was sent.
+		LoadChanged()
 	}
 
 	// Suspects looks into a replica that has fallen silent.
@@ -85,6 +87,15 @@
 		tried    string // targets, for the log
 		ran      bool   // a target may have run it
 		started  bool   // the answer's head has gone out
+		timing   timing
+	}
+
+	// timing is when a stream's events came, counted from the request's arrival.
+	timing struct {
+		events int
+		first  time.Duration
+		last   time.Duration
+		gap    time.Duration // longest between two events
 	}
 
 	// filter is one step of the chain. An error ends it.
@@ -151,7 +162,18 @@
 		"id", exchange.ID, "route", exchange.route.Name, "workspace", exchange.Workspace, "model", exchange.Model,
 		"took-ms", time.Since(exchange.arrived).Milliseconds(), "sent", exchange.sent, "targets", exchange.tried,
 		"config-age-ms", exchange.service.Config.Age().Milliseconds(),
+		"events", exchange.timing.events, "first-ms", exchange.timing.first.Milliseconds(), "gap-ms", exchange.timing.gap.Milliseconds(),
+	}
+}
+
+func (timing *timing) event(at time.Duration) {
+	if timing.events == 0 {
+		timing.first = at
+	} else {
+		timing.gap = max(timing.gap, at-timing.last)
 	}
+	timing.events++
+	timing.last = at
 }
 
 // budget returns the retry budget of the exchange's pool.
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
@@ -52,6 +53,7 @@
 		threshold time.Duration
 		last      time.Time
 		first     bool // the first event is still to come
+		reading   atomic.Bool
 	}
 )
 
@@ -81,13 +83,12 @@
 		case errors.Is(err, errCallerGone) || exchange.caller.Context().Err() != nil:
 			return errCallerGone
 		case ctx.Err() != nil:
-			return exchange.expired(ctx)
+			return exchange.expired()
 		case errors.As(err, &notSent):
 			reason = "the replica can't be reached"
 		case errors.Is(err, errNotRun):
 			reason, after = "the replicas are full", minOverloadRetry
 		default:
-			exchange.ran = true
 			reason = err.Error()
 		}
 		if exchange.ran && !exchange.route.Resumable {
@@ -138,7 +139,7 @@
 			Local: head.DataCentre == service.DataCentre, Suspect: silent,
 		})
 	}
-	place, expected := greengageroute.ChooseReplica(engine, model, exchange.PromptTokens, choices)
+	place, expected := greengageroute.ChooseReplica(engine, model, exchange.PromptTokens, exchange.route.TargetGap, choices)
 	if place < 0 {
 		return source{}, false
 	}
@@ -160,9 +161,17 @@
 	done := service.tracker.Begin(head.ID, exchange.PromptTokens)
 	defer done()
 	defer relay.read()
+	service.Peers.LoadChanged()
+	relay.reading.Store(true)
 	if source.engine != nil {
 		relay.threshold = silenceOf(source.engine, source.model, service.tracker.Seen(head.ID))
 	}
+	if source.engine != nil {
+		// The first event comes about a pass after the prompt was read.
+		readBy := source.expected - source.engine.PassTime(source.model, source.load.Running+1)
+		reading := time.AfterFunc(readBy, relay.read)
+		defer reading.Stop()
+	}
 	relay.silence = time.AfterFunc(relay.threshold, func() { relay.silent(cancel) })
 	defer relay.silence.Stop()
 	service.Log.V(1).Info("attempt", "id", exchange.ID, "replica", source.replica.Name, "epoch", source.replica.Epoch, "head", head.ID,
@@ -173,6 +182,7 @@
 		return false, err
 	}
 	exchange.noteSent(head)
+	exchange.ran = exchange.ran || err != nil || !relay.answer.NotRun
 	if err != nil {
 		return false, lostCause(ctx, err)
 	}
@@ -269,6 +279,7 @@
 	relay.silence.Reset(relay.threshold)
 	relay.note(now)
 	exchange := relay.exchange
+	exchange.timing.event(now.Sub(exchange.arrived))
 	exchange.start(relay.answer)
 	if _, err := exchange.writer.Write(event); err != nil {
 		return errCallerGone
@@ -289,19 +300,17 @@
 	if relay.source.engine == nil {
 		return
 	}
-	if relay.first {
-		relay.read()
-	} else {
+	relay.read()
+	if !relay.first {
 		usual := relay.source.engine.PassTime(relay.source.model, relay.source.load.Running+1)
 		tracker.Paced(head, float64(now.Sub(relay.last))/float64(max(usual, time.Millisecond)), now)
 	}
-	relay.last = now
+	relay.first, relay.last = false, now
 }
 
 // read tells the tracker once that the prompt is no longer to be read.
 func (relay *relay) read() {
-	if relay.first {
-		relay.first = false
+	if relay.reading.CompareAndSwap(true, false) {
 		relay.exchange.service.tracker.Read(relay.source.replica.Head().ID, relay.exchange.PromptTokens)
 	}
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	// period is how often an entry tells its load: a stale load costs a wrong
-	// choice of replica, and requests come every 80 ms to an entry.
-	period = 120 * time.Millisecond
+	// period is how often an entry tells its load when nothing changes.
+	period = 250 * time.Millisecond
+	// minPeriod joins changes of the load that come together. A replica reads
+	// prompts in passes of about 80 ms: entries that choose one within a pass have
+	// to know of each other.
+	minPeriod = 12 * time.Millisecond
 	// freshFor is how long a peer's load counts.
 	freshFor = 800 * time.Millisecond
 	// liveFor is how long a silent peer counts as live: several lost datagrams.
@@ -102,17 +105,23 @@
 	go node.receive()
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
+	told := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		case <-node.urgent:
+			time.Sleep(minPeriod - min(minPeriod, time.Since(told)))
 		}
+		told = time.Now()
 		node.tell(false)
 	}
 }
 
+// LoadChanged has the peers told soon.
+func (node *Node) LoadChanged() { node.hurry() }
+
 // Leave tells the peers that this entry takes no more part.
 func (node *Node) Leave() { node.tell(true) }
 
