Repair with staged targets first; keep members that only lost the store

Replicas were dissolved and given to targets that had to load for 16 s; a member cut off from the store counted as dead though its replica streamed on; a leaving member was replaced by one that had to load; the first division left one large replica less than possible. Ruled out: detection (0.4 s after a loss), refused orders (1 of 60). Change: staged targets first, then dissolving others of the model, then loads; a vanished member that answers keeps its replica for 12 s; leaving members serve on without a staged substitute; the first division is searched (Compose). Conclusion: a target that has to load is no repair.

--- a/control/directory.go
+++ b/control/directory.go
@@ -16,6 +16,9 @@
 	// lostFor is how long a target found dead stays out although it is listed: the
 	// list drops it after three heartbeats.
 	lostFor = 5 * time.Second
+	// unlistedFor is how long a member that vanished from the list, and answers,
+	// may keep its replica: cuts from the store alone last about ten seconds.
+	unlistedFor = 12 * time.Second
 	// absentFor is how long a target that has vanished is remembered: its replica's
 	// members may have to be freed from it.
 	absentFor = time.Minute
@@ -31,10 +34,13 @@
 		targets map[string]greengageroute.Target
 		dropAt  map[string]time.Time // vanished during an outage of the store
 		absent  map[string]absentTarget
-		lost    map[mesh.LostTarget]time.Time
-		routes  *greengageroute.RouteTable
-		watch   map[uint64]func()
-		watches uint64
+		// unlisted are members that have vanished from the list, which happens also to
+		// targets that only lost the store: their replicas may still be whole.
+		unlisted map[string]absentTarget
+		lost     map[mesh.LostTarget]time.Time
+		routes   *greengageroute.RouteTable
+		watch    map[uint64]func()
+		watches  uint64
 
 		view atomic.Pointer[View]
 	}
@@ -58,8 +64,8 @@
 func NewDirectory(clock greengageroute.Clock) *Directory {
 	directory := &Directory{
 		clock: clock, targets: map[string]greengageroute.Target{}, dropAt: map[string]time.Time{},
-		absent: map[string]absentTarget{},
-		lost:   map[mesh.LostTarget]time.Time{}, watch: map[uint64]func(){},
+		absent: map[string]absentTarget{}, unlisted: map[string]absentTarget{},
+		lost: map[mesh.LostTarget]time.Time{}, watch: map[uint64]func(){},
 	}
 	directory.view.Store(&View{})
 	return directory
@@ -128,6 +134,7 @@
 		target.Since = known.Since
 	}
 	delete(directory.absent, target.ID)
+	delete(directory.unlisted, target.ID)
 	directory.targets[target.ID] = target
 	delete(directory.dropAt, target.ID)
 }
@@ -144,7 +151,11 @@
 
 func (directory *Directory) drop(id string) {
 	if target, found := directory.targets[id]; found {
-		directory.absent[id] = absentTarget{target, directory.clock.Now()}
+		gone := absentTarget{target, directory.clock.Now()}
+		directory.absent[id] = gone
+		if target.State == greengageroute.TargetReady && target.Member.Rank > 0 && target.Member.Formed() {
+			directory.unlisted[id] = gone
+		}
 	}
 	delete(directory.targets, id)
 	delete(directory.dropAt, id)
@@ -165,6 +176,18 @@
 	return news
 }
 
+// Unlisted returns the members that have vanished from the list and count as
+// present until they are found dead.
+func (directory *Directory) Unlisted() []mesh.LostTarget {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	var vanished []mesh.LostTarget
+	for id, gone := range directory.unlisted {
+		vanished = append(vanished, mesh.LostTarget{ID: id, Born: gone.target.Born})
+	}
+	return vanished
+}
+
 // MarkFound takes back that a target was found dead.
 func (directory *Directory) MarkFound(found mesh.LostTarget) {
 	directory.change(func() { delete(directory.lost, found) })
@@ -181,6 +204,9 @@
 	for _, since := range directory.lost {
 		due = due || now.Sub(since) > lostFor
 	}
+	for _, gone := range directory.unlisted {
+		due = due || now.Sub(gone.since) > unlistedFor
+	}
 	directory.mu.Unlock()
 	if !due {
 		return
@@ -191,6 +217,7 @@
 				directory.drop(id)
 			}
 		}
+		maps.DeleteFunc(directory.unlisted, func(_ string, gone absentTarget) bool { return now.Sub(gone.since) > unlistedFor })
 		maps.DeleteFunc(directory.absent, func(_ string, gone absentTarget) bool { return now.Sub(gone.since) > absentFor })
 		maps.DeleteFunc(directory.lost, func(_ mesh.LostTarget, since time.Time) bool { return now.Sub(since) > lostFor })
 	})
@@ -226,6 +253,14 @@
 		view.Targets[id] = target
 		view.Pools[target.Pool] = append(view.Pools[target.Pool], target)
 	}
+	for id, gone := range directory.unlisted {
+		target := gone.target
+		if _, lost := directory.lost[mesh.LostTarget{ID: id, Born: target.Born}]; !lost {
+			target.Unlisted = true
+			view.Targets[id] = target
+			view.Pools[target.Pool] = append(view.Pools[target.Pool], target)
+		}
+	}
 	if directory.routes == nil {
 		return view
 	}
--- a/control/planner.go
+++ b/control/planner.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/mesh"
 )
 
 const (
@@ -27,6 +28,8 @@
 	// stagingShare of the loads that may start is used for spares; the rest is for
 	// joins.
 	stagingShare = 0.8
+	// logEvery bounds the lines about a pool's state.
+	logEvery = 250 * time.Millisecond
 	// silentOrders is how many orders in a row a dead target leaves unanswered.
 	silentOrders = 2
 	// signsWithin is how recent an answer to any entry shows that a target lives.
@@ -61,6 +64,7 @@
 		directory *Directory
 		routes    func() *greengageroute.RouteTable
 		serving   func() bool
+		doubt     func(vanished []mesh.LostTarget) // has them asked whether they live
 		clock     greengageroute.Clock
 		counters  *expvar.Map
 		log       logr.Logger
@@ -70,6 +74,9 @@
 		listed  int
 		changed time.Time
 
+		logged   map[string]string // the last state logged, by pool
+		loggedAt time.Time
+
 		fence      uint64
 		formations map[string]*greengageroute.Formation
 
@@ -95,12 +102,12 @@
 )
 
 // NewPlanner returns a planner.
-func NewPlanner(lease *Lease, orderer Orderer, witness Witness, directory *Directory, routes func() *greengageroute.RouteTable, serving func() bool, settle time.Duration, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Planner {
+func NewPlanner(lease *Lease, orderer Orderer, witness Witness, directory *Directory, routes func() *greengageroute.RouteTable, serving func() bool, doubt func(vanished []mesh.LostTarget), settle time.Duration, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Planner {
 	return &Planner{
-		lease: lease, orderer: orderer, witness: witness, directory: directory, routes: routes, serving: serving, settle: settle, clock: clock,
+		lease: lease, orderer: orderer, witness: witness, directory: directory, routes: routes, serving: serving, doubt: doubt, settle: settle, clock: clock,
 		counters: counters, log: log, wake: make(chan struct{}, 1),
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staged: map[string]stagedModel{},
-		settledAt: map[string]time.Time{}, silentFor: map[string]int{},
+		logged: map[string]string{}, settledAt: map[string]time.Time{}, silentFor: map[string]int{},
 	}
 }
 
@@ -144,6 +151,7 @@
 	if !tenure.Holds(planner.clock.Now(), OrderTimeout) || routes == nil || !view.Listed {
 		return
 	}
+	planner.doubt(planner.directory.Unlisted())
 	if tenure.Fence != planner.fence {
 		planner.fence = tenure.Fence
 		clear(planner.formations)
@@ -187,9 +195,11 @@
 		planner.log.Info("replica assigned", "replica", changed.Name, "epoch", changed.Epoch, "model", changed.Model,
 			"domain", changed.Domain, "members", strings.Join(changed.Members, ","))
 	}
-	for _, order := range formation.Orders(view) {
+	orders := formation.Orders(view)
+	for _, order := range orders {
 		planner.send(ctx, order, view)
 	}
+	planner.logState(view, formation, len(orders))
 	for _, order := range formation.Stage(view, planner.loadsLeft(view)) {
 		planner.send(ctx, order, view)
 	}
@@ -206,6 +216,24 @@
 	return view.Serving || planner.listed > 0 && now.Sub(planner.changed) >= planner.settle
 }
 
+// logState logs how the pool stands, when that has changed.
+func (planner *Planner) logState(view greengageroute.PoolView, formation *greengageroute.Formation, orders int) {
+	open := map[string]int{}
+	for _, assignment := range formation.Assignments {
+		if view.Targets[assignment.Members[0]].Member.Serves(assignment.Name, assignment.Epoch) && assignment.Opened {
+			open[assignment.Model]++
+		}
+	}
+	state := fmt.Sprint(len(view.Targets), len(formation.Assignments), open)
+	now := planner.clock.Now()
+	if state == planner.logged[view.Pool] || now.Sub(planner.loggedAt) < logEvery {
+		return
+	}
+	planner.logged[view.Pool], planner.loggedAt = state, now
+	planner.log.Info("pool", "pool", view.Pool, "targets", len(view.Targets), "absent", len(view.Absent),
+		"assigned", len(formation.Assignments), "open", fmt.Sprint(open), "orders", orders)
+}
+
 // loadsLeft returns how many loads for spares may start now, so that joins find
 // the weights' store free.
 func (planner *Planner) loadsLeft(view greengageroute.PoolView) int {
@@ -222,7 +250,14 @@
 		}
 	}
 	planner.loads = recent
-	return max(int(view.Engine.LoadsPerSecond*stagingShare)-len(recent), 0)
+	underway := 0
+	for _, staged := range planner.staged {
+		if now.Before(staged.until) {
+			underway++
+		}
+	}
+	perSecond := int(view.Engine.LoadsPerSecond*stagingShare) - len(recent)
+	return max(min(perSecond, view.Engine.LoadsAtOnce-underway), 0)
 }
 
 // send gives an order in the background, unless the same was given just before.
@@ -238,7 +273,7 @@
 	planner.sent[order.Target.ID] = sentOrder{text, now}
 	model, _ := view.Engine.Model(order.Model)
 	if order.Kind == greengageroute.OrderStage {
-		planner.staged[order.Target.ID] = stagedModel{order.Model, now.Add(model.LoadTime * 2)}
+		planner.staged[order.Target.ID] = stagedModel{order.Model, now.Add(model.LoadTime)}
 		planner.loads = append(planner.loads, now)
 	}
 	if order.Kind == greengageroute.OrderJoin && !order.Target.HasStaged(order.Model) && order.Target.Member.Model != order.Model {
--- a/control/prober.go
+++ b/control/prober.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"maps"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	probeTries = 2
 	// probeRest is how long a replica whose members all answer is left alone.
 	probeRest = 700 * time.Millisecond
+	// doubtRest is how often a member that has vanished from the list is asked.
+	doubtRest = time.Second
 )
 
 // Counters of the prober; docs/OPERATIONS.md lists them.
@@ -46,8 +49,9 @@
 		counters  *expvar.Map
 		log       logr.Logger
 
-		mu    sync.Mutex
-		asked map[greengageroute.ReplicaKey]time.Time
+		mu      sync.Mutex
+		asked   map[greengageroute.ReplicaKey]time.Time
+		doubted map[mesh.LostTarget]time.Time
 	}
 )
 
@@ -55,7 +59,7 @@
 func NewProber(reporter Reporter, directory *Directory, spread func(lost ...mesh.LostTarget), clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Prober {
 	return &Prober{
 		reporter: reporter, directory: directory, spread: spread, clock: clock, counters: counters, log: log,
-		asked: map[greengageroute.ReplicaKey]time.Time{},
+		asked: map[greengageroute.ReplicaKey]time.Time{}, doubted: map[mesh.LostTarget]time.Time{},
 	}
 }
 
@@ -121,6 +125,22 @@
 	return false
 }
 
+// Doubt asks about members that have vanished from the list, each at most once
+// in a while.
+func (prober *Prober) Doubt(vanished []mesh.LostTarget) {
+	now := prober.clock.Now()
+	prober.mu.Lock()
+	defer prober.mu.Unlock()
+	for _, one := range vanished {
+		if since, known := prober.doubted[one]; known && now.Sub(since) < doubtRest {
+			continue
+		}
+		prober.doubted[one] = now
+		go prober.Confirm([]mesh.LostTarget{one})
+	}
+	maps.DeleteFunc(prober.doubted, func(_ mesh.LostTarget, since time.Time) bool { return now.Sub(since) > time.Minute })
+}
+
 // Confirm asks about targets that another entry found dead and marks those that
 // give no answer here either.
 func (prober *Prober) Confirm(lost []mesh.LostTarget) {
@@ -130,8 +150,9 @@
 			continue
 		}
 		go func() {
-			if !prober.alive(target) {
-				prober.directory.MarkLost(one)
+			if !prober.alive(target) && len(prober.directory.MarkLost(one)) > 0 {
+				prober.counters.Add(CountTargetsLost, 1)
+				prober.log.Info("target found dead", "target", one.ID, "born", one.Born, "replica", target.Member.Replica, "epoch", target.Member.Epoch)
 			}
 		}()
 	}
--- a/formation.go
+++ b/formation.go
@@ -14,6 +14,12 @@
 // replacement takes to load.
 const spareShare = 0.08
 
+// Costs of joining, up to which a target counts as a spare.
+const (
+	joinStaged  = 1
+	joinLoading = 3
+)
+
 // imbalance is how much less, against their shares, one model may have than
 // another before replicas are dissolved: that costs their loads anew.
 const imbalance = 0.4
@@ -45,6 +51,12 @@
 		Settled map[string]time.Time
 	}
 
+	// brokenAssignment is an assignment that lacks members, and those it has kept.
+	brokenAssignment struct {
+		Assignment
+		kept []string
+	}
+
 	// Formation is the planner's working state: it is changed in place, by one
 	// goroutine, and can be rebuilt from what the targets report.
 	Formation struct {
@@ -115,7 +127,7 @@
 	ratio := func(model EngineModel) float64 { return covered[model.Name] / max(model.Share, 0.01) }
 	slices.SortStableFunc(models, func(a, b EngineModel) int { return cmp.Compare(ratio(a), ratio(b)) })
 	poor, rich := models[0], models[len(models)-1]
-	if ratio(poor) >= imbalance*ratio(rich) || covered[rich.Name] < 2*float64(rich.Size) {
+	if view.Serving && covered[poor.Name] > 0 || ratio(poor) >= imbalance*ratio(rich) || covered[rich.Name] < 2*float64(rich.Size) {
 		return false
 	}
 	names, sizes := view.domains()
@@ -162,57 +174,100 @@
 	}
 }
 
-// repair gives every assignment that lacks members new ones of its domain. One
-// that can't be filled is dissolved, so that its members can fill others.
+// repair gives every assignment that lacks members new ones of its domain: those
+// with staged weights if there are enough, after dissolving others of the model
+// if need be, and else ones that have to load. A replica that only has members
+// about to leave goes on until staged targets can take their places.
 func (formation *Formation) repair(view PoolView) []Assignment {
-	var sound, broken []Assignment
-	for _, assignment := range formation.Assignments {
-		if view.needsRepair(assignment) {
-			broken = append(broken, assignment)
-		} else {
-			sound = append(sound, assignment)
-		}
-	}
+	broken := formation.takeBroken(view)
 	if len(broken) == 0 {
 		return nil
 	}
-	formation.Assignments = sound
-	var changed []Assignment
-	survivors := map[string][]string{}
 	held := NewSet[string]()
-	for _, assignment := range broken {
-		kept := view.survivors(assignment)
-		survivors[assignment.Name] = kept
-		for _, id := range kept {
+	for _, one := range broken {
+		for _, id := range one.kept {
 			held.Add(id)
 		}
 	}
-	slices.SortStableFunc(broken, func(a, b Assignment) int {
-		return cmp.Compare(len(a.Members)-len(survivors[a.Name]), len(b.Members)-len(survivors[b.Name]))
+	var changed []Assignment
+	fill := func(one brokenAssignment, longest int) bool {
+		spares := formation.spares(view, one.Assignment, held, longest)
+		if len(spares) < one.missing() {
+			return false
+		}
+		changed = append(changed, formation.reassign(one, spares[:one.missing()]))
+		return true
+	}
+	broken = slices.DeleteFunc(broken, func(one brokenAssignment) bool { return fill(one, joinStaged) })
+	broken = slices.DeleteFunc(broken, func(one brokenAssignment) bool {
+		if view.onlyLeaving(one.Assignment) {
+			formation.Assignments = append(formation.Assignments, one.Assignment)
+			return true
+		}
+		return false
+	})
+	broken = formation.merge(broken, held, fill)
+	for _, one := range broken {
+		if !fill(one, joinLoading) {
+			for _, id := range one.kept {
+				delete(held, id)
+			}
+		}
+	}
+	return changed
+}
+
+// takeBroken removes the assignments that need repair and returns them, those
+// first that miss the fewest members.
+func (formation *Formation) takeBroken(view PoolView) []brokenAssignment {
+	var broken []brokenAssignment
+	formation.Assignments = slices.DeleteFunc(formation.Assignments, func(assignment Assignment) bool {
+		if !view.needsRepair(assignment) {
+			return false
+		}
+		broken = append(broken, brokenAssignment{assignment, view.survivors(assignment)})
+		return true
 	})
-	for _, assignment := range broken {
-		missing := len(assignment.Members) - len(survivors[assignment.Name])
-		spares := formation.spares(view, assignment, held)
-		if len(spares) < missing {
-			if view.onlyLeaving(assignment) {
-				formation.Assignments = append(formation.Assignments, assignment)
+	slices.SortStableFunc(broken, func(a, b brokenAssignment) int { return cmp.Compare(a.missing(), b.missing()) })
+	return broken
+}
+
+// merge dissolves broken replicas whose members fill others of their model and
+// domain, from the emptiest on, and returns those that are still broken.
+func (formation *Formation) merge(broken []brokenAssignment, held Set[string], fill func(brokenAssignment, int) bool) []brokenAssignment {
+	for giver := len(broken) - 1; giver > 0; giver-- {
+		for taker := range giver {
+			if broken[taker].Model != broken[giver].Model || broken[taker].Domain != broken[giver].Domain {
 				continue
 			}
-			for _, id := range survivors[assignment.Name] {
+			for _, id := range broken[giver].kept {
 				delete(held, id)
 			}
-			continue
+			if fill(broken[taker], joinStaged) {
+				broken = slices.Delete(broken, giver, giver+1)
+				return formation.merge(slices.Delete(broken, taker, taker+1), held, fill)
+			}
+			for _, id := range broken[giver].kept {
+				held.Add(id)
+			}
 		}
-		formation.epoch++
-		assignment.Epoch, assignment.Opened = formation.epoch, false
-		assignment.Members = append(slices.Clone(survivors[assignment.Name]), spares[:missing]...)
-		formation.Assignments = append(formation.Assignments, assignment)
-		formation.noteHead(assignment)
-		changed = append(changed, assignment)
 	}
-	return changed
+	return broken
+}
+
+// reassign puts a broken assignment back with new members under a new epoch.
+func (formation *Formation) reassign(one brokenAssignment, spares []string) Assignment {
+	assignment := one.Assignment
+	formation.epoch++
+	assignment.Epoch, assignment.Opened = formation.epoch, false
+	assignment.Members = append(slices.Clone(one.kept), spares...)
+	formation.Assignments = append(formation.Assignments, assignment)
+	formation.noteHead(assignment)
+	return assignment
 }
 
+func (one brokenAssignment) missing() int { return len(one.Members) - len(one.kept) }
+
 // noteHead remembers the head of a replica for as long as targets may be its members.
 func (formation *Formation) noteHead(assignment Assignment) {
 	formation.heads[ReplicaKey{assignment.Name, assignment.Epoch}] = assignment.Members[0]
@@ -247,23 +302,25 @@
 func (view PoolView) survivors(assignment Assignment) []string {
 	var kept []string
 	for _, id := range assignment.Members {
-		if target, found := view.Targets[id]; found && target.State == TargetReady {
+		if target, found := view.Targets[id]; found && target.State == TargetReady && !target.Unlisted {
 			kept = append(kept, id)
 		}
 	}
 	return kept
 }
 
-// spares returns the free targets of the assignment's domain, those first that
-// join soonest.
-func (formation *Formation) spares(view PoolView, assignment Assignment, held Set[string]) []string {
+// spares returns the free targets of the assignment's domain that join within
+// the given cost, those first that join soonest.
+func (formation *Formation) spares(view PoolView, assignment Assignment, held Set[string], longest int) []string {
 	free := formation.free(view, assignment.Domain, held)
 	slices.SortStableFunc(free, func(a, b Target) int {
 		return cmp.Compare(joinCost(a, assignment.Model), joinCost(b, assignment.Model))
 	})
 	ids := make([]string, 0, len(free))
 	for _, target := range free {
-		ids = append(ids, target.ID)
+		if joinCost(target, assignment.Model) <= longest {
+			ids = append(ids, target.ID)
+		}
 	}
 	return ids
 }
@@ -274,11 +331,11 @@
 	case target.Member.Model == model:
 		return 0
 	case target.HasStaged(model):
-		return 1
+		return joinStaged
 	case len(target.Staged) == 0:
 		return 2
 	default:
-		return 3 // its staged weights may serve another replica
+		return joinLoading // its staged weights may serve another replica
 	}
 }
 
@@ -292,7 +349,7 @@
 	}
 	var free []Target
 	for id, target := range view.Targets {
-		if target.Domain == domain && target.State == TargetReady && !assigned.Has(id) && !held.Has(id) {
+		if target.Domain == domain && target.State == TargetReady && !target.Unlisted && !assigned.Has(id) && !held.Has(id) {
 			free = append(free, target)
 		}
 	}
@@ -304,7 +361,7 @@
 func (view PoolView) domains() (names []string, sizes map[string]int) {
 	sizes = map[string]int{}
 	for _, target := range view.Targets {
-		if target.State == TargetReady {
+		if target.State == TargetReady && !target.Unlisted {
 			sizes[target.Domain]++
 		}
 	}
@@ -315,45 +372,61 @@
 	return names, sizes
 }
 
-// grow forms replicas from free targets, always of the model that is furthest
-// below its share, where the domain keeps its spares. A model without any
-// replica may use the spares too.
+// grow forms replicas from free targets, where the domain keeps its spares: first
+// from targets that have the weights, then from others. Both are of the model
+// that is furthest below its share. A model without any replica may use the
+// spares too.
 func (formation *Formation) grow(view PoolView) []Assignment {
 	var changed []Assignment
-	names, sizes := view.domains()
-	for {
-		model, domain, found := formation.next(view, names, sizes)
-		if !found {
-			return changed
+	if len(formation.Assignments) == 0 && !view.Serving {
+		for _, place := range Compose(view) {
+			changed = append(changed, formation.form(view, place.Model, place.Domain))
 		}
-		formation.epoch++
-		formation.names++
-		assignment := Assignment{
-			Name: "r" + strconv.FormatUint(formation.names, 36), Epoch: formation.epoch, Model: model.Name, Domain: domain,
+	}
+	for _, longest := range []int{joinStaged, joinLoading} {
+		for {
+			model, domain, found := formation.next(view, longest)
+			if !found {
+				break
+			}
+			changed = append(changed, formation.form(view, model, domain))
 		}
-		assignment.Members = formation.spares(view, assignment, nil)[:model.Size]
-		formation.Assignments = append(formation.Assignments, assignment)
-		formation.noteHead(assignment)
-		changed = append(changed, assignment)
 	}
+	return changed
+}
+
+// form makes a new replica of a domain's free targets.
+func (formation *Formation) form(view PoolView, model EngineModel, domain string) Assignment {
+	formation.epoch++
+	formation.names++
+	assignment := Assignment{
+		Name: "r" + strconv.FormatUint(formation.names, 36), Epoch: formation.epoch, Model: model.Name, Domain: domain,
+	}
+	assignment.Members = formation.spares(view, assignment, nil, joinLoading)[:model.Size]
+	formation.Assignments = append(formation.Assignments, assignment)
+	formation.noteHead(assignment)
+	return assignment
 }
 
-// next picks the model and the domain of the next new replica.
-func (formation *Formation) next(view PoolView, names []string, sizes map[string]int) (EngineModel, string, bool) {
+// next picks the model and the domain of the next new replica, whose members
+// join within the given cost.
+func (formation *Formation) next(view PoolView, longest int) (EngineModel, string, bool) {
+	names, sizes := view.domains()
 	models := slices.Clone(view.Engine.Models)
 	covered := formation.covered(view.Engine)
 	slices.SortStableFunc(models, func(a, b EngineModel) int {
 		return cmp.Compare(covered[a.Name]/max(a.Share, 0.01), covered[b.Name]/max(b.Share, 0.01))
 	})
 	for _, model := range models {
-		best, most := "", 0
+		best, most := "", -1
 		for _, name := range names {
+			ready := len(formation.spares(view, Assignment{Model: model.Name, Domain: name}, nil, longest))
 			left := len(formation.free(view, name, nil)) - model.Size
-			if left >= reserveOf(sizes[name], covered[model.Name]) && left+1 > most {
-				best, most = name, left+1
+			if ready >= model.Size && left >= reserveOf(sizes[name], covered[model.Name]) && left > most {
+				best, most = name, left
 			}
 		}
-		if best != "" || most > 0 {
+		if most >= 0 {
 			return model, best, true
 		}
 	}
--- a/target.go
+++ b/target.go
@@ -41,6 +41,9 @@
 		Revision uint64
 		// Since is when this entry saw the target listed, without a break since.
 		Since time.Time
+		// Unlisted tells that the target has vanished from the list but is a member of
+		// a replica that may still be whole.
+		Unlisted bool
 	}
 
 	// Membership is a target's place in a replica. The zero value is none.
