Ask once whether a silent target lives, not from every entry at every message

News of dead targets goes along with each message for a second, and every receiver asked the target anew each time; a target found dead came back as merely unlisted. Change: the planner alone asks again, once a second at most; other entries take the word for a replica that is silent for them too; entries that notice the same silence wait up to 60 ms for each other.

--- a/control/directory.go
+++ b/control/directory.go
@@ -170,6 +170,7 @@
 			if since, known := directory.lost[one]; !known || now.Sub(since) > lostFor {
 				news = append(news, one)
 				directory.lost[one] = now
+				delete(directory.unlisted, one.ID)
 			}
 		}
 	})
--- a/control/prober.go
+++ b/control/prober.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -22,7 +23,9 @@
 	probeTries = 2
 	// probeRest is how long a replica whose members all answer is left alone.
 	probeRest = 700 * time.Millisecond
-	// doubtRest is how often a member that has vanished from the list is asked.
+	// askSpread is how far apart entries ask that noticed the same silence.
+	askSpread = 60 * time.Millisecond
+	// doubtRest is how often a target that may be dead is asked.
 	doubtRest = time.Second
 )
 
@@ -49,9 +52,9 @@
 		counters  *expvar.Map
 		log       logr.Logger
 
-		mu      sync.Mutex
-		asked   map[greengageroute.ReplicaKey]time.Time
-		doubted map[mesh.LostTarget]time.Time
+		mu        sync.Mutex
+		asked     map[greengageroute.ReplicaKey]time.Time
+		confirmed map[mesh.LostTarget]time.Time
 	}
 )
 
@@ -59,7 +62,7 @@
 func NewProber(reporter Reporter, directory *Directory, spread func(lost ...mesh.LostTarget), clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Prober {
 	return &Prober{
 		reporter: reporter, directory: directory, spread: spread, clock: clock, counters: counters, log: log,
-		asked: map[greengageroute.ReplicaKey]time.Time{}, doubted: map[mesh.LostTarget]time.Time{},
+		asked: map[greengageroute.ReplicaKey]time.Time{}, confirmed: map[mesh.LostTarget]time.Time{},
 	}
 }
 
@@ -80,7 +83,23 @@
 	go prober.ask(replica)
 }
 
+// present tells whether all members are still taken to be alive.
+func (prober *Prober) present(replica greengageroute.Replica) bool {
+	targets := prober.directory.View().Targets
+	for _, member := range replica.Members {
+		if known, found := targets[member.ID]; !found || known.Born != member.Born {
+			return false
+		}
+	}
+	return true
+}
+
 func (prober *Prober) ask(replica greengageroute.Replica) {
+	// All entries notice at about the same time; one of them tells the others.
+	time.Sleep(rand.N(askSpread))
+	if !prober.present(replica) {
+		return
+	}
 	dead := make(chan mesh.LostTarget, len(replica.Members))
 	var asking sync.WaitGroup
 	for _, member := range replica.Members {
@@ -125,26 +144,21 @@
 	return false
 }
 
-// Doubt asks about members that have vanished from the list, each at most once
-// in a while.
-func (prober *Prober) Doubt(vanished []mesh.LostTarget) {
-	now := prober.clock.Now()
-	prober.mu.Lock()
-	defer prober.mu.Unlock()
-	for _, one := range vanished {
-		if since, known := prober.doubted[one]; known && now.Sub(since) < doubtRest {
-			continue
-		}
-		prober.doubted[one] = now
-		go prober.Confirm([]mesh.LostTarget{one})
-	}
-	maps.DeleteFunc(prober.doubted, func(_ mesh.LostTarget, since time.Time) bool { return now.Sub(since) > time.Minute })
-}
-
 // Confirm asks about targets that another entry found dead and marks those that
 // give no answer here either.
 func (prober *Prober) Confirm(lost []mesh.LostTarget) {
+	now := prober.clock.Now()
 	for _, one := range lost {
+		prober.mu.Lock()
+		since, known := prober.confirmed[one]
+		if !known || now.Sub(since) >= doubtRest {
+			prober.confirmed[one] = now
+		}
+		maps.DeleteFunc(prober.confirmed, func(_ mesh.LostTarget, since time.Time) bool { return now.Sub(since) > time.Minute })
+		prober.mu.Unlock()
+		if known && now.Sub(since) < doubtRest {
+			continue
+		}
 		target, listed := prober.directory.View().Targets[one.ID]
 		if !listed || target.Born != one.Born {
 			continue
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -102,6 +102,10 @@
 	filter func(ctx context.Context, exchange *exchange) error
 )
 
+// hearsWithin is how recent a sign shows that a replica has all its members: it
+// stands still at once without one of them, and passes take 50 to 300 ms.
+const hearsWithin = 150 * time.Millisecond
+
 // Counters of the chain; docs/OPERATIONS.md lists them.
 const (
 	CountRequests = "requests"
@@ -125,6 +129,20 @@
 // Served tells whether requests have come.
 func (service *Service) Served() bool { return service.served.Load() }
 
+// Hears tells whether a target's replica has sent something to this entry within
+// the time that a pass takes.
+func (service *Service) Hears(target greengageroute.Target) bool {
+	for _, replicas := range service.Directory.View().Replicas[target.Pool] {
+		for _, replica := range replicas {
+			if target.Member.Serves(replica.Name, replica.Epoch) {
+				seen := service.tracker.Seen(replica.Head().ID)
+				return seen.Running > 0 && time.Since(seen.LastSign) < hearsWithin
+			}
+		}
+	}
+	return false
+}
+
 // Stop has answers tell callers to close their connections.
 func (service *Service) Stop() { service.stopping.Store(true) }
 
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"greengageroute.example/greengageroute/mesh"
@@ -67,8 +68,22 @@
 // Serving implements mesh.Source.
 func (entry *Entry) Serving() bool { return entry.serving() }
 
-// TargetsLost implements mesh.Sink.
-func (entry *Entry) TargetsLost(_ string, lost []mesh.LostTarget) { entry.prober.Confirm(lost) }
+// TargetsLost implements mesh.Sink. The planner asks for itself before it acts;
+// the others take the word of an entry for a replica that is silent here too.
+func (entry *Entry) TargetsLost(_ string, lost []mesh.LostTarget) {
+	if entry.lease.News().Holder != "" {
+		entry.prober.Confirm(lost)
+		return
+	}
+	view := entry.directory.View()
+	silent := slices.DeleteFunc(slices.Clone(lost), func(one mesh.LostTarget) bool {
+		target, listed := view.Targets[one.ID]
+		return !listed || target.Born != one.Born || entry.callers.Hears(target)
+	})
+	if len(silent) > 0 {
+		entry.directory.MarkLost(silent...)
+	}
+}
 
 // RequestsCrashed implements mesh.Sink.
 func (entry *Entry) RequestsCrashed(string, []mesh.CrashReport) {}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -95,7 +95,7 @@
 	}
 	orders := platform.NewTargets()
 	entry.prober = control.NewProber(orders, entry.directory, entry.node.ReportLost, clock, entry.counters, entry.log)
-	entry.planner = control.NewPlanner(entry.lease, orders, entry.node, entry.directory, entry.follower.Routes, entry.serving, entry.prober.Doubt, deployment.Bounds.Heartbeat, clock, entry.counters, entry.log)
+	entry.planner = control.NewPlanner(entry.lease, orders, entry.node, entry.directory, entry.follower.Routes, entry.serving, entry.prober.Confirm, deployment.Bounds.Heartbeat, clock, entry.counters, entry.log)
 	entry.callers = edge.New(edge.Parts{
 		DataCentre: deployment.DataCentre, Bounds: deployment.Bounds, Config: entry.follower, Directory: entry.directory,
 		Peers: entry.node, Suspects: entry.prober, Sender: entry.upstream, Counters: entry.counters, Latencies: entry.latencies, Log: entry.log,
