Move the planner's lease within 2 s; await the rest of a domain that returns

Ruled out: the store (no call failed), orders (none refused). Change: term 1.6 s (2.5 s), renewed each 0.5 s; an earlier life of the same entry is succeeded at once; the lease is read only when the holder's word has been missing for a term; no replica that has to load is formed in a domain whose targets are still arriving.

--- a/control/lease.go
+++ b/control/lease.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,14 +20,15 @@
 const (
 	controlTable = "control"
 	leaseKey     = "planner"
-	// leaseTerm outlasts two renewals that get no answer in time.
-	leaseTerm = 2500 * time.Millisecond
+	// lifeMark parts an entry's name from its life in the holder's name.
+	lifeMark = "#"
+	// leaseTerm outlasts two renewals: a lost member goes without a substitute for
+	// as long as nobody holds the lease.
+	leaseTerm = 1600 * time.Millisecond
 	// renewEvery leaves two more tries within a term.
-	renewEvery = 800 * time.Millisecond
-	// heardFor is how long the holder's word keeps others from reading the lease.
-	heardFor = time.Second
+	renewEvery = 500 * time.Millisecond
 	// watchEvery is how often the lease is read while its holder is silent.
-	watchEvery = 400 * time.Millisecond
+	watchEvery = 300 * time.Millisecond
 )
 
 type (
@@ -40,7 +43,8 @@
 		store  LeaseStore
 		clock  greengageroute.Clock
 		log    logr.Logger
-		holder string
+		holder string // the entry's name and its life
+		born   time.Time
 
 		mu      sync.Mutex
 		tenure  greengageroute.Tenure
@@ -48,14 +52,21 @@
 		version uint64 // of the row; 0 while it is not known
 		sure    bool   // the row is as this entry last wrote or read it
 		watch   greengageroute.Watch
-		heard   time.Time
 		step    time.Time // of the last call
 	}
 )
 
 // NewLease returns the lease, not held.
 func NewLease(store LeaseStore, holder string, clock greengageroute.Clock, log logr.Logger) *Lease {
-	return &Lease{store: store, holder: holder, clock: clock, log: log}
+	life := strconv.FormatInt(time.Now().UnixNano(), 36)
+	return &Lease{store: store, holder: holder + lifeMark + life, born: clock.Now(), clock: clock, log: log}
+}
+
+// sameEntry tells whether two holders are lives of one entry.
+func sameEntry(a, b string) bool {
+	nameA, _, _ := strings.Cut(a, lifeMark)
+	nameB, _, _ := strings.Cut(b, lifeMark)
+	return nameA == nameB && a != b
 }
 
 // Tenure returns this entry's hold. It is checked before each order.
@@ -80,7 +91,6 @@
 	lease.mu.Lock()
 	defer lease.mu.Unlock()
 	now := lease.clock.Now()
-	lease.heard = now
 	row := news.Row()
 	if row.Fence > lease.watch.Row.Fence || row.Fence == lease.watch.Row.Fence && row.Renewals > lease.watch.Row.Renewals {
 		lease.watch = greengageroute.Watch{Row: row, Since: now}
@@ -94,12 +104,13 @@
 	now := lease.clock.Now()
 	lease.mu.Lock()
 	held, sure, since := lease.tenure.Holds(now, 0), lease.sure, now.Sub(lease.step)
-	quiet := now.Sub(lease.heard) > heardFor
+	// While the holder's word comes, the row needs no reading.
+	due := lease.watch.Since.IsZero() || lease.watch.Expired(now, leaseTerm, longestOrder)
 	lease.mu.Unlock()
 	switch {
 	case held && sure && since >= renewEvery:
 		return lease.renew(ctx)
-	case held && !sure && since >= watchEvery, !held && quiet && since >= watchEvery:
+	case held && !sure && since >= watchEvery, !held && due && since >= watchEvery:
 		return lease.read(ctx, longestOrder)
 	}
 	return nil
@@ -131,6 +142,8 @@
 	lease.mu.Lock()
 	own := row.Holder == lease.holder && lease.tenure.Holds(began, 0) && row.Fence == lease.tenure.Fence
 	expired := lease.watch.Row == row && lease.watch.Expired(began, leaseTerm, longestOrder)
+	// An earlier life of this entry is over, and its orders have arrived.
+	expired = expired || sameEntry(row.Holder, lease.holder) && began.Sub(lease.born) > longestOrder
 	lease.watch = lease.watch.Seen(row, lease.clock.Now())
 	lease.mu.Unlock()
 	switch {
--- a/formation.go
+++ b/formation.go
@@ -20,6 +20,10 @@
 	joinLoading = 3
 )
 
+// arrivalSpan is how far apart the targets of a domain are listed again that was cut
+// off: a heartbeat, and the list's lag.
+const arrivalSpan = 2 * time.Second
+
 // imbalance is how much less, against their shares, one model may have than
 // another before replicas are dissolved: that costs their loads anew.
 const imbalance = 0.4
@@ -422,6 +426,9 @@
 		for _, name := range names {
 			ready := len(formation.spares(view, Assignment{Model: model.Name, Domain: name}, nil, longest))
 			left := len(formation.free(view, name, nil)) - model.Size
+			if longest > joinStaged && view.arriving(name) {
+				continue
+			}
 			if ready >= model.Size && left >= reserveOf(sizes[name], covered[model.Name]) && left > most {
 				best, most = name, left
 			}
@@ -433,6 +440,17 @@
 	return EngineModel{}, "", false
 }
 
+// arriving tells whether targets of the domain have just been listed: more may
+// follow, with the weights that a replica needs.
+func (view PoolView) arriving(domain string) bool {
+	for _, target := range view.Targets {
+		if target.Domain == domain && view.Now.Sub(target.Since) < arrivalSpan {
+			return true
+		}
+	}
+	return false
+}
+
 // reserveOf returns how many targets of a domain stay free when a replica is
 // formed of a model that has the given number of targets.
 func reserveOf(domain int, covered float64) int {
