--- a/caller/claim_test.go
+++ b/caller/claim_test.go
@@ -160,7 +160,7 @@
 	return New(Parts{
 		Entry: name, State: staticState{config}, Targets: targets, Actions: actions,
 		Chats: greengageroute.NewAdmission(1, refused), Calls: greengageroute.NewAdmission(64, refused),
-		Quarantine: greengageroute.NewQuarantine(), Router: greengageroute.NewRouter(), Flights: NewFlights(), Counters: new(expvar.Map).Init(), Log: logr.Discard(),
+		Quarantine: greengageroute.NewQuarantine(greengageroute.DeathsUntilRefused), Router: greengageroute.NewRouter(), Flights: NewFlights(), Counters: new(expvar.Map).Init(), Log: logr.Discard(),
 	})
 }
 
--- /dev/null
+++ b/control/fakestore_test.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/table"
+)
+
+type (
+	// fakeStore is a store in memory, with faults.
+	fakeStore struct {
+		mu      sync.Mutex
+		version uint64
+		oldest  uint64 // of the history
+		rows    map[string]platform.Row
+		log     []platform.Row
+		changed chan struct{}
+	}
+
+	// fakeLine is one entry's connection to the store.
+	fakeLine struct {
+		*fakeStore
+		mu     sync.Mutex
+		delay  time.Duration
+		down   bool
+		lose   bool // answers to writes
+		frozen chan struct{}
+	}
+)
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{rows: map[string]platform.Row{}, changed: make(chan struct{})}
+}
+
+func (line *fakeLine) set(edit func(line *fakeLine)) {
+	line.mu.Lock()
+	defer line.mu.Unlock()
+	edit(line)
+}
+
+func (line *fakeLine) call() (lose bool, err error) {
+	line.mu.Lock()
+	delay, down, lose := line.delay, line.down, line.lose
+	line.mu.Unlock()
+	time.Sleep(delay)
+	if down {
+		return false, &table.UnavailableError{Cause: errors.New("down")}
+	}
+	return lose, nil
+}
+
+func (line *fakeLine) Read(_ context.Context, name string) (platform.Rows, error) {
+	if _, err := line.call(); err != nil {
+		return platform.Rows{}, err
+	}
+	store := line.fakeStore
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	rows := platform.Rows{Version: store.version}
+	for _, row := range store.rows {
+		if row.Table == name {
+			rows.Rows = append(rows.Rows, row)
+		}
+	}
+	return rows, nil
+}
+
+func (line *fakeLine) Changes(ctx context.Context, name string, after uint64, wait time.Duration) (platform.Rows, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		if _, err := line.call(); err != nil {
+			return platform.Rows{}, err
+		}
+		store := line.fakeStore
+		store.mu.Lock()
+		rows, changed := platform.Rows{Version: store.version}, store.changed
+		gone := after < store.oldest
+		for _, row := range store.log {
+			if row.Table == name && row.Version > after {
+				rows.Rows = append(rows.Rows, row)
+			}
+		}
+		store.mu.Unlock()
+		switch {
+		case gone:
+			return platform.Rows{}, &platform.HistoryGoneError{Table: name}
+		case len(rows.Rows) > 0 || !time.Now().Before(deadline):
+			return rows, nil
+		}
+		select {
+		case <-ctx.Done():
+			return platform.Rows{}, ctx.Err()
+		case <-changed:
+		case <-time.After(time.Until(deadline)):
+		}
+	}
+}
+
+func (line *fakeLine) Commit(_ context.Context, writes ...platform.Write) (uint64, error) {
+	lose, err := line.call()
+	if err != nil {
+		return 0, err
+	}
+	version, err := line.commit(writes)
+	if lose {
+		return 0, &table.UncertainError{Cause: errors.New("the answer was lost")}
+	}
+	return version, err
+}
+
+func (store *fakeStore) commit(writes []platform.Write) (uint64, error) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	for _, write := range writes {
+		if !write.Unconditional && store.rows[write.Table+"/"+write.Key].Version != write.Expect {
+			return 0, &table.ConflictError{Key: write.Key}
+		}
+	}
+	store.version++
+	for _, write := range writes {
+		row := platform.Row{Table: write.Table, Key: write.Key, Value: write.Value, Version: store.version, Deleted: write.Remove}
+		store.log = append(store.log, row)
+		if write.Remove {
+			delete(store.rows, write.Table+"/"+write.Key)
+		} else {
+			store.rows[write.Table+"/"+write.Key] = row
+		}
+	}
+	close(store.changed)
+	store.changed = make(chan struct{})
+	return store.version, nil
+}
+
+func (store *fakeStore) put(name, key, value string) {
+	// Unconditional writes can't conflict.
+	_, _ = store.commit([]platform.Write{{Table: name, Key: key, Value: []byte(value), Unconditional: true}})
+}
+
+func (store *fakeStore) remove(name, key string) {
+	_, _ = store.commit([]platform.Write{{Table: name, Key: key, Unconditional: true, Remove: true}})
+}
+
+// forget drops the history so far.
+func (store *fakeStore) forget() {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.oldest, store.log = store.version+1, nil
+}
--- /dev/null
+++ b/control/heads.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/gravitational/trace"
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/platform"
+)
+
+const (
+	// headsPrefix begins the keys of the rows that keep each pool's heads for the
+	// next planner. A head may be cut off from the store, and out of the list,
+	// while it serves.
+	headsPrefix = "heads-"
+	// keepEvery bounds the writes of heads; a repair takes two to four steps.
+	keepEvery = 250 * time.Millisecond
+)
+
+// readHeads returns the heads that the planner before knew.
+func (planner *Planner) readHeads(ctx context.Context, pool string) ([]greengageroute.ReplicaHead, error) {
+	rows, err := planner.lease.store.Read(ctx, controlTable)
+	if err != nil {
+		return nil, err
+	}
+	for _, row := range rows.Rows {
+		if row.Key == headsPrefix+pool {
+			var heads []greengageroute.ReplicaHead
+			err := json.Unmarshal(row.Value, &heads)
+			return heads, trace.Wrap(err, "decoding the heads of pool %q", pool)
+		}
+	}
+	return nil, nil
+}
+
+// rememberHeads keeps the address of heads that this entry hasn't seen listed.
+func (planner *Planner) rememberHeads(heads []greengageroute.ReplicaHead, view greengageroute.PoolView) {
+	planner.mu.Lock()
+	defer planner.mu.Unlock()
+	for _, head := range heads {
+		if _, listed := view.Targets[head.ID]; !listed {
+			planner.strangers[head.ID] = greengageroute.Target{ID: head.ID, Address: head.Address, Pool: view.Pool}
+		}
+	}
+}
+
+// keepHeads writes the heads for the next planner when they have changed. A
+// write that fails is tried again: it only matters once this planner is gone.
+func (planner *Planner) keepHeads(ctx context.Context, view greengageroute.PoolView, formation *greengageroute.Formation) {
+	text, err := json.Marshal(formation.Heads(view))
+	if err != nil {
+		planner.log.Error(err, "heads not kept", "pool", view.Pool)
+		return
+	}
+	now := planner.clock.Now()
+	planner.mu.Lock()
+	if planner.unkept {
+		clear(planner.kept)
+		planner.unkept = false
+	}
+	planner.mu.Unlock()
+	if planner.kept[view.Pool] == string(text) || now.Sub(planner.keptAt) < keepEvery {
+		return
+	}
+	planner.kept[view.Pool], planner.keptAt = string(text), now
+	go func() {
+		_, err := planner.lease.store.Commit(ctx, platform.Write{
+			Table: controlTable, Key: headsPrefix + view.Pool, Value: text, Unconditional: true,
+		})
+		if err != nil {
+			planner.log.Info("heads not kept", "pool", view.Pool, "cause", err.Error())
+			planner.mu.Lock()
+			defer planner.mu.Unlock()
+			planner.unkept = true
+		}
+	}()
+}
--- a/control/planner.go
+++ b/control/planner.go
@@ -87,7 +87,13 @@
 		// how many orders in a row it has left unanswered.
 		settledAt map[string]time.Time
 		silentFor map[string]int
-		loads     []time.Time // when loads were started
+		// strangers are heads that only an earlier planner has seen.
+		strangers map[string]greengageroute.Target
+		unkept    bool // a write of heads failed
+
+		kept   map[string]string // heads as last written, by pool
+		keptAt time.Time
+		loads  []time.Time // when loads were started
 	}
 
 	sentOrder struct {
@@ -107,7 +113,7 @@
 		lease: lease, orderer: orderer, witness: witness, directory: directory, routes: routes, serving: serving, doubt: doubt, settle: settle, clock: clock,
 		counters: counters, log: log, wake: make(chan struct{}, 1),
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staged: map[string]stagedModel{},
-		logged: map[string]string{}, settledAt: map[string]time.Time{}, silentFor: map[string]int{},
+		logged: map[string]string{}, strangers: map[string]greengageroute.Target{}, kept: map[string]string{}, settledAt: map[string]time.Time{}, silentFor: map[string]int{},
 	}
 }
 
@@ -174,9 +180,15 @@
 		}
 		targets[target.ID] = target
 	}
+	absent := maps.Clone(view.Absent)
+	for id, head := range planner.strangers {
+		if _, known := absent[id]; !known {
+			absent[id] = head
+		}
+	}
 	return greengageroute.PoolView{
 		Pool: name, Engine: engine, Targets: targets, Serving: planner.serving(), Now: now,
-		Absent: view.Absent, Settled: maps.Clone(planner.settledAt),
+		Absent: absent, Settled: maps.Clone(planner.settledAt),
 	}
 }
 
@@ -186,7 +198,14 @@
 		return
 	}
 	if !known {
+		heads, err := planner.readHeads(ctx, view.Pool)
+		if err != nil {
+			planner.log.Info("heads not read; trying again", "pool", view.Pool, "cause", err.Error())
+			return
+		}
 		formation = greengageroute.NewFormation(view, planner.fence*epochsPerFence)
+		formation.Learn(heads)
+		planner.rememberHeads(heads, view)
 		planner.formations[view.Pool] = formation
 		planner.log.Info("formation adopted", "pool", view.Pool, "replicas", len(formation.Assignments), "targets", len(view.Targets))
 	}
@@ -195,6 +214,7 @@
 		planner.log.Info("replica assigned", "replica", changed.Name, "epoch", changed.Epoch, "model", changed.Model,
 			"domain", changed.Domain, "members", strings.Join(changed.Members, ","))
 	}
+	planner.keepHeads(ctx, view, formation)
 	orders := formation.Orders(view)
 	for _, order := range orders {
 		planner.send(ctx, order, view)
--- a/control/prober.go
+++ b/control/prober.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -171,3 +172,14 @@
 		}()
 	}
 }
+
+// Answers tells whether a target accepts a connection.
+func (prober *Prober) Answers(target greengageroute.Target) bool {
+	conn, err := net.DialTimeout("tcp4", target.Address, probeTimeout)
+	if err != nil {
+		return false
+	}
+	// Nothing was sent that a failed close could lose.
+	_ = conn.Close()
+	return true
+}
--- a/edge/call.go
+++ b/edge/call.go
@@ -89,6 +89,7 @@
 	exchange.noteSent(target)
 	exchange.ran = exchange.ran || err != nil || !answer.NotRun
 	if err != nil {
+		exchange.suspectDeath(ctx, target, err)
 		return nil, nil, err
 	}
 	body, err = io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -1,6 +1,6 @@
 // Package edge serves the callers of the users' platform. A request passes
-// through a chain of filters: route, authenticate, read, then pick, send and
-// deliver.
+// through a chain of filters: route, authenticate, read, quarantine, then pick,
+// send and deliver.
 package edge
 
 import (
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/control"
+	"greengageroute.example/greengageroute/mesh"
 	"greengageroute.example/greengageroute/platform"
 	"greengageroute.example/greengageroute/upstream"
 )
@@ -33,12 +34,15 @@
 		Loads() map[string]greengageroute.EngineLoad
 		// LoadChanged has them told of a request that was sent.
 		LoadChanged()
+		ReportCrash(report mesh.CrashReport)
 	}
 
 	// Suspects looks into a replica that has fallen silent.
 	Suspects interface {
 		// Silent has the members of the replica asked whether they live.
 		Silent(replica greengageroute.Replica)
+		// Answers tells whether a target accepts connections.
+		Answers(target greengageroute.Target) bool
 	}
 
 	// Sender sends attempts to targets.
@@ -64,6 +68,7 @@
 	Service struct {
 		Parts
 		tracker  *Tracker
+		suspects *greengageroute.Quarantine
 		stopping atomic.Bool
 		served   atomic.Bool
 
@@ -86,6 +91,7 @@
 		sent     int    // attempts that reached a target
 		tried    string // targets, for the log
 		ran      bool   // a target may have run it
+		digest   string // of what was asked and by whom
 		started  bool   // the answer's head has gone out
 		timing   timing
 	}
@@ -116,11 +122,13 @@
 	CountRepeats  = "repeats"
 	CountNoBudget = "repeats-over-budget"
 	CountResumed  = "streams-resumed"
+	// CountQuarantined counts requests refused because targets died under them.
+	CountQuarantined = "requests-quarantined"
 )
 
 // New returns the service made of its parts.
 func New(parts Parts) *Service {
-	return &Service{Parts: parts, tracker: NewTracker(), budgets: map[string]*greengageroute.RetryWindow{}}
+	return &Service{Parts: parts, tracker: NewTracker(), suspects: greengageroute.NewQuarantine(deathsUntilRefused), budgets: map[string]*greengageroute.RetryWindow{}}
 }
 
 // Tracker returns what the service has under way.
@@ -164,7 +172,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	ctx := caller.Context()
-	for _, step := range []filter{route, authenticate, readBody, serve} {
+	for _, step := range []filter{route, authenticate, readBody, quarantine, serve} {
 		if err := step(ctx, exchange); err != nil {
 			exchange.end(err)
 			return
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -75,6 +75,9 @@
 			break
 		}
 		passed.Add(source.replica.Head().ID)
+		if exchange.started {
+			exchange.service.Counters.Add(CountResumed, 1)
+		}
 		whole, err := exchange.relay(ctx, source)
 		var notSent *upstream.NotSentError
 		switch {
@@ -184,6 +187,7 @@
 	exchange.noteSent(head)
 	exchange.ran = exchange.ran || err != nil || !relay.answer.NotRun
 	if err != nil {
+		exchange.suspectDeath(ctx, head, err)
 		return false, lostCause(ctx, err)
 	}
 	defer func() { relay.answer.Close(whole) }()
@@ -194,6 +198,9 @@
 		return exchange.passFailure(relay.answer)
 	}
 	whole, err = relay.run()
+	if err != nil && !errors.Is(err, errCallerGone) {
+		exchange.suspectDeath(ctx, head, &upstream.LostError{Target: head.ID, Cause: err})
+	}
 	return whole, lostCause(ctx, err)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -86,7 +86,7 @@
 		table: client, list: client, configs: table.NewConfigs(client), fleets: table.NewFleets(client),
 		contracts: table.NewContracts(client), supplier: client,
 		lease:   table.NewLease(client, "plan/"+settings.DataCentre, settings.Name, settings.LeaseTerm, target.OrderTimeout),
-		targets: target.NewClient(), quarantine: greengageroute.NewQuarantine(),
+		targets: target.NewClient(), quarantine: greengageroute.NewQuarantine(greengageroute.DeathsUntilRefused),
 		router: greengageroute.NewRouter(), flights: caller.NewFlights(),
 		events: events, leaving: newLeavingVMs(), health: newHealthTable(),
 	}
--- a/formation.go
+++ b/formation.go
@@ -55,6 +55,14 @@
 		Settled map[string]time.Time
 	}
 
+	// ReplicaHead names the head of a replica, and where it is reached.
+	ReplicaHead struct {
+		Replica string `json:"replica"`
+		Epoch   uint64 `json:"epoch"`
+		ID      string `json:"id"`
+		Address string `json:"address"`
+	}
+
 	// brokenAssignment is an assignment that lacks members, and those it has kept.
 	brokenAssignment struct {
 		Assignment
@@ -106,6 +114,49 @@
 	return formation
 }
 
+// Heads returns the heads of the replicas that targets may still be members of,
+// as they were last seen. The next planner has to know them.
+func (formation *Formation) Heads(view PoolView) []ReplicaHead {
+	var heads []ReplicaHead
+	for key, id := range formation.heads {
+		head, listed := view.Targets[id]
+		if !listed {
+			head = view.Absent[id]
+		}
+		if formation.remembered(key, view) {
+			heads = append(heads, ReplicaHead{Replica: key.Name, Epoch: key.Epoch, ID: id, Address: head.Address})
+		} else {
+			delete(formation.heads, key)
+		}
+	}
+	slices.SortFunc(heads, func(a, b ReplicaHead) int { return cmp.Compare(a.Epoch, b.Epoch) })
+	return heads
+}
+
+// remembered tells whether an assignment or a target still names the replica.
+func (formation *Formation) remembered(key ReplicaKey, view PoolView) bool {
+	for _, assignment := range formation.Assignments {
+		if assignment.Name == key.Name && assignment.Epoch == key.Epoch {
+			return true
+		}
+	}
+	for _, targets := range []map[string]Target{view.Targets, view.Absent} {
+		for _, target := range targets {
+			if target.Member.Serves(key.Name, key.Epoch) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Learn takes over the heads that an earlier planner knew.
+func (formation *Formation) Learn(heads []ReplicaHead) {
+	for _, head := range heads {
+		formation.heads[ReplicaKey{head.Replica, head.Epoch}] = head.ID
+	}
+}
+
 // Update repairs the assignments that have lost members, makes room for a model
 // that has far too little, and forms new replicas from free targets. It returns
 // the replicas that changed.
--- a/formationorders.go
+++ b/formationorders.go
@@ -143,6 +143,9 @@
 	var orders []TargetOrder
 	names, _ := view.domains()
 	for _, name := range names {
+		if view.Serving && view.arriving(name) {
+			continue // what is staged may be what the domain's replicas need
+		}
 		free := formation.free(view, name, nil)
 		spares := map[string]int{}
 		for _, target := range free {
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,130 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+)
+
+// member is one entry of a test.
+type member struct {
+	*Node
+	mu    sync.Mutex
+	loads []Load
+	lost  []LostTarget
+	lease LeaseNews
+	heard []LeaseNews
+}
+
+func (member *member) Loads() []Load {
+	member.mu.Lock()
+	defer member.mu.Unlock()
+	return member.loads
+}
+func (member *member) Lease() LeaseNews { return member.lease }
+func (member *member) Serving() bool    { return true }
+func (member *member) TargetsLost(_ string, lost []LostTarget) {
+	member.mu.Lock()
+	defer member.mu.Unlock()
+	member.lost = append(member.lost, lost...)
+}
+func (member *member) RequestsCrashed(string, []CrashReport) {}
+func (member *member) LeaseHeard(news LeaseNews) {
+	member.mu.Lock()
+	defer member.mu.Unlock()
+	member.heard = append(member.heard, news)
+}
+
+// until waits for something that datagrams bring about.
+func until(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for range 1000 {
+		if done() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("waited in vain until %s", what)
+}
+
+func TestEntriesLearnOfEachOther(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	members := make([]*member, 3)
+	for i := range members {
+		node, err := Listen(fmt.Sprint("entry-", i), "a", "127.0.0.1:0", greengageroute.RuntimeClock{}, func() {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		members[i] = &member{Node: node, loads: []Load{{Target: "i-1", Running: i + 1, Reading: 100}}}
+	}
+	members[1].lease = LeaseNews{Holder: "entry-1", Fence: 3, Renewals: 9}
+	// Only the newest entry reads the list of the others.
+	for _, other := range members[:2] {
+		members[2].Learn(other.self.From, "a", other.Address())
+	}
+	members[1].Learn("entry-0", "a", members[0].Address())
+	for _, one := range members {
+		go one.Run(ctx, one, one)
+	}
+	until(t, "all are live", func() bool {
+		return members[0].Live() == 3 && members[1].Live() == 3 && members[2].Live() == 3
+	})
+	until(t, "loads are summed", func() bool { return members[0].Node.Loads()["i-1"].Running == 5 })
+	if load := members[0].Node.Loads()["i-1"]; load.Reading != 200 {
+		t.Errorf("the others read %d tokens, want 200", load.Reading)
+	}
+	members[0].ReportLost(LostTarget{ID: "i-9", Born: 4})
+	until(t, "the loss is known", func() bool {
+		members[2].mu.Lock()
+		defer members[2].mu.Unlock()
+		return len(members[2].lost) > 0 && len(members[2].heard) > 0
+	})
+	if news := members[2].heard[0]; news != members[1].lease {
+		t.Errorf("the lease is heard as %v", news)
+	}
+	if !members[0].Signs("i-1", time.Second) || members[0].Signs("i-2", time.Second) {
+		t.Error("signs of targets are told wrongly")
+	}
+	members[2].Leave()
+	until(t, "one has left", func() bool { return members[0].Live() == 2 })
+}
+
+func TestMessagesFitIntoAPacket(t *testing.T) {
+	message := Message{From: "entry", Address: "10.0.0.1:7340"}
+	for i := range 200 {
+		message.Loads = append(message.Loads, Load{Target: fmt.Sprintf("i-%08x", i), Running: 10, Reading: 5000})
+	}
+	datagram, err := message.Encode()
+	if err != nil || len(datagram) > maxDatagram {
+		t.Fatalf("%d bytes, %v", len(datagram), err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	message := Message{From: "entry", Address: "10.0.0.1:7340", Loads: []Load{{Target: "i-1", Running: 3}}, Lease: LeaseNews{Holder: "x", Fence: 1}}
+	datagram, err := message.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(datagram)
+	f.Add([]byte{0xa1, 0x01})
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		decoded, err := Decode(datagram)
+		if err != nil {
+			return
+		}
+		again, err := decoded.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if second, err := Decode(again); err == nil && len(second.Loads) == len(decoded.Loads) && !reflect.DeepEqual(second.From, decoded.From) {
+			t.Errorf("%v became %v", decoded, second)
+		}
+	})
+}
--- a/quarantine.go
+++ b/quarantine.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// deathsUntilRefused is how many groups may die under a request.
-	deathsUntilRefused = 2
+	// DeathsUntilRefused is how many groups may die under a request.
+	DeathsUntilRefused = 2
 	// QuarantineTerm is how long a request stays refused after its last death.
 	QuarantineTerm = 10 * time.Minute
 	maxSuspects    = 4096
@@ -16,6 +16,7 @@
 type (
 	// Quarantine remembers which requests were on a group when it died.
 	Quarantine struct {
+		limit    int
 		mu       sync.Mutex
 		suspects map[string]suspect
 	}
@@ -36,9 +37,10 @@
 	Refused
 )
 
-// NewQuarantine returns an empty quarantine.
-func NewQuarantine() *Quarantine {
-	return &Quarantine{suspects: map[string]suspect{}}
+// NewQuarantine returns an empty quarantine that refuses a request after the
+// given number of deaths.
+func NewQuarantine(limit int) *Quarantine {
+	return &Quarantine{limit: limit, suspects: map[string]suspect{}}
 }
 
 // Died notes that a group died under a request. The death names the group and
@@ -71,7 +73,7 @@
 	switch {
 	case !exists || now.Sub(known.last) > QuarantineTerm:
 		return Innocent
-	case len(known.deaths) >= deathsUntilRefused:
+	case len(known.deaths) >= quarantine.limit:
 		return Refused
 	default:
 		return Suspect
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -86,7 +86,11 @@
 }
 
 // RequestsCrashed implements mesh.Sink.
-func (entry *Entry) RequestsCrashed(string, []mesh.CrashReport) {}
+func (entry *Entry) RequestsCrashed(_ string, crashes []mesh.CrashReport) {
+	for _, report := range crashes {
+		entry.callers.Crashed(report)
+	}
+}
 
 // LeaseHeard implements mesh.Sink.
 func (entry *Entry) LeaseHeard(news mesh.LeaseNews) { entry.lease.Heard(news) }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -142,7 +142,7 @@
 // Close ends the exchange. The connection is kept only if the whole body was
 // read, and nothing else is due on it.
 func (answer *Answer) Close(whole bool) {
-	if answer.done {
+	if answer.done || answer.conn == nil {
 		return
 	}
 	answer.done = true
--- /dev/null
+++ b/upstream/client_test.go
@@ -0,0 +1,236 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/platform"
+)
+
+// serveRaw answers each connection with a function, on loopback.
+func serveRaw(t *testing.T, answer func(conn net.Conn, reader *bufio.Reader)) greengageroute.Target {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				answer(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return greengageroute.Target{ID: "i-1", Address: listener.Addr().String()}
+}
+
+func send(client *Client, target greengageroute.Target, id string, body []byte) (*Answer, error) {
+	request := greengageroute.Request{
+		ID: id, Method: http.MethodPost, Host: "h", URI: "/x?y=1", Body: body,
+		Header: http.Header{platform.HeaderAttemptID: {id}},
+	}
+	return client.Do(context.Background(), request, greengageroute.Attempt{Target: target, Left: time.Second})
+}
+
+func readRequest(reader *bufio.Reader) (*http.Request, string) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return nil, ""
+	}
+	body, _ := io.ReadAll(request.Body) // a cut body is read as far as it came
+	return request, string(body)
+}
+
+func reply(conn net.Conn, id, body string) {
+	// The test sees a missing answer.
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+platform.HeaderAttemptID+": "+id+"\r\nContent-Length: "+
+		string(rune('0'+len(body)))+"\r\n\r\n"+body)
+}
+
+func TestAnswersAreMatchedByID(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(conn net.Conn, id string)
+		body   string
+		lost   bool
+	}{
+		{"its own answer", func(conn net.Conn, id string) { reply(conn, id, "own") }, "own", false},
+		{"a late answer to another request comes first", func(conn net.Conn, id string) {
+			reply(conn, "other", "late")
+			reply(conn, id, "own")
+		}, "own", false},
+		{"only answers to others", func(conn net.Conn, _ string) {
+			for range 5 {
+				reply(conn, "other", "late")
+			}
+		}, "", true},
+		{"no answer", func(net.Conn, string) {}, "", true},
+		{"bytes that are none", func(conn net.Conn, _ string) { _, _ = io.WriteString(conn, "garbage\r\n\r\n") }, "", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			target := serveRaw(t, func(conn net.Conn, reader *bufio.Reader) {
+				if request, _ := readRequest(reader); request != nil {
+					test.answer(conn, request.Header.Get(platform.HeaderAttemptID))
+				}
+			})
+			answer, err := send(NewClient(func() {}), target, "id-1", []byte("body"))
+			var lost *LostError
+			if errors.As(err, &lost) != test.lost {
+				t.Fatalf("got %v", err)
+			}
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(answer.Body)
+			if string(body) != test.body || err != nil {
+				t.Errorf("got %q, %v", body, err)
+			}
+		})
+	}
+}
+
+func TestCutAnswerIsAnError(t *testing.T) {
+	target := serveRaw(t, func(conn net.Conn, reader *bufio.Reader) {
+		readRequest(reader)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+platform.HeaderAttemptID+": id-1\r\nContent-Length: 100\r\n\r\nhalf")
+	})
+	answer, err := send(NewClient(func() {}), target, "id-1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(answer.Body); err == nil {
+		t.Errorf("%q counts as whole", body)
+	}
+}
+
+func TestUnreachableTargetWasNotSentTo(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	_, err = send(NewClient(func() {}), greengageroute.Target{ID: "i-1", Address: listener.Addr().String()}, "id-1", nil)
+	var notSent *NotSentError
+	if !errors.As(err, &notSent) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestConnectionsAreKeptOnlyWhenClean(t *testing.T) {
+	tests := []struct {
+		name  string
+		after string // what the target sends after its answer
+		dials int
+	}{
+		{"nothing more comes", "", 1},
+		{"a second answer comes", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			target := serveRaw(t, func(conn net.Conn, reader *bufio.Reader) {
+				for {
+					request, _ := readRequest(reader)
+					if request == nil {
+						return
+					}
+					reply(conn, request.Header.Get(platform.HeaderAttemptID), "own")
+					_, _ = io.WriteString(conn, test.after)
+				}
+			})
+			dials := 0
+			client := NewClient(func() { dials++ })
+			for _, id := range []string{"id-1", "id-2"} {
+				answer, err := send(client, target, id, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := io.ReadAll(answer.Body); err != nil {
+					t.Fatal(err)
+				}
+				answer.Close(true)
+				waitQuiet(t, client, test.after != "")
+			}
+			if dials != test.dials {
+				t.Errorf("%d connections were made, want %d", dials, test.dials)
+			}
+		})
+	}
+}
+
+// waitQuiet waits until what the target sent has arrived.
+func waitQuiet(t *testing.T, client *Client, more bool) {
+	t.Helper()
+	if !more {
+		return
+	}
+	for range 200 {
+		client.mu.Lock()
+		stale := false
+		for _, kept := range client.idle {
+			for _, one := range kept {
+				stale = stale || !one.usable()
+			}
+		}
+		none := len(client.idle) == 0
+		client.mu.Unlock()
+		if stale || none {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	body := []byte(strings.Repeat("x", 4<<20))
+	target := serveRaw(t, func(conn net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err == nil {
+			reply(conn, "id-1", "early")
+			time.Sleep(100 * time.Millisecond) // reads no further meanwhile
+		}
+	})
+	answer, err := send(NewClient(func() {}), target, "id-1", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, err := io.ReadAll(answer.Body); string(text) != "early" || err != nil {
+		t.Errorf("got %q, %v", text, err)
+	}
+	answer.Close(true)
+	if len(answer.client.idle) > 0 {
+		t.Error("a connection on which the rest of a body is due was kept")
+	}
+}
+
+func TestRequestsArePassedOnUnchanged(t *testing.T) {
+	seen := make(chan *http.Request, 1)
+	target := serveRaw(t, func(conn net.Conn, reader *bufio.Reader) {
+		request, body := readRequest(reader)
+		request.Header.Set("Body", body)
+		seen <- request
+		reply(conn, "id-1", "own")
+	})
+	if _, err := send(NewClient(func() {}), target, "id-1", []byte("body")); err != nil {
+		t.Fatal(err)
+	}
+	request := <-seen
+	if request.Method != "POST" || request.RequestURI != "/x?y=1" || request.Host != "h" || request.Header.Get("Body") != "body" {
+		t.Errorf("the target got %s %s %s %q", request.Method, request.Host, request.RequestURI, request.Header.Get("Body"))
+	}
+	if request.Header.Get(platform.HeaderExpectedInstance) != "i-1" {
+		t.Error("the target isn't told whom the request is for")
+	}
+}
--- a/verdict_test.go
+++ b/verdict_test.go
@@ -67,7 +67,7 @@
 		{"two deaths long ago", []string{"g#1", "h#2"}, QuarantineTerm + time.Second, Innocent},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			quarantine := NewQuarantine()
+			quarantine := NewQuarantine(DeathsUntilRefused)
 			for _, death := range test.deaths {
 				quarantine.Died("digest", death, now)
 			}
