One entry of each data centre reads the store for the others

Change: the entry on the largest VM of a data centre follows config and list and serves them to the others, with the age of their proof; who can't rely on it asks the store. Beyond 24 entries two relays of each data centre add up the loads, and only relays contend for the planner's lease.

--- a/control/follower.go
+++ b/control/follower.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// configWait is the wait of a long poll for the config: with the poll's own
-	// time-out on top it stays well below the shortest bound on taken keys, 5 s.
-	configWait = 1500 * time.Millisecond
+	// configWait is the wait of a long poll for the config. The proof is up to two
+	// waits old, and one more of the entries that ask this one; keys that were
+	// taken away stop working within 5 s.
+	configWait = 1200 * time.Millisecond
 	// listWait is the wait of a long poll for the list: a silent connection is
 	// noticed within the 2 s after which a leaving target gets no more work.
 	listWait = 1200 * time.Millisecond
@@ -35,7 +36,6 @@
 	CountConfigFaults = "configs-not-decoded"
 	CountListFaults   = "list-rows-not-decoded"
 	CountStoreFailed  = "store-calls-failed"
-	CountStoreCalls   = "store-calls"
 )
 
 type (
@@ -68,7 +68,7 @@
 		pause   time.Duration
 		whole   func(rows platform.Rows)
 		changes func(rows platform.Rows)
-		current func(began time.Time)
+		current func(proven time.Time)
 	}
 )
 
@@ -90,7 +90,9 @@
 	follower.run(ctx, feed{
 		table: platform.ConfigTable, wait: configWait,
 		whole: follower.adopt, changes: follower.adopt,
-		current: func(began time.Time) { follower.proven.Store(began.UnixNano()) },
+		current: func(proven time.Time) {
+			follower.proven.Store(max(proven.UnixNano(), follower.proven.Load()))
+		},
 	})
 }
 
@@ -119,7 +121,6 @@
 		began := follower.clock.Now()
 		var rows platform.Rows
 		var err error
-		follower.counters.Add(CountStoreCalls, 1)
 		if known {
 			rows, err = follower.store.Changes(ctx, feed.table, version, feed.wait)
 		} else {
@@ -142,7 +143,7 @@
 			feed.whole(rows)
 		}
 		known, version = true, max(version, rows.Version)
-		feed.current(began)
+		feed.current(began.Add(-rows.Age))
 		sleep(ctx, feed.pause)
 	}
 }
--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -16,7 +16,7 @@
 
 // follow runs a follower of a store for the length of a test.
 func follow(t *testing.T, body func(store *fakeStore, line *fakeLine, follower *Follower)) {
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		store := newFakeStore()
 		line := &fakeLine{fakeStore: store, delay: 4 * time.Millisecond}
 		clock := greengageroute.RuntimeClock{}
--- a/control/planner.go
+++ b/control/planner.go
@@ -70,9 +70,10 @@
 		log       logr.Logger
 		wake      chan struct{}
 
-		settle  time.Duration // how long the list must stand still before the first replicas
-		listed  int
-		changed time.Time
+		eligible func() bool   // to hold the lease
+		settle   time.Duration // how long the list must stand still before the first replicas
+		listed   int
+		changed  time.Time
 
 		logged   map[string]string // the last state logged, by pool
 		loggedAt time.Time
@@ -108,9 +109,9 @@
 )
 
 // NewPlanner returns a planner.
-func NewPlanner(lease *Lease, orderer Orderer, witness Witness, directory *Directory, routes func() *greengageroute.RouteTable, serving func() bool, doubt func(vanished []mesh.LostTarget), settle time.Duration, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Planner {
+func NewPlanner(lease *Lease, orderer Orderer, witness Witness, directory *Directory, routes func() *greengageroute.RouteTable, serving func() bool, doubt func(vanished []mesh.LostTarget), settle time.Duration, eligible func() bool, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Planner {
 	return &Planner{
-		lease: lease, orderer: orderer, witness: witness, directory: directory, routes: routes, serving: serving, doubt: doubt, settle: settle, clock: clock,
+		lease: lease, orderer: orderer, witness: witness, directory: directory, routes: routes, serving: serving, doubt: doubt, settle: settle, eligible: eligible, clock: clock,
 		counters: counters, log: log, wake: make(chan struct{}, 1),
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staged: map[string]stagedModel{},
 		logged: map[string]string{}, strangers: map[string]greengageroute.Target{}, kept: map[string]string{}, settledAt: map[string]time.Time{}, silentFor: map[string]int{},
@@ -133,6 +134,9 @@
 			}
 			return
 		case <-ticker.C:
+			if !planner.eligible() {
+				continue
+			}
 			if err := planner.lease.Step(ctx, OrderTimeout); err != nil {
 				planner.counters.Add(CountLeaseFailed, 1)
 				planner.log.V(1).Info("lease step failed", "cause", err.Error())
--- a/edge/call.go
+++ b/edge/call.go
@@ -46,7 +46,7 @@
 			reason = "the target did not answer"
 		case answer.NotRun:
 			reason = "the targets are full"
-		case answer.Status >= http.StatusInternalServerError && exchange.again(target, passed):
+		case answer.Status >= http.StatusInternalServerError && exchange.again(passed):
 			reason = "the target failed"
 		default:
 			return exchange.deliver(answer, body)
@@ -59,7 +59,7 @@
 }
 
 // again tells whether a request whose target failed goes to another one.
-func (exchange *exchange) again(target greengageroute.Target, passed greengageroute.Set[string]) bool {
+func (exchange *exchange) again(passed greengageroute.Set[string]) bool {
 	if !exchange.route.Repeatable() || exchange.sent >= exchange.route.Attempts {
 		return false
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -57,7 +57,7 @@
 	defer cancel()
 	members := make([]*member, 3)
 	for i := range members {
-		node, err := Listen(fmt.Sprint("entry-", i), "a", "127.0.0.1:0", greengageroute.RuntimeClock{}, func() {})
+		node, err := Listen(fmt.Sprint("entry-", i), "a", "127.0.0.1:0", 0.3, greengageroute.RuntimeClock{}, func() {})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -66,9 +66,9 @@
 	members[1].lease = LeaseNews{Holder: "entry-1", Fence: 3, Renewals: 9}
 	// Only the newest entry reads the list of the others.
 	for _, other := range members[:2] {
-		members[2].Learn(other.self.From, "a", other.Address())
+		members[2].Learn(other.self.From, "a", other.Address(), 0.3)
 	}
-	members[1].Learn("entry-0", "a", members[0].Address())
+	members[1].Learn("entry-0", "a", members[0].Address(), 0.3)
 	for _, one := range members {
 		go one.Run(ctx, one, one)
 	}
@@ -128,3 +128,50 @@
 		}
 	})
 }
+
+// Forty entries in two data centres: beyond the direct limit, relays add up.
+func TestRelaysSpeakForTheirDataCentres(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	members := make([]*member, 40)
+	for i := range members {
+		capacity := 0.1
+		if i < 4 {
+			capacity = 0.8
+		}
+		node, err := Listen(fmt.Sprintf("entry-%02d", i), string(rune('a'+i%2)), "127.0.0.1:0", capacity, greengageroute.RuntimeClock{}, func() {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		members[i] = &member{Node: node, loads: []Load{{Target: "i-1", Running: 1, Reading: 10}}}
+	}
+	for _, one := range members {
+		for _, other := range members {
+			one.Learn(other.self.From, other.self.DataCentre, other.Address(), other.self.Capacity)
+		}
+	}
+	members[0].lease = LeaseNews{Holder: "entry-00", Fence: 3, Renewals: 9}
+	for _, one := range members {
+		go one.Run(ctx, one, one)
+	}
+	for _, place := range []int{0, 2, 39} { // a relay, the one that stands by, and another entry
+		until(t, fmt.Sprintf("entry %d knows what all others have under way", place), func() bool {
+			return members[place].Node.Loads()["i-1"].Running == 39 && members[place].Live() == 40
+		})
+	}
+	members[39].ReportLost(LostTarget{ID: "i-9", Born: 4})
+	until(t, "the loss is known everywhere, and the lease", func() bool {
+		for _, one := range members[:39] {
+			one.mu.Lock()
+			known := len(one.lost) > 0 && (one == members[0] || len(one.heard) > 0)
+			one.mu.Unlock()
+			if !known {
+				return false
+			}
+		}
+		return true
+	})
+	if address, other := members[39].Reader(); !other || address != members[1].Address() {
+		t.Errorf("entry 39 has its store read by %s (%t), want %s", address, other, members[1].Address())
+	}
+}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -25,6 +25,11 @@
 		Serving    bool          `cbor:"8,keyasint,omitempty"` // requests have come
 		Leaving    bool          `cbor:"9,keyasint,omitempty"`
 		Crashes    []CrashReport `cbor:"10,keyasint,omitempty"`
+		Capacity   float64       `cbor:"11,keyasint,omitempty"` // cores of the sender's VM
+		// Live is how many entries a relay's word is for; 0 from others.
+		Live int `cbor:"12,keyasint,omitempty"`
+		// Total tells that the loads are those of all entries, the receiver included.
+		Total bool `cbor:"13,keyasint,omitempty"`
 	}
 
 	// Load is what the sender has under way at one target.
@@ -60,6 +65,15 @@
 	return greengageroute.LeaseRow{Holder: news.Holder, Fence: news.Fence, Renewals: news.Renewals}
 }
 
+// withoutLoads returns what a message says of its sender, without the loads if
+// they are not the sender's own.
+func (message Message) withoutLoads(digest bool) Message {
+	if digest {
+		message.Loads, message.Live, message.Total = nil, 0, false
+	}
+	return message
+}
+
 // Encode returns the datagram; lists are cut to what fits.
 func (message Message) Encode() ([]byte, error) {
 	for {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -60,15 +59,20 @@
 		mu       sync.Mutex
 		sequence uint64
 		peers    map[string]*peer
+		own      []Load // as last told to the relays
 		lost     []timed[LostTarget]
 		crashes  []timed[CrashReport]
+		spread   map[any]time.Time // news that this relay has passed on
+		lease    LeaseNews         // the newest heard
 		urgent   chan struct{}
 	}
 
 	peer struct {
-		message Message
+		message Message // the last about itself
+		digest  Message // the last for others
 		address netip.AddrPort
 		heard   time.Time // zero until a message has come
+		learned time.Time // from the store
 		wrote   time.Time
 	}
 
@@ -79,7 +83,7 @@
 )
 
 // Listen opens the socket. Run serves it.
-func Listen(name, dataCentre, address string, clock greengageroute.Clock, failed func()) (*Node, error) {
+func Listen(name, dataCentre, address string, capacity float64, clock greengageroute.Clock, failed func()) (*Node, error) {
 	place, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, trace.Wrap(err, "the peer address %q", address)
@@ -89,8 +93,9 @@
 		return nil, trace.Wrap(err, "listening for peers at %s", address)
 	}
 	return &Node{
-		self: Message{From: name, Address: conn.LocalAddr().String(), DataCentre: dataCentre},
-		conn: conn, clock: clock, failed: failed, peers: map[string]*peer{}, urgent: make(chan struct{}, 1),
+		self: Message{From: name, Address: conn.LocalAddr().String(), DataCentre: dataCentre, Capacity: capacity},
+		conn: conn, clock: clock, failed: failed, peers: map[string]*peer{},
+		spread: map[any]time.Time{}, urgent: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -103,14 +108,15 @@
 	stop := context.AfterFunc(ctx, func() { node.conn.Close() })
 	defer stop()
 	go node.receive()
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
+	timer := time.NewTimer(period)
+	defer timer.Stop()
 	told := time.Now()
 	for {
+		timer.Reset(node.pause())
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-node.urgent:
 			time.Sleep(minPeriod - min(minPeriod, time.Since(told)))
 		}
@@ -120,13 +126,20 @@
 }
 
 // LoadChanged has the peers told soon.
-func (node *Node) LoadChanged() { node.hurry() }
+func (node *Node) LoadChanged() {
+	node.mu.Lock()
+	relay := !node.direct() && node.place(node.clock.Now()) < relaysEach
+	node.mu.Unlock()
+	if !relay {
+		node.hurry() // a relay tells often enough as it is
+	}
+}
 
 // Leave tells the peers that this entry takes no more part.
 func (node *Node) Leave() { node.tell(true) }
 
 // Learn adds peers that the store lists.
-func (node *Node) Learn(name, dataCentre, address string) {
+func (node *Node) Learn(name, dataCentre, address string, capacity float64) {
 	place, err := netip.ParseAddrPort(address)
 	if err != nil || name == node.self.From {
 		return
@@ -136,7 +149,7 @@
 	if known, found := node.peers[name]; found && known.address == place {
 		return
 	}
-	node.peers[name] = &peer{address: place, message: Message{From: name, DataCentre: dataCentre, Address: address}}
+	node.peers[name] = &peer{address: place, learned: node.clock.Now(), message: Message{From: name, DataCentre: dataCentre, Address: address, Capacity: capacity}}
 }
 
 // ReportLost tells the peers at once that targets are dead.
@@ -169,13 +182,13 @@
 	now := node.clock.Now()
 	node.mu.Lock()
 	defer node.mu.Unlock()
-	live := 1
-	for _, other := range node.peers {
-		if other.live(now) {
-			live++
-		}
+	if node.direct() || node.place(now) < relaysEach {
+		return node.liveHere(now) + node.liveElsewhere(now)
+	}
+	if word := node.relayWord(now); word != nil {
+		return word.Live
 	}
-	return live
+	return 1
 }
 
 // Serving tells whether requests have come to any peer.
@@ -183,7 +196,7 @@
 	node.mu.Lock()
 	defer node.mu.Unlock()
 	for _, other := range node.peers {
-		if other.message.Serving {
+		if other.message.Serving || other.digest.Serving {
 			return true
 		}
 	}
@@ -193,23 +206,30 @@
 // Loads returns what the peers together have under way, by target.
 func (node *Node) Loads() map[string]greengageroute.EngineLoad {
 	now := node.clock.Now()
-	loads := map[string]greengageroute.EngineLoad{}
 	node.mu.Lock()
 	defer node.mu.Unlock()
-	for _, other := range node.peers {
-		if other.heard.IsZero() || now.Sub(other.heard) > freshFor {
-			continue
-		}
-		for _, load := range other.message.Loads {
-			sum := loads[load.Target]
-			sum.Running += load.Running
-			sum.Reading += load.Reading
-			loads[load.Target] = sum
-		}
+	if !node.direct() && node.place(now) >= relaysEach {
+		return node.loadsByRelay(now)
 	}
+	loads := map[string]greengageroute.EngineLoad{}
+	if node.direct() {
+		addLoads(loads, node.sum(nil, now, everyone), 1)
+		return loads
+	}
+	here := node.sum(nil, now, node.inDataCentre)
+	addLoads(loads, node.addElsewhere(here, now), 1)
 	return loads
 }
 
+func addLoads(sums map[string]greengageroute.EngineLoad, loads []Load, sign int) {
+	for _, load := range loads {
+		sum := sums[load.Target]
+		sum.Running = max(sum.Running+sign*load.Running, 0)
+		sum.Reading = max(sum.Reading+sign*load.Reading, 0)
+		sums[load.Target] = sum
+	}
+}
+
 // Signs tells whether this or another entry has heard from a target lately.
 func (node *Node) Signs(target string, within time.Duration) bool {
 	now := node.clock.Now()
@@ -218,7 +238,7 @@
 	defer node.mu.Unlock()
 	for _, other := range node.peers {
 		if !other.heard.IsZero() && now.Sub(other.heard) <= within {
-			loads = append(loads, other.message.Loads...)
+			loads = append(append(loads, other.message.Loads...), other.digest.Loads...)
 		}
 	}
 	return slices.ContainsFunc(loads, func(load Load) bool {
@@ -239,21 +259,21 @@
 	message.Sequence = node.sequence
 	node.lost, message.Lost = current(node.lost, now)
 	node.crashes, message.Crashes = current(node.crashes, now)
-	var receivers []netip.AddrPort
-	for _, other := range node.peers {
-		if other.live(now) || now.Sub(other.wrote) > quietPeriod {
-			other.wrote = now
-			receivers = append(receivers, other.address)
-		}
-	}
+	letters := node.letters(message, now)
 	node.mu.Unlock()
-	datagram, err := message.Encode()
+	for _, letter := range letters {
+		node.send(letter)
+	}
+}
+
+func (node *Node) send(letter letter) {
+	datagram, err := letter.message.Encode()
 	if err != nil {
 		node.failed()
 		return
 	}
-	slices.SortFunc(receivers, func(a, b netip.AddrPort) int { return cmp.Compare(a.String(), b.String()) })
-	for _, receiver := range receivers {
+	slices.SortFunc(letter.to, func(a, b netip.AddrPort) int { return a.Compare(b) })
+	for _, receiver := range letter.to {
 		if _, err := node.conn.WriteToUDPAddrPort(datagram, receiver); err != nil {
 			node.failed()
 		}
@@ -298,7 +318,14 @@
 		known = &peer{address: place}
 		node.peers[message.From] = known
 	}
-	known.message, known.heard = message, node.clock.Now()
+	known.heard = node.clock.Now()
+	if message.Live > 0 {
+		known.digest = message
+	}
+	if message.Live == 0 || known.message.From == "" {
+		known.message = message.withoutLoads(message.Live > 0)
+	}
+	node.passOn(message)
 	node.mu.Unlock()
 	if message.Lease.Holder != "" {
 		node.sink.LeaseHeard(message.Lease)
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,225 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/platform"
+)
+
+const (
+	// maxAge is how old a reader's proof may be for its word to be taken: two of
+	// its polls. With this entry's own wait on top it stays below the bound on keys
+	// that were taken away.
+	maxAge = 2600 * time.Millisecond
+	// longestWait is how long a call to the reader waits for changes: its proof
+	// ages meanwhile.
+	longestWait = 400 * time.Millisecond
+	// answerSlack is how much later the reader's answer may come.
+	answerSlack = 250 * time.Millisecond
+	// distrust is how long a reader that failed is not asked.
+	distrust = 2 * time.Second
+	// maxAnswer bounds a reader's answer, as large as a whole list.
+	maxAnswer = 8 << 20
+)
+
+type (
+	// Store is the platform's store.
+	Store interface {
+		Read(ctx context.Context, name string) (platform.Rows, error)
+		Changes(ctx context.Context, name string, after uint64, wait time.Duration) (platform.Rows, error)
+	}
+
+	// Peers tell who reads the store.
+	Peers interface {
+		Reader() (address string, other bool)
+	}
+
+	// Source reads tables from the entry that reads them for the data centre, or
+	// from the store if this is the one, or the one can't be relied on.
+	Source struct {
+		store  Store
+		peers  Peers
+		cache  *Cache
+		clock  greengageroute.Clock
+		asked  func() // counts calls to the store
+		client *http.Client
+
+		mu       sync.Mutex
+		distrust map[string]time.Time
+		direct   map[string]bool // tables last read from the store itself
+	}
+)
+
+// NewSource returns a source that fills the cache with what it reads itself.
+func NewSource(store Store, peers Peers, cache *Cache, clock greengageroute.Clock, asked func()) *Source {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 2, DialContext: (&net.Dialer{Timeout: answerSlack}).DialContext, DisableCompression: true,
+		ReadBufferSize: 2 << 10, WriteBufferSize: 1 << 10,
+	}
+	return &Source{
+		store: store, peers: peers, cache: cache, clock: clock, asked: asked, client: &http.Client{Transport: transport},
+		distrust: map[string]time.Time{}, direct: map[string]bool{},
+	}
+}
+
+// Read returns all rows of a table.
+func (source *Source) Read(ctx context.Context, name string) (platform.Rows, error) {
+	if rows, err := source.ask(ctx, "/rows?"+url.Values{"table": {name}}.Encode(), 0); err == nil {
+		source.noteDirect(name, false)
+		return rows, nil
+	}
+	source.asked()
+	began := source.clock.Now()
+	rows, err := source.store.Read(ctx, name)
+	if err == nil {
+		source.noteDirect(name, true)
+		source.cache.Replace(name, rows, began)
+	}
+	return rows, err
+}
+
+// Changes returns what has changed in a table after a version.
+func (source *Source) Changes(ctx context.Context, name string, after uint64, wait time.Duration) (platform.Rows, error) {
+	query := url.Values{"table": {name}, "after": {strconv.FormatUint(after, 10)}}
+	rows, err := source.ask(ctx, "/changes?"+query.Encode(), min(wait, longestWait))
+	if err == nil {
+		source.noteDirect(name, false)
+		return rows, nil
+	}
+	var gone *platform.HistoryGoneError
+	if errors.As(err, &gone) {
+		return rows, err
+	}
+	if !source.wasDirect(name) {
+		// The cache lacks what others read meanwhile: begin with a whole reading.
+		return rows, &platform.HistoryGoneError{Table: name}
+	}
+	source.asked()
+	began := source.clock.Now()
+	rows, err = source.store.Changes(ctx, name, after, wait)
+	if err == nil {
+		source.cache.Apply(name, rows, began)
+	}
+	return rows, err
+}
+
+func (source *Source) noteDirect(name string, direct bool) {
+	source.mu.Lock()
+	defer source.mu.Unlock()
+	source.direct[name] = direct
+}
+
+func (source *Source) wasDirect(name string) bool {
+	source.mu.Lock()
+	defer source.mu.Unlock()
+	return source.direct[name]
+}
+
+var errNoReader = errors.New("no other entry reads the store for this one")
+
+// ask asks the reader, unless that is this entry or has just failed.
+func (source *Source) ask(ctx context.Context, path string, wait time.Duration) (platform.Rows, error) {
+	address, other := source.peers.Reader()
+	if !other || source.distrusts(address) {
+		return platform.Rows{}, errNoReader
+	}
+	rows, err := source.call(ctx, address, path, wait)
+	var gone *platform.HistoryGoneError
+	if err != nil && !errors.As(err, &gone) {
+		source.mu.Lock()
+		source.distrust[address] = source.clock.Now()
+		source.mu.Unlock()
+	}
+	return rows, err
+}
+
+func (source *Source) distrusts(address string) bool {
+	source.mu.Lock()
+	defer source.mu.Unlock()
+	since, known := source.distrust[address]
+	return known && source.clock.Now().Sub(since) < distrust
+}
+
+func (source *Source) call(ctx context.Context, address, path string, wait time.Duration) (platform.Rows, error) {
+	var rows platform.Rows
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	if wait > 0 {
+		path += "&wait-ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return rows, trace.Wrap(err)
+	}
+	response, err := source.client.Do(request)
+	if err != nil {
+		return rows, trace.Wrap(err, "asking the reader")
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusGone:
+		return rows, &platform.HistoryGoneError{Table: request.URL.Query().Get("table")}
+	default:
+		return rows, trace.ConnectionProblem(nil, "the reader answered %s; asking the store", response.Status)
+	}
+	if err := cbor.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(&rows); err != nil {
+		return rows, trace.Wrap(err, "decoding the reader's answer")
+	}
+	if rows.Age > maxAge {
+		return rows, trace.ConnectionProblem(nil, "the reader's proof is %s old; asking the store", rows.Age)
+	}
+	return rows, nil
+}
+
+// Handler serves the cache to other entries. An entry that doesn't read the
+// store itself answers 503.
+func (source *Source) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /rows", func(writer http.ResponseWriter, request *http.Request) {
+		name := request.FormValue("table")
+		rows, found := source.cache.Read(name)
+		writeRows(writer, rows, false, found && source.wasDirect(name))
+	})
+	mux.HandleFunc("GET /changes", func(writer http.ResponseWriter, request *http.Request) {
+		name := request.FormValue("table")
+		after, err := strconv.ParseUint(request.FormValue("after"), 10, 64)
+		if err != nil {
+			http.Error(writer, "after is not a version", http.StatusBadRequest)
+			return
+		}
+		wait, _ := strconv.Atoi(request.FormValue("wait-ms")) // none: answer at once
+		rows, gone, found := source.cache.Changes(request.Context(), name, after, min(time.Duration(wait)*time.Millisecond, longestWait))
+		writeRows(writer, rows, gone, found && source.wasDirect(name))
+	})
+	return mux
+}
+
+func writeRows(writer http.ResponseWriter, rows platform.Rows, gone, found bool) {
+	switch {
+	case !found:
+		http.Error(writer, "this entry doesn't read the store", http.StatusServiceUnavailable)
+		return
+	case gone:
+		http.Error(writer, "the history doesn't reach back", http.StatusGone)
+		return
+	}
+	body, err := cbor.Marshal(rows)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	// A cut answer doesn't decode.
+	_, _ = writer.Write(body)
+}
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -15,13 +15,15 @@
 	entryRow struct {
 		Address    string `json:"address"` // IP:port for messages
 		DataCentre string `json:"data-centre"`
+		// Cores is the share of a core that the entry's VM has.
+		Cores float64 `json:"cores"`
 	}
 )
 
 // introduce lists the entry for the others and learns who is there. The others
 // learn of it by its messages.
 func (entry *Entry) introduce(ctx context.Context) {
-	value, err := json.Marshal(entryRow{Address: entry.node.Address(), DataCentre: entry.deployment.DataCentre})
+	value, err := json.Marshal(entryRow{Address: entry.node.Address(), DataCentre: entry.deployment.DataCentre, Cores: entry.deployment.Limits.CPUShare})
 	if err != nil {
 		entry.log.Error(err, "the entry can't be listed")
 		return
@@ -54,7 +56,7 @@
 			entry.log.Error(err, "listed entry ignored", "row", row.Key)
 			continue
 		}
-		entry.node.Learn(row.Key, listed.DataCentre, listed.Address)
+		entry.node.Learn(row.Key, listed.DataCentre, listed.Address, listed.Cores)
 	}
 	return nil
 }
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -22,6 +22,7 @@
 	"greengageroute.example/greengageroute/edge"
 	"greengageroute.example/greengageroute/mesh"
 	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/relay"
 	"greengageroute.example/greengageroute/upstream"
 )
 
@@ -48,6 +49,9 @@
 	sweepEvery    = time.Second
 )
 
+// CountStoreReads counts readings of the store by this entry itself.
+const CountStoreReads = "store-reads"
+
 type (
 	// Entry is one entry on the users' platform.
 	Entry struct {
@@ -58,6 +62,7 @@
 		sink       *logSink
 
 		store     *platform.Store
+		source    *relay.Source
 		directory *control.Directory
 		follower  *control.Follower
 		lease     *control.Lease
@@ -68,8 +73,8 @@
 		callers   *edge.Service
 		stopping  atomic.Bool
 
-		callerListener, readyListener net.Listener
-		metrics                       string
+		callerListener, readyListener, peerListener net.Listener
+		metrics                                     string
 	}
 )
 
@@ -86,16 +91,17 @@
 	}
 	count := func(name string) func() { return func() { entry.counters.Add(name, 1) } }
 	entry.upstream = upstream.NewClient(count("target-connections"))
-	entry.follower = control.NewFollower(entry.store, entry.directory, clock, entry.counters, entry.log)
 	entry.lease = control.NewLease(entry.store, deployment.Name, clock, entry.log)
 	var err error
-	entry.node, err = mesh.Listen(deployment.Name, deployment.DataCentre, fmt.Sprintf("%s:%d", deployment.IP, deployment.PeerPort), clock, count("peer-datagrams-failed"))
+	entry.node, err = mesh.Listen(deployment.Name, deployment.DataCentre, fmt.Sprintf("%s:%d", deployment.IP, deployment.PeerPort), deployment.Limits.CPUShare, clock, count("peer-datagrams-failed"))
 	if err != nil {
 		return nil, err
 	}
+	entry.source = relay.NewSource(entry.store, entry.node, relay.NewCache(clock), clock, count(CountStoreReads))
+	entry.follower = control.NewFollower(entry.source, entry.directory, clock, entry.counters, entry.log)
 	orders := platform.NewTargets()
 	entry.prober = control.NewProber(orders, entry.directory, entry.node.ReportLost, clock, entry.counters, entry.log)
-	entry.planner = control.NewPlanner(entry.lease, orders, entry.node, entry.directory, entry.follower.Routes, entry.serving, entry.prober.Confirm, deployment.Bounds.Heartbeat, clock, entry.counters, entry.log)
+	entry.planner = control.NewPlanner(entry.lease, orders, entry.node, entry.directory, entry.follower.Routes, entry.serving, entry.prober.Confirm, deployment.Bounds.Heartbeat, entry.node.Relay, clock, entry.counters, entry.log)
 	entry.callers = edge.New(edge.Parts{
 		DataCentre: deployment.DataCentre, Bounds: deployment.Bounds, Config: entry.follower, Directory: entry.directory,
 		Peers: entry.node, Suspects: entry.prober, Sender: entry.upstream, Counters: entry.counters, Latencies: entry.latencies, Log: entry.log,
@@ -103,6 +109,9 @@
 	if entry.callerListener, err = net.Listen("tcp4", deployment.CallerAddress); err != nil {
 		return nil, trace.Wrap(err, "listening for callers at %s", deployment.CallerAddress)
 	}
+	if entry.peerListener, err = net.Listen("tcp4", entry.node.Address()); err != nil {
+		return nil, trace.Wrap(err, "listening for entries at %s", entry.node.Address())
+	}
 	entry.readyListener, err = net.Listen("tcp4", deployment.ReadyAddress)
 	return entry, trace.Wrap(err, "listening for the health check at %s", deployment.ReadyAddress)
 }
@@ -135,9 +144,11 @@
 	}
 	callers := newServer(entry.callers)
 	ready := newServer(http.HandlerFunc(entry.ready))
-	failed := make(chan error, 2)
+	peers := newServer(entry.source.Handler())
+	failed := make(chan error, 3)
 	go func() { failed <- callers.Serve(entry.callerListener) }()
 	go func() { failed <- ready.Serve(entry.readyListener) }()
+	go func() { failed <- peers.Serve(entry.peerListener) }()
 	select {
 	case err := <-failed:
 		return trace.Wrap(err, "serving")
