--- a/caller/caller.go
+++ b/caller/caller.go
@@ -92,7 +92,7 @@
 	}
 )
 
-// Counters of the caller service; docs/operations.md lists them.
+// Counters of the caller service; docs/OPERATIONS.md lists them.
 const (
 	CountChats       = "caller-chats"
 	CountCalls       = "caller-calls"
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -51,6 +51,7 @@
 	defer stage.mu.Unlock()
 	stage.crashes = append(stage.crashes, report)
 }
+func (stage *stage) Signs(string, time.Duration) bool            { return false }
 func (stage *stage) Loads() map[string]greengageroute.EngineLoad { return stage.loads }
 func (stage *stage) Silent(greengageroute.Replica)               { stage.silent++ }
 func (stage *stage) Answers(greengageroute.Target) bool          { return stage.alive }
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -35,6 +35,8 @@
 		// LoadChanged has them told of a request that was sent.
 		LoadChanged()
 		ReportCrash(report mesh.CrashReport)
+		// Signs tells whether any entry has heard from a target lately.
+		Signs(target string, within time.Duration) bool
 	}
 
 	// Suspects looks into a replica that has fallen silent.
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -238,7 +238,7 @@
 			return
 		}
 	}
-	if time.Since(service.tracker.Seen(replica.Head().ID).LastSign) > relay.threshold {
+	if !service.Peers.Signs(replica.Head().ID, relay.threshold) {
 		service.Suspects.Silent(replica)
 	}
 	relay.silence.Reset(silenceRecheck)
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -1,6 +1,6 @@
 package entry
 
-// Counters of an entry besides the caller's; docs/operations.md lists them.
+// Counters of an entry besides the caller's; docs/OPERATIONS.md lists them.
 const (
 	CountConfigAdopted  = "config-adopted"
 	CountFleetAdopted   = "fleet-adopted"
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -233,14 +233,22 @@
 // Signs tells whether this or another entry has heard from a target lately.
 func (node *Node) Signs(target string, within time.Duration) bool {
 	now := node.clock.Now()
-	loads := node.source.Loads()
+	own := node.source.Loads()
 	node.mu.Lock()
 	defer node.mu.Unlock()
+	if heardFrom(own, target, within) {
+		return true
+	}
 	for _, other := range node.peers {
-		if !other.heard.IsZero() && now.Sub(other.heard) <= within {
-			loads = append(append(loads, other.message.Loads...), other.digest.Loads...)
+		left := within - now.Sub(other.heard)
+		if heardFrom(other.message.Loads, target, left) || heardFrom(other.digest.Loads, target, left) {
+			return true
 		}
 	}
+	return false
+}
+
+func heardFrom(loads []Load, target string, within time.Duration) bool {
 	return slices.ContainsFunc(loads, func(load Load) bool {
 		return load.Target == target && time.Duration(load.Silent)*time.Millisecond < within
 	})
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -26,7 +26,7 @@
 	bootstrapTeam = "bootstrap"
 )
 
-// Counters of the operator service; docs/operations.md lists them.
+// Counters of the operator service; docs/OPERATIONS.md lists them.
 const (
 	CountApplied = "operator-applied"
 	CountRefused = "operator-refused"
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -34,6 +35,8 @@
 			err = entry.learn(ctx)
 		}
 		if err == nil {
+			close(entry.introduced)
+			entry.learnAgain(ctx)
 			return
 		}
 		entry.log.V(1).Info("entry not listed yet", "cause", err.Error())
@@ -45,6 +48,31 @@
 	}
 }
 
+// learnAgain reads the list of entries once more, when those that started at the
+// same time have written theirs.
+func (entry *Entry) learnAgain(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(settleEntries + rand.N(settleEntries)):
+		if err := entry.learn(ctx); err != nil {
+			entry.log.Info("entries not read again", "cause", err.Error())
+		}
+	}
+}
+
+// introducedThen runs a loop once the entry knows who reads the store for it, or
+// has not found out in time.
+func (entry *Entry) introducedThen(loop func(context.Context)) func(context.Context) {
+	return func(ctx context.Context) {
+		select {
+		case <-ctx.Done():
+		case <-entry.introduced:
+		case <-time.After(introduceWithin):
+		}
+		loop(ctx)
+	}
+}
+
 func (entry *Entry) learn(ctx context.Context) error {
 	rows, err := entry.store.Read(ctx, entryTable)
 	if err != nil {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -31,6 +31,11 @@
 	entryTable = "entries"
 	// introduceEvery is how often an entry that is not listed yet tries again.
 	introduceEvery = time.Second
+	// introduceWithin is how long config and list wait for the entry to be listed:
+	// a call or two of the store.
+	introduceWithin = 400 * time.Millisecond
+	// settleEntries is when entries that started together have listed themselves.
+	settleEntries = 2 * time.Second
 	// memoryShare is the part of the VM's memory at which the collector works harder.
 	memoryShare = 0.6
 	// collectAt is the growth of the heap, in percent, at which garbage is
@@ -72,6 +77,8 @@
 		upstream  *upstream.Client
 		callers   *edge.Service
 		stopping  atomic.Bool
+		// introduced is closed when the entry is listed and knows the others.
+		introduced chan struct{}
 
 		callerListener, readyListener, peerListener net.Listener
 		metrics                                     string
@@ -86,7 +93,7 @@
 	clock := greengageroute.BootClock{}
 	sink := &logSink{out: logs}
 	entry := &Entry{
-		deployment: deployment, counters: new(expvar.Map).Init(), latencies: edge.NewLatencies(), sink: sink,
+		deployment: deployment, counters: new(expvar.Map).Init(), introduced: make(chan struct{}), latencies: edge.NewLatencies(), sink: sink,
 		log: newLogger(sink), store: platform.NewStore(deployment.StoreAddress), directory: control.NewDirectory(clock), metrics: metrics,
 	}
 	count := func(name string) func() { return func() { entry.counters.Add(name, 1) } }
@@ -137,7 +144,7 @@
 	defer stop()
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		entry.follower.RunConfig, entry.follower.RunList, entry.planner.Run, entry.introduce, entry.sweep, entry.serveMetrics,
+		entry.introducedThen(entry.follower.RunConfig), entry.introducedThen(entry.follower.RunList), entry.planner.Run, entry.introduce, entry.sweep, entry.serveMetrics,
 		func(ctx context.Context) { entry.node.Run(ctx, entry, entry) },
 	} {
 		loops.Go(func() { loop(background) })
