Stand-ins of the users' platform; integration tests of entries as processes

The store and targets with groups speak the platform's pages in the tests' process; entries run as processes with a settings file.

--- /dev/null
+++ b/integration/platform_test.go
@@ -0,0 +1,323 @@
+package integration
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/platform/standin"
+)
+
+type (
+	// site is the users' platform in small: its store and targets in the test's
+	// process, entries as processes.
+	site struct {
+		t       *testing.T
+		store   *standin.Store
+		address string
+		peers   *standin.Peers
+		models  []*standin.Target
+		plain   []*standin.Target
+		entries []*siteEntry
+		asked   int
+	}
+
+	siteEntry struct {
+		name    string
+		callers string
+		ready   string
+		log     string
+		cmd     *exec.Cmd
+		done    chan struct{}
+	}
+)
+
+func newSite(t *testing.T, models, entries int) *site {
+	site := &site{t: t, store: standin.NewStore(), peers: standin.NewPeers()}
+	server := httptest.NewServer(site.store.Handler())
+	t.Cleanup(server.Close)
+	site.address = strings.TrimPrefix(server.URL, "http://")
+	site.store.Put("op", "config", siteConfig(3, "key-1"))
+	for i := range models {
+		site.models = append(site.models, site.target(fmt.Sprintf("i-model-%d", i), "llm", "d0"))
+	}
+	for i := range 2 {
+		site.plain = append(site.plain, site.target(fmt.Sprintf("i-plain-%d", i), "ledger", ""))
+	}
+	for i := range entries {
+		site.entries = append(site.entries, site.entry(fmt.Sprint("entry-", i)))
+	}
+	for _, entry := range site.entries {
+		site.until("the entry is ready", func() bool {
+			response, err := http.Get("http://" + entry.ready + "/ready")
+			if err != nil {
+				return false
+			}
+			response.Body.Close()
+			return response.StatusCode == http.StatusOK
+		})
+	}
+	return site
+}
+
+func siteConfig(version int, keys ...string) map[string]any {
+	route := func(name, prefix, kind, service string) map[string]any {
+		return map[string]any{
+			"name": name, "host": "h", "prefix": prefix, "kind": kind, "service": service, "timeout_ms": 6000,
+			"target_latency_ms": 1000, "target_gap_ms": 1000, "attempts": 2, "resumable": kind == "streaming",
+		}
+	}
+	return map[string]any{
+		"version": version,
+		"routes": []any{
+			route("chat", "/chat/", "streaming", "llm"), route("post", "/post/", "non_idempotent", "ledger"), route("get", "/get/", "idempotent", "ledger"),
+		},
+		"services": []any{
+			map[string]any{"name": "ledger"},
+			map[string]any{"name": "llm", "engine": map[string]any{
+				"slots": 8, "stride": 2, "step_ms": 5, "read_per_s": 50000, "chunk": 512, "loads_per_s": 20, "loads_at_once": 20,
+				"usual":  map[string]any{"prompt": 100, "answer": 60},
+				"models": []any{map[string]any{"name": "m", "size": 3, "share": 1, "pace": 1, "load_time_s": 0.1, "warm_s": 0.02}},
+			}},
+		},
+		"limits":  map[string]any{"max_body_bytes": 100000},
+		"tenants": []any{map[string]any{"name": "counters", "api_keys": keys}},
+	}
+}
+
+func (site *site) target(id, service, domain string) *standin.Target {
+	target, err := standin.StartTarget(site.store, site.peers, id, service, domain)
+	if err != nil {
+		site.t.Fatal(err)
+	}
+	site.t.Cleanup(target.Close)
+	return target
+}
+
+func (site *site) entry(name string) *siteEntry {
+	peer := freePort(site.t, func(address string) (io.Closer, error) { return net.Listen("tcp4", address) })
+	_, port, _ := strings.Cut(peer, ":")
+	entry := &siteEntry{
+		name: name, callers: freeTCP(site.t), ready: freeTCP(site.t),
+		log: filepath.Join(site.t.TempDir(), name+".log"), done: make(chan struct{}),
+	}
+	settings := filepath.Join(site.t.TempDir(), name+".conf")
+	writeFile(site.t, settings, fmt.Sprintf(`node_name=%s
+zone=a
+ip_address=127.0.0.1
+listen_addresses.frontend=%s
+listen_addresses.ready=%s
+internal_port_range=%s,%s
+bootstrap=true
+limits.cpu_share=0.5
+limits.memory_mb=206
+limits.link_mbps=700
+heartbeat_ms=300
+bounds.stable_window_ms=3000
+bounds.drain_ms=2000
+bounds.grace_period_s=8
+bounds.revoke_ms=5000
+bounds.retry_budget_ratio=0.2
+bounds.budget_window_s=10
+bounds.extra_retries=282
+bounds.stall_ms=6000
+platform.address=%s
+`, name, entry.callers, entry.ready, port, port, site.address))
+	log, err := os.Create(entry.log)
+	if err != nil {
+		site.t.Fatal(err)
+	}
+	entry.cmd = exec.Command(filepath.Join(binaries, "greengageroute"), "entry")
+	entry.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
+	entry.cmd.Stdout, entry.cmd.Stderr = log, log
+	if err := entry.cmd.Start(); err != nil {
+		site.t.Fatal(err)
+	}
+	go func() {
+		_ = entry.cmd.Wait() // the test looks at the end by itself
+		log.Close()
+		close(entry.done)
+	}()
+	site.t.Cleanup(func() {
+		_ = entry.cmd.Process.Kill()
+		<-entry.done
+		if site.t.Failed() {
+			site.t.Logf("%s:\n%s", name, readFile(site.t, entry.log))
+		}
+	})
+	return entry
+}
+
+func (site *site) until(what string, holds func() bool) {
+	site.t.Helper()
+	eventually(site.t, startTimeout, what, holds)
+}
+
+// ask sends a request and returns its status and body; 0 if the connection broke.
+func (site *site) ask(entry *siteEntry, method, path, id, key string) (int, string) {
+	request, err := http.NewRequest(method, "http://"+entry.callers+path, strings.NewReader("body"))
+	if err != nil {
+		site.t.Fatal(err)
+	}
+	request.Host = "h"
+	for name, value := range map[string]string{
+		platform.HeaderAttemptID: id, "Authorization": "Bearer " + key, "X-Greengageroute-Model": "m",
+		"X-Greengageroute-Token-Counts": "100,60", "X-Greengageroute-Deadline-Ms": "6000",
+	} {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, string(body)
+	}
+	return response.StatusCode, string(body)
+}
+
+func (site *site) nextID() string {
+	site.asked++
+	return fmt.Sprintf("id-%d", site.asked)
+}
+
+// chat asks for a stream until it is answered and checks that it is whole.
+func (site *site) chat(entry *siteEntry) {
+	site.t.Helper()
+	site.until("a stream is answered", func() bool {
+		status, body := site.ask(entry, "POST", "/chat/x", site.nextID(), "key-1")
+		if status == http.StatusOK && body != wholeStream() {
+			site.t.Errorf("a stream came as %q", body)
+		}
+		return status == http.StatusOK
+	})
+}
+
+func wholeStream() string {
+	text := strings.Builder{}
+	for id := 1; id <= 30; id++ {
+		fmt.Fprintf(&text, "id: %d\ndata: token %d\n\n", id, id)
+	}
+	return text.String()
+}
+
+func TestUsersPlatformServesEveryKind(t *testing.T) {
+	site := newSite(t, 7, 2)
+	for _, entry := range site.entries {
+		site.chat(entry)
+	}
+	tests := []struct {
+		name, method, path, key string
+		status                  int
+	}{
+		{"an action", "POST", "/post/deposit", "key-1", 200},
+		{"a look-up", "GET", "/get/stock", "key-1", 200},
+		{"a key that nobody holds", "GET", "/get/stock", "key-2", 401},
+		{"a route that does not exist", "GET", "/none/", "key-1", 404},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if status, body := site.ask(site.entries[0], test.method, test.path, site.nextID(), test.key); status != test.status {
+				t.Errorf("got %d %q", status, body)
+			}
+		})
+	}
+	site.store.Put("op", "config", siteConfig(9, "key-1", "key-2"))
+	site.until("the new key works", func() bool {
+		status, _ := site.ask(site.entries[1], "GET", "/get/stock", site.nextID(), "key-2")
+		return status == http.StatusOK
+	})
+	site.store.Put("op", "config", siteConfig(12, "key-1"))
+	site.until("the key that was taken away is refused", func() bool {
+		status, _ := site.ask(site.entries[1], "GET", "/get/stock", site.nextID(), "key-2")
+		return status == http.StatusUnauthorized
+	})
+	if broken := site.peers.Broken(); len(broken) > 0 {
+		t.Error(broken)
+	}
+}
+
+// A member falls silent under running streams: each goes on at another group and
+// arrives whole, and the group is formed anew with a spare.
+func TestUsersPlatformLosesAMember(t *testing.T) {
+	site := newSite(t, 7, 2) // two groups of three and a spare
+	site.chat(site.entries[0])
+	var streams sync.WaitGroup
+	for i := range 12 {
+		id := site.nextID()
+		streams.Go(func() {
+			status, body := site.ask(site.entries[i%2], "POST", "/chat/x", id, "key-1")
+			if status == http.StatusOK && body != wholeStream() {
+				t.Errorf("stream %s came as %q", id, body)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	site.models[1].GoDark(2 * time.Second)
+	streams.Wait()
+	for range 5 {
+		site.chat(site.entries[1])
+	}
+	if broken := site.peers.Broken(); len(broken) > 0 {
+		t.Error(broken)
+	}
+}
+
+// Entries that are stopped answer what they have read; those killed are succeeded
+// as the planner.
+func TestUsersPlatformEntriesComeAndGo(t *testing.T) {
+	site := newSite(t, 7, 3)
+	site.chat(site.entries[2])
+	ids := make([]string, 6)
+	var asking sync.WaitGroup
+	for i := range ids {
+		ids[i] = site.nextID()
+		asking.Go(func() {
+			if status, body := site.ask(site.entries[0], "POST", "/chat/x", ids[i], "key-1"); status == 0 {
+				t.Errorf("the entry that stops cut %s off after %q", ids[i], body)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	_ = site.entries[0].cmd.Process.Signal(syscall.SIGTERM)
+	asking.Wait()
+	<-site.entries[0].done
+	_ = site.entries[1].cmd.Process.Kill()
+	site.models[2].GoDark(time.Second)
+	site.models[5].GoDark(time.Second)
+	site.chat(site.entries[2])
+	if broken := site.peers.Broken(); len(broken) > 0 {
+		t.Error(broken)
+	}
+}
+
+// The store is away: what stands serves on, until keys can't be proven.
+func TestUsersPlatformLosesItsStore(t *testing.T) {
+	site := newSite(t, 7, 1)
+	site.chat(site.entries[0])
+	for _, faults := range []standin.Faults{{Down: true}, {Silent: true}} {
+		site.store.SetFaults(faults)
+		if status, body := site.ask(site.entries[0], "POST", "/post/deposit", site.nextID(), "key-1"); status != http.StatusOK {
+			t.Errorf("just after the store went: %d %q", status, body)
+		}
+		site.until("the entry refuses what it can't prove", func() bool {
+			status, _ := site.ask(site.entries[0], "POST", "/post/deposit", site.nextID(), "key-1")
+			return status == http.StatusServiceUnavailable
+		})
+		site.store.SetFaults(standin.Faults{})
+		site.chat(site.entries[0])
+	}
+}
