Reload settings on SIGHUP and when the file changes

Change: the settings are read again on SIGHUP, and every 2 s if the file changed; bounds and memory limit are taken over, faults leave the old ones in force.

--- a/cmd/greengageroute/entry.go
+++ b/cmd/greengageroute/entry.go
@@ -4,6 +4,9 @@
 	"context"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
@@ -58,9 +61,48 @@
 	if err != nil {
 		return err
 	}
+	go followSettings(ctx, path, made)
 	return made.Run(ctx)
 }
 
+// settingsCheck is how often the settings file is looked at: it may change
+// without a signal.
+const settingsCheck = 2 * time.Second
+
+// followSettings has the entry take changed settings, on SIGHUP or when the file
+// has changed. Settings with faults are reported and the old ones stay.
+func followSettings(ctx context.Context, path string, entry *serve.Entry) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsCheck)
+	defer ticker.Stop()
+	changed := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+			if now := modified(path); now.Equal(changed) {
+				continue
+			}
+		}
+		changed = modified(path)
+		deployment, err := platform.ReadDeployment(path)
+		entry.Reload(deployment, err)
+	}
+}
+
+// modified returns when the file was last written; never, if it can't be told.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 func newLog() logr.Logger {
 	return logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, nil))
 }
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -71,6 +71,7 @@
 		Parts
 		tracker  *Tracker
 		suspects *greengageroute.Quarantine
+		bounds   atomic.Pointer[greengageroute.Bounds]
 		stopping atomic.Bool
 		served   atomic.Bool
 
@@ -130,9 +131,14 @@
 
 // New returns the service made of its parts.
 func New(parts Parts) *Service {
-	return &Service{Parts: parts, tracker: NewTracker(), suspects: greengageroute.NewQuarantine(deathsUntilRefused), budgets: map[string]*greengageroute.RetryWindow{}}
+	service := &Service{Parts: parts, tracker: NewTracker(), suspects: greengageroute.NewQuarantine(deathsUntilRefused), budgets: map[string]*greengageroute.RetryWindow{}}
+	service.SetBounds(parts.Bounds)
+	return service
 }
 
+// SetBounds puts other bounds into force. Retry budgets keep theirs.
+func (service *Service) SetBounds(bounds greengageroute.Bounds) { service.bounds.Store(&bounds) }
+
 // Tracker returns what the service has under way.
 func (service *Service) Tracker() *Tracker { return service.tracker }
 
@@ -159,7 +165,7 @@
 // Fresh tells whether keys can be trusted: the config was known to be the newest
 // recently enough that a key taken away since still works by the rules.
 func (service *Service) Fresh() bool {
-	return service.Config.Routes() != nil && service.Config.Age() < service.Bounds.Revoke-freshMargin
+	return service.Config.Routes() != nil && service.Config.Age() < service.bounds.Load().Revoke-freshMargin
 }
 
 // ServeHTTP implements http.Handler.
@@ -211,7 +217,7 @@
 	defer service.mu.Unlock()
 	window, known := service.budgets[exchange.pool.Name]
 	if !known {
-		window = greengageroute.NewRetryWindow(service.Bounds)
+		window = greengageroute.NewRetryWindow(*service.bounds.Load())
 		service.budgets[exchange.pool.Name] = window
 	}
 	return window
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -38,6 +38,7 @@
 		callers string
 		ready   string
 		log     string
+		file    string // settings
 		cmd     *exec.Cmd
 		done    chan struct{}
 	}
@@ -138,6 +139,7 @@
 	if err != nil {
 		site.t.Fatal(err)
 	}
+	entry.file = settings
 	entry.cmd = exec.Command(filepath.Join(binaries, "greengageroute"), "entry")
 	entry.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
 	entry.cmd.Stdout, entry.cmd.Stderr = log, log
@@ -321,3 +323,22 @@
 		site.chat(site.entries[0])
 	}
 }
+
+// SIGHUP, and a settings file that changes without one, end neither the process
+// nor a request; a file with faults leaves the old settings in force.
+func TestUsersPlatformSettingsChange(t *testing.T) {
+	site := newSite(t, 7, 1)
+	entry := site.entries[0]
+	site.chat(entry)
+	good := readFile(t, entry.file)
+	logged := func(text string) func() bool {
+		return func() bool { return strings.Contains(readFile(t, entry.log), text) }
+	}
+	_ = entry.cmd.Process.Signal(syscall.SIGHUP)
+	site.until("SIGHUP is logged", logged(`"settings reloaded"`))
+	writeFile(t, entry.file, strings.Replace(good, "revoke_ms=5000", "revoke_ms=4000", 1))
+	site.until("the change is taken", logged(`"revoke-ms":4000`))
+	writeFile(t, entry.file, "node_name=x\n")
+	site.until("the faults are logged", logged(`settings not reloaded`))
+	site.chat(entry)
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -89,7 +89,7 @@
 // counters; none if empty.
 func New(deployment greengageroute.Deployment, metrics string, logs io.Writer) (*Entry, error) {
 	debug.SetGCPercent(collectAt)
-	debug.SetMemoryLimit(int64(memoryShare * float64(deployment.Limits.MemoryMB) * (1 << 20)))
+	limitMemory(deployment)
 	clock := greengageroute.BootClock{}
 	sink := &logSink{out: logs}
 	entry := &Entry{
@@ -168,6 +168,23 @@
 	return err
 }
 
+// Reload takes changed settings: bounds and the VM's memory. Addresses stay as
+// they are for the life of the process. Settings with faults change nothing.
+func (entry *Entry) Reload(deployment greengageroute.Deployment, faults error) {
+	if faults != nil {
+		entry.log.Error(faults, "settings not reloaded; the old ones stay in force")
+		return
+	}
+	entry.callers.SetBounds(deployment.Bounds)
+	limitMemory(deployment)
+	entry.log.Info("settings reloaded", "name", deployment.Name, "memory-mb", deployment.Limits.MemoryMB,
+		"revoke-ms", deployment.Bounds.Revoke.Milliseconds(), "moved", deployment.CallerAddress != entry.deployment.CallerAddress)
+}
+
+func limitMemory(deployment greengageroute.Deployment) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(deployment.Limits.MemoryMB) * (1 << 20)))
+}
+
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
