--- a/control/follower.go
+++ b/control/follower.go
@@ -128,7 +128,7 @@
 		}
 		var gone *platform.HistoryGoneError
 		if errors.As(err, &gone) {
-			follower.log.Info("store forgot its history; reading anew", "table", feed.table, "version", version)
+			follower.log.Info("table is read anew", "table", feed.table, "version", version, "cause", err.Error())
 			known = false
 			continue
 		}
--- a/control/prober.go
+++ b/control/prober.go
@@ -105,8 +105,11 @@
 	var asking sync.WaitGroup
 	for _, member := range replica.Members {
 		asking.Go(func() {
-			if !prober.alive(member) {
+			report, lives := prober.alive(member)
+			if !lives {
 				dead <- mesh.LostTarget{ID: member.ID, Born: member.Born}
+			} else if report.Pace > 1 {
+				prober.log.Info("member is slow", "target", member.ID, "pace", report.Pace, "replica", replica.Name, "epoch", replica.Epoch)
 			}
 		})
 	}
@@ -130,19 +133,19 @@
 
 // alive tells whether a member answers at all. A refusal by another target at
 // the same address is no sign of life.
-func (prober *Prober) alive(member greengageroute.Target) bool {
+func (prober *Prober) alive(member greengageroute.Target) (greengageroute.TargetReport, bool) {
 	for range probeTries {
 		prober.counters.Add(CountProbes, 1)
 		report, err := prober.reporter.Report(context.Background(), member, probeTimeout)
 		var refused *greengageroute.OrderRefusedError
 		switch {
 		case err == nil:
-			return report.Born == member.Born || report.Born == 0
+			return report, report.Born == member.Born || report.Born == 0
 		case errors.As(err, &refused):
-			return false
+			return report, false
 		}
 	}
-	return false
+	return greengageroute.TargetReport{}, false
 }
 
 // Confirm asks about targets that another entry found dead and marks those that
@@ -165,7 +168,7 @@
 			continue
 		}
 		go func() {
-			if !prober.alive(target) && len(prober.directory.MarkLost(one)) > 0 {
+			if _, lives := prober.alive(target); !lives && len(prober.directory.MarkLost(one)) > 0 {
 				prober.counters.Add(CountTargetsLost, 1)
 				prober.log.Info("target found dead", "target", one.ID, "born", one.Born, "replica", target.Member.Replica, "epoch", target.Member.Epoch)
 			}
