Soak entries as processes under random faults

Signals, frozen processes, a store that fails in four ways, targets that fall silent, leave and come, keys taken away; checked are whole streams, actions at most once, truthful refusals, denied callers, revoked keys and open groups.

--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -111,7 +111,7 @@
 	_, port, _ := strings.Cut(peer, ":")
 	entry := &siteEntry{
 		name: name, callers: freeTCP(site.t), ready: freeTCP(site.t),
-		log: filepath.Join(site.t.TempDir(), name+".log"), done: make(chan struct{}),
+		log: filepath.Join(site.t.TempDir(), name+".log"),
 	}
 	settings := filepath.Join(site.t.TempDir(), name+".conf")
 	writeFile(site.t, settings, fmt.Sprintf(`node_name=%s
@@ -135,22 +135,8 @@
 bounds.stall_ms=6000
 platform.address=%s
 `, name, entry.callers, entry.ready, port, port, site.address))
-	log, err := os.Create(entry.log)
-	if err != nil {
-		site.t.Fatal(err)
-	}
 	entry.file = settings
-	entry.cmd = exec.Command(filepath.Join(binaries, "greengageroute"), "entry")
-	entry.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
-	entry.cmd.Stdout, entry.cmd.Stderr = log, log
-	if err := entry.cmd.Start(); err != nil {
-		site.t.Fatal(err)
-	}
-	go func() {
-		_ = entry.cmd.Wait() // the test looks at the end by itself
-		log.Close()
-		close(entry.done)
-	}()
+	site.launch(entry)
 	site.t.Cleanup(func() {
 		_ = entry.cmd.Process.Kill()
 		<-entry.done
@@ -161,6 +147,25 @@
 	return entry
 }
 
+// launch starts an entry's process, also after an earlier one has ended.
+func (site *site) launch(entry *siteEntry) {
+	log, err := os.OpenFile(entry.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		site.t.Fatal(err)
+	}
+	entry.cmd, entry.done = exec.Command(filepath.Join(binaries, "greengageroute"), "entry"), make(chan struct{})
+	entry.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+entry.file)
+	entry.cmd.Stdout, entry.cmd.Stderr = log, log
+	if err := entry.cmd.Start(); err != nil {
+		site.t.Fatal(err)
+	}
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		_ = cmd.Wait() // the test looks at the end by itself
+		log.Close()
+		close(done)
+	}(entry.cmd, entry.done)
+}
+
 func (site *site) until(what string, holds func() bool) {
 	site.t.Helper()
 	eventually(site.t, startTimeout, what, holds)
--- /dev/null
+++ b/integration/soak_test.go
@@ -0,0 +1,248 @@
+package integration
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/platform/standin"
+)
+
+var (
+	soakSeeds = flag.Int("soak-seeds", 1, "seeds that the soak plays")
+	soakFirst = flag.Uint64("soak-first", 1, "the first of them")
+	soakTime  = flag.Duration("soak-time", 12*time.Second, "how long each is played")
+)
+
+type (
+	// soak plays random faults on a site and checks the promises meanwhile.
+	soak struct {
+		*site
+		random *rand.Rand
+		began  time.Time
+
+		mu       sync.Mutex
+		asked    []soakRequest
+		revoked  time.Time // when the second key was taken away; zero while it holds
+		revokes  []span
+		targets  []*standin.Target
+		story    []string
+		names    int
+		answered int
+	}
+
+	// soakRequest is one request and how it ended.
+	soakRequest struct {
+		id, path, key string
+		sent          time.Time
+		status        int // 0: the connection broke
+		body          string
+	}
+
+	// span is a time for which the second key was away.
+	span struct{ from, to time.Time }
+)
+
+// revokeBound is when a key that was taken away has to have stopped working, by
+// the settings of the site.
+const revokeBound = 5 * time.Second
+
+func (soak *soak) tell(format string, args ...any) {
+	soak.mu.Lock()
+	defer soak.mu.Unlock()
+	soak.story = append(soak.story, fmt.Sprintf("%6.2f s ", time.Since(soak.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// caller asks one request after the other until the end.
+func (soak *soak) caller(name int, random *rand.Rand, until time.Time) {
+	client := &http.Client{Transport: &http.Transport{}, Timeout: 7 * time.Second}
+	defer client.CloseIdleConnections()
+	for number := 0; time.Now().Before(until); number++ {
+		entry := soak.entries[random.IntN(len(soak.entries))]
+		asked := soakRequest{
+			id: fmt.Sprintf("s%d-%d", name, number), path: [...]string{"/chat/x", "/post/x", "/get/x"}[random.IntN(3)],
+			key: [...]string{"key-1", "key-1", "key-2"}[random.IntN(3)], sent: time.Now(),
+		}
+		asked.status, asked.body = soakAsk(client, entry.callers, asked)
+		soak.mu.Lock()
+		soak.asked = append(soak.asked, asked)
+		soak.mu.Unlock()
+		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+	}
+}
+
+func soakAsk(client *http.Client, address string, asked soakRequest) (int, string) {
+	request, err := http.NewRequest("POST", "http://"+address+asked.path, strings.NewReader(asked.id))
+	if err != nil {
+		return 0, err.Error()
+	}
+	request.Host = "h"
+	for name, value := range map[string]string{
+		platform.HeaderAttemptID: asked.id, "Authorization": "Bearer " + asked.key, "X-Greengageroute-Model": "m",
+		"X-Greengageroute-Token-Counts": "100,60", "X-Greengageroute-Deadline-Ms": "5000",
+	} {
+		request.Header.Set(name, value)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, string(body)
+	}
+	return response.StatusCode, string(body)
+}
+
+// disturb does one random thing, and undoes it later if that is due.
+func (soak *soak) disturb(later *sync.WaitGroup) {
+	entry := soak.entries[soak.random.IntN(len(soak.entries))]
+	length := time.Duration(200+soak.random.IntN(3000)) * time.Millisecond
+	store := [...]standin.Faults{{Down: true}, {Silent: true}, {LoseAnswers: true}, {Delay: 250 * time.Millisecond}}[soak.random.IntN(4)]
+	switch soak.random.IntN(10) {
+	case 0:
+		soak.tell("%s stands still for %s", entry.name, length)
+		process := entry.cmd.Process
+		_ = process.Signal(syscall.SIGSTOP)
+		later.Go(func() {
+			time.Sleep(length)
+			_ = process.Signal(syscall.SIGCONT)
+		})
+	case 1, 2:
+		signal := [...]syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[soak.random.IntN(2)]
+		soak.tell("%s gets %s and starts again", entry.name, signal)
+		_ = entry.cmd.Process.Signal(syscall.SIGCONT)
+		_ = entry.cmd.Process.Signal(signal)
+		<-entry.done
+		soak.launch(entry)
+	case 3:
+		soak.tell("the store shows %+v for %s", store, length)
+		soak.store.SetFaults(store)
+		later.Go(func() {
+			time.Sleep(length)
+			soak.store.SetFaults(standin.Faults{})
+		})
+	case 4:
+		soak.tell("the store forgets its history")
+		soak.store.Forget()
+	case 5, 6:
+		target := soak.targets[soak.random.IntN(len(soak.targets))]
+		soak.tell("%s falls silent, another comes", target.ID)
+		target.GoDark(time.Second)
+		soak.newcomer()
+	case 7:
+		target := soak.targets[soak.random.IntN(len(soak.targets))]
+		soak.tell("%s is about to leave, another comes", target.ID)
+		target.Leave()
+		soak.newcomer()
+	default:
+		soak.revoke()
+	}
+}
+
+func (soak *soak) newcomer() {
+	soak.names++
+	soak.targets = append(soak.targets, soak.target(fmt.Sprintf("i-new-%d", soak.names), "llm", "d0"))
+}
+
+// revoke takes the second key away, or gives it back.
+func (soak *soak) revoke() {
+	soak.mu.Lock()
+	defer soak.mu.Unlock()
+	soak.names++
+	if soak.revoked.IsZero() {
+		soak.store.Put("op", "config", siteConfig(100+soak.names, "key-1"))
+		soak.revoked = time.Now()
+		return
+	}
+	soak.revokes = append(soak.revokes, span{soak.revoked, time.Now()})
+	soak.revoked = time.Time{}
+	soak.store.Put("op", "config", siteConfig(100+soak.names, "key-1", "key-2"))
+}
+
+func (soak *soak) runs(id string) int {
+	runs := 0
+	for _, target := range append(append([]*standin.Target{}, soak.targets...), soak.plain...) {
+		runs += target.Runs(id)
+	}
+	return runs
+}
+
+// check goes through all requests once nothing is under way any more.
+func (soak *soak) check() {
+	spans := soak.revokes
+	if !soak.revoked.IsZero() {
+		spans = append(spans, span{soak.revoked, time.Now()})
+	}
+	for _, asked := range soak.asked {
+		runs := soak.runs(asked.id)
+		switch {
+		case asked.path == "/post/x" && runs > 1:
+			soak.t.Errorf("%+v ran %d times", asked, runs)
+		case runs > 0 && asked.path == "/post/x" && (asked.status == 503 || asked.status == 429 || asked.status == 408 || asked.status == 421):
+			soak.t.Errorf("%+v was said not to have run, and ran", asked)
+		case asked.status == 404 || asked.status == 401 && asked.key == "key-1":
+			soak.t.Errorf("%+v was denied", asked)
+		case asked.status == 200 && asked.path == "/chat/x" && asked.body != wholeStream():
+			soak.t.Errorf("%s came as %q", asked.id, asked.body)
+		case asked.status == 200:
+			soak.answered++
+		}
+		for _, span := range spans {
+			if asked.key == "key-2" && runs > 0 && asked.sent.After(span.from.Add(revokeBound)) && asked.sent.Before(span.to) {
+				soak.t.Errorf("%+v ran %s after its key was taken away", asked, asked.sent.Sub(span.from))
+			}
+		}
+	}
+	for _, broken := range soak.peers.Broken() {
+		soak.t.Error(broken)
+	}
+}
+
+// TestSoak plays random faults in overlapping series against processes, and
+// checks what callers and targets see. More seeds by hand:
+//
+//	go test ./integration -run Soak -soak-seeds 50 -soak-time 20s -timeout 1h
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	for seed := *soakFirst; seed < *soakFirst+uint64(*soakSeeds); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			soak := &soak{site: newSite(t, 10, 3), random: rand.New(rand.NewPCG(seed, 5)), began: time.Now()}
+			soak.targets = soak.models
+			soak.chat(soak.entries[0])
+			until := time.Now().Add(*soakTime)
+			var callers, later sync.WaitGroup
+			for name := range 6 {
+				random := rand.New(rand.NewPCG(seed, uint64(10+name)))
+				callers.Go(func() { soak.caller(name, random, until) })
+			}
+			for time.Now().Before(until) {
+				soak.disturb(&later)
+				time.Sleep(time.Duration(100+soak.random.IntN(900)) * time.Millisecond)
+			}
+			later.Wait()
+			callers.Wait()
+			soak.store.SetFaults(standin.Faults{})
+			soak.chat(soak.entries[1]) // recovery
+			soak.check()
+			t.Logf("%d requests, %d answered, %d faults", len(soak.asked), soak.answered, len(soak.story))
+			if soak.answered == 0 {
+				t.Error("nothing was answered")
+			}
+			if t.Failed() {
+				t.Logf("what happened:\n%s", strings.Join(soak.story, "\n"))
+			}
+		})
+	}
+}
