Keep requests that must not run twice off idle connections; dial within 200 ms

Cause: targets drop idle connections without notice, soon also sooner than they announce; an action sent on one ends with 502 although a new connection costs 1 ms. A dial to a silent target took 400 of the 600 ms of a hand-over.

--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -248,7 +248,10 @@
 }
 
 func (exchange *exchange) attempt(target greengageroute.Target) greengageroute.Attempt {
-	return greengageroute.Attempt{Target: target, Left: time.Until(exchange.deadline), LastEventID: exchange.LastEventID}
+	return greengageroute.Attempt{
+		Target: target, Left: time.Until(exchange.deadline), LastEventID: exchange.LastEventID,
+		Once: exchange.route.Kind == greengageroute.NonIdempotent,
+	}
 }
 
 // pickPool draws the pool of the request by the weights of its route.
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -20,8 +20,8 @@
 	"github.com/google/uuid"
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/peer"
-	"greengageroute.example/greengageroute/table"
 	"greengageroute.example/greengageroute/standin"
+	"greengageroute.example/greengageroute/table"
 )
 
 const (
--- a/entry/datapath_test.go
+++ b/entry/datapath_test.go
@@ -14,8 +14,8 @@
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
-	"greengageroute.example/greengageroute/table"
 	"greengageroute.example/greengageroute/standin"
+	"greengageroute.example/greengageroute/table"
 	"greengageroute.example/greengageroute/target"
 )
 
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -173,9 +173,13 @@
 
 // ask sends a request and returns its status and body; 0 if the connection broke.
 func (site *site) ask(entry *siteEntry, method, path, id, key string) (int, string) {
-	request, err := http.NewRequest(method, "http://"+entry.callers+path, strings.NewReader("body"))
+	return askEntry(http.DefaultClient, entry, method, path, id, key)
+}
+
+func askEntry(client *http.Client, entry *siteEntry, method, path, id, key string) (int, string) {
+	request, err := http.NewRequest(method, "http://"+entry.callers+path, strings.NewReader(id))
 	if err != nil {
-		site.t.Fatal(err)
+		return 0, err.Error()
 	}
 	request.Host = "h"
 	for name, value := range map[string]string{
@@ -184,7 +188,7 @@
 	} {
 		request.Header.Set(name, value)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, err.Error()
 	}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -12,7 +11,6 @@
 	"testing"
 	"time"
 
-	"greengageroute.example/greengageroute/platform"
 	"greengageroute.example/greengageroute/platform/standin"
 )
 
@@ -71,7 +69,7 @@
 			id: fmt.Sprintf("s%d-%d", name, number), path: [...]string{"/chat/x", "/post/x", "/get/x"}[random.IntN(3)],
 			key: [...]string{"key-1", "key-1", "key-2"}[random.IntN(3)], sent: time.Now(),
 		}
-		asked.status, asked.body = soakAsk(client, entry.callers, asked)
+		asked.status, asked.body = askEntry(client, entry, "POST", asked.path, asked.id, asked.key)
 		soak.mu.Lock()
 		soak.asked = append(soak.asked, asked)
 		soak.mu.Unlock()
@@ -79,30 +77,6 @@
 	}
 }
 
-func soakAsk(client *http.Client, address string, asked soakRequest) (int, string) {
-	request, err := http.NewRequest("POST", "http://"+address+asked.path, strings.NewReader(asked.id))
-	if err != nil {
-		return 0, err.Error()
-	}
-	request.Host = "h"
-	for name, value := range map[string]string{
-		platform.HeaderAttemptID: asked.id, "Authorization": "Bearer " + asked.key, "X-Greengageroute-Model": "m",
-		"X-Greengageroute-Token-Counts": "100,60", "X-Greengageroute-Deadline-Ms": "5000",
-	} {
-		request.Header.Set(name, value)
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return 0, string(body)
-	}
-	return response.StatusCode, string(body)
-}
-
 // disturb does one random thing, and undoes it later if that is due.
 func (soak *soak) disturb(later *sync.WaitGroup) {
 	entry := soak.entries[soak.random.IntN(len(soak.entries))]
--- a/request.go
+++ b/request.go
@@ -30,6 +30,7 @@
 		Left        time.Duration // until the caller or the route gives up
 		Urgency     int           // 0: the target's default
 		LastEventID string        // after which a stream goes on
+		Once        bool          // must not run twice, so that a lost connection can't be made good
 	}
 
 	// AnswerHead is what the head of a target's answer says.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -22,8 +22,12 @@
 
 const (
 	// dialTimeout bounds a new connection: a live target accepts within
-	// milliseconds, and one lost opening packet is sent again after a second.
-	dialTimeout = 400 * time.Millisecond
+	// milliseconds, and a lost opening packet is sent again only after a second.
+	dialTimeout = 200 * time.Millisecond
+	// onceIdle is how long a connection may have been idle that carries a request
+	// which must not run twice: targets drop idle connections without notice, and
+	// what is then lost may have run.
+	onceIdle = 700 * time.Millisecond
 	// idleMargin is how long before a target's announced idle timeout a connection
 	// is no longer used.
 	idleMargin = 500 * time.Millisecond
@@ -103,7 +107,7 @@
 func (client *Client) Do(ctx context.Context, request greengageroute.Request, attempt greengageroute.Attempt) (*Answer, error) {
 	target := attempt.Target
 	key := target.Address + "/" + target.ID
-	used, err := client.take(ctx, key, target.Address)
+	used, err := client.take(ctx, key, target.Address, attempt.Once)
 	if err != nil {
 		return nil, &NotSentError{Target: target.ID, Cause: err}
 	}
@@ -151,15 +155,20 @@
 		answer.conn.Close()
 		return
 	}
+	answer.conn.idleFrom = time.Now()
 	answer.client.put(answer.key, answer.conn)
 }
 
-func (client *Client) take(ctx context.Context, key, address string) (*conn, error) {
+func (client *Client) take(ctx context.Context, key, address string, once bool) (*conn, error) {
 	for {
 		kept := client.pop(key)
 		if kept == nil {
 			break
 		}
+		if once && time.Since(kept.idleFrom) > onceIdle {
+			client.put(key, kept)
+			break
+		}
 		if kept.usable() {
 			return kept, nil
 		}
@@ -187,7 +196,6 @@
 }
 
 func (client *Client) put(key string, kept *conn) {
-	kept.idleFrom = time.Now()
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	client.idle[key] = append(client.idle[key], kept)
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -194,6 +194,47 @@
 	}
 }
 
+// A request that must not run twice isn't put on a connection that may have been
+// dropped without notice.
+func TestActionsAvoidIdleConnections(t *testing.T) {
+	tests := []struct {
+		name  string
+		idle  time.Duration
+		once  bool
+		dials int
+	}{
+		{"an action on a connection used just now", 0, true, 1},
+		{"an action on an idle connection", 2 * onceIdle, true, 2},
+		{"a look-up on an idle connection", 2 * onceIdle, false, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			target := serveRaw(t, func(conn net.Conn, reader *bufio.Reader) {
+				for request, _ := readRequest(reader); request != nil; request, _ = readRequest(reader) {
+					reply(conn, request.Header.Get(platform.HeaderAttemptID), "own")
+				}
+			})
+			dials := 0
+			client := NewClient(func() { dials++ })
+			for _, id := range []string{"id-1", "id-2"} {
+				request := greengageroute.Request{ID: id, Method: "POST", Host: "h", URI: "/x", Header: http.Header{platform.HeaderAttemptID: {id}}}
+				answer, err := client.Do(context.Background(), request, greengageroute.Attempt{Target: target, Left: time.Second, Once: test.once})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := io.ReadAll(answer.Body); err != nil {
+					t.Fatal(err)
+				}
+				answer.Close(true)
+				answer.conn.idleFrom = answer.conn.idleFrom.Add(-test.idle)
+			}
+			if dials != test.dials {
+				t.Errorf("%d connections were made, want %d", dials, test.dials)
+			}
+		})
+	}
+}
+
 func TestEarlyAnswerToALongBody(t *testing.T) {
 	body := []byte(strings.Repeat("x", 4<<20))
 	target := serveRaw(t, func(conn net.Conn, reader *bufio.Reader) {
