Settle absent heads anew; a fleet waits for the next reader before the store

Change 1: what was found of an absent head is forgotten as soon as it is listed. When a reader failed, all entries of its data centre turned to the store for 2 s. Change 2: they ask the second reader; only the first two places turn to the store at once, others after 0.7 s without any reading. Tests: TestAbsentHeadIsSettled, TestFleetWaitsForTheNextReader (both fail without).

--- a/control/planner.go
+++ b/control/planner.go
@@ -179,6 +179,9 @@
 	defer planner.mu.Unlock()
 	targets := map[string]greengageroute.Target{}
 	for _, target := range view.Pools[name] {
+		// What was found of a head while it was absent says nothing once it is back.
+		delete(planner.settledAt, target.ID)
+		delete(planner.silentFor, target.ID)
 		if staged, underway := planner.staged[target.ID]; underway && now.Before(staged.until) {
 			target.Staged = []string{staged.model}
 		}
--- /dev/null
+++ b/control/planner_test.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	greengageroute "greengageroute.example/greengageroute"
+)
+
+type (
+	// noOrders takes orders and leaves them unanswered.
+	noOrders struct{}
+
+	// heard tells whether targets are heard of.
+	heard bool
+)
+
+func (noOrders) Give(context.Context, greengageroute.TargetOrder, time.Duration) error {
+	return errors.New("no answer")
+}
+
+func (heard heard) Signs(string, time.Duration) bool { return bool(heard) }
+
+func newTestPlanner(signs bool) (*Planner, *Directory) {
+	clock := greengageroute.RuntimeClock{}
+	directory := NewDirectory(clock)
+	lease := NewLease(&fakeLine{fakeStore: newFakeStore()}, "entry", clock, logr.Discard())
+	planner := NewPlanner(lease, noOrders{}, heard(signs), directory, nil, func() bool { return true }, nil, 0, nil, clock, new(expvar.Map).Init(), logr.Discard())
+	return planner, directory
+}
+
+func TestAbsentHeadIsSettled(t *testing.T) {
+	head := greengageroute.Target{ID: "i-head", Pool: "llm", State: greengageroute.TargetReady, Born: 1}
+	closing := greengageroute.TargetOrder{Kind: greengageroute.OrderClose, Target: head, Cut: true}
+	tests := []struct {
+		name    string
+		signs   bool
+		answers []error
+		back    bool // the head is listed again afterwards, and vanishes once more
+		settled bool
+	}{
+		{"it closed", false, []error{nil}, false, true},
+		{"it doesn't serve", false, []error{&greengageroute.OrderRefusedError{Status: 409}}, false, true},
+		{"one order is unanswered", false, []error{errors.New("silent")}, false, false},
+		{"orders are unanswered", false, []error{errors.New("silent"), errors.New("silent")}, false, true},
+		{"orders are unanswered, and an entry hears of it", true, []error{errors.New("silent"), errors.New("silent")}, false, false},
+		{"it closed, was listed and has opened since", false, []error{nil}, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			planner, directory := newTestPlanner(test.signs)
+			for _, answer := range test.answers {
+				planner.settleHead(closing, answer)
+			}
+			if test.back {
+				directory.Replace([]greengageroute.Target{head}, time.Time{})
+				planner.poolView("llm", nil, directory.View())
+				directory.Replace(nil, time.Time{})
+			}
+			view := planner.poolView("llm", nil, directory.View())
+			if _, settled := view.Settled[head.ID]; settled != test.settled {
+				t.Errorf("settled %t, want %t", settled, test.settled)
+			}
+		})
+	}
+}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -171,7 +171,11 @@
 		}
 		return true
 	})
-	if address, other := members[39].Reader(); !other || address != members[1].Address() {
-		t.Errorf("entry 39 has its store read by %s (%t), want %s", address, other, members[1].Address())
+	want := []string{members[1].Address(), members[3].Address()}
+	if readers, place := members[39].Readers(); !reflect.DeepEqual(readers, want) || place < 2 {
+		t.Errorf("entry 39, at place %d, asks %v, want %v", place, readers, want)
+	}
+	if readers, place := members[1].Readers(); len(readers) > 0 || place != 0 {
+		t.Errorf("the first reader, at place %d, asks %v", place, readers)
 	}
 }
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -53,13 +53,22 @@
 	return node.direct() || node.place(node.clock.Now()) < relaysEach
 }
 
-// Reader returns the entry of the data centre that reads the store for the
-// others: its address for calls, or false if it is this one.
-func (node *Node) Reader() (address string, other bool) {
+// Readers returns the addresses of the entries of the data centre that this one
+// may ask for what the store holds, the first to be asked first, and this entry's
+// own place among all: the first reads the store itself.
+func (node *Node) Readers() (addresses []string, place int) {
 	node.mu.Lock()
 	defer node.mu.Unlock()
-	first := node.ranked(node.self.DataCentre, node.clock.Now())[0]
-	return first.Address, first.From != node.self.From
+	ranked := node.ranked(node.self.DataCentre, node.clock.Now())
+	for i, one := range ranked {
+		if one.From == node.self.From {
+			return addresses, i
+		}
+		if i < relaysEach {
+			addresses = append(addresses, one.Address)
+		}
+	}
+	return addresses, len(ranked)
 }
 
 // place returns this entry's place among those of its data centre.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -28,7 +28,13 @@
 	// answerSlack is how much later the reader's answer may come.
 	answerSlack = 250 * time.Millisecond
 	// distrust is how long a reader that failed is not asked.
-	distrust = 2 * time.Second
+	distrust = time.Second
+	// patience is how long an entry that isn't among the first goes without any
+	// reader before it asks the store: another reader takes over meanwhile, and a
+	// fleet that turns to the store at once costs more than it learns.
+	patience = 700 * time.Millisecond
+	// firstPlaces turn to the store at once, so that the others can ask them.
+	firstPlaces = 2
 	// maxAnswer bounds a reader's answer, as large as a whole list.
 	maxAnswer = 8 << 20
 )
@@ -42,7 +48,7 @@
 
 	// Peers tell who reads the store.
 	Peers interface {
-		Reader() (address string, other bool)
+		Readers() (addresses []string, place int)
 	}
 
 	// Source reads tables from the entry that reads them for the data centre, or
@@ -57,7 +63,8 @@
 
 		mu       sync.Mutex
 		distrust map[string]time.Time
-		direct   map[string]bool // tables last read from the store itself
+		direct   map[string]bool      // tables last read from the store itself
+		good     map[string]time.Time // when a table was last read at all
 	}
 )
 
@@ -69,19 +76,23 @@
 	}
 	return &Source{
 		store: store, peers: peers, cache: cache, clock: clock, asked: asked, client: &http.Client{Transport: transport},
-		distrust: map[string]time.Time{}, direct: map[string]bool{},
+		distrust: map[string]time.Time{}, direct: map[string]bool{}, good: map[string]time.Time{},
 	}
 }
 
 // Read returns all rows of a table.
 func (source *Source) Read(ctx context.Context, name string) (platform.Rows, error) {
-	if rows, err := source.ask(ctx, "/rows?"+url.Values{"table": {name}}.Encode(), 0); err == nil {
+	rows, err := source.ask(ctx, "/rows?"+url.Values{"table": {name}}.Encode(), 0)
+	if err == nil {
 		source.noteDirect(name, false)
 		return rows, nil
 	}
+	if source.waits(name) {
+		return rows, err
+	}
 	source.asked()
 	began := source.clock.Now()
-	rows, err := source.store.Read(ctx, name)
+	rows, err = source.store.Read(ctx, name)
 	if err == nil {
 		source.noteDirect(name, true)
 		source.cache.Replace(name, rows, began)
@@ -101,6 +112,9 @@
 	if errors.As(err, &gone) {
 		return rows, err
 	}
+	if !source.wasDirect(name) && source.waits(name) {
+		return rows, err
+	}
 	if !source.wasDirect(name) {
 		// The cache lacks what others read meanwhile: begin with a whole reading.
 		return rows, &platform.HistoryGoneError{Table: name}
@@ -117,7 +131,16 @@
 func (source *Source) noteDirect(name string, direct bool) {
 	source.mu.Lock()
 	defer source.mu.Unlock()
-	source.direct[name] = direct
+	source.direct[name], source.good[name] = direct, source.clock.Now()
+}
+
+// waits tells whether this entry leaves it to others to ask the store for now.
+func (source *Source) waits(name string) bool {
+	_, place := source.peers.Readers()
+	source.mu.Lock()
+	defer source.mu.Unlock()
+	last, known := source.good[name]
+	return place >= firstPlaces && known && source.clock.Now().Sub(last) < patience
 }
 
 func (source *Source) wasDirect(name string) bool {
@@ -128,15 +151,19 @@
 
 var errNoReader = errors.New("no other entry reads the store for this one")
 
-// ask asks the reader, unless that is this entry or has just failed.
-func (source *Source) ask(ctx context.Context, path string, wait time.Duration) (platform.Rows, error) {
-	address, other := source.peers.Reader()
-	if !other || source.distrusts(address) {
-		return platform.Rows{}, errNoReader
-	}
-	rows, err := source.call(ctx, address, path, wait)
-	var gone *platform.HistoryGoneError
-	if err != nil && !errors.As(err, &gone) {
+// ask asks the readers one after the other, unless this entry is the first.
+func (source *Source) ask(ctx context.Context, path string, wait time.Duration) (rows platform.Rows, err error) {
+	err = errNoReader
+	addresses, _ := source.peers.Readers()
+	for _, address := range addresses {
+		if source.distrusts(address) {
+			continue
+		}
+		rows, err = source.call(ctx, address, path, wait)
+		var gone *platform.HistoryGoneError
+		if err == nil || errors.As(err, &gone) {
+			return rows, err
+		}
 		source.mu.Lock()
 		source.distrust[address] = source.clock.Now()
 		source.mu.Unlock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -20,10 +20,10 @@
 		err  error
 	}
 
-	// fixedReader names the reader.
+	// fixedReader names the readers.
 	fixedReader struct {
-		address string
-		other   bool
+		addresses []string
+		place     int
 	}
 )
 
@@ -35,7 +35,7 @@
 	return platform.Rows{Version: store.rows.Version}, store.err
 }
 
-func (reader *fixedReader) Reader() (string, bool) { return reader.address, reader.other }
+func (reader *fixedReader) Readers() ([]string, int) { return reader.addresses, reader.place }
 
 // pair returns a reader's source, and another entry's that asks it; calls counts
 // how often the second asked the store itself.
@@ -45,7 +45,7 @@
 	server := httptest.NewServer(first.Handler())
 	t.Cleanup(server.Close)
 	calls = &atomic.Int64{}
-	second = NewSource(store, &fixedReader{strings.TrimPrefix(server.URL, "http://"), true}, NewCache(clock), clock, func() { calls.Add(1) })
+	second = NewSource(store, &fixedReader{[]string{strings.TrimPrefix(server.URL, "http://")}, 1}, NewCache(clock), clock, func() { calls.Add(1) })
 	return first, second, calls
 }
 
@@ -94,7 +94,7 @@
 			first.cache.Replace("op", platform.Rows{Version: 7}, time.Now().Add(-2*maxAge))
 		}},
 		{"the reader reads through another itself", func(first, _ *Source) { first.noteDirect("op", false) }},
-		{"the reader is gone", func(_, second *Source) { second.peers.(*fixedReader).address = "127.0.0.1:1" }},
+		{"the reader is gone", func(_, second *Source) { second.peers.(*fixedReader).addresses = []string{"127.0.0.1:1"} }},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -114,3 +114,23 @@
 		})
 	}
 }
+
+// A reader fails in a fleet of many: those behind it wait for the next reader for
+// a while instead of all turning to the store.
+func TestFleetWaitsForTheNextReader(t *testing.T) {
+	ctx := context.Background()
+	first, second, calls := pair(t, &fixedStore{rows: platform.Rows{Version: 7}})
+	first.Read(ctx, "op")
+	second.Read(ctx, "op")
+	peers := second.peers.(*fixedReader)
+	peers.place, peers.addresses = 30, []string{"127.0.0.1:1"}
+	for range 5 {
+		if _, err := second.Changes(ctx, "op", 7, 0); err == nil || calls.Load() > 0 {
+			t.Fatalf("got %v after %d calls to the store", err, calls.Load())
+		}
+	}
+	second.good["op"] = time.Now().Add(-2 * patience)
+	if _, err := second.Read(ctx, "op"); err != nil || calls.Load() != 1 {
+		t.Errorf("got %v after %d calls to the store", err, calls.Load())
+	}
+}
