Measure a replica's silence against its load

The longest pass was taken with six full pieces of prompt to read, times a slowness that counts usual reading as slow: 0.6 to 0.9 s before anybody asked. Change: the pass is worked out for what waits to be read; gaps up to 1.6 passes are usual; questions wait 110 ms (150), entries for each other 30 ms (60).

--- a/control/prober.go
+++ b/control/prober.go
@@ -18,14 +18,14 @@
 const (
 	// probeTimeout bounds a question to a member: live ones answer within
 	// milliseconds, also while they are busy.
-	probeTimeout = 150 * time.Millisecond
+	probeTimeout = 110 * time.Millisecond
 	// probeTries is how many questions a member may leave unanswered: one packet
 	// may be lost.
 	probeTries = 2
 	// probeRest is how long a replica whose members all answer is left alone.
 	probeRest = 700 * time.Millisecond
 	// askSpread is how far apart entries ask that noticed the same silence.
-	askSpread = 60 * time.Millisecond
+	askSpread = 30 * time.Millisecond
 	// doubtRest is how often a target that may be dead is asked.
 	doubtRest = time.Second
 )
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -16,8 +16,11 @@
 
 const (
 	// silenceMargin is how much longer than its longest pass a replica may be
-	// silent: a delayed packet on the way.
-	silenceMargin = 120 * time.Millisecond
+	// silent: prompts that others sent just now, or a packet on the way.
+	silenceMargin = 150 * time.Millisecond
+	// usualSlowness is how much longer than a pass that only writes the gaps of a
+	// healthy replica are, since it reads in between.
+	usualSlowness = 1.6
 	// silenceRecheck is when a silent replica is looked at again: its members are
 	// being asked meanwhile.
 	silenceRecheck = 60 * time.Millisecond
@@ -136,9 +139,10 @@
 		load := loads[head.ID]
 		load.Running += seen.Running
 		load.Reading += seen.Reading
-		silent := seen.Running > 0 && time.Since(seen.LastSign) > silenceOf(engine, model, seen)
+		slowness := seen.SlownessAt(time.Now())
+		silent := seen.Running > 0 && time.Since(seen.LastSign) > silenceOf(engine, model, load, slowness)
 		choices = append(choices, greengageroute.ReplicaChoice{
-			Replica: replica, Load: load, Slowness: seen.SlownessAt(time.Now()),
+			Replica: replica, Load: load, Slowness: slowness,
 			Local: head.DataCentre == service.DataCentre, Suspect: silent,
 		})
 	}
@@ -151,8 +155,8 @@
 }
 
 // silenceOf returns how long a healthy replica may go without an event.
-func silenceOf(engine *greengageroute.Engine, model greengageroute.EngineModel, seen Seen) time.Duration {
-	return time.Duration(float64(engine.LongestPass(model))*max(seen.SlownessAt(time.Now()), 1)) + silenceMargin
+func silenceOf(engine *greengageroute.Engine, model greengageroute.EngineModel, load greengageroute.EngineLoad, slowness float64) time.Duration {
+	return time.Duration(float64(engine.LongestPass(model, load))*max(slowness/usualSlowness, 1)) + silenceMargin
 }
 
 // relay makes one attempt. It returns whether the stream was passed on to its end.
@@ -167,7 +171,9 @@
 	service.Peers.LoadChanged()
 	relay.reading.Store(true)
 	if source.engine != nil {
-		relay.threshold = silenceOf(source.engine, source.model, service.tracker.Seen(head.ID))
+		load := source.load
+		load.Reading += exchange.PromptTokens
+		relay.threshold = silenceOf(source.engine, source.model, load, service.tracker.Seen(head.ID).SlownessAt(time.Now()))
 	}
 	if source.engine != nil {
 		// The first event comes about a pass after the prompt was read.
--- a/engine.go
+++ b/engine.go
@@ -94,8 +94,8 @@
 	return time.Duration(answer/float64(max(engine.Slots, 1))) + engine.ReadTime(model, engine.UsualPrompt)
 }
 
-// LongestPass is the longest that a healthy replica goes without an event: a
-// full pass with a whole piece of prompt read in each step.
-func (engine *Engine) LongestPass(model EngineModel) time.Duration {
-	return engine.PassTime(model, engine.Slots) + engine.ReadTime(model, engine.Chunk*max(engine.Stride, 1))
+// LongestPass is the longest that a healthy replica with that load goes without
+// an event: a pass that writes for all its slots and reads what waits.
+func (engine *Engine) LongestPass(model EngineModel, load EngineLoad) time.Duration {
+	return engine.PassTime(model, engine.Slots) + engine.ReadTime(model, min(load.Reading, engine.Chunk*max(engine.Stride, 1)))
 }
