--- a/control/heads.go
+++ b/control/heads.go
@@ -21,7 +21,7 @@
 
 // readHeads returns the heads that the planner before knew.
 func (planner *Planner) readHeads(ctx context.Context, pool string) ([]greengageroute.ReplicaHead, error) {
-	rows, err := planner.lease.store.Read(ctx, controlTable)
+	rows, err := planner.Lease.store.Read(ctx, controlTable)
 	if err != nil {
 		return nil, err
 	}
@@ -51,10 +51,10 @@
 func (planner *Planner) keepHeads(ctx context.Context, view greengageroute.PoolView, formation *greengageroute.Formation) {
 	text, err := json.Marshal(formation.Heads(view))
 	if err != nil {
-		planner.log.Error(err, "heads not kept", "pool", view.Pool)
+		planner.Log.Error(err, "heads not kept", "pool", view.Pool)
 		return
 	}
-	now := planner.clock.Now()
+	now := planner.Clock.Now()
 	planner.mu.Lock()
 	if planner.unkept {
 		clear(planner.kept)
@@ -66,11 +66,11 @@
 	}
 	planner.kept[view.Pool], planner.keptAt = string(text), now
 	go func() {
-		_, err := planner.lease.store.Commit(ctx, platform.Write{
+		_, err := planner.Lease.store.Commit(ctx, platform.Write{
 			Table: controlTable, Key: headsPrefix + view.Pool, Value: text, Unconditional: true,
 		})
 		if err != nil {
-			planner.log.Info("heads not kept", "pool", view.Pool, "cause", err.Error())
+			planner.Log.Info("heads not kept", "pool", view.Pool, "cause", err.Error())
 			planner.mu.Lock()
 			defer planner.mu.Unlock()
 			planner.unkept = true
--- a/control/planner.go
+++ b/control/planner.go
@@ -56,24 +56,32 @@
 		Give(ctx context.Context, order greengageroute.TargetOrder, timeout time.Duration) error
 	}
 
+	// PlannerParts are what a Planner is made of.
+	PlannerParts struct {
+		Lease     *Lease
+		Orderer   Orderer
+		Witness   Witness
+		Directory *Directory
+		Routes    func() *greengageroute.RouteTable
+		// Serving tells whether requests have come to any entry.
+		Serving func() bool
+		// Doubt has targets asked whether they live.
+		Doubt func(vanished []mesh.LostTarget)
+		// Eligible tells whether this entry may hold the lease.
+		Eligible func() bool
+		// Settle is how long the list must stand still before the first replicas.
+		Settle   time.Duration
+		Clock    greengageroute.Clock
+		Counters *expvar.Map
+		Log      logr.Logger
+	}
+
 	// Planner forms the replicas of all pools with engines, while it holds the lease.
 	Planner struct {
-		lease     *Lease
-		orderer   Orderer
-		witness   Witness
-		directory *Directory
-		routes    func() *greengageroute.RouteTable
-		serving   func() bool
-		doubt     func(vanished []mesh.LostTarget) // has them asked whether they live
-		clock     greengageroute.Clock
-		counters  *expvar.Map
-		log       logr.Logger
-		wake      chan struct{}
-
-		eligible func() bool   // to hold the lease
-		settle   time.Duration // how long the list must stand still before the first replicas
-		listed   int
-		changed  time.Time
+		PlannerParts
+		wake    chan struct{}
+		listed  int       // targets at the last look before the first replicas
+		changed time.Time // when their number last changed
 
 		logged   map[string]string // the last state logged, by pool
 		loggedAt time.Time
@@ -108,19 +116,19 @@
 	}
 )
 
-// NewPlanner returns a planner.
-func NewPlanner(lease *Lease, orderer Orderer, witness Witness, directory *Directory, routes func() *greengageroute.RouteTable, serving func() bool, doubt func(vanished []mesh.LostTarget), settle time.Duration, eligible func() bool, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Planner {
+// NewPlanner returns a planner made of its parts.
+func NewPlanner(parts PlannerParts) *Planner {
 	return &Planner{
-		lease: lease, orderer: orderer, witness: witness, directory: directory, routes: routes, serving: serving, doubt: doubt, settle: settle, eligible: eligible, clock: clock,
-		counters: counters, log: log, wake: make(chan struct{}, 1),
+		PlannerParts: parts, wake: make(chan struct{}, 1),
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staged: map[string]stagedModel{},
-		logged: map[string]string{}, strangers: map[string]greengageroute.Target{}, kept: map[string]string{}, settledAt: map[string]time.Time{}, silentFor: map[string]int{},
+		logged: map[string]string{}, strangers: map[string]greengageroute.Target{}, kept: map[string]string{},
+		settledAt: map[string]time.Time{}, silentFor: map[string]int{},
 	}
 }
 
 // Run plans until the context ends, then gives the lease up.
 func (planner *Planner) Run(ctx context.Context) {
-	stop := planner.directory.Watch(planner.Wake)
+	stop := planner.Directory.Watch(planner.Wake)
 	defer stop()
 	ticker := time.NewTicker(planEvery)
 	defer ticker.Stop()
@@ -129,17 +137,17 @@
 		case <-ctx.Done():
 			leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), OrderTimeout)
 			defer cancel()
-			if err := planner.lease.Release(leaving); err != nil {
-				planner.log.Info("lease not released; it expires", "cause", err.Error())
+			if err := planner.Lease.Release(leaving); err != nil {
+				planner.Log.Info("lease not released; it expires", "cause", err.Error())
 			}
 			return
 		case <-ticker.C:
-			if !planner.eligible() {
+			if !planner.Eligible() {
 				continue
 			}
-			if err := planner.lease.Step(ctx, OrderTimeout); err != nil {
-				planner.counters.Add(CountLeaseFailed, 1)
-				planner.log.V(1).Info("lease step failed", "cause", err.Error())
+			if err := planner.Lease.Step(ctx, OrderTimeout); err != nil {
+				planner.Counters.Add(CountLeaseFailed, 1)
+				planner.Log.V(1).Info("lease step failed", "cause", err.Error())
 			}
 		case <-planner.wake:
 		}
@@ -156,12 +164,12 @@
 }
 
 func (planner *Planner) plan(ctx context.Context) {
-	tenure := planner.lease.Tenure()
-	routes, view := planner.routes(), planner.directory.View()
-	if !tenure.Holds(planner.clock.Now(), OrderTimeout) || routes == nil || !view.Listed {
+	tenure := planner.Lease.Tenure()
+	routes, view := planner.Routes(), planner.Directory.View()
+	if !tenure.Holds(planner.Clock.Now(), OrderTimeout) || routes == nil || !view.Listed {
 		return
 	}
-	planner.doubt(planner.directory.Unlisted())
+	planner.Doubt(planner.Directory.Unlisted())
 	if tenure.Fence != planner.fence {
 		planner.fence = tenure.Fence
 		clear(planner.formations)
@@ -174,7 +182,7 @@
 }
 
 func (planner *Planner) poolView(name string, engine *greengageroute.Engine, view *View) greengageroute.PoolView {
-	now := planner.clock.Now()
+	now := planner.Clock.Now()
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
 	targets := map[string]greengageroute.Target{}
@@ -194,7 +202,7 @@
 		}
 	}
 	return greengageroute.PoolView{
-		Pool: name, Engine: engine, Targets: targets, Serving: planner.serving(), Now: now,
+		Pool: name, Engine: engine, Targets: targets, Serving: planner.Serving(), Now: now,
 		Absent: absent, Settled: maps.Clone(planner.settledAt),
 	}
 }
@@ -207,18 +215,18 @@
 	if !known {
 		heads, err := planner.readHeads(ctx, view.Pool)
 		if err != nil {
-			planner.log.Info("heads not read; trying again", "pool", view.Pool, "cause", err.Error())
+			planner.Log.Info("heads not read; trying again", "pool", view.Pool, "cause", err.Error())
 			return
 		}
 		formation = greengageroute.NewFormation(view, planner.fence*epochsPerFence)
 		formation.Learn(heads)
 		planner.rememberHeads(heads, view)
 		planner.formations[view.Pool] = formation
-		planner.log.Info("formation adopted", "pool", view.Pool, "replicas", len(formation.Assignments), "targets", len(view.Targets))
+		planner.Log.Info("formation adopted", "pool", view.Pool, "replicas", len(formation.Assignments), "targets", len(view.Targets))
 	}
 	for _, changed := range formation.Update(view) {
-		planner.counters.Add(CountRepairs, 1)
-		planner.log.Info("replica assigned", "replica", changed.Name, "epoch", changed.Epoch, "model", changed.Model,
+		planner.Counters.Add(CountRepairs, 1)
+		planner.Log.Info("replica assigned", "replica", changed.Name, "epoch", changed.Epoch, "model", changed.Model,
 			"domain", changed.Domain, "members", strings.Join(changed.Members, ","))
 	}
 	planner.keepHeads(ctx, view, formation)
@@ -236,11 +244,11 @@
 // list themselves within about a heartbeat of each other, and replicas formed of
 // the first to come would suit the first models only.
 func (planner *Planner) settled(view greengageroute.PoolView) bool {
-	now := planner.clock.Now()
+	now := planner.Clock.Now()
 	if len(view.Targets) != planner.listed {
 		planner.listed, planner.changed = len(view.Targets), now
 	}
-	return view.Serving || planner.listed > 0 && now.Sub(planner.changed) >= planner.settle
+	return view.Serving || planner.listed > 0 && now.Sub(planner.changed) >= planner.Settle
 }
 
 // logState logs how the pool stands, when that has changed.
@@ -252,12 +260,12 @@
 		}
 	}
 	state := fmt.Sprint(len(view.Targets), len(formation.Assignments), open)
-	now := planner.clock.Now()
+	now := planner.Clock.Now()
 	if state == planner.logged[view.Pool] || now.Sub(planner.loggedAt) < logEvery {
 		return
 	}
 	planner.logged[view.Pool], planner.loggedAt = state, now
-	planner.log.Info("pool", "pool", view.Pool, "targets", len(view.Targets), "absent", len(view.Absent),
+	planner.Log.Info("pool", "pool", view.Pool, "targets", len(view.Targets), "absent", len(view.Absent),
 		"assigned", len(formation.Assignments), "open", fmt.Sprint(open), "orders", orders)
 }
 
@@ -267,7 +275,7 @@
 	if !view.Serving {
 		return len(view.Targets)
 	}
-	now := planner.clock.Now()
+	now := planner.Clock.Now()
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
 	recent := planner.loads[:0]
@@ -289,7 +297,7 @@
 
 // send gives an order in the background, unless the same was given just before.
 func (planner *Planner) send(ctx context.Context, order greengageroute.TargetOrder, view greengageroute.PoolView) {
-	now := planner.clock.Now()
+	now := planner.Clock.Now()
 	text := fmt.Sprint(order)
 	planner.mu.Lock()
 	last := planner.sent[order.Target.ID]
@@ -311,27 +319,27 @@
 }
 
 func (planner *Planner) give(ctx context.Context, order greengageroute.TargetOrder) {
-	if !planner.lease.Tenure().Holds(planner.clock.Now(), OrderTimeout) {
+	if !planner.Lease.Tenure().Holds(planner.Clock.Now(), OrderTimeout) {
 		return
 	}
-	began := planner.clock.Now()
-	err := planner.orderer.Give(ctx, order, OrderTimeout)
-	planner.counters.Add(CountOrders, 1)
+	began := planner.Clock.Now()
+	err := planner.Orderer.Give(ctx, order, OrderTimeout)
+	planner.Counters.Add(CountOrders, 1)
 	var refused *greengageroute.OrderRefusedError
 	outcome := "accepted"
 	switch {
 	case errors.As(err, &refused):
 		outcome = fmt.Sprintf("refused with %d", refused.Status)
-		planner.counters.Add(CountOrdersRefused, 1)
+		planner.Counters.Add(CountOrdersRefused, 1)
 	case err != nil:
 		outcome = "not answered: " + err.Error()
-		planner.counters.Add(CountOrdersLost, 1)
+		planner.Counters.Add(CountOrdersLost, 1)
 	}
 	if order.Kind == greengageroute.OrderClose {
 		planner.settleHead(order, err)
 	}
-	planner.log.Info("order", "kind", order.Kind.String(), "target", order.Target.ID, "replica", order.Replica, "epoch", order.Epoch,
-		"model", order.Model, "cut", order.Cut, "took", planner.clock.Now().Sub(began).String(), "outcome", outcome)
+	planner.Log.Info("order", "kind", order.Kind.String(), "target", order.Target.ID, "replica", order.Replica, "epoch", order.Epoch,
+		"model", order.Model, "cut", order.Cut, "took", planner.Clock.Now().Sub(began).String(), "outcome", outcome)
 	planner.Wake()
 }
 
@@ -340,7 +348,7 @@
 // has left orders unanswered while no entry hears of it either.
 func (planner *Planner) settleHead(order greengageroute.TargetOrder, err error) {
 	var refused *greengageroute.OrderRefusedError
-	id, now := order.Target.ID, planner.clock.Now()
+	id, now := order.Target.ID, planner.Clock.Now()
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
 	switch {
@@ -351,7 +359,7 @@
 		planner.settledAt[id] = now
 	default:
 		planner.silentFor[id]++
-		if planner.silentFor[id] >= silentOrders && !planner.witness.Signs(id, signsWithin) {
+		if planner.silentFor[id] >= silentOrders && !planner.Witness.Signs(id, signsWithin) {
 			planner.settledAt[id] = now
 		}
 	}
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -29,7 +29,10 @@
 	clock := greengageroute.RuntimeClock{}
 	directory := NewDirectory(clock)
 	lease := NewLease(&fakeLine{fakeStore: newFakeStore()}, "entry", clock, logr.Discard())
-	planner := NewPlanner(lease, noOrders{}, heard(signs), directory, nil, func() bool { return true }, nil, 0, nil, clock, new(expvar.Map).Init(), logr.Discard())
+	planner := NewPlanner(PlannerParts{
+		Lease: lease, Orderer: noOrders{}, Witness: heard(signs), Directory: directory, Serving: func() bool { return true },
+		Clock: clock, Counters: new(expvar.Map).Init(), Log: logr.Discard(),
+	})
 	return planner, directory
 }
 
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -108,7 +108,11 @@
 	entry.follower = control.NewFollower(entry.source, entry.directory, clock, entry.counters, entry.log)
 	orders := platform.NewTargets()
 	entry.prober = control.NewProber(orders, entry.directory, entry.node.ReportLost, clock, entry.counters, entry.log)
-	entry.planner = control.NewPlanner(entry.lease, orders, entry.node, entry.directory, entry.follower.Routes, entry.serving, entry.prober.Confirm, deployment.Bounds.Heartbeat, entry.node.Relay, clock, entry.counters, entry.log)
+	entry.planner = control.NewPlanner(control.PlannerParts{
+		Lease: entry.lease, Orderer: orders, Witness: entry.node, Directory: entry.directory, Routes: entry.follower.Routes,
+		Serving: entry.serving, Doubt: entry.prober.Confirm, Eligible: entry.node.Relay, Settle: deployment.Bounds.Heartbeat,
+		Clock: clock, Counters: entry.counters, Log: entry.log,
+	})
 	entry.callers = edge.New(edge.Parts{
 		DataCentre: deployment.DataCentre, Bounds: deployment.Bounds, Config: entry.follower, Directory: entry.directory,
 		Peers: entry.node, Suspects: entry.prober, Sender: entry.upstream, Counters: entry.counters, Latencies: entry.latencies, Log: entry.log,
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -257,22 +258,22 @@
 // send writes the request. A long body is written beside the reading of the
 // answer, which may come first.
 func (used *conn) send(request greengageroute.Request, attempt greengageroute.Attempt) error {
-	head := make([]byte, 0, bufferSize)
-	head = append(head, request.Method+" "+request.URI+" HTTP/1.1\r\nHost: "+request.Host+"\r\n"...)
+	head := bytes.NewBuffer(make([]byte, 0, bufferSize))
+	head.WriteString(request.Method + " " + request.URI + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	if len(request.Body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
-		head = append(head, "Content-Length: "+strconv.Itoa(len(request.Body))+"\r\n"...)
+		head.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
-	writer := headWriter{head}
-	if err := platform.EncodeAttempt(request, attempt).Write(&writer); err != nil {
+	if err := platform.EncodeAttempt(request, attempt).Write(head); err != nil {
 		return trace.Wrap(err)
 	}
-	head = append(writer.bytes, "\r\n"...)
+	head.WriteString("\r\n")
 	used.written = nil
 	if len(request.Body) <= inlineBody {
-		_, err := used.Write(append(head, request.Body...))
+		head.Write(request.Body)
+		_, err := used.Write(head.Bytes())
 		return trace.Wrap(err)
 	}
-	if _, err := used.Write(head); err != nil {
+	if _, err := used.Write(head.Bytes()); err != nil {
 		return trace.Wrap(err)
 	}
 	used.written = make(chan error, 1)
@@ -299,11 +300,3 @@
 		return false
 	}
 }
-
-type headWriter struct{ bytes []byte }
-
-// Write implements io.Writer.
-func (writer *headWriter) Write(text []byte) (int, error) {
-	writer.bytes = append(writer.bytes, text...)
-	return len(text), nil
-}
