Tell a reader that fails from an outage of the store; poll the list each 0.5 s

Those behind it took that for an outage of the store, and after an outage targets that vanish are kept for 2.5 s, in case their entries only lapsed: one that had left got a request 2053 ms later (bound 2000). Ruled out: a late list (the entry had the change), the draining target's own state. Change: a failed reader is an error of its own that starts no grace; the list is polled each 0.5 s (1.2), so that a reader which has lost the store is left after 1.3 s, and others wait 0.35 s (0.7) for the next one. Tests: TestListedTargets failed first.

--- a/control/follower.go
+++ b/control/follower.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/relay"
 )
 
 const (
@@ -18,9 +19,10 @@
 	// waits old, and one more of the entries that ask this one; keys that were
 	// taken away stop working within 5 s.
 	configWait = 1200 * time.Millisecond
-	// listWait is the wait of a long poll for the list: a silent connection is
-	// noticed within the 2 s after which a leaving target gets no more work.
-	listWait = 1200 * time.Millisecond
+	// listWait is the wait of a long poll for the list: a reader that has lost the
+	// store, or a silent connection, is noticed within the 2 s after which a leaving
+	// target gets no more work.
+	listWait = 500 * time.Millisecond
 	// listPause joins changes that come together into one answer.
 	listPause = 60 * time.Millisecond
 	// retryPause is the pause after a failed call.
@@ -150,7 +152,8 @@
 
 // note keeps track of outages and logs their begin and end.
 func (follower *Follower) note(ctx context.Context, table string, err error) {
-	if ctx.Err() != nil {
+	var reader *relay.ReaderError
+	if ctx.Err() != nil || errors.As(err, &reader) {
 		return
 	}
 	now := follower.clock.Now()
--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"fmt"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/relay"
 )
 
 const testTarget = `{"service":"ledger","address":"10.0.0.1:80","zone":"a","state":"%s","slots":6,"born":%d}`
@@ -96,6 +98,12 @@
 		if _, found := targets()["i-1"]; found {
 			t.Error("a target that vanished from a healthy store is still used")
 		}
+		// A reader that fails is no outage: what vanishes then is gone at once.
+		follower.note(context.Background(), "servers", &relay.ReaderError{Cause: errors.New("gone")})
+		follower.note(context.Background(), "servers", nil)
+		if drop := follower.dropTime(); drop.After(time.Now()) {
+			t.Errorf("targets that vanish are kept for %s more after a reader failed", time.Until(drop))
+		}
 		// Entries that lapse during an outage have until two seconds after it.
 		line.set(func(line *fakeLine) { line.down = true })
 		time.Sleep(3 * time.Second)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,10 +18,12 @@
 )
 
 const (
-	// maxAge is how old a reader's proof may be for its word to be taken: two of
-	// its polls. With this entry's own wait on top it stays below the bound on keys
-	// that were taken away.
-	maxAge = 2600 * time.Millisecond
+	// ageMargin is how much older than two waits of its polls a reader's proof may
+	// be, the last that ended and the one under way: the reader has lost the store
+	// otherwise.
+	ageMargin = 300 * time.Millisecond
+	// readAge is how old a proof may be for a whole reading.
+	readAge = 2700 * time.Millisecond
 	// longestWait is how long a call to the reader waits for changes: its proof
 	// ages meanwhile.
 	longestWait = 400 * time.Millisecond
@@ -32,7 +34,7 @@
 	// patience is how long an entry that isn't among the first goes without any
 	// reader before it asks the store: another reader takes over meanwhile, and a
 	// fleet that turns to the store at once costs more than it learns.
-	patience = 700 * time.Millisecond
+	patience = 350 * time.Millisecond
 	// firstPlaces turn to the store at once, so that the others can ask them.
 	firstPlaces = 2
 	// maxAnswer bounds a reader's answer, as large as a whole list.
@@ -51,6 +53,10 @@
 		Readers() (addresses []string, place int)
 	}
 
+	// ReaderError says that no reader could be relied on and that the store was not
+	// asked: it says nothing of the store.
+	ReaderError struct{ Cause error }
+
 	// Source reads tables from the entry that reads them for the data centre, or
 	// from the store if this is the one, or the one can't be relied on.
 	Source struct {
@@ -68,6 +74,13 @@
 	}
 )
 
+func (err *ReaderError) Error() string {
+	return "no entry reads the store for this one (" + err.Cause.Error() + "); asking again shortly"
+}
+
+// Unwrap returns the cause.
+func (err *ReaderError) Unwrap() error { return err.Cause }
+
 // NewSource returns a source that fills the cache with what it reads itself.
 func NewSource(store Store, peers Peers, cache *Cache, clock greengageroute.Clock, asked func()) *Source {
 	transport := &http.Transport{
@@ -82,13 +95,13 @@
 
 // Read returns all rows of a table.
 func (source *Source) Read(ctx context.Context, name string) (platform.Rows, error) {
-	rows, err := source.ask(ctx, "/rows?"+url.Values{"table": {name}}.Encode(), 0)
+	rows, err := source.ask(ctx, "/rows?"+url.Values{"table": {name}}.Encode(), 0, readAge)
 	if err == nil {
 		source.noteDirect(name, false)
 		return rows, nil
 	}
 	if source.waits(name) {
-		return rows, err
+		return rows, &ReaderError{Cause: err}
 	}
 	source.asked()
 	began := source.clock.Now()
@@ -103,7 +116,7 @@
 // Changes returns what has changed in a table after a version.
 func (source *Source) Changes(ctx context.Context, name string, after uint64, wait time.Duration) (platform.Rows, error) {
 	query := url.Values{"table": {name}, "after": {strconv.FormatUint(after, 10)}}
-	rows, err := source.ask(ctx, "/changes?"+query.Encode(), min(wait, longestWait))
+	rows, err := source.ask(ctx, "/changes?"+query.Encode(), min(wait, longestWait), 2*wait+ageMargin)
 	if err == nil {
 		source.noteDirect(name, false)
 		return rows, nil
@@ -113,7 +126,7 @@
 		return rows, err
 	}
 	if !source.wasDirect(name) && source.waits(name) {
-		return rows, err
+		return rows, &ReaderError{Cause: err}
 	}
 	if !source.wasDirect(name) {
 		// The cache lacks what others read meanwhile: begin with a whole reading.
@@ -152,7 +165,7 @@
 var errNoReader = errors.New("no other entry reads the store for this one")
 
 // ask asks the readers one after the other, unless this entry is the first.
-func (source *Source) ask(ctx context.Context, path string, wait time.Duration) (rows platform.Rows, err error) {
+func (source *Source) ask(ctx context.Context, path string, wait, oldest time.Duration) (rows platform.Rows, err error) {
 	err = errNoReader
 	addresses, _ := source.peers.Readers()
 	for _, address := range addresses {
@@ -160,6 +173,9 @@
 			continue
 		}
 		rows, err = source.call(ctx, address, path, wait)
+		if err == nil && rows.Age > oldest {
+			err = trace.ConnectionProblem(nil, "the reader's proof is %s old; asking another", rows.Age)
+		}
 		var gone *platform.HistoryGoneError
 		if err == nil || errors.As(err, &gone) {
 			return rows, err
@@ -204,9 +220,6 @@
 	if err := cbor.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(&rows); err != nil {
 		return rows, trace.Wrap(err, "decoding the reader's answer")
 	}
-	if rows.Age > maxAge {
-		return rows, trace.ConnectionProblem(nil, "the reader's proof is %s old; asking the store", rows.Age)
-	}
 	return rows, nil
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -79,7 +79,7 @@
 	first, second, _ := pair(t, &fixedStore{rows: platform.Rows{Version: 7}})
 	first.Read(ctx, "op")
 	first.cache.Replace("op", platform.Rows{Version: 7}, time.Now().Add(-time.Second))
-	rows, err := second.Changes(ctx, "op", 7, 0)
+	rows, err := second.Changes(ctx, "op", 7, time.Second)
 	if err != nil || rows.Age < time.Second {
 		t.Errorf("a proof of a second ago has the age %s, %v", rows.Age, err)
 	}
@@ -91,7 +91,7 @@
 		fail func(first, second *Source)
 	}{
 		{"the reader has lost the store", func(first, _ *Source) {
-			first.cache.Replace("op", platform.Rows{Version: 7}, time.Now().Add(-2*maxAge))
+			first.cache.Replace("op", platform.Rows{Version: 7}, time.Now().Add(-2*readAge))
 		}},
 		{"the reader reads through another itself", func(first, _ *Source) { first.noteDirect("op", false) }},
 		{"the reader is gone", func(_, second *Source) { second.peers.(*fixedReader).addresses = []string{"127.0.0.1:1"} }},
@@ -125,7 +125,9 @@
 	peers := second.peers.(*fixedReader)
 	peers.place, peers.addresses = 30, []string{"127.0.0.1:1"}
 	for range 5 {
-		if _, err := second.Changes(ctx, "op", 7, 0); err == nil || calls.Load() > 0 {
+		_, err := second.Changes(ctx, "op", 7, 0)
+		var reader *ReaderError
+		if !errors.As(err, &reader) || calls.Load() > 0 {
 			t.Fatalf("got %v after %d calls to the store", err, calls.Load())
 		}
 	}
