Don't take heads behind a cut for dead

Two orders to close a head went unanswered and no reachable entry heard of it, so it counted as dead; when the cut healed its members took the joins that had been sent again and again, before the head was listed. Change: silence counts only while entries of the head's data centre are heard; the heads kept for the next planner carry their data centre. Test: TestAbsentHeadIsSettled, case "its data centre is cut off".

--- a/control/heads.go
+++ b/control/heads.go
@@ -41,7 +41,7 @@
 	defer planner.mu.Unlock()
 	for _, head := range heads {
 		if _, listed := view.Targets[head.ID]; !listed {
-			planner.strangers[head.ID] = greengageroute.Target{ID: head.ID, Address: head.Address, Pool: view.Pool}
+			planner.strangers[head.ID] = greengageroute.Target{ID: head.ID, Address: head.Address, DataCentre: head.DataCentre, Pool: view.Pool}
 		}
 	}
 }
--- a/control/planner.go
+++ b/control/planner.go
@@ -46,9 +46,12 @@
 )
 
 type (
-	// Witness tells whether any entry has had an answer from a target lately.
+	// Witness tells what the entries see of targets.
 	Witness interface {
+		// Signs tells whether any entry has had an answer from a target lately.
 		Signs(target string, within time.Duration) bool
+		// Reaches tells whether entries of a data centre are heard.
+		Reaches(dataCentre string) bool
 	}
 
 	// Orderer gives orders to targets.
@@ -408,6 +411,9 @@
 		planner.settledAt[id] = now
 	case errors.As(err, &refused):
 		planner.settledAt[id] = now
+	case !planner.Witness.Reaches(order.Target.DataCentre):
+		// The whole data centre is cut off: the head may serve on behind the cut.
+		planner.silentFor[id] = 0
 	default:
 		planner.silentFor[id]++
 		if planner.silentFor[id] >= silentOrders && !planner.Witness.Signs(id, signsWithin) {
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -15,22 +15,24 @@
 	// noOrders takes orders and leaves them unanswered.
 	noOrders struct{}
 
-	// heard tells whether targets are heard of.
-	heard bool
+	// fakeWitness tells whether targets are heard of, and their data centre.
+	fakeWitness struct{ signs, cutOff bool }
 )
 
 func (noOrders) Give(context.Context, greengageroute.TargetOrder, time.Duration) error {
 	return errors.New("no answer")
 }
 
-func (heard heard) Signs(string, time.Duration) bool { return bool(heard) }
+func (witness fakeWitness) Signs(string, time.Duration) bool { return witness.signs }
 
-func newTestPlanner(signs bool) (*Planner, *Directory) {
+func (witness fakeWitness) Reaches(string) bool { return !witness.cutOff }
+
+func newTestPlanner(witness fakeWitness) (*Planner, *Directory) {
 	clock := greengageroute.RuntimeClock{}
 	directory := NewDirectory(clock)
 	lease := NewLease(&fakeLine{fakeStore: newFakeStore()}, "entry", clock, logr.Discard())
 	planner := NewPlanner(PlannerParts{
-		Lease: lease, Orderer: noOrders{}, Witness: heard(signs), Directory: directory, Serving: func() bool { return true },
+		Lease: lease, Orderer: noOrders{}, Witness: witness, Directory: directory, Serving: func() bool { return true },
 		Clock: clock, Counters: new(expvar.Map).Init(), Log: logr.Discard(),
 	})
 	return planner, directory
@@ -41,21 +43,22 @@
 	closing := greengageroute.TargetOrder{Kind: greengageroute.OrderClose, Target: head, Cut: true}
 	tests := []struct {
 		name    string
-		signs   bool
+		witness fakeWitness
 		answers []error
 		back    bool // the head is listed again afterwards, and vanishes once more
 		settled bool
 	}{
-		{"it closed", false, []error{nil}, false, true},
-		{"it doesn't serve", false, []error{&greengageroute.OrderRefusedError{Status: 409}}, false, true},
-		{"one order is unanswered", false, []error{errors.New("silent")}, false, false},
-		{"orders are unanswered", false, []error{errors.New("silent"), errors.New("silent")}, false, true},
-		{"orders are unanswered, and an entry hears of it", true, []error{errors.New("silent"), errors.New("silent")}, false, false},
-		{"it closed, was listed and has opened since", false, []error{nil}, true, false},
+		{"it closed", fakeWitness{}, []error{nil}, false, true},
+		{"it doesn't serve", fakeWitness{}, []error{&greengageroute.OrderRefusedError{Status: 409}}, false, true},
+		{"one order is unanswered", fakeWitness{}, []error{errors.New("silent")}, false, false},
+		{"orders are unanswered", fakeWitness{}, []error{errors.New("silent"), errors.New("silent")}, false, true},
+		{"orders are unanswered, and an entry hears of it", fakeWitness{signs: true}, []error{errors.New("silent"), errors.New("silent")}, false, false},
+		{"its data centre is cut off", fakeWitness{cutOff: true}, []error{errors.New("silent"), errors.New("silent")}, false, false},
+		{"it closed, was listed and has opened since", fakeWitness{}, []error{nil}, true, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			planner, directory := newTestPlanner(test.signs)
+			planner, directory := newTestPlanner(test.witness)
 			for _, answer := range test.answers {
 				planner.settleHead(closing, answer)
 			}
@@ -94,7 +97,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			planner, directory := newTestPlanner(false)
+			planner, directory := newTestPlanner(fakeWitness{})
 			open := greengageroute.TargetOrder{Kind: greengageroute.OrderOpen, Target: head, Replica: key.Name, Epoch: key.Epoch}
 			planner.send(context.Background(), open, greengageroute.PoolView{Engine: &greengageroute.Engine{}})
 			for _, answer := range test.answers {
--- a/formation.go
+++ b/formation.go
@@ -64,6 +64,8 @@
 		Epoch   uint64 `json:"epoch"`
 		ID      string `json:"id"`
 		Address string `json:"address"`
+		// DataCentre is where the head is.
+		DataCentre string `json:"data-centre"`
 	}
 
 	// brokenAssignment is an assignment that lacks members, and those it has kept.
@@ -127,7 +129,7 @@
 			head = view.Absent[id]
 		}
 		if formation.remembered(key, view) {
-			heads = append(heads, ReplicaHead{Replica: key.Name, Epoch: key.Epoch, ID: id, Address: head.Address})
+			heads = append(heads, ReplicaHead{Replica: key.Name, Epoch: key.Epoch, ID: id, Address: head.Address, DataCentre: head.DataCentre})
 		} else {
 			delete(formation.heads, key)
 		}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -23,6 +23,9 @@
 	freshFor = 800 * time.Millisecond
 	// liveFor is how long a silent peer counts as live: several lost datagrams.
 	liveFor = 1500 * time.Millisecond
+	// reachedWithin is how recent a word shows that a data centre isn't cut off:
+	// three periods.
+	reachedWithin = 750 * time.Millisecond
 	// quietPeriod is how often a silent peer is written to.
 	quietPeriod = 3 * time.Second
 	// repeatNews is how long news goes along with every message.
@@ -230,6 +233,19 @@
 	}
 }
 
+// Reaches tells whether entries of a data centre are heard.
+func (node *Node) Reaches(dataCentre string) bool {
+	now := node.clock.Now()
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	for _, other := range node.peers {
+		if other.message.DataCentre == dataCentre && !other.heard.IsZero() && now.Sub(other.heard) < reachedWithin {
+			return true
+		}
+	}
+	return dataCentre == node.self.DataCentre
+}
+
 // Signs tells whether this or another entry has heard from a target lately.
 func (node *Node) Signs(target string, within time.Duration) bool {
 	now := node.clock.Now()
