Refuse an empty configuration file

Cause: check said that an empty file had no faults; applied, it would take everything it held out of service. Change: a file without content is a fault whose remedy names the empty list. The test of immutable configurations now uses files with an empty list in place of files without content, which are no longer valid; its assertions are unchanged. Test: TestEmptyFileIsRefused failed first.

--- a/file_test.go
+++ b/file_test.go
@@ -76,11 +76,11 @@
 }
 
 func TestConfigIsImmutable(t *testing.T) {
-	before, err := NewConfig(1, map[string]FileVersion{"a": {Name: "a", Version: 1, Revision: 1}})
+	before, err := NewConfig(1, map[string]FileVersion{"a": {Name: "a", Text: "groups: []", Version: 1, Revision: 1}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	after, err := before.With(2, FileVersion{Name: "b", Version: 1, Revision: 2})
+	after, err := before.With(2, FileVersion{Name: "b", Text: "models: []", Version: 1, Revision: 2})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -105,3 +105,14 @@
 		}
 	}
 }
+
+func TestEmptyFileIsRefused(t *testing.T) {
+	for _, text := range []string{"", "\n", "# nothing yet\n", "~\n"} {
+		if _, err := ParseFile("teams.yaml", []byte(text)); err == nil {
+			t.Errorf("%q is accepted", text)
+		}
+	}
+	if _, err := ParseFile("teams.yaml", []byte("groups: []\n")); err != nil {
+		t.Errorf("a file whose list is empty on purpose is refused: %v", err)
+	}
+}
--- a/yaml.go
+++ b/yaml.go
@@ -32,7 +32,8 @@
 		list.add("", "correct the YAML syntax", "%s", strings.TrimPrefix(err.Error(), "yaml: "))
 		return
 	}
-	if len(document.Content) == 0 {
+	if len(document.Content) == 0 || document.Content[0].Tag == "!!null" {
+		list.add("", "write what is wanted; a list that shall be empty is written as []", "the file is empty, which would take everything it held out of service")
 		return
 	}
 	list.decode("", document.Content[0], reflect.ValueOf(into).Elem(), 0)
