--- a/control/directory.go
+++ b/control/directory.go
@@ -189,11 +189,6 @@
 	return vanished
 }
 
-// MarkFound takes back that a target was found dead.
-func (directory *Directory) MarkFound(found mesh.LostTarget) {
-	directory.change(func() { delete(directory.lost, found) })
-}
-
 // Expire drops what is due to be dropped.
 func (directory *Directory) Expire() {
 	now := directory.clock.Now()
--- a/control/follower.go
+++ b/control/follower.go
@@ -136,7 +136,7 @@
 		}
 		follower.note(ctx, feed.table, err)
 		if err != nil {
-			sleep(ctx, retryPause)
+			greengageroute.Pause(ctx, retryPause)
 			continue
 		}
 		if known {
@@ -146,7 +146,7 @@
 		}
 		known, version = true, max(version, rows.Version)
 		feed.current(began.Add(-rows.Age))
-		sleep(ctx, feed.pause)
+		greengageroute.Pause(ctx, feed.pause)
 	}
 }
 
@@ -216,15 +216,3 @@
 	}
 	return written, removed
 }
-
-func sleep(ctx context.Context, length time.Duration) {
-	if length <= 0 {
-		return
-	}
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- /dev/null
+++ b/pause.go
@@ -0,0 +1,19 @@
+package greengageroute
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for a length of time, or until the context ends.
+func Pause(ctx context.Context, length time.Duration) {
+	if length <= 0 {
+		return
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/replica.go
+++ b/replica.go
@@ -43,20 +43,6 @@
 	return true
 }
 
-// Leaving tells whether a member is about to leave.
-func (replica Replica) Leaving() bool {
-	return slices.ContainsFunc(replica.Members, func(member Target) bool { return member.State == TargetLeaving })
-}
-
-// MemberIDs returns the members' identifiers by rank.
-func (replica Replica) MemberIDs() []string {
-	ids := make([]string, 0, len(replica.Members))
-	for _, member := range replica.Members {
-		ids = append(ids, member.ID)
-	}
-	return ids
-}
-
 // Replicas puts the replicas together from what the targets of a pool say of
 // their memberships. A replica whose ranks have a gap or stand twice is left
 // out of the first list and its members are in the second, with those of
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -192,7 +192,6 @@
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: nil,
 	}
 }
 
--- a/table/client.go
+++ b/table/client.go
@@ -133,14 +133,14 @@
 	}
 	response, err := client.http.Do(request)
 	if err != nil {
-		return commitFailure(err)
+		return CommitFailure(err)
 	}
 	defer response.Body.Close()
 	return commitResult(response)
 }
 
-// commitFailure tells a connection that was never made from one that was lost.
-func commitFailure(err error) error {
+// CommitFailure tells a connection that was never made from one that was lost.
+func CommitFailure(err error) error {
 	var dial *net.OpError
 	if errors.As(err, &dial) && dial.Op == "dial" {
 		return &UnavailableError{Cause: err}
--- a/table/configs.go
+++ b/table/configs.go
@@ -137,7 +137,7 @@
 		if latest, err := configs.Latest(ctx, known); err == nil {
 			known = latest
 		}
-		pause(ctx, applyPause)
+		greengageroute.Pause(ctx, applyPause)
 	}
 	if lost != nil {
 		return nil, lost
--- a/table/rows.go
+++ b/table/rows.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/gravitational/trace"
 )
@@ -59,12 +58,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/target.go
+++ b/target.go
@@ -86,6 +86,3 @@
 	}
 	return false
 }
-
-// BornAt returns when the target started, by its own time of day.
-func (target Target) BornAt() time.Time { return time.UnixMilli(target.Born) }
