--- a/edge/filters.go
+++ b/edge/filters.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -79,13 +80,22 @@
 	switch {
 	case errors.As(err, &tooLong):
 		return refuse(http.StatusRequestEntityTooLarge, "the body is too long", "send less")
-	case err != nil:
+	case brokenOff(err):
 		return errCallerGone
+	case err != nil:
+		return refuse(http.StatusBadRequest, "the body can't be read: "+err.Error(), "send a length or proper chunks")
 	}
 	exchange.Body = body
 	return nil
 }
 
+// brokenOff tells whether the connection ended within the body, in contrast to a
+// body that breaks the protocol.
+func brokenOff(err error) bool {
+	var network net.Error
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
+}
+
 // serve hands the request to the kind of target that its route leads to.
 func serve(ctx context.Context, exchange *exchange) error {
 	ctx, cancel := context.WithDeadline(ctx, exchange.deadline)
