Soak behind proxies: delayed, reset, held and silenced connections, lost datagrams, whole kills

Change: each entry's callers, store, peers and each target are behind a loopback proxy; faults overlap; after them a calm check of drain, keys and readiness within their bounds. Connections of entries are proxied by having the store stand-in list the proxies.

--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -31,12 +31,14 @@
 		plain   []*standin.Target
 		entries []*siteEntry
 		asked   int
+		proxies *proxies // nil: connections are direct
 	}
 
 	siteEntry struct {
 		name    string
 		callers string
 		ready   string
+		links   *links // nil: connections are direct
 		log     string
 		file    string // settings
 		cmd     *exec.Cmd
@@ -45,10 +47,22 @@
 )
 
 func newSite(t *testing.T, models, entries int) *site {
+	site := emptySite(t)
+	site.populate(models, entries)
+	return site
+}
+
+// emptySite has a store and nothing else.
+func emptySite(t *testing.T) *site {
 	site := &site{t: t, store: standin.NewStore(), peers: standin.NewPeers()}
 	server := httptest.NewServer(site.store.Handler())
 	t.Cleanup(server.Close)
 	site.address = strings.TrimPrefix(server.URL, "http://")
+	return site
+}
+
+// populate adds targets and entries and waits until these are ready.
+func (site *site) populate(models, entries int) {
 	site.store.Put("op", "config", siteConfig(3, "key-1"))
 	for i := range models {
 		site.models = append(site.models, site.target(fmt.Sprintf("i-model-%d", i), "llm", "d0"))
@@ -59,6 +73,11 @@
 	for i := range entries {
 		site.entries = append(site.entries, site.entry(fmt.Sprint("entry-", i)))
 	}
+	site.ready()
+}
+
+// ready waits until all entries are ready.
+func (site *site) ready() {
 	for _, entry := range site.entries {
 		site.until("the entry is ready", func() bool {
 			response, err := http.Get("http://" + entry.ready + "/ready")
@@ -69,7 +88,6 @@
 			return response.StatusCode == http.StatusOK
 		})
 	}
-	return site
 }
 
 func siteConfig(version int, keys ...string) map[string]any {
@@ -113,6 +131,11 @@
 		name: name, callers: freeTCP(site.t), ready: freeTCP(site.t),
 		log: filepath.Join(site.t.TempDir(), name+".log"),
 	}
+	listens, store := entry.callers, site.address
+	if site.proxies != nil {
+		entry.links = site.proxies.front(entry, peer, store)
+		entry.callers, store = entry.links.callers.address(), entry.links.store.address()
+	}
 	settings := filepath.Join(site.t.TempDir(), name+".conf")
 	writeFile(site.t, settings, fmt.Sprintf(`node_name=%s
 zone=a
@@ -134,7 +157,7 @@
 bounds.extra_retries=282
 bounds.stall_ms=6000
 platform.address=%s
-`, name, entry.callers, entry.ready, port, port, site.address))
+`, name, listens, entry.ready, port, port, store))
 	entry.file = settings
 	site.launch(entry)
 	site.t.Cleanup(func() {
--- a/integration/relay_test.go
+++ b/integration/relay_test.go
@@ -19,6 +19,9 @@
 		silent   atomic.Int64 // connections with a lower number carry nothing more
 		opened   atomic.Int64
 		delay    atomic.Int64 // nanoseconds before each piece towards the target
+		// holds keep what goes towards the target, or back, until they end: a cut one
+		// way loses nothing that TCP sends again.
+		holdsTo, holdsBack atomic.Bool
 
 		mu   sync.Mutex
 		open map[net.Conn]struct{}
@@ -37,7 +40,12 @@
 
 func newTCPRelay(t *testing.T, to string) *tcpRelay {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return relayAt(t, "127.0.0.1:0", to)
+}
+
+func relayAt(t *testing.T, at, to string) *tcpRelay {
+	t.Helper()
+	listener, err := net.Listen("tcp", at)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -77,8 +85,8 @@
 	relay.open[from], relay.open[to] = struct{}{}, struct{}{}
 	relay.mu.Unlock()
 	var pipes sync.WaitGroup
-	pipes.Go(func() { relay.pipe(to, from, number, &relay.delay) })
-	pipes.Go(func() { relay.pipe(from, to, number, &atomic.Int64{}) })
+	pipes.Go(func() { relay.pipe(to, from, number, &relay.delay, &relay.holdsTo) })
+	pipes.Go(func() { relay.pipe(from, to, number, &atomic.Int64{}, &relay.holdsBack) })
 	pipes.Wait()
 	relay.mu.Lock()
 	delete(relay.open, from)
@@ -86,7 +94,7 @@
 	relay.mu.Unlock()
 }
 
-func (relay *tcpRelay) pipe(to, from net.Conn, number int64, delay *atomic.Int64) {
+func (relay *tcpRelay) pipe(to, from net.Conn, number int64, delay *atomic.Int64, holds *atomic.Bool) {
 	defer to.Close()
 	buffer := make([]byte, 16<<10)
 	for {
@@ -96,6 +104,9 @@
 			return
 		}
 		time.Sleep(time.Duration(delay.Load()))
+		for holds.Load() {
+			time.Sleep(poll / 5)
+		}
 		if count > 0 {
 			if _, err := to.Write(buffer[:count]); err != nil {
 				return
@@ -119,6 +130,17 @@
 	}
 }
 
+// reset breaks the open connections off: what was under way on them is lost.
+func (relay *tcpRelay) reset() {
+	relay.mu.Lock()
+	defer relay.mu.Unlock()
+	for connection := range relay.open {
+		// A connection that has closed meanwhile needs no reset.
+		_ = connection.(*net.TCPConn).SetLinger(0)
+		_ = connection.Close()
+	}
+}
+
 func (relay *tcpRelay) closeAll() {
 	relay.mu.Lock()
 	defer relay.mu.Unlock()
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -15,9 +16,11 @@
 )
 
 var (
-	soakSeeds = flag.Int("soak-seeds", 1, "seeds that the soak plays")
-	soakFirst = flag.Uint64("soak-first", 1, "the first of them")
-	soakTime  = flag.Duration("soak-time", 12*time.Second, "how long each is played")
+	soakSeeds    = flag.Int("soak-seeds", 1, "seeds that the soak plays")
+	soakFirst    = flag.Uint64("soak-first", 1, "the first of them")
+	soakEntries  = flag.Int("soak-entries", 3, "entries of each site")
+	soakParallel = flag.Bool("soak-parallel", false, "play seeds beside each other, as many as -parallel says")
+	soakTime     = flag.Duration("soak-time", 12*time.Second, "how long each is played")
 )
 
 type (
@@ -56,9 +59,15 @@
 	141,
 }
 
-// revokeBound is when a key that was taken away has to have stopped working, by
-// the settings of the site.
-const revokeBound = 5 * time.Second
+// Bounds by the settings of the site, and of its operator for the config.
+const (
+	// revokeBound is when a key that was taken away has to have stopped working.
+	revokeBound = 5 * time.Second
+	// drainBound is when a target that leaves, or a config, has to be known to all.
+	drainBound = 2 * time.Second
+	// stableWindow is how long after all faults bounds hold again.
+	stableWindow = 3 * time.Second
+)
 
 func (soak *soak) tell(format string, args ...any) {
 	soak.mu.Lock()
@@ -87,49 +96,102 @@
 // disturb does one random thing, and undoes it later if that is due.
 func (soak *soak) disturb(later *sync.WaitGroup) {
 	entry := soak.entries[soak.random.IntN(len(soak.entries))]
+	target := soak.targets[soak.random.IntN(len(soak.targets))]
 	length := time.Duration(200+soak.random.IntN(3000)) * time.Millisecond
-	store := [...]standin.Faults{{Down: true}, {Silent: true}, {LoseAnswers: true}, {Delay: 250 * time.Millisecond}}[soak.random.IntN(4)]
-	switch soak.random.IntN(10) {
+	until := func(undo func()) {
+		later.Go(func() {
+			time.Sleep(length)
+			undo()
+		})
+	}
+	switch soak.random.IntN(16) {
 	case 0:
 		soak.tell("%s stands still for %s", entry.name, length)
 		process := entry.cmd.Process
 		_ = process.Signal(syscall.SIGSTOP)
-		later.Go(func() {
-			time.Sleep(length)
-			_ = process.Signal(syscall.SIGCONT)
-		})
+		until(func() { _ = process.Signal(syscall.SIGCONT) })
 	case 1, 2:
 		signal := [...]syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[soak.random.IntN(2)]
 		soak.tell("%s gets %s and starts again", entry.name, signal)
-		_ = entry.cmd.Process.Signal(syscall.SIGCONT)
-		_ = entry.cmd.Process.Signal(signal)
-		<-entry.done
-		soak.launch(entry)
+		soak.restart(entry, signal)
 	case 3:
-		soak.tell("the store shows %+v for %s", store, length)
-		soak.store.SetFaults(store)
-		later.Go(func() {
-			time.Sleep(length)
-			soak.store.SetFaults(standin.Faults{})
-		})
+		faults := [...]standin.Faults{{Down: true}, {Silent: true}, {LoseAnswers: true}, {Delay: 250 * time.Millisecond}}[soak.random.IntN(4)]
+		soak.tell("the store shows %+v for %s", faults, length)
+		soak.store.SetFaults(faults)
+		until(func() { soak.store.SetFaults(standin.Faults{}) })
 	case 4:
 		soak.tell("the store forgets its history")
 		soak.store.Forget()
 	case 5, 6:
-		target := soak.targets[soak.random.IntN(len(soak.targets))]
 		soak.tell("%s falls silent, another comes", target.ID)
 		target.GoDark(time.Second)
 		soak.newcomer()
 	case 7:
-		target := soak.targets[soak.random.IntN(len(soak.targets))]
 		soak.tell("%s is about to leave, another comes", target.ID)
 		target.Leave()
 		soak.newcomer()
+	case 8:
+		soak.tell("all entries are killed and start again")
+		for _, one := range soak.entries {
+			soak.restart(one, syscall.SIGKILL)
+		}
+	case 9:
+		soak.tell("datagrams to %s are lost for %s", entry.name, length)
+		entry.links.news.loss.Store([...]int64{30, 100}[soak.random.IntN(2)])
+		until(func() { entry.links.news.loss.Store(0) })
+	case 10, 11:
+		soak.disturbLink("callers of "+entry.name, entry.links.callers, length, until)
+	case 12:
+		soak.disturbLink("the store and "+entry.name, entry.links.store, length, until)
+	case 13:
+		soak.disturbLink("other entries and "+entry.name, entry.links.peers, length, until)
+	case 14:
+		soak.proxies.mu.Lock()
+		relay := soak.proxies.targets[target.ID]
+		soak.proxies.mu.Unlock()
+		soak.disturbLink("entries and "+target.ID, relay, length, until)
 	default:
 		soak.revoke()
 	}
 }
 
+// disturbLink does one random thing to the connections that a proxy carries.
+func (soak *soak) disturbLink(between string, relay *tcpRelay, length time.Duration, until func(undo func())) {
+	hold := func(what string, holds *atomic.Bool) {
+		soak.tell("%s: what goes %s is held for %s", between, what, length)
+		holds.Store(true)
+		until(func() { holds.Store(false) })
+	}
+	switch soak.random.IntN(6) {
+	case 0:
+		soak.tell("%s: connections are reset", between)
+		relay.reset()
+	case 1:
+		soak.tell("%s: open connections fall silent for good", between)
+		relay.silence()
+	case 2:
+		soak.tell("%s: connections are refused for %s", between, length)
+		relay.setCut(true)
+		until(func() { relay.setCut(false) })
+	case 3:
+		soak.tell("%s: each piece is late by 40 ms for %s", between, length)
+		relay.delay.Store(int64(40 * time.Millisecond))
+		until(func() { relay.delay.Store(0) })
+	case 4:
+		hold("there", &relay.holdsTo)
+	default:
+		hold("back", &relay.holdsBack)
+	}
+}
+
+// restart ends an entry by the signal and starts it again.
+func (soak *soak) restart(entry *siteEntry, signal syscall.Signal) {
+	_ = entry.cmd.Process.Signal(syscall.SIGCONT)
+	_ = entry.cmd.Process.Signal(signal)
+	<-entry.done
+	soak.launch(entry)
+}
+
 func (soak *soak) newcomer() {
 	soak.names++
 	soak.targets = append(soak.targets, soak.target(fmt.Sprintf("i-new-%d", soak.names), "llm", "d0"))
@@ -189,6 +251,35 @@
 	}
 }
 
+// calm checks what has to hold once all faults are over: every entry is ready, a
+// config is in force and a target that leaves gets nothing, within their bounds.
+func (soak *soak) calm() {
+	soak.ready()
+	soak.chat(soak.entries[1]) // recovery
+	time.Sleep(stableWindow)
+	soak.revoke()
+	leaving := soak.plain[0]
+	leaving.Leave()
+	time.Sleep(drainBound)
+	keyed := http.StatusOK
+	if !soak.revoked.IsZero() {
+		keyed = http.StatusUnauthorized
+	}
+	for number := range 10 {
+		for _, entry := range soak.entries {
+			id := fmt.Sprintf("calm-%s-%d", entry.name, number)
+			if status, body := soak.ask(entry, "POST", "/post/x", id, "key-1"); status != http.StatusOK || leaving.Runs(id) > 0 {
+				soak.t.Errorf("%s: %d %q, %d runs at the target that left", id, status, body, leaving.Runs(id))
+			}
+		}
+	}
+	for _, entry := range soak.entries {
+		if status, body := soak.ask(entry, "GET", "/get/x", soak.nextID(), "key-2"); status != keyed {
+			soak.t.Errorf("%s answers the second key with %d %q, want %d", entry.name, status, body, keyed)
+		}
+	}
+}
+
 // TestSoak plays random faults in overlapping series against processes, and
 // checks what callers and targets see. More seeds by hand:
 //
@@ -203,7 +294,13 @@
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			soak := &soak{site: newSite(t, 10, 3), random: rand.New(rand.NewPCG(seed, 5)), began: time.Now()}
+			if *soakParallel {
+				t.Parallel()
+			}
+			site := emptySite(t)
+			site.proxies = newProxies(site)
+			site.populate(10, *soakEntries)
+			soak := &soak{site: site, random: rand.New(rand.NewPCG(seed, 5)), began: time.Now()}
 			soak.targets = soak.models
 			soak.chat(soak.entries[0])
 			until := time.Now().Add(*soakTime)
@@ -219,7 +316,7 @@
 			later.Wait()
 			callers.Wait()
 			soak.store.SetFaults(standin.Faults{})
-			soak.chat(soak.entries[1]) // recovery
+			soak.calm()
 			soak.check()
 			t.Logf("%d requests, %d answered, %d faults", len(soak.asked), soak.answered, len(soak.story))
 			if soak.answered == 0 {
