Entries know both relays of their data centre by the first one's word

Ruled out: datagrams cut to fit (20 heads, 55 fit). Change: the word names the relays; without a word an entry ranks those that may live; of several words that of the first in rank counts. Tests: TestEntriesFollowTheirRelaysForLong and TestNextEntriesFollowLostRelays failed before (place 1; no load known 15 s after the loss; now 0.8 s).

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -129,10 +129,10 @@
 	})
 }
 
-// Forty entries in two data centres: beyond the direct limit, relays add up.
-func TestRelaysSpeakForTheirDataCentres(t *testing.T) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+// fleet returns forty entries in two data centres that know each other from the
+// store's list; the first two of each data centre are on large VMs.
+func fleet(t *testing.T) []*member {
+	t.Helper()
 	members := make([]*member, 40)
 	for i := range members {
 		capacity := 0.1
@@ -150,6 +150,14 @@
 			one.Learn(other.self.From, other.self.DataCentre, other.Address(), other.self.Capacity)
 		}
 	}
+	return members
+}
+
+// Forty entries in two data centres: beyond the direct limit, relays add up.
+func TestRelaysSpeakForTheirDataCentres(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	members := fleet(t)
 	members[0].lease = LeaseNews{Holder: "entry-00", Fence: 3, Renewals: 9}
 	for _, one := range members {
 		go one.Run(ctx, one, one)
@@ -179,3 +187,51 @@
 		t.Errorf("the first reader, at place %d, asks %v", place, readers)
 	}
 }
+
+// An entry hears only one relay of its data centre. It has to go on knowing that
+// there is another, or it takes itself for the second: it then knows nobody's load,
+// counts few live entries, and reads the store.
+func TestEntriesFollowTheirRelaysForLong(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	members := fleet(t)
+	for _, one := range members {
+		go one.Run(ctx, one, one)
+	}
+	time.Sleep(liveFor * 2)
+	for place, one := range members[4:] {
+		want := []string{members[place%2].Address(), members[2+place%2].Address()}
+		if readers, rank := one.Readers(); !reflect.DeepEqual(readers, want) || rank < relaysEach || one.Relay() {
+			t.Fatalf("%s, at place %d, asks %v, want %v", one.self.From, rank, readers, want)
+		}
+		until(t, one.self.From+" knows the load of all", func() bool {
+			return one.Node.Loads()["i-1"].Running == 39 && one.Live() == 40
+		})
+	}
+}
+
+// Both relays of a data centre end at once: its next largest entries take over,
+// and only these.
+func TestNextEntriesFollowLostRelays(t *testing.T) {
+	members := fleet(t)
+	for i, one := range members {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		if i == 0 || i == 2 {
+			time.AfterFunc(2*time.Second, cancel)
+		}
+		go one.Run(ctx, one, one)
+	}
+	time.Sleep(2 * time.Second)
+	lost := time.Now()
+	for place, one := range members[4:] {
+		relay := place == 0 || place == 2 // the next by name in the first data centre
+		until(t, fmt.Sprintf("%s takes itself for a relay: %t", one.self.From, relay), func() bool { return one.Relay() == relay })
+		until(t, one.self.From+" knows the load of all that are left", func() bool {
+			return one.Node.Loads()["i-1"].Running == 37 && one.Live() == 38
+		})
+	}
+	if took := time.Since(lost); took > 2*liveFor {
+		t.Errorf("the next relays were settled after %s", took)
+	}
+}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -30,6 +30,16 @@
 		Live int `cbor:"12,keyasint,omitempty"`
 		// Total tells that the loads are those of all entries, the receiver included.
 		Total bool `cbor:"13,keyasint,omitempty"`
+		// Relays are the relays of the sender's data centre, the first first: others
+		// hear only one of them.
+		Relays []RelayNews `cbor:"14,keyasint,omitempty"`
+	}
+
+	// RelayNews names a relay.
+	RelayNews struct {
+		_       struct{} `cbor:",toarray"`
+		Name    string
+		Address string // IP:port for messages
 	}
 
 	// Load is what the sender has under way at one target.
@@ -69,7 +79,7 @@
 // they are not the sender's own.
 func (message Message) withoutLoads(digest bool) Message {
 	if digest {
-		message.Loads, message.Live, message.Total = nil, 0, false
+		message.Loads, message.Live, message.Total, message.Relays = nil, 0, false, nil
 	}
 	return message
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -62,7 +62,8 @@
 		mu       sync.Mutex
 		sequence uint64
 		peers    map[string]*peer
-		own      []Load // as last told to the relays
+		own      []Load    // as last told to the relays
+		learned  time.Time // when a peer was last learned of
 		lost     []timed[LostTarget]
 		crashes  []timed[CrashReport]
 		spread   map[any]time.Time // news that this relay has passed on
@@ -75,7 +76,8 @@
 		digest  Message // the last for others
 		address netip.AddrPort
 		heard   time.Time // zero until a message has come
-		learned time.Time // from the store
+		worded  time.Time // when its last word for all entries came
+		courted time.Time // when it was first written to without a sign of life since
 		wrote   time.Time
 	}
 
@@ -152,7 +154,8 @@
 	if known, found := node.peers[name]; found && known.address == place {
 		return
 	}
-	node.peers[name] = &peer{address: place, learned: node.clock.Now(), message: Message{From: name, DataCentre: dataCentre, Address: address, Capacity: capacity}}
+	node.learned = node.clock.Now()
+	node.peers[name] = &peer{address: place, message: Message{From: name, DataCentre: dataCentre, Address: address, Capacity: capacity}}
 }
 
 // ReportLost tells the peers at once that targets are dead.
@@ -342,9 +345,12 @@
 		known = &peer{address: place}
 		node.peers[message.From] = known
 	}
-	known.heard = node.clock.Now()
+	known.heard, known.courted = node.clock.Now(), time.Time{}
 	if message.Live > 0 {
 		known.digest = message
+		if message.Total {
+			known.worded = known.heard
+		}
 	}
 	if message.Live == 0 || known.message.From == "" {
 		known.message = message.withoutLoads(message.Live > 0)
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -76,30 +76,61 @@
 	return slices.IndexFunc(node.ranked(node.self.DataCentre, now), func(one Message) bool { return one.From == node.self.From })
 }
 
-// ranked returns the live entries of a data centre, the largest VMs first.
+// ranked returns the entries of a data centre that are taken for live, the largest
+// VMs first. A relay's word goes before what this entry has heard itself.
 func (node *Node) ranked(dataCentre string, now time.Time) []Message {
-	var live []Message
-	if dataCentre == node.self.DataCentre {
-		live = append(live, node.self)
+	if dataCentre != node.self.DataCentre {
+		return node.heardOf(dataCentre, now)
+	}
+	word := node.relayWord(now)
+	if word == nil || len(word.Relays) < relaysEach || slices.ContainsFunc(word.Relays, node.isSelf) {
+		return node.heardOf(dataCentre, now)
 	}
+	ranked := make([]Message, 0, len(word.Relays)+1)
+	for _, relay := range word.Relays {
+		ranked = append(ranked, Message{From: relay.Name, Address: relay.Address, DataCentre: dataCentre})
+	}
+	return append(ranked, node.self)
+}
+
+func (node *Node) isSelf(relay RelayNews) bool { return relay.Name == node.self.From }
+
+// heardOf returns the entries of a data centre that were heard lately, or else
+// those that may live, the largest VMs first.
+func (node *Node) heardOf(dataCentre string, now time.Time) []Message {
+	var live, hopeful []Message
 	for _, other := range node.peers {
-		if other.message.DataCentre == dataCentre && other.hopeful(now) {
+		switch {
+		case other.message.DataCentre != dataCentre:
+		case other.live(now) && now.Sub(other.heard) < freshFor:
 			live = append(live, other.message)
+		case other.hopeful(now):
+			hopeful = append(hopeful, other.message)
 		}
 	}
-	slices.SortFunc(live, func(a, b Message) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.From, b.From))
-	})
+	if len(live) == 0 || node.young(now) {
+		live = append(live, hopeful...)
+	}
+	if dataCentre == node.self.DataCentre {
+		live = append(live, node.self)
+	}
+	slices.SortFunc(live, compareRank)
 	return live
 }
 
-// hopeful tells whether the peer is live, or has only just been learned of: an
-// entry hears only of relays, so that it can't know of the others.
+// young tells whether this entry has just learned of others, and may not have
+// heard those that live.
+func (node *Node) young(now time.Time) bool { return now.Sub(node.learned) < liveFor }
+
+// hopeful tells whether a peer that isn't heard may live: it has never been
+// written to, or so lately that its answer may still come. Most entries hear only
+// relays, and know the others from the store's list.
 func (other *peer) hopeful(now time.Time) bool {
-	if other.heard.IsZero() {
-		return now.Sub(other.learned) < liveFor
+	if !other.heard.IsZero() && now.Sub(other.heard) < quietPeriod {
+		return now.Sub(other.heard) < freshFor && !other.message.Leaving
 	}
-	return other.live(now)
+	courted := now.Sub(other.courted)
+	return other.courted.IsZero() || courted < liveFor || courted > quietPeriod
 }
 
 // letters returns whom to tell what. The caller holds the lock.
@@ -110,7 +141,7 @@
 	place := node.place(now)
 	ranked := node.ranked(node.self.DataCentre, now)
 	relays := ranked[:min(relaysEach, len(ranked))]
-	letters := []letter{{message, node.receivers(now, func(other *peer) bool { return isAmong(other, relays) })}}
+	letters := []letter{{message, node.addresses(now, func(other *peer) bool { return isAmong(other, relays) })}}
 	node.own = message.Loads
 	if place >= relaysEach {
 		return letters
@@ -121,12 +152,15 @@
 	}
 	digest.Serving = digest.Serving || node.anyServing()
 	digest.Loads, digest.Live = node.sum(message.Loads, now, node.inDataCentre), node.liveHere(now)
-	letters = append(letters, letter{digest, node.receivers(now, func(other *peer) bool { return node.relayElsewhere(other, now) })})
+	letters = append(letters, letter{digest, node.addresses(now, func(other *peer) bool { return node.relayElsewhere(other, now) })})
 	if place > 0 && node.relayHeard(now) {
 		return letters
 	}
 	digest.Loads = node.addElsewhere(digest.Loads, now)
 	digest.Live, digest.Total = digest.Live+node.liveElsewhere(now), true
+	for _, relay := range relays {
+		digest.Relays = append(digest.Relays, RelayNews{Name: relay.From, Address: relay.Address})
+	}
 	return append(letters, letter{digest, node.receivers(now, node.inDataCentre)})
 }
 
@@ -173,16 +207,29 @@
 	return first != nil && now.Sub(first.heard) < standInAfter
 }
 
-// receivers returns the addresses of the peers to be told.
+// receivers returns the addresses of the peers to be told, less those that seem to
+// be dead.
 func (node *Node) receivers(now time.Time, wanted func(*peer) bool) []netip.AddrPort {
-	var receivers []netip.AddrPort
+	return node.addresses(now, func(other *peer) bool {
+		return wanted(other) && (other.hopeful(now) || now.Sub(other.wrote) > quietPeriod)
+	})
+}
+
+// addresses returns the addresses of the wanted peers and notes that they are
+// written to.
+func (node *Node) addresses(now time.Time, wanted func(*peer) bool) []netip.AddrPort {
+	var addresses []netip.AddrPort
 	for _, other := range node.peers {
-		if wanted(other) && (other.hopeful(now) || now.Sub(other.wrote) > quietPeriod) {
-			other.wrote = now
-			receivers = append(receivers, other.address)
+		if !wanted(other) {
+			continue
+		}
+		if !other.live(now) && (other.courted.IsZero() || now.Sub(other.courted) > quietPeriod) {
+			other.courted = now
 		}
+		other.wrote = now
+		addresses = append(addresses, other.address)
 	}
-	return receivers
+	return addresses
 }
 
 // sum adds the loads that some peers have themselves to the given ones.
@@ -221,18 +268,21 @@
 	return slices.Collect(maps.Values(sums))
 }
 
-// relayWord returns the newest word of a relay for all entries, or nil.
+// relayWord returns the word for all entries of the relay that ranks first among
+// those heard lately, or nil.
 func (node *Node) relayWord(now time.Time) *Message {
-	var newest *peer
+	var first *Message
 	for _, other := range node.peers {
-		if other.digest.Total && now.Sub(other.heard) < freshFor && (newest == nil || other.heard.After(newest.heard)) {
-			newest = other
+		if other.digest.Total && now.Sub(other.worded) < freshFor && (first == nil || compareRank(other.digest, *first) < 0) {
+			first = &other.digest
 		}
 	}
-	if newest == nil {
-		return nil
-	}
-	return &newest.digest
+	return first
+}
+
+// compareRank orders entries by their rank as relays: the largest VMs first.
+func compareRank(a, b Message) int {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.From, b.From))
 }
 
 // loadsByRelay returns what the others have under way by a relay's word, which
