Keep spares' models loaded, so that they join in a fifth of a second

Change: each spare joins a replica of its own that is never opened (orders: Warm). A target that is still staging no longer counts as staged. Ruled out: another head (TWO) or a planner that takes the spare's replica for a broken one; TestWarmSpareTakesALostMembersPlaceAtOnce failed before (11 replicas 0.7 s after the loss).

--- a/control/planner.go
+++ b/control/planner.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -202,8 +203,8 @@
 		// What was found of a head while it was absent says nothing once it is back.
 		delete(planner.settledAt, target.ID)
 		delete(planner.silentFor, target.ID)
-		if staged, underway := planner.staged[target.ID]; underway && now.Before(staged.until) {
-			target.Staged = []string{staged.model}
+		if staged, underway := planner.staged[target.ID]; underway && now.Before(staged.until) && !target.HasStaged(staged.model) {
+			target.Staging = staged.model
 		}
 		targets[target.ID] = target
 	}
@@ -247,7 +248,7 @@
 		planner.send(ctx, order, view)
 	}
 	planner.logState(view, formation, len(orders))
-	for _, order := range formation.Stage(view, planner.loadsLeft(view)) {
+	for _, order := range slices.Concat(formation.Stage(view, planner.loadsLeft(view)), formation.Warm(view)) {
 		planner.send(ctx, order, view)
 	}
 }
--- a/formation.go
+++ b/formation.go
@@ -80,6 +80,7 @@
 		Assignments []Assignment
 		epoch       uint64
 		names       uint64
+		warmed      map[string]warming    // by target
 		heads       map[ReplicaKey]string // of all replicas that targets may still be members of
 	}
 )
@@ -87,12 +88,12 @@
 // NewFormation returns a formation whose epochs start above the given one and
 // adopts the replicas that the targets report.
 func NewFormation(view PoolView, epoch uint64) *Formation {
-	formation := &Formation{epoch: epoch, names: epoch, heads: map[ReplicaKey]string{}}
+	formation := &Formation{epoch: epoch, names: epoch, warmed: map[string]warming{}, heads: map[ReplicaKey]string{}}
 	newest := map[string]Assignment{}
 	for _, target := range view.Targets {
 		member := target.Member
 		model, known := view.Engine.Model(member.Model)
-		if !known || member.Rank >= model.Size {
+		if !known || member.Rank >= model.Size || member.keepsSpare() {
 			continue
 		}
 		assignment := newest[member.Replica]
@@ -390,9 +391,9 @@
 	switch {
 	case target.Member.Model == model:
 		return 0
-	case target.HasStaged(model):
+	case target.HasStaged(model) && target.Staging == "":
 		return joinStaged
-	case len(target.Staged) == 0:
+	case len(target.Staged) == 0 || target.Staging == model:
 		return 2
 	default:
 		return joinLoading // its staged weights may serve another replica
--- a/formation_test.go
+++ b/formation_test.go
@@ -167,7 +167,7 @@
 	for _, order := range formation.Orders(view) {
 		rack.obey(order)
 	}
-	for _, order := range formation.Stage(view, 4) {
+	for _, order := range slices.Concat(formation.Stage(view, 4), formation.Warm(view)) {
 		rack.obey(order)
 	}
 }
@@ -240,6 +240,28 @@
 	}
 }
 
+// A spare that has loaded its model beforehand takes a lost member's place as fast
+// as the members that are left join again. A later planner leaves it as it is.
+func TestWarmSpareTakesALostMembersPlaceAtOnce(t *testing.T) {
+	rack, formation := formAll(t, 6, 11)
+	rack.run(formation, 3*time.Second, true)
+	if orders := formation.Warm(rack.view(true)); len(orders) > 0 {
+		t.Errorf("spares are told again: %v", orders)
+	}
+	rack.orders = nil
+	formation = NewFormation(rack.view(true), 2_000_000)
+	rack.run(formation, time.Second, true)
+	if len(formation.Assignments) != 12 || len(rack.orders) > 0 {
+		t.Fatalf("the next planner has %d replicas and gives the orders %v", len(formation.Assignments), rack.orders)
+	}
+	place := slices.IndexFunc(formation.Assignments, func(assignment Assignment) bool { return assignment.Model == "large" })
+	rack.targets[formation.Assignments[place].Members[3]].dead = true
+	rack.run(formation, 700*time.Millisecond, true)
+	if open := rack.open(); open["large"] != 6 || open["small"] != 6 {
+		t.Errorf("0.7 s after the loss %v serve", open)
+	}
+}
+
 // A head that was told to open a moment ago counts as open although the list
 // doesn't show it yet (soak seed 141: a new planner opened a replica that it
 // repaired a millisecond later).
--- a/formationorders.go
+++ b/formationorders.go
@@ -1,10 +1,6 @@
 package greengageroute
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // absentGrace is how long a member waits for its head to be listed again: the
 // entries of live targets are back within two seconds of an outage.
@@ -141,61 +137,3 @@
 	}
 	return orders
 }
-
-// Stage returns orders that stage weights on free targets, so that each domain
-// can replace members of the models that it runs. The limit is how many loads
-// may start now.
-func (formation *Formation) Stage(view PoolView, limit int) []TargetOrder {
-	var orders []TargetOrder
-	names, _ := view.domains()
-	for _, name := range names {
-		if view.Serving && view.arriving(name) {
-			continue // what is staged may be what the domain's replicas need
-		}
-		free := formation.free(view, name, nil)
-		spares := map[string]int{}
-		for _, target := range free {
-			for _, model := range target.Staged {
-				spares[model]++
-			}
-		}
-		for len(orders) < limit {
-			order, found := formation.stageOne(view, name, free, spares)
-			if !found {
-				break
-			}
-			orders = append(orders, order)
-			spares[order.Model]++
-			free = slices.DeleteFunc(free, func(target Target) bool { return target.ID == order.Target.ID })
-		}
-	}
-	return orders
-}
-
-// stageOne picks the model with the most members for each staged spare, and a
-// free target with nothing staged that the domain needs.
-func (formation *Formation) stageOne(view PoolView, domain string, free []Target, spares map[string]int) (TargetOrder, bool) {
-	members := map[string]int{}
-	for _, assignment := range formation.Assignments {
-		if assignment.Domain == domain {
-			members[assignment.Model] += len(assignment.Members)
-		}
-	}
-	models := slices.Clone(view.Engine.Models)
-	slices.SortStableFunc(models, func(a, b EngineModel) int {
-		return cmp.Compare(members[b.Name]*(1+spares[a.Name]), members[a.Name]*(1+spares[b.Name]))
-	})
-	if len(models) == 0 {
-		return TargetOrder{}, false
-	}
-	wanted := models[0]
-	for _, target := range free {
-		idle := len(target.Staged) == 0
-		surplus := spares[wanted.Name] == 0 && members[wanted.Name] > 0 && len(target.Staged) > 0 && spares[target.Staged[0]] > 1
-		unused := len(target.Staged) > 0 && members[target.Staged[0]] == 0 && members[wanted.Name] > 0
-		if idle || surplus || unused {
-			return TargetOrder{Kind: OrderStage, Target: target, Model: wanted.Name}, true
-		}
-	}
-	return TargetOrder{}, false
-}
--- a/target.go
+++ b/target.go
@@ -35,6 +35,7 @@
 		Slots      int
 		Born       int64 // Unix milliseconds of its start; another one means that it restarted
 		Staged     []string
+		Staging    string // the model that it was told to stage, until that is done
 		Member     Membership
 		// Revision is that of the list's row, so that an older reading never
 		// replaces a newer one.
