Ask a silent member on two connections at once instead of one after the other

Change: the second question follows 30 ms after the first; an entry that is itself held up asks again before it calls a member dead.

--- a/control/prober.go
+++ b/control/prober.go
@@ -19,9 +19,11 @@
 	// probeTimeout bounds a question to a member: live ones answer within
 	// milliseconds, also while they are busy.
 	probeTimeout = 110 * time.Millisecond
-	// probeTries is how many questions a member may leave unanswered: one packet
-	// may be lost.
-	probeTries = 2
+	// probeAgain is when a member is asked on a second connection beside the first:
+	// one packet may be lost.
+	probeAgain = 30 * time.Millisecond
+	// probeRounds is how often a member is asked if this entry itself was held up.
+	probeRounds = 2
 	// probeRest is how long a replica whose members all answer is left alone.
 	probeRest = 700 * time.Millisecond
 	// askSpread is how far apart entries ask that noticed the same silence.
@@ -134,20 +136,52 @@
 // alive tells whether a member answers at all. A refusal by another target at
 // the same address is no sign of life.
 func (prober *Prober) alive(member greengageroute.Target) (greengageroute.TargetReport, bool) {
-	for range probeTries {
-		prober.counters.Add(CountProbes, 1)
-		report, err := prober.reporter.Report(context.Background(), member, probeTimeout)
-		var refused *greengageroute.OrderRefusedError
-		switch {
-		case err == nil:
-			return report, report.Born == member.Born || report.Born == 0
-		case errors.As(err, &refused):
-			return report, false
+	for range probeRounds {
+		began := prober.clock.Now()
+		report, lives, answered := prober.question(member)
+		// Where the timers of this entry come late, so do the answers to it.
+		if answered || prober.clock.Now().Sub(began) < 2*(probeAgain+probeTimeout) {
+			return report, lives
 		}
 	}
 	return greengageroute.TargetReport{}, false
 }
 
+// question asks a member on two connections, the second shortly after the first.
+func (prober *Prober) question(member greengageroute.Target) (report greengageroute.TargetReport, lives, answered bool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	type answer struct {
+		report greengageroute.TargetReport
+		err    error
+	}
+	answers := make(chan answer, 2)
+	ask := func() {
+		prober.counters.Add(CountProbes, 1)
+		report, err := prober.reporter.Report(ctx, member, probeTimeout)
+		answers <- answer{report, err}
+	}
+	go ask()
+	second := time.NewTimer(probeAgain)
+	defer second.Stop()
+	for open := 2; open > 0; {
+		select {
+		case <-second.C:
+			go ask()
+		case got := <-answers:
+			open--
+			var refused *greengageroute.OrderRefusedError
+			switch {
+			case got.err == nil:
+				return got.report, got.report.Born == member.Born || got.report.Born == 0, true
+			case errors.As(got.err, &refused):
+				return got.report, false, true
+			}
+		}
+	}
+	return greengageroute.TargetReport{}, false, false
+}
+
 // Confirm asks about targets that another entry found dead and marks those that
 // give no answer here either.
 func (prober *Prober) Confirm(lost []mesh.LostTarget) {
