Read the store through the entry of the data centre that has it

Cause: the first two entries of a data centre read the store for the others by rank, whether or not they reach it. Change: entries tell whether they read the store themselves; those come first as readers, and a relay's word names them where they aren't the relays. An entry behind the first leaves the store alone for 1.5 to 3 s after a call of its own has failed and waits 0.35 to 1.05 s for another reader before that. Only relays read the list of entries a second time.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	lost  []LostTarget
 	lease LeaseNews
 	heard []LeaseNews
+	reads atomic.Bool
 }
 
 func (member *member) Loads() []Load {
@@ -28,6 +30,7 @@
 }
 func (member *member) Lease() LeaseNews { return member.lease }
 func (member *member) Serving() bool    { return true }
+func (member *member) Reads() bool      { return member.reads.Load() }
 func (member *member) TargetsLost(_ string, lost []LostTarget) {
 	member.mu.Lock()
 	defer member.mu.Unlock()
@@ -235,3 +238,30 @@
 		t.Errorf("the next relays were settled after %s", took)
 	}
 }
+
+// Both relays of a data centre have lost the store and another entry has it: all
+// ask that one.
+func TestEntriesAskThoseThatHaveTheStore(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	members := fleet(t)
+	members[21].reads.Store(true)
+	for _, one := range members {
+		go one.Run(ctx, one, one)
+	}
+	for _, asking := range []int{1, 3, 5, 39} {
+		until(t, "the entry that has the store is asked first", func() bool {
+			readers, place := members[asking].Readers()
+			return len(readers) > 0 && readers[0] == members[21].Address() && place > 0
+		})
+	}
+	until(t, "the one that has it asks nobody", func() bool {
+		readers, place := members[21].Readers()
+		return len(readers) == 0 && place == 0
+	})
+	members[1].reads.Store(true)
+	until(t, "a relay that has the store goes first", func() bool {
+		readers, _ := members[21].Readers()
+		return len(readers) == 1 && readers[0] == members[1].Address()
+	})
+}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -33,6 +33,11 @@
 		// Relays are the relays of the sender's data centre, the first first: others
 		// hear only one of them.
 		Relays []RelayNews `cbor:"14,keyasint,omitempty"`
+		// Reads tells that the sender reads the store itself.
+		Reads bool `cbor:"15,keyasint,omitempty"`
+		// Readers are the addresses of the entries of the sender's data centre that
+		// others may ask for what the store holds, where these aren't the relays.
+		Readers []string `cbor:"16,keyasint,omitempty"`
 	}
 
 	// RelayNews names a relay.
@@ -79,7 +84,7 @@
 // they are not the sender's own.
 func (message Message) withoutLoads(digest bool) Message {
 	if digest {
-		message.Loads, message.Live, message.Total, message.Relays = nil, 0, false, nil
+		message.Loads, message.Live, message.Total, message.Relays, message.Readers = nil, 0, false, nil, nil
 	}
 	return message
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -41,6 +41,8 @@
 		Lease() LeaseNews
 		// Serving tells whether requests have come.
 		Serving() bool
+		// Reads tells whether the entry reads the store itself.
+		Reads() bool
 	}
 
 	// Sink takes what other entries tell.
@@ -281,7 +283,9 @@
 	now := node.clock.Now()
 	message := node.self
 	message.Loads, message.Lease, message.Serving, message.Leaving = node.source.Loads(), node.source.Lease(), node.source.Serving(), leaving
+	message.Reads = node.source.Reads()
 	node.mu.Lock()
+	node.self.Reads = message.Reads
 	node.sequence++
 	message.Sequence = node.sequence
 	node.lost, message.Lost = current(node.lost, now)
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -57,18 +57,38 @@
 // may ask for what the store holds, the first to be asked first, and this entry's
 // own place among all: the first reads the store itself.
 func (node *Node) Readers() (addresses []string, place int) {
+	now := node.clock.Now()
 	node.mu.Lock()
 	defer node.mu.Unlock()
-	ranked := node.ranked(node.self.DataCentre, node.clock.Now())
-	for i, one := range ranked {
-		if one.From == node.self.From {
-			return addresses, i
-		}
-		if i < relaysEach {
-			addresses = append(addresses, one.Address)
+	readers, all := node.readers(now)
+	place = slices.Index(readers, node.self.Address)
+	if place < 0 {
+		return readers, all
+	}
+	return readers[:place], place
+}
+
+// readers returns the addresses of the first readers, those first that have the
+// store, and how many entries there are beside this one.
+func (node *Node) readers(now time.Time) (addresses []string, others int) {
+	ranked := node.ranked(node.self.DataCentre, now)
+	if word := node.relayWord(now); word != nil && len(word.Readers) > 0 && !slices.ContainsFunc(word.Relays, node.isSelf) {
+		return word.Readers, max(len(ranked)-1, relaysEach)
+	}
+	slices.SortStableFunc(ranked, func(a, b Message) int {
+		switch {
+		case a.Reads == b.Reads:
+			return 0
+		case a.Reads:
+			return -1
+		default:
+			return 1
 		}
+	})
+	for _, one := range ranked[:min(relaysEach, len(ranked))] {
+		addresses = append(addresses, one.Address)
 	}
-	return addresses, len(ranked)
+	return addresses, len(ranked) - 1
 }
 
 // place returns this entry's place among those of its data centre.
@@ -158,8 +178,14 @@
 	}
 	digest.Loads = node.addElsewhere(digest.Loads, now)
 	digest.Live, digest.Total = digest.Live+node.liveElsewhere(now), true
-	for _, relay := range relays {
+	same := true
+	readers, _ := node.readers(now)
+	for i, relay := range relays {
 		digest.Relays = append(digest.Relays, RelayNews{Name: relay.From, Address: relay.Address})
+		same = same && i < len(readers) && readers[i] == relay.Address
+	}
+	if !same {
+		digest.Readers = readers
 	}
 	return append(letters, letter{digest, node.receivers(now, node.inDataCentre)})
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -31,10 +32,18 @@
 	answerSlack = 250 * time.Millisecond
 	// distrust is how long a reader that failed is not asked.
 	distrust = time.Second
-	// patience is how long an entry that isn't among the first goes without any
-	// reader before it asks the store: another reader takes over meanwhile, and a
-	// fleet that turns to the store at once costs more than it learns.
+	// patience is how long an entry that isn't among the first goes at least without
+	// any reader before it asks the store: another reader takes over meanwhile, and a
+	// fleet that turns to the store at once costs more than it learns. Each entry
+	// waits up to three times as long, so that the first to succeed serve the others.
 	patience = 350 * time.Millisecond
+	// ownRetry is how long an entry that isn't among the first leaves the store alone
+	// after a call of its own has failed, and up to twice as long: the first entries
+	// notice that the store is back, and the others by them.
+	ownRetry = 1500 * time.Millisecond
+	// readsFor is how recent the last answer of an entry that reads the store is:
+	// longer than the longest wait of a call.
+	readsFor = 2 * time.Second
 	// firstPlaces turn to the store at once, so that the others can ask them.
 	firstPlaces = 2
 	// maxAnswer bounds a reader's answer, as large as a whole list.
@@ -67,10 +76,19 @@
 		asked  func() // counts calls to the store
 		client *http.Client
 
+		patience time.Duration
+
 		mu       sync.Mutex
 		distrust map[string]time.Time
-		direct   map[string]bool      // tables last read from the store itself
-		good     map[string]time.Time // when a table was last read at all
+		tables   map[string]*reading
+	}
+
+	// reading is how one table was read lately.
+	reading struct {
+		direct bool      // the last time from the store itself
+		good   time.Time // when it was last read at all
+		failed bool      // the last call of this entry to the store
+		retry  time.Time // before this it leaves the store to the first entries
 	}
 )
 
@@ -89,7 +107,7 @@
 	}
 	return &Source{
 		store: store, peers: peers, cache: cache, clock: clock, asked: asked, client: &http.Client{Transport: transport},
-		distrust: map[string]time.Time{}, direct: map[string]bool{}, good: map[string]time.Time{},
+		patience: patience + rand.N(2*patience), distrust: map[string]time.Time{}, tables: map[string]*reading{},
 	}
 }
 
@@ -103,11 +121,10 @@
 	if source.waits(name) {
 		return rows, &ReaderError{Cause: err}
 	}
-	source.asked()
 	began := source.clock.Now()
+	source.asked()
 	rows, err = source.store.Read(ctx, name)
-	if err == nil {
-		source.noteDirect(name, true)
+	if source.noteOwn(name, err) {
 		source.cache.Replace(name, rows, began)
 	}
 	return rows, err
@@ -132,34 +149,83 @@
 		// The cache lacks what others read meanwhile: begin with a whole reading.
 		return rows, &platform.HistoryGoneError{Table: name}
 	}
-	source.asked()
 	began := source.clock.Now()
+	source.asked()
 	rows, err = source.store.Changes(ctx, name, after, wait)
-	if err == nil {
+	if source.noteOwn(name, err) {
 		source.cache.Apply(name, rows, began)
 	}
 	return rows, err
 }
 
-func (source *Source) noteDirect(name string, direct bool) {
+// Reading tells whether this entry reads all its tables from the store itself, so
+// that others can ask it.
+func (source *Source) Reading() bool {
+	now := source.clock.Now()
 	source.mu.Lock()
 	defer source.mu.Unlock()
-	source.direct[name], source.good[name] = direct, source.clock.Now()
+	for _, table := range source.tables {
+		if !table.direct || table.failed || now.Sub(table.good) > readsFor {
+			return false
+		}
+	}
+	return len(source.tables) > 0
 }
 
-// waits tells whether this entry leaves it to others to ask the store for now.
-func (source *Source) waits(name string) bool {
-	_, place := source.peers.Readers()
+// edit changes what is known of the reading of a table.
+func (source *Source) edit(name string, change func(table *reading)) {
 	source.mu.Lock()
 	defer source.mu.Unlock()
-	last, known := source.good[name]
-	return place >= firstPlaces && known && source.clock.Now().Sub(last) < patience
+	table, known := source.tables[name]
+	if !known {
+		table = &reading{}
+		source.tables[name] = table
+	}
+	change(table)
 }
 
-func (source *Source) wasDirect(name string) bool {
-	source.mu.Lock()
-	defer source.mu.Unlock()
-	return source.direct[name]
+func (source *Source) noteDirect(name string, direct bool) {
+	source.edit(name, func(table *reading) {
+		table.direct, table.failed, table.good = direct, false, source.clock.Now()
+	})
+}
+
+// noteOwn notes how a call of this entry's own to the store went. It tells whether
+// it was answered.
+func (source *Source) noteOwn(name string, err error) bool {
+	if err == nil {
+		source.noteDirect(name, true)
+		return true
+	}
+	var gone *platform.HistoryGoneError
+	if !errors.As(err, &gone) {
+		source.edit(name, func(table *reading) {
+			table.failed, table.retry = true, source.clock.Now().Add(ownRetry+rand.N(ownRetry))
+		})
+	}
+	return false
+}
+
+// waits tells whether this entry leaves it to others to ask the store for now.
+func (source *Source) waits(name string) (waits bool) {
+	_, place := source.peers.Readers()
+	now := source.clock.Now()
+	source.edit(name, func(table *reading) {
+		patient := !table.good.IsZero() && now.Sub(table.good) < source.patience
+		waits = place >= firstPlaces && (patient || now.Before(table.retry))
+	})
+	return waits
+}
+
+func (source *Source) wasDirect(name string) (direct bool) {
+	source.edit(name, func(table *reading) { direct = table.direct })
+	return direct
+}
+
+// serves tells whether others may have a table from here.
+func (source *Source) serves(name string) (serves bool) {
+	source.edit(name, func(table *reading) { serves = table.direct && !table.failed })
+	return serves
 }
 
 var errNoReader = errors.New("no other entry reads the store for this one")
@@ -230,7 +296,7 @@
 	mux.HandleFunc("GET /rows", func(writer http.ResponseWriter, request *http.Request) {
 		name := request.FormValue("table")
 		rows, found := source.cache.Read(name)
-		writeRows(writer, rows, false, found && source.wasDirect(name))
+		writeRows(writer, rows, false, found && source.serves(name))
 	})
 	mux.HandleFunc("GET /changes", func(writer http.ResponseWriter, request *http.Request) {
 		name := request.FormValue("table")
@@ -241,7 +307,7 @@
 		}
 		wait, _ := strconv.Atoi(request.FormValue("wait-ms")) // none: answer at once
 		rows, gone, found := source.cache.Changes(request.Context(), name, after, min(time.Duration(wait)*time.Millisecond, longestWait))
-		writeRows(writer, rows, gone, found && source.wasDirect(name))
+		writeRows(writer, rows, gone, found && source.serves(name))
 	})
 	return mux
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -131,8 +131,37 @@
 			t.Fatalf("got %v after %d calls to the store", err, calls.Load())
 		}
 	}
-	second.good["op"] = time.Now().Add(-2 * patience)
+	second.tables["op"].good = time.Now().Add(-2 * second.patience)
 	if _, err := second.Read(ctx, "op"); err != nil || calls.Load() != 1 {
 		t.Errorf("got %v after %d calls to the store", err, calls.Load())
 	}
 }
+
+// An outage of the store for all: an entry behind the first asks it once and then
+// leaves it to these, and nobody takes the word of a reader that has lost the store.
+func TestFleetLeavesALostStoreToItsReaders(t *testing.T) {
+	ctx := context.Background()
+	store := &fixedStore{rows: platform.Rows{Version: 7}}
+	first, second, calls := pair(t, store)
+	first.Read(ctx, "op")
+	second.Read(ctx, "op")
+	second.peers.(*fixedReader).place = 30
+	store.err = errors.New("the store is down")
+	first.Changes(ctx, "op", 7, 0)
+	if first.Reading() {
+		t.Error("an entry whose call has failed says that it reads the store")
+	}
+	second.tables["op"].good = time.Now().Add(-2 * second.patience)
+	for range 5 {
+		second.Read(ctx, "op")
+	}
+	if calls.Load() != 1 {
+		t.Errorf("%d calls to the store, want 1", calls.Load())
+	}
+	store.err = nil
+	first.Read(ctx, "op")
+	clear(second.distrust)
+	if _, err := second.Read(ctx, "op"); err != nil || calls.Load() != 1 || !first.Reading() || second.Reading() {
+		t.Errorf("after the outage: %v, %d calls", err, calls.Load())
+	}
+}
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -49,11 +49,14 @@
 }
 
 // learnAgain reads the list of entries once more, when those that started at the
-// same time have written theirs.
+// same time have written theirs. In a large fleet only the relays need to know all.
 func (entry *Entry) learnAgain(ctx context.Context) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(settleEntries + rand.N(settleEntries)):
+		if !entry.node.Relay() {
+			return
+		}
 		if err := entry.learn(ctx); err != nil {
 			entry.log.Info("entries not read again", "cause", err.Error())
 		}
@@ -98,6 +101,9 @@
 // Serving implements mesh.Source.
 func (entry *Entry) Serving() bool { return entry.serving() }
 
+// Reads implements mesh.Source.
+func (entry *Entry) Reads() bool { return entry.source.Reading() }
+
 // TargetsLost implements mesh.Sink. The planner asks for itself before it acts;
 // the others take the word of an entry for a replica that is silent here too.
 func (entry *Entry) TargetsLost(_ string, lost []mesh.LostTarget) {
