Prefer replicas that a connection is kept to

Change: a kept connection counts as 8 ms, at plain targets 2 ms, less than what a prompt more to read costs.

--- a/balance.go
+++ b/balance.go
@@ -6,6 +6,12 @@
 	// remoteCost is what a replica in another data centre has to be faster by: its
 	// events cross a link that is billed by the byte.
 	remoteCost = 12 * time.Millisecond
+	// connectCost is what a replica has to be faster by that no connection is kept
+	// to: a round trip, and its head's time for a new connection, which operators
+	// bill. Predictions are off by more than that.
+	connectCost = 8 * time.Millisecond
+	// targetConnectCost is the same for a plain target, whose answers take 20 ms.
+	targetConnectCost = 2 * time.Millisecond
 	// gapMargin is the part of the longest allowed gap that a pass may take.
 	gapMargin = 0.85
 	// gapCost is what a replica has to be faster by whose next pass would make the
@@ -21,6 +27,7 @@
 		Slowness float64    // measured pace against the published one; 1 is as published
 		Local    bool       // its head is in the entry's data centre
 		Suspect  bool       // silent for longer than a pass takes
+		Kept     bool       // there is an idle connection to its head
 	}
 
 	// TargetChoice is a target of a plain service with what is known of it.
@@ -30,6 +37,7 @@
 		Latency  time.Duration // usual time to answer
 		Failures float64       // share of its latest answers that failed
 		Local    bool
+		Kept     bool // there is an idle connection to it
 	}
 )
 
@@ -58,6 +66,9 @@
 		if !choice.Local {
 			cost += remoteCost
 		}
+		if !choice.Kept {
+			cost += connectCost
+		}
 		if choice.Load.Running > 0 && gap > 0 && choice.NextPass(engine, model, prompt) > time.Duration(gapMargin*float64(gap)) {
 			cost += gapCost
 		}
@@ -83,6 +94,9 @@
 		if !choice.Local {
 			cost += 2e-3
 		}
+		if !choice.Kept {
+			cost += targetConnectCost.Seconds()
+		}
 		if place < 0 || cost < best {
 			place, best = i, cost
 		}
--- a/balance_test.go
+++ b/balance_test.go
@@ -181,3 +181,24 @@
 		})
 	}
 }
+
+// Many entries before few replicas: each sends so few requests to a replica that
+// its connections time out, unless it prefers those that it has.
+func TestKeptConnectionsDecideAmongEquals(t *testing.T) {
+	tests := []struct {
+		name    string
+		choices []ReplicaChoice
+		want    int
+	}{
+		{"equally loaded", []ReplicaChoice{{Local: true}, {Local: true, Kept: true}, {Local: true}}, 1},
+		{"a little more loaded", []ReplicaChoice{{Local: true}, {Local: true, Kept: true, Load: EngineLoad{Running: 2}}}, 1},
+		{"a prompt more to read", []ReplicaChoice{{Local: true}, {Local: true, Kept: true, Load: EngineLoad{Running: 1, Reading: 1500}}}, 0},
+		{"in another data centre", []ReplicaChoice{{Local: true}, {Kept: true}}, 0},
+		{"silent", []ReplicaChoice{{Local: true}, {Local: true, Kept: true, Suspect: true}}, 0},
+	}
+	for _, test := range tests {
+		if place, _ := ChooseReplica(rackEngine, rackEngine.Models[0], 1000, 250*time.Millisecond, test.choices); place != test.want {
+			t.Errorf("%s: chose %d, want %d", test.name, place, test.want)
+		}
+	}
+}
--- a/edge/call.go
+++ b/edge/call.go
@@ -131,6 +131,7 @@
 		choices = append(choices, greengageroute.TargetChoice{
 			Target: target, Running: seen.Running + loads[target.ID].Running, Latency: seen.Latency,
 			Failures: seen.Failures, Local: target.DataCentre == service.DataCentre,
+			Kept: service.Sender.Kept(target, exchange.route.Kind == greengageroute.NonIdempotent),
 		})
 	}
 	place := greengageroute.ChooseTarget(choices)
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -56,6 +56,8 @@
 func (stage *stage) Silent(greengageroute.Replica)               { stage.silent++ }
 func (stage *stage) Answers(greengageroute.Target) bool          { return stage.alive }
 
+func (stage *stage) Kept(greengageroute.Target, bool) bool { return false }
+
 func (stage *stage) Do(ctx context.Context, _ greengageroute.Request, attempt greengageroute.Attempt) (*upstream.Answer, error) {
 	stage.mu.Lock()
 	place := len(stage.attempts)
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -50,6 +50,9 @@
 	// Sender sends attempts to targets.
 	Sender interface {
 		Do(ctx context.Context, request greengageroute.Request, attempt greengageroute.Attempt) (*upstream.Answer, error)
+		// Kept tells whether there is an idle connection to the target for a request
+		// that may, or must not, run twice.
+		Kept(target greengageroute.Target, once bool) bool
 	}
 
 	// Parts are what a Service is made of.
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -143,7 +143,7 @@
 		silent := seen.Running > 0 && time.Since(seen.LastSign) > silenceOf(engine, model, load, slowness)
 		choices = append(choices, greengageroute.ReplicaChoice{
 			Replica: replica, Load: load, Slowness: slowness,
-			Local: head.DataCentre == service.DataCentre, Suspect: silent,
+			Local: head.DataCentre == service.DataCentre, Suspect: silent, Kept: service.Sender.Kept(head, false),
 		})
 	}
 	place, expected := greengageroute.ChooseReplica(engine, model, exchange.PromptTokens, exchange.route.TargetGap, choices)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -107,7 +107,7 @@
 // a *NotSentError or a *LostError.
 func (client *Client) Do(ctx context.Context, request greengageroute.Request, attempt greengageroute.Attempt) (*Answer, error) {
 	target := attempt.Target
-	key := target.Address + "/" + target.ID
+	key := keyOf(target)
 	used, err := client.take(ctx, key, target.Address, attempt.Once)
 	if err != nil {
 		return nil, &NotSentError{Target: target.ID, Cause: err}
@@ -184,6 +184,21 @@
 	return &conn{Conn: made, reader: bufio.NewReaderSize(made, bufferSize)}, nil
 }
 
+// Kept tells whether there is an idle connection to the target that can carry a
+// request, one that must not run twice if that is asked.
+func (client *Client) Kept(target greengageroute.Target, once bool) bool {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	kept := client.idle[keyOf(target)]
+	if len(kept) == 0 {
+		return false
+	}
+	last := kept[len(kept)-1]
+	return last.fresh() && (!once || time.Since(last.idleFrom) <= onceIdle)
+}
+
+func keyOf(target greengageroute.Target) string { return target.Address + "/" + target.ID }
+
 func (client *Client) pop(key string) *conn {
 	client.mu.Lock()
 	defer client.mu.Unlock()
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -227,6 +227,9 @@
 				}
 				answer.Close(true)
 				answer.conn.idleFrom = answer.conn.idleFrom.Add(-test.idle)
+				if kept := client.Kept(target, test.once); kept != (test.dials == 1) {
+					t.Errorf("a connection is kept for another request: %t", kept)
+				}
 			}
 			if dials != test.dials {
 				t.Errorf("%d connections were made, want %d", dials, test.dials)
