Replace slow members by warm spares

Cause: a replica runs at the pace of its slowest member. Where 13 in 100 targets are slow, four of five replicas of 12 are, for as long as that lasts; a slow member was only logged. Change: a member that says, when its replica is asked for its silence, that its pace is 1.5 or more counts for the planner as one that is about to leave, for 5 s: a staged spare takes its place if there is one, and the slow replica's streams are cut and go on elsewhere. Entries tell each other of slow targets as of lost ones. Tests: TestSlowMemberGivesWayToAWarmSpare, TestRelaysSpeakForTheirDataCentres.

--- a/control/directory.go
+++ b/control/directory.go
@@ -19,6 +19,9 @@
 	// unlistedFor is how long a member that vanished from the list, and answers,
 	// may keep its replica: cuts from the store alone last about ten seconds.
 	unlistedFor = 12 * time.Second
+	// slowFor is how long a target that said that it is slow counts as such: while
+	// its replica serves it is asked again and again.
+	slowFor = 5 * time.Second
 	// absentFor is how long a target that has vanished is remembered: its replica's
 	// members may have to be freed from it.
 	absentFor = time.Minute
@@ -37,7 +40,8 @@
 		// unlisted are members that have vanished from the list, which happens also to
 		// targets that only lost the store: their replicas may still be whole.
 		unlisted map[string]absentTarget
-		lost     map[mesh.LostTarget]time.Time
+		lost     map[mesh.TargetLife]time.Time
+		slow     map[mesh.TargetLife]time.Time
 		routes   *greengageroute.RouteTable
 		watch    map[uint64]func()
 		watches  uint64
@@ -65,7 +69,7 @@
 	directory := &Directory{
 		clock: clock, targets: map[string]greengageroute.Target{}, dropAt: map[string]time.Time{},
 		absent: map[string]absentTarget{}, unlisted: map[string]absentTarget{},
-		lost: map[mesh.LostTarget]time.Time{}, watch: map[uint64]func(){},
+		lost: map[mesh.TargetLife]time.Time{}, slow: map[mesh.TargetLife]time.Time{}, watch: map[uint64]func(){},
 	}
 	directory.view.Store(&View{})
 	return directory
@@ -162,8 +166,8 @@
 }
 
 // MarkLost notes targets that were found dead. It returns those that are news.
-func (directory *Directory) MarkLost(lost ...mesh.LostTarget) []mesh.LostTarget {
-	var news []mesh.LostTarget
+func (directory *Directory) MarkLost(lost ...mesh.TargetLife) []mesh.TargetLife {
+	var news []mesh.TargetLife
 	directory.change(func() {
 		now := directory.clock.Now()
 		for _, one := range lost {
@@ -177,14 +181,46 @@
 	return news
 }
 
+// MarkSlow notes targets that said that they are slow. It returns those that are
+// news.
+func (directory *Directory) MarkSlow(slow ...mesh.TargetLife) []mesh.TargetLife {
+	var news []mesh.TargetLife
+	now := directory.clock.Now()
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	for _, one := range slow {
+		if since, known := directory.slow[one]; !known || now.Sub(since) > slowFor/2 {
+			news = append(news, one)
+			directory.slow[one] = now
+		}
+	}
+	return news
+}
+
+// Slow returns the targets that said lately that they are slow, by their ids.
+func (directory *Directory) Slow() greengageroute.Set[string] {
+	slow := greengageroute.Set[string]{}
+	now, view := directory.clock.Now(), directory.View()
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	for one, since := range directory.slow {
+		if now.Sub(since) > slowFor {
+			delete(directory.slow, one)
+		} else if view.Targets[one.ID].Born == one.Born {
+			slow.Add(one.ID)
+		}
+	}
+	return slow
+}
+
 // Unlisted returns the members that have vanished from the list and count as
 // present until they are found dead.
-func (directory *Directory) Unlisted() []mesh.LostTarget {
+func (directory *Directory) Unlisted() []mesh.TargetLife {
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
-	var vanished []mesh.LostTarget
+	var vanished []mesh.TargetLife
 	for id, gone := range directory.unlisted {
-		vanished = append(vanished, mesh.LostTarget{ID: id, Born: gone.target.Born})
+		vanished = append(vanished, mesh.TargetLife{ID: id, Born: gone.target.Born})
 	}
 	return vanished
 }
@@ -215,7 +251,7 @@
 		}
 		maps.DeleteFunc(directory.unlisted, func(_ string, gone absentTarget) bool { return now.Sub(gone.since) > unlistedFor })
 		maps.DeleteFunc(directory.absent, func(_ string, gone absentTarget) bool { return now.Sub(gone.since) > absentFor })
-		maps.DeleteFunc(directory.lost, func(_ mesh.LostTarget, since time.Time) bool { return now.Sub(since) > lostFor })
+		maps.DeleteFunc(directory.lost, func(_ mesh.TargetLife, since time.Time) bool { return now.Sub(since) > lostFor })
 	})
 }
 
@@ -242,7 +278,7 @@
 		view.Absent[id] = gone.target
 	}
 	for id, target := range directory.targets {
-		if _, lost := directory.lost[mesh.LostTarget{ID: id, Born: target.Born}]; lost {
+		if _, lost := directory.lost[mesh.TargetLife{ID: id, Born: target.Born}]; lost {
 			view.Absent[id] = target
 			continue
 		}
@@ -251,7 +287,7 @@
 	}
 	for id, gone := range directory.unlisted {
 		target := gone.target
-		if _, lost := directory.lost[mesh.LostTarget{ID: id, Born: target.Born}]; !lost {
+		if _, lost := directory.lost[mesh.TargetLife{ID: id, Born: target.Born}]; !lost {
 			target.Unlisted = true
 			view.Targets[id] = target
 			view.Pools[target.Pool] = append(view.Pools[target.Pool], target)
--- a/control/planner.go
+++ b/control/planner.go
@@ -70,7 +70,7 @@
 		// Serving tells whether requests have come to any entry.
 		Serving func() bool
 		// Doubt has targets asked whether they live.
-		Doubt func(vanished []mesh.LostTarget)
+		Doubt func(vanished []mesh.TargetLife)
 		// Eligible tells whether this entry may hold the lease.
 		Eligible func() bool
 		// Settle is how long the list must stand still before the first replicas.
@@ -195,7 +195,7 @@
 }
 
 func (planner *Planner) poolView(name string, engine *greengageroute.Engine, view *View) greengageroute.PoolView {
-	now := planner.Clock.Now()
+	now, slow := planner.Clock.Now(), planner.Directory.Slow()
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
 	targets := map[string]greengageroute.Target{}
@@ -206,6 +206,9 @@
 		if staged, underway := planner.staged[target.ID]; underway && now.Before(staged.until) && !target.HasStaged(staged.model) {
 			target.Staging = staged.model
 		}
+		if slow.Has(target.ID) && target.State == greengageroute.TargetReady {
+			target.State = greengageroute.TargetSlow
+		}
 		targets[target.ID] = target
 	}
 	absent := maps.Clone(view.Absent)
--- a/control/prober.go
+++ b/control/prober.go
@@ -28,6 +28,9 @@
 	probeRest = 700 * time.Millisecond
 	// askSpread is how far apart entries ask that noticed the same silence.
 	askSpread = 30 * time.Millisecond
+	// slowPace is the pace from which a member holds its replica up: a substitute
+	// costs the replica half a second.
+	slowPace = 1.5
 	// doubtRest is how often a target that may be dead is asked.
 	doubtRest = time.Second
 )
@@ -36,6 +39,7 @@
 const (
 	CountProbes      = "probes"
 	CountTargetsLost = "targets-found-dead"
+	CountTargetsSlow = "targets-found-slow"
 	CountFalseAlarms = "silent-replicas-found-whole"
 )
 
@@ -45,27 +49,33 @@
 		Report(ctx context.Context, target greengageroute.Target, timeout time.Duration) (greengageroute.TargetReport, error)
 	}
 
+	// News tells the other entries what was found.
+	News interface {
+		ReportLost(lost ...mesh.TargetLife)
+		ReportSlow(slow ...mesh.TargetLife)
+	}
+
 	// Prober asks the members of silent replicas whether they live, and spreads
 	// the word of those that don't.
 	Prober struct {
 		reporter  Reporter
 		directory *Directory
-		spread    func(lost ...mesh.LostTarget)
+		news      News
 		clock     greengageroute.Clock
 		counters  *expvar.Map
 		log       logr.Logger
 
 		mu        sync.Mutex
 		asked     map[greengageroute.ReplicaKey]time.Time
-		confirmed map[mesh.LostTarget]time.Time
+		confirmed map[mesh.TargetLife]time.Time
 	}
 )
 
 // NewProber returns a prober.
-func NewProber(reporter Reporter, directory *Directory, spread func(lost ...mesh.LostTarget), clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Prober {
+func NewProber(reporter Reporter, directory *Directory, news News, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Prober {
 	return &Prober{
-		reporter: reporter, directory: directory, spread: spread, clock: clock, counters: counters, log: log,
-		asked: map[greengageroute.ReplicaKey]time.Time{}, confirmed: map[mesh.LostTarget]time.Time{},
+		reporter: reporter, directory: directory, news: news, clock: clock, counters: counters, log: log,
+		asked: map[greengageroute.ReplicaKey]time.Time{}, confirmed: map[mesh.TargetLife]time.Time{},
 	}
 }
 
@@ -103,21 +113,21 @@
 	if !prober.present(replica) {
 		return
 	}
-	dead := make(chan mesh.LostTarget, len(replica.Members))
+	dead := make(chan mesh.TargetLife, len(replica.Members))
 	var asking sync.WaitGroup
 	for _, member := range replica.Members {
 		asking.Go(func() {
 			report, lives := prober.alive(member)
 			if !lives {
-				dead <- mesh.LostTarget{ID: member.ID, Born: member.Born}
-			} else if report.Pace > 1 {
-				prober.log.Info("member is slow", "target", member.ID, "pace", report.Pace, "replica", replica.Name, "epoch", replica.Epoch)
+				dead <- mesh.TargetLife{ID: member.ID, Born: member.Born}
+			} else if report.Pace >= slowPace {
+				prober.noteSlow(member, report.Pace)
 			}
 		})
 	}
 	asking.Wait()
 	close(dead)
-	var lost []mesh.LostTarget
+	var lost []mesh.TargetLife
 	for one := range dead {
 		lost = append(lost, one)
 	}
@@ -129,7 +139,17 @@
 	for _, one := range prober.directory.MarkLost(lost...) {
 		prober.counters.Add(CountTargetsLost, 1)
 		prober.log.Info("target found dead", "target", one.ID, "born", one.Born, "replica", replica.Name, "epoch", replica.Epoch)
-		prober.spread(one)
+		prober.news.ReportLost(one)
+	}
+}
+
+// noteSlow has the planner look for a substitute.
+func (prober *Prober) noteSlow(member greengageroute.Target, pace float64) {
+	life := mesh.TargetLife{ID: member.ID, Born: member.Born}
+	for _, one := range prober.directory.MarkSlow(life) {
+		prober.counters.Add(CountTargetsSlow, 1)
+		prober.log.Info("target is slow", "target", one.ID, "pace", pace, "replica", member.Member.Replica, "epoch", member.Member.Epoch)
+		prober.news.ReportSlow(one)
 	}
 }
 
@@ -184,7 +204,7 @@
 
 // Confirm asks about targets that another entry found dead and marks those that
 // give no answer here either.
-func (prober *Prober) Confirm(lost []mesh.LostTarget) {
+func (prober *Prober) Confirm(lost []mesh.TargetLife) {
 	now := prober.clock.Now()
 	for _, one := range lost {
 		prober.mu.Lock()
@@ -192,7 +212,7 @@
 		if !known || now.Sub(since) >= doubtRest {
 			prober.confirmed[one] = now
 		}
-		maps.DeleteFunc(prober.confirmed, func(_ mesh.LostTarget, since time.Time) bool { return now.Sub(since) > time.Minute })
+		maps.DeleteFunc(prober.confirmed, func(_ mesh.TargetLife, since time.Time) bool { return now.Sub(since) > time.Minute })
 		prober.mu.Unlock()
 		if known && now.Sub(since) < doubtRest {
 			continue
--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -41,6 +41,11 @@
 	return greengageroute.TargetReport{Born: step.born}, step.err
 }
 
+type noNews struct{ slow []mesh.TargetLife }
+
+func (*noNews) ReportLost(...mesh.TargetLife)           {}
+func (news *noNews) ReportSlow(slow ...mesh.TargetLife) { news.slow = append(news.slow, slow...) }
+
 func TestMemberIsAskedTwiceAtOnce(t *testing.T) {
 	refused := &greengageroute.OrderRefusedError{Target: "i-1", Status: 421}
 	tests := []struct {
@@ -64,7 +69,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				prober := NewProber(&scriptedReporter{script: test.script}, NewDirectory(greengageroute.RuntimeClock{}), func(...mesh.LostTarget) {},
+				prober := NewProber(&scriptedReporter{script: test.script}, NewDirectory(greengageroute.RuntimeClock{}), &noNews{},
 					greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
 				began := time.Now()
 				_, lives := prober.alive(greengageroute.Target{ID: "i-1", Born: 7})
--- a/formation.go
+++ b/formation.go
@@ -238,7 +238,7 @@
 // repair gives every assignment that lacks members new ones of its domain: those
 // with staged weights if there are enough, after dissolving others of the model
 // if need be, and else ones that have to load. A replica that only has members
-// about to leave goes on until staged targets can take their places.
+// about to leave, or slow ones, goes on until staged targets can take their places.
 func (formation *Formation) repair(view PoolView) []Assignment {
 	broken := formation.takeBroken(view)
 	if len(broken) == 0 {
@@ -261,7 +261,7 @@
 	}
 	broken = slices.DeleteFunc(broken, func(one brokenAssignment) bool { return fill(one, joinStaged) })
 	broken = slices.DeleteFunc(broken, func(one brokenAssignment) bool {
-		if view.onlyLeaving(one.Assignment) {
+		if view.serves(one.Assignment) {
 			formation.Assignments = append(formation.Assignments, one.Assignment)
 			return true
 		}
@@ -338,7 +338,7 @@
 func (view PoolView) needsRepair(assignment Assignment) bool {
 	for _, id := range assignment.Members {
 		target, found := view.Targets[id]
-		if !found || target.State == TargetLeaving {
+		if !found || target.State != TargetReady {
 			return true
 		}
 		member := target.Member
@@ -350,7 +350,9 @@
 	return false
 }
 
-func (view PoolView) onlyLeaving(assignment Assignment) bool {
+// serves tells whether all members are there: those that are about to leave, or
+// are slow, can stay until others take their places.
+func (view PoolView) serves(assignment Assignment) bool {
 	for _, id := range assignment.Members {
 		target, found := view.Targets[id]
 		if !found || !target.Member.Serves(assignment.Name, assignment.Epoch) || !target.Member.Formed() {
--- a/formation_test.go
+++ b/formation_test.go
@@ -262,6 +262,40 @@
 	}
 }
 
+// A slow member holds its whole replica up: a warm spare takes its place, and what
+// runs on the replica is cut. Without a spare the replica serves on as it is.
+func TestSlowMemberGivesWayToAWarmSpare(t *testing.T) {
+	tests := []struct {
+		name   string
+		slow   int // members of one replica
+		orders bool
+	}{
+		{"one of six", 1, true},
+		{"more than the domain has spares", 4, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			rack, formation := formAll(t, 6, 11)
+			rack.run(formation, 3*time.Second, true)
+			rack.orders = nil
+			place := slices.IndexFunc(formation.Assignments, func(assignment Assignment) bool { return assignment.Model == "large" })
+			members := formation.Assignments[place].Members
+			for _, id := range members[:test.slow] {
+				rack.targets[id].State = TargetSlow
+			}
+			rack.run(formation, 700*time.Millisecond, true)
+			if open := rack.open(); open["large"] != 6 || open["small"] != 6 || len(rack.orders) > 0 != test.orders {
+				t.Errorf("0.7 s later %v serve after the orders %v", open, rack.orders)
+			}
+			for _, order := range rack.orders {
+				if order.Kind == OrderClose && !order.Cut {
+					t.Errorf("%v waits for streams on a slow replica", order)
+				}
+			}
+		})
+	}
+}
+
 // A head that was told to open a moment ago counts as open although the list
 // doesn't show it yet (soak seed 141: a new planner opened a replica that it
 // repaired a millisecond later).
--- a/formationorders.go
+++ b/formationorders.go
@@ -106,12 +106,13 @@
 	return "", false
 }
 
-// complete tells whether all members of the replica of a head still belong to it.
+// complete tells whether all members of the replica of a head still belong to it
+// and keep its pace, so that running requests can end before it closes.
 func (view PoolView) complete(head Target) bool {
 	model, _ := view.Engine.Model(head.Member.Model)
 	members := 0
 	for _, target := range view.Targets {
-		if target.Member.Serves(head.Member.Replica, head.Member.Epoch) && target.Member.Formed() {
+		if target.Member.Serves(head.Member.Replica, head.Member.Epoch) && target.Member.Formed() && target.State != TargetSlow {
 			members++
 		}
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -17,8 +17,9 @@
 	*Node
 	mu    sync.Mutex
 	loads []Load
-	lost  []LostTarget
+	lost  []TargetLife
 	lease LeaseNews
+	slow  []TargetLife
 	heard []LeaseNews
 	reads atomic.Bool
 }
@@ -31,11 +32,16 @@
 func (member *member) Lease() LeaseNews { return member.lease }
 func (member *member) Serving() bool    { return true }
 func (member *member) Reads() bool      { return member.reads.Load() }
-func (member *member) TargetsLost(_ string, lost []LostTarget) {
+func (member *member) TargetsLost(_ string, lost []TargetLife) {
 	member.mu.Lock()
 	defer member.mu.Unlock()
 	member.lost = append(member.lost, lost...)
 }
+func (member *member) TargetsSlow(_ string, slow []TargetLife) {
+	member.mu.Lock()
+	defer member.mu.Unlock()
+	member.slow = append(member.slow, slow...)
+}
 func (member *member) RequestsCrashed(string, []CrashReport) {}
 func (member *member) LeaseHeard(news LeaseNews) {
 	member.mu.Lock()
@@ -82,7 +88,7 @@
 	if load := members[0].Node.Loads()["i-1"]; load.Reading != 200 {
 		t.Errorf("the others read %d tokens, want 200", load.Reading)
 	}
-	members[0].ReportLost(LostTarget{ID: "i-9", Born: 4})
+	members[0].ReportLost(TargetLife{ID: "i-9", Born: 4})
 	until(t, "the loss is known", func() bool {
 		members[2].mu.Lock()
 		defer members[2].mu.Unlock()
@@ -170,11 +176,12 @@
 			return members[place].Node.Loads()["i-1"].Running == 39 && members[place].Live() == 40
 		})
 	}
-	members[39].ReportLost(LostTarget{ID: "i-9", Born: 4})
-	until(t, "the loss is known everywhere, and the lease", func() bool {
+	members[39].ReportLost(TargetLife{ID: "i-9", Born: 4})
+	members[39].ReportSlow(TargetLife{ID: "i-9", Born: 4})
+	until(t, "the loss is known everywhere, and a slow target, and the lease", func() bool {
 		for _, one := range members[:39] {
 			one.mu.Lock()
-			known := len(one.lost) > 0 && (one == members[0] || len(one.heard) > 0)
+			known := len(one.lost) > 0 && len(one.slow) > 0 && (one == members[0] || len(one.heard) > 0)
 			one.mu.Unlock()
 			if !known {
 				return false
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -20,7 +20,7 @@
 		DataCentre string        `cbor:"3,keyasint"`
 		Sequence   uint64        `cbor:"4,keyasint"` // within the sender's life
 		Loads      []Load        `cbor:"5,keyasint,omitempty"`
-		Lost       []LostTarget  `cbor:"6,keyasint,omitempty"`
+		Lost       []TargetLife  `cbor:"6,keyasint,omitempty"`
 		Lease      LeaseNews     `cbor:"7,keyasint,omitempty"`
 		Serving    bool          `cbor:"8,keyasint,omitempty"` // requests have come
 		Leaving    bool          `cbor:"9,keyasint,omitempty"`
@@ -38,6 +38,8 @@
 		// Readers are the addresses of the entries of the sender's data centre that
 		// others may ask for what the store holds, where these aren't the relays.
 		Readers []string `cbor:"16,keyasint,omitempty"`
+		// Slow are targets that said that they are slow.
+		Slow []TargetLife `cbor:"17,keyasint,omitempty"`
 	}
 
 	// RelayNews names a relay.
@@ -55,8 +57,8 @@
 		Silent  int64  `cbor:"4,keyasint,omitempty"` // milliseconds since the target last sent anything
 	}
 
-	// LostTarget is a target that the sender found dead.
-	LostTarget struct {
+	// TargetLife is a target between one start and the next.
+	TargetLife struct {
 		ID   string `cbor:"1,keyasint"`
 		Born int64  `cbor:"2,keyasint"`
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -47,7 +47,8 @@
 
 	// Sink takes what other entries tell.
 	Sink interface {
-		TargetsLost(from string, lost []LostTarget)
+		TargetsLost(from string, lost []TargetLife)
+		TargetsSlow(from string, slow []TargetLife)
 		RequestsCrashed(from string, crashes []CrashReport)
 		LeaseHeard(news LeaseNews)
 	}
@@ -66,7 +67,8 @@
 		peers    map[string]*peer
 		own      []Load    // as last told to the relays
 		learned  time.Time // when a peer was last learned of
-		lost     []timed[LostTarget]
+		lost     []timed[TargetLife]
+		slow     []timed[TargetLife]
 		crashes  []timed[CrashReport]
 		spread   map[any]time.Time // news that this relay has passed on
 		lease    LeaseNews         // the newest heard
@@ -161,10 +163,20 @@
 }
 
 // ReportLost tells the peers at once that targets are dead.
-func (node *Node) ReportLost(lost ...LostTarget) {
+func (node *Node) ReportLost(lost ...TargetLife) {
 	node.mu.Lock()
 	for _, one := range lost {
-		node.lost = append(node.lost, timed[LostTarget]{one, node.clock.Now()})
+		node.lost = append(node.lost, timed[TargetLife]{one, node.clock.Now()})
+	}
+	node.mu.Unlock()
+	node.hurry()
+}
+
+// ReportSlow tells the peers at once that targets said that they are slow.
+func (node *Node) ReportSlow(slow ...TargetLife) {
+	node.mu.Lock()
+	for _, one := range slow {
+		node.slow = append(node.slow, timed[TargetLife]{one, node.clock.Now()})
 	}
 	node.mu.Unlock()
 	node.hurry()
@@ -289,6 +301,7 @@
 	node.sequence++
 	message.Sequence = node.sequence
 	node.lost, message.Lost = current(node.lost, now)
+	node.slow, message.Slow = current(node.slow, now)
 	node.crashes, message.Crashes = current(node.crashes, now)
 	letters := node.letters(message, now)
 	node.mu.Unlock()
@@ -367,6 +380,9 @@
 	if len(message.Lost) > 0 {
 		node.sink.TargetsLost(message.From, message.Lost)
 	}
+	if len(message.Slow) > 0 {
+		node.sink.TargetsSlow(message.From, message.Slow)
+	}
 	if len(message.Crashes) > 0 {
 		node.sink.RequestsCrashed(message.From, message.Crashes)
 	}
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -26,11 +26,16 @@
 	spreadFor = 5 * time.Second
 )
 
-// letter is one message and who gets it.
-type letter struct {
-	message Message
-	to      []netip.AddrPort
-}
+type (
+	// letter is one message and who gets it.
+	letter struct {
+		message Message
+		to      []netip.AddrPort
+	}
+
+	// slowNews tells news of a slow target from that of its loss.
+	slowNews TargetLife
+)
 
 // direct tells whether every entry tells every other.
 func (node *Node) direct() bool { return len(node.peers) < directLimit }
@@ -97,13 +102,14 @@
 }
 
 // ranked returns the entries of a data centre that are taken for live, the largest
-// VMs first. A relay's word goes before what this entry has heard itself.
+// VMs first. The word of a relay that ranks before this entry goes before what
+// this entry has heard itself.
 func (node *Node) ranked(dataCentre string, now time.Time) []Message {
 	if dataCentre != node.self.DataCentre {
 		return node.heardOf(dataCentre, now)
 	}
 	word := node.relayWord(now)
-	if word == nil || len(word.Relays) < relaysEach || slices.ContainsFunc(word.Relays, node.isSelf) {
+	if word == nil || len(word.Relays) < relaysEach || compareRank(node.self, *word) < 0 || slices.ContainsFunc(word.Relays, node.isSelf) {
 		return node.heardOf(dataCentre, now)
 	}
 	ranked := make([]Message, 0, len(word.Relays)+1)
@@ -356,7 +362,12 @@
 	}
 	for _, lost := range message.Lost {
 		if node.isNews(lost, now) {
-			node.lost = append(node.lost, timed[LostTarget]{lost, now})
+			node.lost = append(node.lost, timed[TargetLife]{lost, now})
+		}
+	}
+	for _, slow := range message.Slow {
+		if node.isNews(slowNews(slow), now) {
+			node.slow = append(node.slow, timed[TargetLife]{slow, now})
 		}
 	}
 	for _, crash := range message.Crashes {
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -106,13 +106,13 @@
 
 // TargetsLost implements mesh.Sink. The planner asks for itself before it acts;
 // the others take the word of an entry for a replica that is silent here too.
-func (entry *Entry) TargetsLost(_ string, lost []mesh.LostTarget) {
+func (entry *Entry) TargetsLost(_ string, lost []mesh.TargetLife) {
 	if entry.lease.News().Holder != "" {
 		entry.prober.Confirm(lost)
 		return
 	}
 	view := entry.directory.View()
-	silent := slices.DeleteFunc(slices.Clone(lost), func(one mesh.LostTarget) bool {
+	silent := slices.DeleteFunc(slices.Clone(lost), func(one mesh.TargetLife) bool {
 		target, listed := view.Targets[one.ID]
 		return !listed || target.Born != one.Born || entry.callers.Hears(target)
 	})
@@ -121,6 +121,13 @@
 	}
 }
 
+// TargetsSlow implements mesh.Sink.
+func (entry *Entry) TargetsSlow(_ string, slow []mesh.TargetLife) {
+	if len(entry.directory.MarkSlow(slow...)) > 0 {
+		entry.planner.Wake()
+	}
+}
+
 // RequestsCrashed implements mesh.Sink.
 func (entry *Entry) RequestsCrashed(_ string, crashes []mesh.CrashReport) {
 	for _, report := range crashes {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -107,7 +107,7 @@
 	entry.source = relay.NewSource(entry.store, entry.node, relay.NewCache(clock), clock, count(CountStoreReads))
 	entry.follower = control.NewFollower(entry.source, entry.directory, clock, entry.counters, entry.log)
 	orders := platform.NewTargets()
-	entry.prober = control.NewProber(orders, entry.directory, entry.node.ReportLost, clock, entry.counters, entry.log)
+	entry.prober = control.NewProber(orders, entry.directory, entry.node, clock, entry.counters, entry.log)
 	entry.planner = control.NewPlanner(control.PlannerParts{
 		Lease: entry.lease, Orderer: orders, Witness: entry.node, Directory: entry.directory, Routes: entry.follower.Routes,
 		Serving: entry.serving, Doubt: entry.prober.Confirm, Eligible: entry.node.Relay, Settle: deployment.Bounds.Heartbeat,
--- a/target.go
+++ b/target.go
@@ -6,6 +6,9 @@
 const (
 	TargetReady   TargetState = "ready"
 	TargetLeaving TargetState = "leaving"
+	// TargetSlow is what the planner makes of a ready target that says that it is
+	// slow: its replica does better with another, if that is at hand.
+	TargetSlow TargetState = "slow"
 )
 
 // States of a target's membership of a replica.
