--- a/control/planner.go
+++ b/control/planner.go
@@ -294,24 +294,38 @@
 	now := planner.Clock.Now()
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
-	recent := planner.loads[:0]
-	for _, at := range planner.loads {
-		if now.Sub(at) < time.Second {
-			recent = append(recent, at)
-		}
-	}
-	planner.loads = recent
 	underway := 0
 	for _, staged := range planner.staged {
 		if now.Before(staged.until) {
 			underway++
 		}
 	}
-	perSecond := int(view.Engine.LoadsPerSecond*stagingShare) - len(recent)
+	perSecond := int(view.Engine.LoadsPerSecond*stagingShare) - planner.recentLoads(now)
 	return max(min(perSecond, view.Engine.LoadsAtOnce-underway), 0)
 }
 
-// send gives an order in the background, unless the same was given just before.
+// recentLoads returns how many loads were started within the last second. The
+// caller holds the lock.
+func (planner *Planner) recentLoads(now time.Time) int {
+	planner.loads = slices.DeleteFunc(planner.loads, func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	return len(planner.loads)
+}
+
+// needsLoad tells whether an order has its target read weights from their store.
+func needsLoad(order greengageroute.TargetOrder) bool {
+	switch order.Kind {
+	case greengageroute.OrderStage:
+		return true
+	case greengageroute.OrderJoin:
+		return !order.Target.HasStaged(order.Model) && order.Target.Member.Model != order.Model
+	default:
+		return false
+	}
+}
+
+// send gives an order in the background, unless the same was given just before. An
+// order that needs a load is left for later while as many have started as the
+// weights' store allows in a second.
 func (planner *Planner) send(ctx context.Context, order greengageroute.TargetOrder, view greengageroute.PoolView) {
 	now := planner.Clock.Now()
 	text := fmt.Sprint(order)
@@ -321,6 +335,11 @@
 		planner.mu.Unlock()
 		return
 	}
+	loads := needsLoad(order)
+	if loads && view.Serving && planner.recentLoads(now) >= int(view.Engine.LoadsPerSecond) {
+		planner.mu.Unlock()
+		return
+	}
 	planner.sent[order.Target.ID] = sentOrder{text, now}
 	model, _ := view.Engine.Model(order.Model)
 	if order.Kind == greengageroute.OrderOpen {
@@ -330,9 +349,8 @@
 	}
 	if order.Kind == greengageroute.OrderStage {
 		planner.staged[order.Target.ID] = stagedModel{order.Model, now.Add(model.LoadTime)}
-		planner.loads = append(planner.loads, now)
 	}
-	if order.Kind == greengageroute.OrderJoin && !order.Target.HasStaged(order.Model) && order.Target.Member.Model != order.Model {
+	if loads {
 		planner.loads = append(planner.loads, now)
 	}
 	planner.mu.Unlock()
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -112,3 +114,41 @@
 		})
 	}
 }
+
+// Many empty targets are to join at once, as after the loss of whole fabric
+// domains: loads start no faster than the weights' store allows.
+func TestLoadsKeepToTheStoresRate(t *testing.T) {
+	tests := []struct {
+		name    string
+		serving bool
+		staged  []string
+		most    int // orders in 5 s
+		least   int
+	}{
+		{"empty targets", true, nil, 5 * 5, 5 * 4},
+		{"targets with staged weights", true, []string{"m"}, 60, 60},
+		{"before the first request", false, nil, 60, 60},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				planner, _ := newTestPlanner(fakeWitness{})
+				view := greengageroute.PoolView{Serving: test.serving, Engine: &greengageroute.Engine{
+					LoadsPerSecond: 5.5, LoadsAtOnce: 8, Models: []greengageroute.EngineModel{{Name: "m", Size: 6}},
+				}}
+				for range 50 {
+					for i := range 60 {
+						target := greengageroute.Target{ID: fmt.Sprint("i-", i), Staged: test.staged}
+						if planner.sent[target.ID].text == "" {
+							planner.send(context.Background(), greengageroute.TargetOrder{Kind: greengageroute.OrderJoin, Target: target, Model: "m"}, view)
+						}
+					}
+					time.Sleep(planEvery)
+				}
+				if given := len(planner.sent); given > test.most || given < test.least {
+					t.Errorf("%d orders in 5 s, want %d to %d", given, test.least, test.most)
+				}
+			})
+		})
+	}
+}
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -310,6 +310,32 @@
 	}
 }
 
+// Callers that leave, before or within their stream, leave no work behind.
+func TestUsersPlatformCallersLeave(t *testing.T) {
+	site := newSite(t, 4, 1)
+	entry := site.entries[0]
+	site.chat(entry)
+	active := func() (streams int) {
+		for _, target := range site.models {
+			streams += target.Active()
+		}
+		return streams
+	}
+	impatient := &http.Client{Timeout: 120 * time.Millisecond, Transport: &http.Transport{}}
+	var asking sync.WaitGroup
+	for range 5 {
+		id := site.nextID()
+		asking.Go(func() { _, _ = askEntry(impatient, entry, "POST", "/chat/x", id, "key-1") })
+	}
+	site.until("the streams run", func() bool { return active() > 0 })
+	asking.Wait()
+	time.Sleep(300 * time.Millisecond)
+	if left := active(); left > 0 {
+		t.Errorf("%d streams still run 0.3 s after their callers left", left)
+	}
+	impatient.CloseIdleConnections()
+}
+
 // Entries that are stopped answer what they have read; those killed are succeeded
 // as the planner.
 func TestUsersPlatformEntriesComeAndGo(t *testing.T) {
