--- /dev/null
+++ b/control/loads.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+)
+
+// loadsLeft returns how many loads for spares may start now, so that joins find
+// the weights' store free.
+func (planner *Planner) loadsLeft(view greengageroute.PoolView) int {
+	if !view.Serving {
+		return len(view.Targets)
+	}
+	now := planner.Clock.Now()
+	planner.mu.Lock()
+	defer planner.mu.Unlock()
+	underway := 0
+	for _, staged := range planner.staged {
+		if now.Before(staged.until) {
+			underway++
+		}
+	}
+	perSecond := int(view.Engine.LoadsPerSecond*stagingShare) - planner.recentLoads(now)
+	return max(min(perSecond, view.Engine.LoadsAtOnce-underway), 0)
+}
+
+// recentLoads returns how many loads were started within the last second. The
+// caller holds the lock.
+func (planner *Planner) recentLoads(now time.Time) int {
+	planner.loads = slices.DeleteFunc(planner.loads, func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	return len(planner.loads)
+}
+
+// needsLoad tells whether an order has its target read weights from their store.
+func needsLoad(order greengageroute.TargetOrder) bool {
+	switch order.Kind {
+	case greengageroute.OrderStage:
+		return true
+	case greengageroute.OrderJoin:
+		return !order.Target.HasStaged(order.Model) && order.Target.Member.Model != order.Model
+	default:
+		return false
+	}
+}
--- a/control/planner.go
+++ b/control/planner.go
@@ -285,44 +285,6 @@
 		"assigned", len(formation.Assignments), "open", fmt.Sprint(open), "orders", orders)
 }
 
-// loadsLeft returns how many loads for spares may start now, so that joins find
-// the weights' store free.
-func (planner *Planner) loadsLeft(view greengageroute.PoolView) int {
-	if !view.Serving {
-		return len(view.Targets)
-	}
-	now := planner.Clock.Now()
-	planner.mu.Lock()
-	defer planner.mu.Unlock()
-	underway := 0
-	for _, staged := range planner.staged {
-		if now.Before(staged.until) {
-			underway++
-		}
-	}
-	perSecond := int(view.Engine.LoadsPerSecond*stagingShare) - planner.recentLoads(now)
-	return max(min(perSecond, view.Engine.LoadsAtOnce-underway), 0)
-}
-
-// recentLoads returns how many loads were started within the last second. The
-// caller holds the lock.
-func (planner *Planner) recentLoads(now time.Time) int {
-	planner.loads = slices.DeleteFunc(planner.loads, func(at time.Time) bool { return now.Sub(at) >= time.Second })
-	return len(planner.loads)
-}
-
-// needsLoad tells whether an order has its target read weights from their store.
-func needsLoad(order greengageroute.TargetOrder) bool {
-	switch order.Kind {
-	case greengageroute.OrderStage:
-		return true
-	case greengageroute.OrderJoin:
-		return !order.Target.HasStaged(order.Model) && order.Target.Member.Model != order.Model
-	default:
-		return false
-	}
-}
-
 // send gives an order in the background, unless the same was given just before. An
 // order that needs a load is left for later while as many have started as the
 // weights' store allows in a second.
@@ -385,61 +347,3 @@
 		"model", order.Model, "cut", order.Cut, "took", planner.Clock.Now().Sub(began).String(), "outcome", outcome)
 	planner.Wake()
 }
-
-// openingIn returns the heads that were told to open and may have, without the
-// list showing it. The caller holds the lock.
-func (planner *Planner) openingIn(targets map[string]greengageroute.Target) map[string]greengageroute.ReplicaKey {
-	opening := map[string]greengageroute.ReplicaKey{}
-	for id, told := range planner.opening {
-		head, listed := targets[id]
-		newer := listed && head.Revision > told.revision
-		if newer && (told.answered || !head.Member.Serves(told.key.Name, told.key.Epoch)) {
-			delete(planner.opening, id)
-			continue
-		}
-		opening[id] = told.key
-	}
-	return opening
-}
-
-// noteAnswer takes note of a head's answer to an order to open or close: one that
-// refuses doesn't serve, and what one that obeys does is in the list soon.
-func (planner *Planner) noteAnswer(order greengageroute.TargetOrder, err error) {
-	planner.mu.Lock()
-	defer planner.mu.Unlock()
-	told, known := planner.opening[order.Target.ID]
-	var refused *greengageroute.OrderRefusedError
-	switch {
-	case !known:
-	case errors.As(err, &refused):
-		delete(planner.opening, order.Target.ID)
-	case err == nil:
-		told.answered = true
-		planner.opening[order.Target.ID] = told
-	}
-}
-
-// settleHead takes note of how a head took the order to close. A head that isn't
-// listed is settled once it has refused, which it does if it doesn't serve, or
-// has left orders unanswered while no entry hears of it either.
-func (planner *Planner) settleHead(order greengageroute.TargetOrder, err error) {
-	var refused *greengageroute.OrderRefusedError
-	id, now := order.Target.ID, planner.Clock.Now()
-	planner.mu.Lock()
-	defer planner.mu.Unlock()
-	switch {
-	case err == nil && order.Cut:
-		planner.silentFor[id] = 0
-		planner.settledAt[id] = now
-	case errors.As(err, &refused):
-		planner.settledAt[id] = now
-	case !planner.Witness.Reaches(order.Target.DataCentre):
-		// The whole data centre is cut off: the head may serve on behind the cut.
-		planner.silentFor[id] = 0
-	default:
-		planner.silentFor[id]++
-		if planner.silentFor[id] >= silentOrders && !planner.Witness.Signs(id, signsWithin) {
-			planner.settledAt[id] = now
-		}
-	}
-}
