Keep slow members where others are lost; have closed heads leave abandoned replicas

Cause: (1) a replica that had lost one member and had slow ones counted these as missing too and ended for want of spares. Change: slow members stay where others are lost; a closed head that no assignment has is told to leave, so that a late order finds nothing.

--- a/formation_test.go
+++ b/formation_test.go
@@ -90,6 +90,10 @@
 		if member.Serves(order.Replica, order.Epoch) && member.State == MemberOpen {
 			target.Member.State = MemberReady
 		}
+	case OrderLeave:
+		if member.Serves(order.Replica, order.Epoch) {
+			target.Member = Membership{}
+		}
 	case OrderStage:
 		target.Staged = []string{order.Model}
 	}
@@ -296,6 +300,38 @@
 	}
 }
 
+// A replica that lacks one member has another that is slow: it keeps the slow one
+// rather than end for want of a second spare.
+func TestSlowMemberStaysWhereAnotherIsLost(t *testing.T) {
+	rack, formation := formAll(t, 6, 11)
+	rack.run(formation, 3*time.Second, true)
+	place := slices.IndexFunc(formation.Assignments, func(assignment Assignment) bool { return assignment.Model == "large" })
+	members := formation.Assignments[place].Members
+	for _, id := range members[:3] {
+		rack.targets[id].State = TargetSlow
+	}
+	rack.targets[members[5]].dead = true
+	rack.run(formation, 900*time.Millisecond, true)
+	if open := rack.open(); open["large"] != 6 || open["small"] != 6 {
+		t.Errorf("0.9 s after the loss %v serve", open)
+	}
+}
+
+// An order to open that comes late finds the head of a replica whose other members
+// have joined another: the head has left it (seed 30 of the random faults).
+func TestLateOpenFindsNothingToOpen(t *testing.T) {
+	rack, formation := formAll(t, 6, 11)
+	rack.run(formation, 3*time.Second, true)
+	assignment := formation.Assignments[0]
+	rack.targets[assignment.Members[0]].State = TargetSlow
+	rack.run(formation, time.Second, true)
+	late := TargetOrder{Kind: OrderOpen, Target: rack.targets[assignment.Members[0]].Target, Replica: assignment.Name, Epoch: assignment.Epoch}
+	rack.obeyLate(late)
+	if member := rack.targets[assignment.Members[0]].Member; member.State == MemberOpen {
+		t.Errorf("the head that was replaced opens %+v again", member)
+	}
+}
+
 // A head that was told to open a moment ago counts as open although the list
 // doesn't show it yet (soak seed 141: a new planner opened a replica that it
 // repaired a millisecond later).
@@ -444,5 +480,9 @@
 		target.unlisted = true
 	case chance < 0.30 && target.unlisted:
 		target.unlisted, target.Since = false, rack.now
+	case chance < 0.33:
+		target.State = TargetSlow
+	case chance < 0.5 && target.State == TargetSlow:
+		target.State = TargetReady
 	}
 }
--- a/formationorders.go
+++ b/formationorders.go
@@ -21,7 +21,8 @@
 	for _, assignment := range formation.Assignments {
 		orders = append(orders, formation.ordersFor(assignment, view, closed)...)
 	}
-	return append(orders, formation.closeAbandoned(view, closed)...)
+	orders = append(orders, formation.closeAbandoned(view, closed)...)
+	return append(orders, formation.leaveAbandoned(view)...)
 }
 
 func (formation *Formation) ordersFor(assignment Assignment, view PoolView, closed Set[string]) []TargetOrder {
@@ -138,3 +139,24 @@
 	}
 	return orders
 }
+
+// leaveAbandoned has closed heads leave replicas that no assignment has any more,
+// so that an order to open that comes late finds nothing to open: the other members
+// may have gone.
+func (formation *Formation) leaveAbandoned(view PoolView) []TargetOrder {
+	assigned := NewSet[string]()
+	for _, assignment := range formation.Assignments {
+		for _, id := range assignment.Members {
+			assigned.Add(id)
+		}
+	}
+	var orders []TargetOrder
+	for id, target := range view.Targets {
+		member := target.Member
+		if member.Rank != 0 || member.State != MemberReady || member.keepsSpare() || assigned.Has(id) || view.opening(target) {
+			continue
+		}
+		orders = append(orders, TargetOrder{Kind: OrderLeave, Target: target, Replica: member.Replica, Epoch: member.Epoch})
+	}
+	return orders
+}
--- a/formationrepair.go
+++ b/formationrepair.go
@@ -103,7 +103,7 @@
 func (view PoolView) needsRepair(assignment Assignment) bool {
 	for _, id := range assignment.Members {
 		target, found := view.Targets[id]
-		if !found || target.State != TargetReady {
+		if !found || target.State == TargetLeaving || target.State == TargetSlow && view.serves(assignment) {
 			return true
 		}
 		member := target.Member
@@ -127,10 +127,15 @@
 	return true
 }
 
+// survivors returns the members that stay in a replica that is repaired. Slow ones
+// stay where others are lost: what spares there are have to replace those first.
 func (view PoolView) survivors(assignment Assignment) []string {
 	var kept []string
+	serves := view.serves(assignment)
 	for _, id := range assignment.Members {
-		if target, found := view.Targets[id]; found && target.State == TargetReady && !target.Unlisted {
+		target, found := view.Targets[id]
+		stays := target.State == TargetReady || target.State == TargetSlow && !serves
+		if found && stays && !target.Unlisted {
 			kept = append(kept, id)
 		}
 	}
