Entries that follow a relay ask its readers, also if they have read the store themselves

Cause: an entry that has just read the store says so, and sorted itself before the relays whose word it follows, since that word doesn't say that they read it. Ruled out: fleets of up to 24 entries, where each hears of the others' readings itself. Test: TestEntriesFollowTheirRelaysForLong with entries that have read the store (at place 0 before).

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -206,6 +206,7 @@
 	defer cancel()
 	members := fleet(t)
 	for _, one := range members {
+		one.reads.Store(true) // as all do when they start together
 		go one.Run(ctx, one, one)
 	}
 	time.Sleep(liveFor * 2)
--- a/mesh/ranking.go
+++ b/mesh/ranking.go
@@ -29,8 +29,8 @@
 	if dataCentre != node.self.DataCentre {
 		return node.heardOf(dataCentre, now)
 	}
-	word := node.relayWord(now)
-	if word == nil || len(word.Relays) < relaysEach || compareRank(node.self, *word) < 0 || slices.ContainsFunc(word.Relays, node.isSelf) {
+	word := node.followed(now)
+	if word == nil {
 		return node.heardOf(dataCentre, now)
 	}
 	ranked := make([]Message, 0, len(word.Relays)+1)
@@ -40,6 +40,17 @@
 	return append(ranked, node.self)
 }
 
+// followed returns the word that tells this entry who the relays are: that of a
+// relay which ranks before it and doesn't name it among them. It is nil if there is
+// none.
+func (node *Node) followed(now time.Time) *Message {
+	word := node.relayWord(now)
+	if word == nil || len(word.Relays) < relaysEach || compareRank(node.self, *word) < 0 || slices.ContainsFunc(word.Relays, node.isSelf) {
+		return nil
+	}
+	return word
+}
+
 func (node *Node) isSelf(relay RelayNews) bool { return relay.Name == node.self.From }
 
 // heardOf returns the entries of a data centre that were heard lately, or else
@@ -113,28 +124,31 @@
 }
 
 // readers returns the addresses of the first readers, those first that have the
-// store, and how many entries there are beside this one.
+// store, and how many entries there are beside this one. An entry that follows a
+// relay asks the readers that it names, also if it has read the store itself.
 func (node *Node) readers(now time.Time) (addresses []string, others int) {
 	ranked := node.ranked(node.self.DataCentre, now)
-	if word := node.relayWord(now); word != nil && len(word.Readers) > 0 && !slices.ContainsFunc(word.Relays, node.isSelf) {
-		return word.Readers, max(len(ranked)-1, relaysEach)
+	word := node.followed(now)
+	if word != nil && len(word.Readers) > 0 {
+		return word.Readers, len(ranked) - 1
+	}
+	if word == nil {
+		slices.SortStableFunc(ranked, func(a, b Message) int { return rankReads(a) - rankReads(b) })
 	}
-	slices.SortStableFunc(ranked, func(a, b Message) int {
-		switch {
-		case a.Reads == b.Reads:
-			return 0
-		case a.Reads:
-			return -1
-		default:
-			return 1
-		}
-	})
 	for _, one := range ranked[:min(relaysEach, len(ranked))] {
 		addresses = append(addresses, one.Address)
 	}
 	return addresses, len(ranked) - 1
 }
 
+// rankReads puts entries first that read the store.
+func rankReads(message Message) int {
+	if message.Reads {
+		return 0
+	}
+	return 1
+}
+
 func isAmong(other *peer, list []Message) bool {
 	return slices.ContainsFunc(list, func(one Message) bool { return one.From == other.message.From })
 }
