--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -37,6 +37,7 @@
 	defer member.mu.Unlock()
 	member.lost = append(member.lost, lost...)
 }
+
 func (member *member) TargetsSlow(_ string, slow []TargetLife) {
 	member.mu.Lock()
 	defer member.mu.Unlock()
