Formation: a head leaves its replica before the other members do

Cause: a repaired replica's head and members were sent the order to join together. Where the head's was lost, a delayed order to open opened it under the old epoch without its members (TestFormationUnderRandomFaultsSeed860). Change: members stay until the head accepted an order by which it leaves, or the list shows it elsewhere; the planner keeps accepted orders until the list shows them, so that a repair waits for one response and not for the list.

--- a/control/headstate.go
+++ b/control/headstate.go
@@ -22,6 +22,49 @@
 	return pendingOpens
 }
 
+// recordResult records what the response to an order, or its absence, says about the
+// target.
+func (planner *Planner) recordResult(order greengageroute.TargetOrder, err error) {
+	switch order.Kind {
+	case greengageroute.OrderOpen:
+		planner.recordResponse(order, err)
+	case greengageroute.OrderClose:
+		planner.recordResponse(order, err)
+		planner.recordCloseResult(order, err)
+	case greengageroute.OrderJoin, greengageroute.OrderLeave:
+		if err == nil {
+			planner.recordLeft(order.Target)
+		}
+	}
+}
+
+// recordLeft records that a target has accepted an order by which it left the replica
+// that the list shows.
+func (planner *Planner) recordLeft(target greengageroute.Target) {
+	planner.mu.Lock()
+	defer planner.mu.Unlock()
+	key := greengageroute.ReplicaKey{Name: target.Membership.Replica, Epoch: target.Membership.Epoch}
+	planner.left[target.ID] = leftReplica{key: key, startUnixMilli: target.StartUnixMilli, at: planner.Clock.Now()}
+}
+
+// leftReplicasOf returns the targets that have left the replica that the list still
+// shows. The caller holds the lock.
+func (planner *Planner) leftReplicasOf(targets map[string]greengageroute.Target) map[string]greengageroute.ReplicaKey {
+	replicas := map[string]greengageroute.ReplicaKey{}
+	now := planner.Clock.Now()
+	for id, left := range planner.left {
+		target, listed := targets[id]
+		shown := listed && (target.StartUnixMilli != left.startUnixMilli || !target.Membership.BelongsTo(left.key.Name, left.key.Epoch))
+		switch {
+		case shown || now.Sub(left.at) > leftTTL:
+			delete(planner.left, id)
+		case listed:
+			replicas[id] = left.key
+		}
+	}
+	return replicas
+}
+
 // recordResponse records a head's response to an order to open or close. A head
 // that refuses doesn't serve; a head that carries out the order is soon listed in
 // its new state.
--- a/control/planner.go
+++ b/control/planner.go
@@ -36,6 +36,9 @@
 	// unansweredOrderLimit is how many orders in a row go unanswered before a head
 	// counts as failed.
 	unansweredOrderLimit = 2
+	// leftTTL is how long a target is remembered to have left a replica; the list
+	// shows it long before.
+	leftTTL = time.Minute
 	// activityWindow is how recent a response to any entry must be to show that a
 	// target is alive.
 	activityWindow = 600 * time.Millisecond
@@ -112,6 +115,9 @@
 		// pendingOpens are heads that were ordered to open, until the list shows their
 		// state after the order.
 		pendingOpens map[string]pendingOpen
+		// left holds targets that accepted an order by which they left a replica,
+		// until the list shows it.
+		left map[string]leftReplica
 		// unknownHeads are heads that only an earlier planner has seen.
 		unknownHeads     map[string]greengageroute.Target
 		headsWriteFailed bool // storedHeads has to be written again
@@ -133,6 +139,13 @@
 		answered bool   // the head responded to this order or a later one; until then it may open at any time
 	}
 
+	// leftReplica is the replica that one run of a target has left.
+	leftReplica struct {
+		key            greengageroute.ReplicaKey
+		startUnixMilli int64
+		at             time.Time
+	}
+
 	stagingModel struct {
 		model string
 		until time.Time
@@ -145,7 +158,7 @@
 		PlannerOptions: options, wake: make(chan struct{}, 1),
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staging: map[string]stagingModel{},
 		loggedStates: map[string]string{}, unknownHeads: map[string]greengageroute.Target{}, pendingOpens: map[string]pendingOpen{}, storedHeads: map[string]string{},
-		closedAt: map[string]time.Time{}, unansweredOrders: map[string]int{},
+		closedAt: map[string]time.Time{}, unansweredOrders: map[string]int{}, left: map[string]leftReplica{},
 	}
 }
 
@@ -230,6 +243,7 @@
 	return greengageroute.PoolView{
 		Pool: name, Engine: engine, Targets: targets, HasTraffic: planner.HasTraffic(), Now: now,
 		Absent: absent, ClosedAt: maps.Clone(planner.closedAt), PendingOpens: planner.pendingOpensIn(targets),
+		Left: planner.leftReplicasOf(targets),
 	}
 }
 
@@ -346,13 +360,7 @@
 		outcome = "not answered: " + err.Error()
 		planner.Counters.Add(CountOrdersNotAnswered, 1)
 	}
-	switch order.Kind {
-	case greengageroute.OrderOpen:
-		planner.recordResponse(order, err)
-	case greengageroute.OrderClose:
-		planner.recordResponse(order, err)
-		planner.recordCloseResult(order, err)
-	}
+	planner.recordResult(order, err)
 	planner.Log.Info("order sent", "kind", order.Kind.String(), "target", order.Target.ID, "replica", order.Replica, "epoch", order.Epoch,
 		"model", order.Model, "cut", order.Immediate, "took", planner.Clock.Now().Sub(started).String(), "outcome", outcome)
 	planner.Wake()
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -77,6 +77,41 @@
 	}
 }
 
+// TestAcceptedJoinLeavesReplica guards against members that wait for the list to show
+// that their head has left, and against taking a head that did not answer for one
+// that left.
+func TestAcceptedJoinLeavesReplica(t *testing.T) {
+	key := greengageroute.ReplicaKey{Name: "r1", Epoch: 7}
+	head := greengageroute.Target{ID: "i-head", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1}
+	head.Membership = greengageroute.Membership{Replica: key.Name, Epoch: key.Epoch, Model: "m", State: greengageroute.MemberReady}
+	rejoined, restarted := head, head
+	rejoined.Membership.Epoch = 8
+	restarted.StartUnixMilli = 2
+	tests := []struct {
+		name     string
+		response error
+		listed   greengageroute.Target
+		left     bool
+	}{
+		{"accepted, and the list is older", nil, head, true},
+		{"accepted, and the list shows it", nil, rejoined, false},
+		{"accepted, and the target restarted", nil, restarted, false},
+		{"not answered", errors.New("unanswered"), head, false},
+		{"refused", &greengageroute.OrderRefusedError{Status: 412}, head, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			planner, directory := newTestPlanner(fakeActivity{})
+			planner.recordResult(greengageroute.TargetOrder{Kind: greengageroute.OrderJoin, Target: head, Replica: "r1", Epoch: 8}, test.response)
+			directory.Replace([]greengageroute.Target{test.listed}, time.Time{})
+			view := planner.poolView("llm", nil, directory.View())
+			if found := view.Left[head.ID] == key; found != test.left {
+				t.Errorf("the head has left its replica: %t, want %t", found, test.left)
+			}
+		})
+	}
+}
+
 func TestPendingOpens(t *testing.T) {
 	key := greengageroute.ReplicaKey{Name: "r1", Epoch: 7}
 	head := greengageroute.Target{ID: "i-head", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1, Revision: 20}
--- a/formation.go
+++ b/formation.go
@@ -59,6 +59,9 @@
 		// PendingOpens holds heads that were sent an order to open and may have
 		// opened, though the list doesn't show it yet.
 		PendingOpens map[string]ReplicaKey
+		// Left holds targets that accepted an order to join another replica or to
+		// leave, with the replica they left, though the list doesn't show it yet.
+		Left map[string]ReplicaKey
 	}
 
 	// ReplicaHead names the head of a replica and its address.
--- a/formation_test.go
+++ b/formation_test.go
@@ -424,6 +424,27 @@
 // under the old epoch without them.
 func TestFormationUnderRandomFaultsSeed860(t *testing.T) { runRandomFaults(t, 860) }
 
+// A closed head is still in its replica, and the order to open it again may be
+// delayed, so its members are sent nothing before it has left.
+func TestHeadLeavesReplicaBeforeItsMembers(t *testing.T) {
+	pool, formation := newFormedPool(t, 6, 11)
+	pool.run(formation, 3*time.Second, true)
+	assignment := formation.Assignments[0]
+	head := pool.targets[assignment.Members[0]]
+	head.Membership.State = MemberReady
+	pool.targets[assignment.Members[2]].crashed = true
+	view := pool.view(true)
+	formation.Update(view)
+	orders := formation.Orders(view)
+	if len(orders) != 1 || orders[0].Kind != OrderJoin || orders[0].Target.ID != head.ID {
+		t.Errorf("got the orders %v, want only the head to join under the new epoch", orders)
+	}
+	view.Left = map[string]ReplicaKey{head.ID: {assignment.Name, assignment.Epoch}}
+	if orders := formation.Orders(view); len(orders) != len(assignment.Members) {
+		t.Errorf("after the head left the orders are %v, want one for each member", orders)
+	}
+}
+
 // runRandomFaults runs a pool in which orders are lost or delayed, targets crash,
 // vanish from the list and turn slow, and new planners take over.
 func runRandomFaults(t *testing.T, seed uint64) {
--- a/formationorders.go
+++ b/formationorders.go
@@ -13,6 +13,12 @@
 	head      Target
 }
 
+// leavesFirst reports whether other members wait for the target, the head of their
+// replica, to leave it.
+func (constraint constraint) leavesFirst(target Target) bool {
+	return constraint.head.ID == target.ID && !constraint.mustStay && !target.Membership.isPreload()
+}
+
 // Orders returns the orders that bring the targets closer to the assignments.
 // Targets that are already joining their replica get none.
 func (formation *Formation) Orders(view PoolView) []TargetOrder {
@@ -26,7 +32,7 @@
 }
 
 func (formation *Formation) ordersFor(assignment Assignment, view PoolView, closed Set[string]) []TargetOrder {
-	var joins, closes []TargetOrder
+	var joins, headJoins, closes []TargetOrder
 	formed, blocked := 0, false
 	for _, id := range assignment.Members {
 		target, found := view.Targets[id]
@@ -44,13 +50,17 @@
 		if constraint.mustClose && closed.Add(constraint.head.ID) {
 			closes = append(closes, closeOrder(constraint.head, target.Membership, !view.complete(constraint.head)))
 		}
-		joins = append(joins, TargetOrder{
+		join := TargetOrder{
 			Kind: OrderJoin, Target: target, Replica: assignment.Name, Epoch: assignment.Epoch,
 			Model: assignment.Model, Members: assignment.Members,
-		})
+		}
+		joins = append(joins, join)
+		if constraint.leavesFirst(target) {
+			headJoins = append(headJoins, join)
+		}
 	}
 	if blocked {
-		return closes
+		return append(closes, headJoins...)
 	}
 	if len(joins) > 0 {
 		return joins
@@ -63,7 +73,8 @@
 }
 
 // constraintOf returns whether a target has to stay in its replica for now, because
-// the replica's head serves or isn't known to have stopped serving.
+// the replica's head serves or isn't known to have stopped serving. The head leaves a
+// replica first: as long as it is in the replica, a delayed order may open it again.
 func (formation *Formation) constraintOf(target Target, view PoolView) constraint {
 	member := target.Membership
 	if member.Replica == "" {
@@ -76,7 +87,9 @@
 	if head, listed := view.Targets[id]; listed {
 		belongs := head.Membership.BelongsTo(member.Replica, member.Epoch)
 		open := belongs && (head.Membership.State == MemberOpen || head.Membership.State == MemberReady && view.openPending(head))
-		return constraint{mustStay: open || belongs && head.Membership.State == MemberClosing, mustClose: open, head: head}
+		serving := open || belongs && head.Membership.State == MemberClosing
+		stays := belongs && target.ID != id && !view.hasLeft(head)
+		return constraint{mustStay: serving || stays, mustClose: open, head: head}
 	}
 	if closedAt, found := view.ClosedAt[id]; found && closedAt.After(target.ListedSince) {
 		return constraint{}
@@ -95,6 +108,13 @@
 	return sent && head.Membership.BelongsTo(key.Name, key.Epoch)
 }
 
+// hasLeft reports whether the target accepted an order by which it left the replica
+// that the list still shows.
+func (view PoolView) hasLeft(target Target) bool {
+	key, left := view.Left[target.ID]
+	return left && target.Membership.BelongsTo(key.Name, key.Epoch)
+}
+
 // headOf returns the head of the replica that a membership names.
 func (formation *Formation) headOf(member Membership, view PoolView) (string, bool) {
 	if id, known := formation.heads[ReplicaKey{member.Replica, member.Epoch}]; known {
