--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -31,10 +31,15 @@
 	modelName     = "trail-70b"
 	startTimeout  = 40 * time.Second
 	pollInterval  = 50 * time.Millisecond
+
+	firstPort = 20000
+	endPort   = 30000
+	portBlock = 1000
 )
 
 var (
 	binDirectory string
+	claimedPorts int // first port of this process's block
 	lastPort     atomic.Int32
 )
 
@@ -96,7 +101,11 @@
 )
 
 func TestMain(m *testing.M) {
-	lastPort.Store(20000)
+	claim, err := claimPorts()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 	dir, err := os.MkdirTemp("", "greengageroute-test-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -110,6 +119,7 @@
 	}
 	code := m.Run()
 	_ = os.RemoveAll(dir)
+	_ = claim.Close()
 	os.Exit(code)
 }
 
@@ -520,22 +530,35 @@
 	return 0
 }
 
-// freePort returns a loopback address that nothing listens on. The port lies below
-// the ephemeral range, so the system doesn't give it to an outgoing connection
-// while the process that uses it restarts.
+// claimPorts reserves a block of ports for this process, so that several runs of
+// the tests on one VM don't take each other's: it returns a listener on the block's
+// first port. The ports lie below the ephemeral range, so the system doesn't give one
+// to an outgoing connection while the process that uses it restarts.
+func claimPorts() (net.Listener, error) {
+	for first := firstPort; first < endPort; first += portBlock {
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			claimedPorts = first
+			return listener, nil
+		}
+	}
+	return nil, fmt.Errorf("every block of ports from %d to %d is in use; end other runs of the tests", firstPort, endPort)
+}
+
+// freePort returns a loopback address from the process's block that nothing listens
+// on.
 func freePort(t *testing.T, bind func(address string) (io.Closer, error)) string {
 	t.Helper()
-	for {
-		port := lastPort.Add(1)
-		if port > 30000 {
-			t.Fatal("no free port between 20000 and 30000")
-		}
+	for range portBlock {
+		port := claimedPorts + 1 + int(lastPort.Add(1))%(portBlock-1)
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		if listener, err := bind(address); err == nil {
 			_ = listener.Close()
 			return address
 		}
 	}
+	t.Fatalf("no free port among the %d after %d", portBlock, claimedPorts)
+	return ""
 }
 
 func freeTCP(t *testing.T) string {
--- a/integration/leaving_test.go
+++ b/integration/leaving_test.go
@@ -149,8 +149,9 @@
 		workers.Go(func() {
 			for round := 0; ctx.Err() == nil; round++ {
 				entry := balancer.pick(i + round)
-				request := chatRequest{content: fmt.Sprintf("rolling %d %d", i, round), seed: uint64(i), tokens: 60}
+				request := chatRequest{content: fmt.Sprintf("rolling %d %d", i, round), seed: uint64(i), tokens: 240}
 				history.recordChat(request, 0, chat(context.Background(), entry.listen, request, nil))
+				entry = balancer.pick(i + round) // the first may have stopped meanwhile
 				history.sendAction(context.Background(), entry.listen, fmt.Sprintf("tag-%d-%d", i, round), "tag")
 			}
 		})
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -259,7 +259,11 @@
 // checkRecovery checks the deployment after the last fault: every entry becomes
 // ready, and within its bound a new config is in force and a draining target gets
 // no requests.
+//
+// The callers' idle connections are closed first: one that a proxy has silenced
+// stays silent after the last fault.
 func (soak *soak) checkRecovery() {
+	http.DefaultClient.CloseIdleConnections()
 	soak.waitReady()
 	soak.requireStream(soak.entries[1]) // waits for the end of recovery
 	time.Sleep(stableWindow)
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -241,8 +241,11 @@
 }
 
 func TestEarlyAnswerToALongBody(t *testing.T) {
-	body := []byte(strings.Repeat("x", 4<<20))
+	body := []byte(strings.Repeat("x", 64<<20)) // more than the send buffer holds
 	target := serveRaw(t, func(conn net.Conn, reader *bufio.Reader) {
+		if err := conn.(*net.TCPConn).SetReadBuffer(bufferSize); err != nil {
+			t.Error(err)
+		}
 		if _, err := http.ReadRequest(reader); err == nil {
 			reply(conn, "id-1", "early")
 			time.Sleep(100 * time.Millisecond) // the rest of the body stays unread
