Bound what a target or store in trouble may send without end

Cause: by reading, the head of a target's response, a skipped answer to another request and an event of a stream had no limit in bytes, and a body of over 8 MB was cut there and delivered as a whole answer. Change: 64 KB for a head, 1 MB for a skipped answer or an event; an answer over 8 MB is lost, not cut. Clients of reports, orders, the store, readers and the table limit heads.

--- a/edge/call.go
+++ b/edge/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -91,11 +92,20 @@
 		exchange.checkCrash(ctx, target, err)
 		return nil, nil, err
 	}
-	body, err = io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	body, err = readAnswer(answer)
 	answer.Close(err == nil)
 	return answer, body, err
 }
 
+// readAnswer reads the body of an answer that is delivered as a whole.
+func readAnswer(answer *upstream.Answer) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = fmt.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
+	}
+	return body, err
+}
+
 // timeoutError returns the error of a request that passed its deadline.
 func (exchange *exchange) timeoutError() error {
 	if exchange.httpRequest.Context().Err() != nil {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -368,3 +368,47 @@
 		t.Errorf("got %d after %d attempts, want 413 after none", recorder.Code, len(fixture.attempts))
 	}
 }
+
+type endlessReader string
+
+func (text endlessReader) Read(buffer []byte) (int, error) {
+	read := 0
+	for read < len(buffer) {
+		read += copy(buffer[read:], text)
+	}
+	return read, nil
+}
+
+// endless is a step of a script: the target returns an answer that never ends.
+func endless(status int, text string) func(context.Context, greengageroute.Attempt) (*upstream.Answer, error) {
+	return func(ctx context.Context, attempt greengageroute.Attempt) (*upstream.Answer, error) {
+		answer, err := answers(status, "")(ctx, attempt)
+		answer.Body = endlessReader(text)
+		return answer, err
+	}
+}
+
+// TestEndlessAnswersAreNotDelivered guards against answers of targets in trouble that
+// fill the memory, and against a truncated answer that looks complete.
+func TestEndlessAnswersAreNotDelivered(t *testing.T) {
+	tests := []struct {
+		name, method, path string
+		script             script
+		status             int
+		body               string
+	}{
+		{"body of a plain service", http.MethodPost, "/post/x", script{endless(200, "x")}, http.StatusBadGateway, ""},
+		{"body of an idempotent call, then an answer", http.MethodGet, "/get/x", script{endless(200, "x"), answers(200, "own")}, 200, "own"},
+		{"event of a stream, then an answer", http.MethodPost, "/chat/x", script{endless(200, "data: x\n"), answers(200, "id: 1\ndata: own\n\n")}, 200, "id: 1\ndata: own\n\n"},
+		{"line of a stream, then an answer", http.MethodPost, "/chat/x", script{endless(200, "x"), answers(200, "id: 1\ndata: own\n\n")}, 200, "id: 1\ndata: own\n\n"},
+		{"body of a failure, then an answer", http.MethodPost, "/chat/x", script{endless(400, "x"), answers(200, "id: 1\ndata: own\n\n")}, 200, "id: 1\ndata: own\n\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			recorder, aborted := newFixture(test.script).serve(newRequest(test.method, test.path))
+			if aborted || recorder.Code != test.status || test.body != "" && recorder.Body.String() != test.body {
+				t.Errorf("got status %d, %d bytes of body, aborted: %t; want status %d and body %q", recorder.Code, recorder.Body.Len(), aborted, test.status, test.body)
+			}
+		})
+	}
+}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -34,6 +35,8 @@
 	// minOverloadRetryAfter keeps callers from retrying before any running request
 	// has ended.
 	minOverloadRetryAfter = 200 * time.Millisecond
+	// maxEventBytes limits an event, which is forwarded when it is complete.
+	maxEventBytes = 1 << 20
 )
 
 // errReplicaLost ends an attempt at a replica that has lost a member.
@@ -221,7 +224,7 @@
 	if exchange.headerSent || answer.Status >= http.StatusInternalServerError && exchange.route.Resumable && exchange.attemptsSent < exchange.route.Attempts {
 		return false, errors.New("the target returned an error")
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	body, err := readAnswer(answer)
 	if err != nil {
 		return false, err
 	}
@@ -267,6 +270,8 @@
 		line, err := attempt.reader.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
+		case len(event) > maxEventBytes:
+			return false, fmt.Errorf("an event of the stream is longer than %d bytes", maxEventBytes)
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF):
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,6 +52,8 @@
 	// maxResponse is the limit of a reader's response in bytes. A response may hold a
 	// whole table.
 	maxResponse = 8 << 20
+	// maxHeaderBytes is the limit of the header of a reader's response.
+	maxHeaderBytes = 16 << 10
 )
 
 type (
@@ -111,6 +113,7 @@
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: 2, DialContext: (&net.Dialer{Timeout: responseMargin}).DialContext, DisableCompression: true,
 		ReadBufferSize: 2 << 10, WriteBufferSize: 1 << 10,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Source{
 		store: store, peers: peers, cache: cache, clock: clock, countStoreCall: countStoreCall, client: &http.Client{Transport: transport},
--- a/table/client.go
+++ b/table/client.go
@@ -18,6 +18,7 @@
 
 const (
 	maxResponseBytes = 64 << 20
+	maxHeaderBytes   = 64 << 10
 	readTimeout      = 2 * time.Second
 	commitTimeout    = 2 * time.Second
 )
@@ -57,7 +58,7 @@
 // NewClient returns a client of the platform at an address of the form IP:port.
 func NewClient(address string) *Client {
 	transport := &http.Transport{
-		MaxIdleConnsPerHost: 16,
+		MaxIdleConnsPerHost: 16, MaxResponseHeaderBytes: maxHeaderBytes,
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 	}
 	return &Client{baseURL: "http://" + address, http: &http.Client{Transport: transport}}
@@ -155,7 +156,7 @@
 	switch response.StatusCode {
 	case http.StatusOK:
 		var reply CommitReply
-		if err := json.NewDecoder(response.Body).Decode(&reply); err != nil {
+		if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&reply); err != nil {
 			return &UncertainError{Cause: err}
 		}
 		if reply.Conflict != "" {
--- a/target/target.go
+++ b/target/target.go
@@ -24,6 +24,7 @@
 	StallTimeout = time.Second
 
 	maxReportBytes = 16 << 20
+	maxHeaderBytes = 64 << 10
 	maxLineBytes   = 1 << 20
 )
 
@@ -109,8 +110,8 @@
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: DialTimeout}
 	client := &Client{
-		pooled:   &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}},
-		unpooled: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
+		pooled:   &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}},
+		unpooled: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}},
 	}
 	dialCounting := func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dialer.DialContext(ctx, network, address)
@@ -119,7 +120,7 @@
 		}
 		return countingConn{Conn: connection, count: &client.probeBytes}, nil
 	}
-	client.probePool = &http.Client{Transport: &http.Transport{DialContext: dialCounting, MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: time.Minute}}
+	client.probePool = &http.Client{Transport: &http.Transport{DialContext: dialCounting, MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}}
 	return client
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -38,6 +38,11 @@
 	// it fits into the socket's buffers.
 	maxInlineBody = 8 << 10
 	bufferSize    = 2 << 10
+	// maxHeadBytes limits the head of a response, and maxForeignBytes the body of an
+	// answer to another request that is skipped. A target in trouble may send
+	// either without end.
+	maxHeadBytes    = 64 << 10
+	maxForeignBytes = 1 << 20
 	// maxResponses is how many responses are read in search of the request's own.
 	// Late answers to earlier requests and 1xx responses are skipped.
 	maxResponses = 3
@@ -76,9 +81,18 @@
 		Cause  error
 	}
 
+	// limitedReader reads from a connection until the limit of the response's head is
+	// used up.
+	limitedReader struct {
+		conn      net.Conn
+		remaining int
+		unlimited bool
+	}
+
 	conn struct {
 		net.Conn
-		reader      *bufio.Reader
+		limit       *limitedReader
+		reader      *bufio.Reader // reads from limit
 		idleSince   time.Time
 		idleTimeout time.Duration // announced by the target; 0 if none is
 		written     chan error    // result of a body that is written in the background; nil without one
@@ -99,6 +113,28 @@
 // Unwrap returns the cause.
 func (err *AnswerLostError) Unwrap() error { return err.Cause }
 
+var errHeadTooLong = errors.New("the head of the response is longer than " + strconv.Itoa(maxHeadBytes) + " bytes")
+
+func (limit *limitedReader) Read(buffer []byte) (int, error) {
+	if limit.unlimited {
+		return limit.conn.Read(buffer)
+	}
+	if limit.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	read, err := limit.conn.Read(buffer[:min(len(buffer), limit.remaining)])
+	limit.remaining -= read
+	return read, err
+}
+
+// readHead reads the head of the next response.
+func (conn *conn) readHead(method string) (*http.Response, error) {
+	conn.limit.remaining, conn.limit.unlimited = maxHeadBytes, false
+	response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
+	conn.limit.unlimited = true
+	return response, err
+}
+
 // NewClient returns a client that calls onDial before it dials a new connection.
 func NewClient(onDial func()) *Client {
 	return &Client{idle: map[string][]*conn{}, onDial: onDial}
@@ -127,7 +163,7 @@
 		return nil, lost(err)
 	}
 	for range maxResponses {
-		response, err := http.ReadResponse(conn.reader, &http.Request{Method: request.Method})
+		response, err := conn.readHead(request.Method)
 		if err != nil {
 			return nil, lost(err)
 		}
@@ -139,7 +175,11 @@
 			conn.idleTimeout = head.IdleTimeout
 			return &Answer{AnswerHead: head, Body: response.Body, client: client, conn: conn, key: key, stop: stop}, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes))
+		if err == nil && skipped == maxForeignBytes {
+			err = errors.New("the answer to another request is longer than " + strconv.Itoa(maxForeignBytes) + " bytes")
+		}
+		if err != nil {
 			return nil, lost(err)
 		}
 	}
@@ -185,7 +225,8 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, bufferSize)}, nil
+	limit := &limitedReader{conn: netConn}
+	return &conn{Conn: netConn, limit: limit, reader: bufio.NewReaderSize(limit, bufferSize)}, nil
 }
 
 // HasIdleConnection reports whether the pool has an idle connection to the target
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -240,6 +240,40 @@
 	}
 }
 
+// TestEndlessResponsesAreCutOff guards against targets in trouble that send bytes
+// without end which are no answer to the request.
+func TestEndlessResponsesAreCutOff(t *testing.T) {
+	foreign := "HTTP/1.1 200 OK\r\n" + platform.HeaderAttemptID + ": other\r\nContent-Length: 9000000000\r\n\r\n"
+	tests := []struct {
+		name, start, repeated string
+	}{
+		{"bytes without a line end", "", strings.Repeat("x", 4096)},
+		{"header fields", "HTTP/1.1 200 OK\r\n", "A: " + strings.Repeat("x", 100) + "\r\n"},
+		{"one header field", "HTTP/1.1 200 OK\r\nA: ", strings.Repeat("x", 4096)},
+		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+		{"an answer to another request", foreign, strings.Repeat("x", 4096)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			closed := make(chan struct{})
+			target := serveRaw(t, func(conn net.Conn, reader *bufio.Reader) {
+				defer close(closed)
+				readRequest(reader)
+				_, err := io.WriteString(conn, test.start)
+				for err == nil {
+					_, err = io.WriteString(conn, test.repeated)
+				}
+			})
+			_, err := send(NewClient(func() {}), target, "id-1", nil)
+			var lost *AnswerLostError
+			if !errors.As(err, &lost) {
+				t.Fatalf("got error %v, want an answer lost", err)
+			}
+			<-closed // the connection has been closed
+		})
+	}
+}
+
 func TestEarlyAnswerToALongBody(t *testing.T) {
 	body := []byte(strings.Repeat("x", 64<<20)) // more than the send buffer holds
 	target := serveRaw(t, func(conn net.Conn, reader *bufio.Reader) {
