Directory: build a view from its predecessor

Cause: each change of the list rebuilt the view of all targets: 1.07 ms and 1.35 MB at 875 targets, up to 16 times a second, on each of 295 entries. Change: views share what did not change; only the replicas of changed targets are assembled again.

--- a/control/directory.go
+++ b/control/directory.go
@@ -46,6 +46,10 @@
 		watchers      map[uint64]func()
 		lastWatcherID uint64
 
+		touched     greengageroute.Set[string]                      // ids of targets that the current update may have changed
+		memberships map[replicaID]map[string]*greengageroute.Target // present members of each replica
+		open        map[replicaID]greengageroute.Replica
+
 		view atomic.Pointer[View]
 	}
 
@@ -54,14 +58,6 @@
 		since  time.Time
 	}
 
-	// View is an immutable snapshot of the directory.
-	View struct {
-		Listed   bool                                           // the list has been read and has targets
-		Absent   map[string]greengageroute.Target               // no longer listed, or found unreachable
-		Targets  map[string]greengageroute.Target               // listed and not found unreachable, or Unlisted
-		Pools    map[string][]greengageroute.Target             // including targets of plain services and targets in no replica
-		Replicas map[string]map[string][]greengageroute.Replica // open replicas by pool and model
-	}
 )
 
 // NewDirectory returns an empty directory.
@@ -70,6 +66,7 @@
 		clock: clock, targets: map[string]greengageroute.Target{}, dropAt: map[string]time.Time{},
 		absent: map[string]absentTarget{}, unlisted: map[string]absentTarget{},
 		unreachable: map[mesh.TargetInstance]time.Time{}, slow: map[mesh.TargetInstance]time.Time{}, watchers: map[uint64]func(){},
+		touched: greengageroute.Set[string]{}, memberships: map[replicaID]map[string]*greengageroute.Target{}, open: map[replicaID]greengageroute.Replica{},
 	}
 	directory.view.Store(&View{})
 	return directory
@@ -95,7 +92,15 @@
 
 // SetRoutes sets the routes, which name the pools' engines.
 func (directory *Directory) SetRoutes(routes *greengageroute.RouteTable) {
-	directory.update(func() { directory.routes = routes })
+	directory.update(func() {
+		directory.routes = routes
+		for id := range directory.targets {
+			directory.touched.Add(id)
+		}
+		for id := range directory.unlisted {
+			directory.touched.Add(id)
+		}
+	})
 }
 
 // Replace applies a complete read of the list. Targets that are missing from it
@@ -137,6 +142,7 @@
 	if found && known.StartUnixMilli == target.StartUnixMilli {
 		target.ListedSince = known.ListedSince
 	}
+	directory.touched.Add(target.ID)
 	delete(directory.absent, target.ID)
 	delete(directory.unlisted, target.ID)
 	directory.targets[target.ID] = target
@@ -154,6 +160,7 @@
 }
 
 func (directory *Directory) drop(id string) {
+	directory.touched.Add(id)
 	if target, found := directory.targets[id]; found {
 		removed := absentTarget{target, directory.clock.Now()}
 		directory.absent[id] = removed
@@ -175,6 +182,7 @@
 			if since, known := directory.unreachable[instance]; !known || now.Sub(since) > unreachableTTL {
 				added = append(added, instance)
 				directory.unreachable[instance] = now
+				directory.touched.Add(instance.ID)
 				delete(directory.unlisted, instance.ID)
 			}
 		}
@@ -207,7 +215,7 @@
 	for instance, since := range directory.slow {
 		if now.Sub(since) > slowTTL {
 			delete(directory.slow, instance)
-		} else if view.Targets[instance.ID].StartUnixMilli == instance.StartUnixMilli {
+		} else if target, _ := view.Target(instance.ID); target.StartUnixMilli == instance.StartUnixMilli {
 			slow.Add(instance.ID)
 		}
 	}
@@ -250,16 +258,29 @@
 				directory.drop(id)
 			}
 		}
-		maps.DeleteFunc(directory.unlisted, func(_ string, removed absentTarget) bool { return now.Sub(removed.since) > unlistedGrace })
-		maps.DeleteFunc(directory.absent, func(_ string, removed absentTarget) bool { return now.Sub(removed.since) > absentTTL })
-		maps.DeleteFunc(directory.unreachable, func(_ mesh.TargetInstance, since time.Time) bool { return now.Sub(since) > unreachableTTL })
+		maps.DeleteFunc(directory.unlisted, func(id string, removed absentTarget) bool {
+			return now.Sub(removed.since) > unlistedGrace && directory.touch(id)
+		})
+		maps.DeleteFunc(directory.absent, func(id string, removed absentTarget) bool {
+			return now.Sub(removed.since) > absentTTL && directory.touch(id)
+		})
+		maps.DeleteFunc(directory.unreachable, func(instance mesh.TargetInstance, since time.Time) bool {
+			return now.Sub(since) > unreachableTTL && directory.touch(instance.ID)
+		})
 	})
 }
 
+// touch marks a target that the current update may have changed. It returns true.
+func (directory *Directory) touch(id string) bool {
+	directory.touched.Add(id)
+	return true
+}
+
 func (directory *Directory) update(edit func()) {
 	directory.mu.Lock()
 	edit()
-	directory.view.Store(directory.buildView())
+	directory.view.Store(directory.nextView())
+	clear(directory.touched)
 	callbacks := make([]func(), 0, len(directory.watchers))
 	for _, changed := range directory.watchers {
 		callbacks = append(callbacks, changed)
@@ -269,50 +290,3 @@
 		changed()
 	}
 }
-
-func (directory *Directory) buildView() *View {
-	view := &View{
-		Listed: len(directory.targets) > 0, Absent: map[string]greengageroute.Target{}, Targets: make(map[string]greengageroute.Target, len(directory.targets)),
-		Pools: map[string][]greengageroute.Target{}, Replicas: map[string]map[string][]greengageroute.Replica{},
-	}
-	for id, removed := range directory.absent {
-		view.Absent[id] = removed.target
-	}
-	for id, target := range directory.targets {
-		if _, unreachable := directory.unreachable[mesh.TargetInstance{ID: id, StartUnixMilli: target.StartUnixMilli}]; unreachable {
-			view.Absent[id] = target
-			continue
-		}
-		view.Targets[id] = target
-		view.Pools[target.Pool] = append(view.Pools[target.Pool], target)
-	}
-	for id, removed := range directory.unlisted {
-		target := removed.target
-		if _, unreachable := directory.unreachable[mesh.TargetInstance{ID: id, StartUnixMilli: target.StartUnixMilli}]; !unreachable {
-			target.Unlisted = true
-			view.Targets[id] = target
-			view.Pools[target.Pool] = append(view.Pools[target.Pool], target)
-		}
-	}
-	if directory.routes == nil {
-		return view
-	}
-	for name, pool := range directory.routes.Pools {
-		if pool.Engine != nil {
-			view.Replicas[name] = openReplicas(view.Pools[name], pool.Engine)
-		}
-	}
-	return view
-}
-
-func openReplicas(targets []greengageroute.Target, engine *greengageroute.Engine) map[string][]greengageroute.Replica {
-	open := map[string][]greengageroute.Replica{}
-	complete, _ := greengageroute.AssembleReplicas(targets)
-	for _, replica := range complete {
-		model, known := engine.Model(replica.Model)
-		if known && replica.IsOpen(model.Size) {
-			open[replica.Model] = append(open[replica.Model], replica)
-		}
-	}
-	return open
-}
--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -73,7 +73,7 @@
 		if version := follower.Routes().Version; version != 6 {
 			t.Errorf("version %d is in force, want 6", version)
 		}
-		if target := follower.directory.View().Targets["i-1"]; target.State != greengageroute.TargetLeaving {
+		if target, _ := follower.directory.View().Target("i-1"); target.State != greengageroute.TargetLeaving {
 			t.Errorf("the target that left after the history was truncated has state %q, want leaving", target.State)
 		}
 	})
@@ -81,7 +81,10 @@
 
 func TestListedTargets(t *testing.T) {
 	follow(t, func(store *fakeStore, conn *fakeConn, follower *Follower) {
-		targets := func() map[string]greengageroute.Target { return follower.directory.View().Targets }
+		listed := func(id string) bool {
+			_, found := follower.directory.View().Target(id)
+			return found
+		}
 		store.put("servers", "i-1", fmt.Sprintf(testTarget, "ready", 1))
 		store.put("servers", "i-2", fmt.Sprintf(testTarget, "ready", 1))
 		for name, value := range map[string]string{
@@ -91,12 +94,12 @@
 			store.put("servers", name, value)
 		}
 		time.Sleep(time.Second)
-		if len(targets()) != 2 {
-			t.Fatalf("the targets are %v, want i-1 and i-2", targets())
+		if targets := follower.directory.View().Pool("ledger"); len(targets) != 2 || !listed("i-1") || !listed("i-2") {
+			t.Fatalf("the targets are %v, want i-1 and i-2", targets)
 		}
 		store.remove("servers", "i-1")
 		time.Sleep(200 * time.Millisecond)
-		if _, found := targets()["i-1"]; found {
+		if listed("i-1") {
 			t.Error("a target removed from a healthy store is still used")
 		}
 		// A failed reader is no outage of the store: targets removed then are dropped at once.
@@ -111,11 +114,11 @@
 		store.remove("servers", "i-2")
 		conn.set(func(conn *fakeConn) { conn.down = false })
 		time.Sleep(time.Second)
-		if _, found := targets()["i-2"]; !found {
+		if !listed("i-2") {
 			t.Error("a target whose row expired during the outage was dropped at once")
 		}
 		time.Sleep(3 * time.Second)
-		if _, found := targets()["i-2"]; found {
+		if listed("i-2") {
 			t.Error("a target that did not come back after the outage is still used")
 		}
 	})
--- a/control/planner.go
+++ b/control/planner.go
@@ -222,7 +222,7 @@
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
 	targets := map[string]greengageroute.Target{}
-	for _, target := range view.Pools[name] {
+	for _, target := range view.Pool(name) {
 		// Findings about a head during its absence are void once it is listed again.
 		delete(planner.closedAt, target.ID)
 		delete(planner.unansweredOrders, target.ID)
--- a/control/prober.go
+++ b/control/prober.go
@@ -102,9 +102,9 @@
 // membersCurrent reports whether the directory still has all members with the same
 // start time.
 func (prober *Prober) membersCurrent(replica greengageroute.Replica) bool {
-	targets := prober.directory.View().Targets
+	view := prober.directory.View()
 	for _, member := range replica.Members {
-		if known, found := targets[member.ID]; !found || known.StartUnixMilli != member.StartUnixMilli {
+		if known, found := view.Target(member.ID); !found || known.StartUnixMilli != member.StartUnixMilli {
 			return false
 		}
 	}
@@ -223,7 +223,7 @@
 		if known && now.Sub(since) < confirmInterval {
 			continue
 		}
-		target, listed := prober.directory.View().Targets[instance.ID]
+		target, listed := prober.directory.View().Target(instance.ID)
 		if !listed || target.StartUnixMilli != instance.StartUnixMilli {
 			continue
 		}
--- a/edge/call.go
+++ b/edge/call.go
@@ -132,7 +132,7 @@
 	service := exchange.service
 	var candidates []greengageroute.TargetCandidate
 	loads := service.Peers.Loads()
-	for _, target := range service.Directory.View().Pools[exchange.pool.Name] {
+	for _, target := range service.Directory.View().Pool(exchange.pool.Name) {
 		if target.State != greengageroute.TargetReady || tried.Has(target.ID) {
 			continue
 		}
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -156,15 +156,12 @@
 // HasRecentActivity reports whether this entry has running requests at the
 // target's replica and received something from it within activityWindow.
 func (service *Service) HasRecentActivity(target greengageroute.Target) bool {
-	for _, replicas := range service.Directory.View().Replicas[target.Pool] {
-		for _, replica := range replicas {
-			if target.Membership.BelongsTo(replica.Name, replica.Epoch) {
-				stats := service.tracker.Stats(replica.Head().ID)
-				return stats.Running > 0 && time.Since(stats.LastActivity) < activityWindow
-			}
-		}
+	replica, found := service.Directory.View().ReplicaOf(target)
+	if !found {
+		return false
 	}
-	return false
+	stats := service.tracker.Stats(replica.Head().ID)
+	return stats.Running > 0 && time.Since(stats.LastActivity) < activityWindow
 }
 
 // DisableKeepAlives adds "Connection: close" to all following answers.
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -137,7 +137,7 @@
 	service := exchange.service
 	loads := service.Peers.Loads()
 	var candidates []greengageroute.ReplicaCandidate
-	for _, replica := range service.Directory.View().Replicas[exchange.pool.Name][model.Name] {
+	for _, replica := range service.Directory.View().Replicas(exchange.pool.Name, model.Name) {
 		head := replica.Head()
 		if tried.Has(head.ID) || head.State != greengageroute.TargetReady {
 			continue
@@ -250,7 +250,7 @@
 	}
 	view := service.Directory.View()
 	for _, member := range replica.Members {
-		if listed, found := view.Targets[member.ID]; !found || listed.StartUnixMilli != member.StartUnixMilli {
+		if listed, found := view.Target(member.ID); !found || listed.StartUnixMilli != member.StartUnixMilli {
 			service.Log.Info("replica lost a member", "id", attempt.exchange.ID, "replica", replica.Name, "epoch", replica.Epoch, "member", member.ID)
 			cancel(errReplicaLost)
 			return
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -118,7 +118,7 @@
 	}
 	view := entry.directory.View()
 	inactive := slices.DeleteFunc(slices.Clone(reported), func(instance mesh.TargetInstance) bool {
-		target, listed := view.Targets[instance.ID]
+		target, listed := view.Target(instance.ID)
 		return !listed || target.StartUnixMilli != instance.StartUnixMilli || entry.service.HasRecentActivity(target)
 	})
 	if len(inactive) > 0 {
