--- a/control/directory.go
+++ b/control/directory.go
@@ -57,7 +57,6 @@
 		target greengageroute.Target
 		since  time.Time
 	}
-
 )
 
 // NewDirectory returns an empty directory.
