Formation: plan by index of domains and assigned members

Cause: each look at a domain's free targets built the set of all assigned ones anew and walked all targets; the planner plans 10 times a second and after each response to an order. Change: the set is kept with the assignments, the view is arranged by domain once a round, and heads still named are found in one pass.

--- a/control/planner.go
+++ b/control/planner.go
@@ -244,7 +244,7 @@
 		Pool: name, Engine: engine, Targets: targets, HasTraffic: planner.HasTraffic(), Now: now,
 		Absent: absent, ClosedAt: maps.Clone(planner.closedAt), PendingOpens: planner.pendingOpensIn(targets),
 		Left: planner.leftReplicasOf(targets),
-	}
+	}.Indexed()
 }
 
 func (planner *Planner) planPool(ctx context.Context, view greengageroute.PoolView) {
--- a/formation.go
+++ b/formation.go
@@ -62,6 +62,14 @@
 		// Left holds targets that accepted an order to join another replica or to
 		// leave, with the replica they left, though the list doesn't show it yet.
 		Left map[string]ReplicaKey
+		// domains holds the targets by fabric domain; see Indexed.
+		domains map[string]*domainTargets
+	}
+
+	// domainTargets are the targets of one fabric domain.
+	domainTargets struct {
+		ready       []*Target // ready and listed, sorted by id
+		listedSince time.Time
 	}
 
 	// ReplicaHead names the head of a replica and its address.
@@ -88,13 +96,14 @@
 		lastName    uint64
 		preloads    map[string]preload    // by target id
 		heads       map[ReplicaKey]string // heads of all replicas that targets may still be members of
+		assigned    Set[string]           // members of the assignments
 	}
 )
 
 // NewFormation returns a formation whose epochs start above the given one. It
 // adopts the replicas that the targets report.
 func NewFormation(view PoolView, epoch uint64) *Formation {
-	formation := &Formation{lastEpoch: epoch, lastName: epoch, preloads: map[string]preload{}, heads: map[ReplicaKey]string{}}
+	formation := &Formation{lastEpoch: epoch, lastName: epoch, preloads: map[string]preload{}, heads: map[ReplicaKey]string{}, assigned: Set[string]{}}
 	newest := map[string]Assignment{}
 	for _, target := range view.Targets {
 		member := target.Membership
@@ -120,22 +129,44 @@
 		newest[member.Replica] = assignment
 	}
 	for _, assignment := range newest {
-		formation.Assignments = append(formation.Assignments, assignment)
+		formation.assign(assignment)
 	}
 	slices.SortFunc(formation.Assignments, func(a, b Assignment) int { return strings.Compare(a.Name, b.Name) })
 	return formation
 }
 
+// assign adds an assignment.
+func (formation *Formation) assign(assignment Assignment) {
+	formation.Assignments = append(formation.Assignments, assignment)
+	for _, id := range assignment.Members {
+		formation.assigned.Add(id)
+	}
+}
+
+// unassign removes the assignments for which remove returns true.
+func (formation *Formation) unassign(remove func(assignment Assignment) bool) {
+	formation.Assignments = slices.DeleteFunc(formation.Assignments, func(assignment Assignment) bool {
+		if !remove(assignment) {
+			return false
+		}
+		for _, id := range assignment.Members {
+			delete(formation.assigned, id)
+		}
+		return true
+	})
+}
+
 // Heads returns the last known heads of the replicas that targets may still be
 // members of. They are stored for the next planner, which needs them.
 func (formation *Formation) Heads(view PoolView) []ReplicaHead {
 	var heads []ReplicaHead
+	referenced := formation.referencedReplicas(view)
 	for key, id := range formation.heads {
 		head, listed := view.Targets[id]
 		if !listed {
 			head = view.Absent[id]
 		}
-		if formation.referenced(key, view) {
+		if referenced[key] {
 			heads = append(heads, ReplicaHead{Replica: key.Name, Epoch: key.Epoch, ID: id, Address: head.Address, DataCentre: head.DataCentre})
 		} else {
 			delete(formation.heads, key)
@@ -145,21 +176,18 @@
 	return heads
 }
 
-// referenced reports whether an assignment or a target still names the replica.
-func (formation *Formation) referenced(key ReplicaKey, view PoolView) bool {
+// referencedReplicas returns the replicas that an assignment or a target still names.
+func (formation *Formation) referencedReplicas(view PoolView) map[ReplicaKey]bool {
+	referenced := map[ReplicaKey]bool{}
 	for _, assignment := range formation.Assignments {
-		if assignment.Name == key.Name && assignment.Epoch == key.Epoch {
-			return true
-		}
+		referenced[ReplicaKey{assignment.Name, assignment.Epoch}] = true
 	}
 	for _, targets := range []map[string]Target{view.Targets, view.Absent} {
 		for _, target := range targets {
-			if target.Membership.BelongsTo(key.Name, key.Epoch) {
-				return true
-			}
+			referenced[ReplicaKey{target.Membership.Replica, target.Membership.Epoch}] = true
 		}
 	}
-	return false
+	return referenced
 }
 
 // RestoreHeads adds the heads that an earlier planner knew.
@@ -173,6 +201,7 @@
 // free targets, and dissolves replicas to make room for a model that has far too
 // few. It returns the assignments that changed.
 func (formation *Formation) Update(view PoolView) []Assignment {
+	view = view.Indexed()
 	formation.recordOpened(view)
 	changed := formation.repair(view)
 	changed = append(changed, formation.grow(view)...)
@@ -197,7 +226,7 @@
 	if view.HasTraffic && targets[underserved.Name] > 0 || perShare(underserved) >= rebalanceRatio*perShare(overserved) || targets[overserved.Name] < 2*float64(overserved.Size) {
 		return false
 	}
-	names, sizes := view.domains()
+	names, sizes := view.domainSizes()
 	best, fewest := "", 0
 	for _, name := range names {
 		shortfall := underserved.Size + reserveSize(sizes[name], targets[underserved.Name]) - len(formation.free(view, name, nil))
@@ -211,7 +240,7 @@
 		return false
 	}
 	dissolved := 0
-	formation.Assignments = slices.DeleteFunc(formation.Assignments, func(assignment Assignment) bool {
+	formation.unassign(func(assignment Assignment) bool {
 		if dissolved == fewest || assignment.Domain != best || assignment.Model != overserved.Name {
 			return false
 		}
@@ -280,33 +309,52 @@
 // free returns the targets of a domain that are neither assigned nor reserved,
 // sorted by id.
 func (formation *Formation) free(view PoolView, domain string, reserved Set[string]) []Target {
-	assigned := NewSet[string]()
-	for _, assignment := range formation.Assignments {
-		for _, id := range assignment.Members {
-			assigned.Add(id)
-		}
-	}
 	var free []Target
-	for id, target := range view.Targets {
-		if target.Domain == domain && target.State == TargetReady && !target.Unlisted && !assigned.Has(id) && !reserved.Has(id) {
-			free = append(free, target)
+	if targets := view.Indexed().domains[domain]; targets != nil {
+		for _, target := range targets.ready {
+			if !formation.assigned.Has(target.ID) && !reserved.Has(target.ID) {
+				free = append(free, *target)
+			}
 		}
 	}
-	slices.SortFunc(free, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
 	return free
 }
 
-// domains returns the view's fabric domains and the number of ready, listed
-// targets in each.
-func (view PoolView) domains() (names []string, sizes map[string]int) {
-	sizes = map[string]int{}
+// Indexed returns the view with its targets arranged by fabric domain, which Formation's
+// methods otherwise do each for itself.
+func (view PoolView) Indexed() PoolView {
+	if view.domains != nil {
+		return view
+	}
+	view.domains = map[string]*domainTargets{}
 	for _, target := range view.Targets {
+		domain := view.domains[target.Domain]
+		if domain == nil {
+			domain = &domainTargets{}
+			view.domains[target.Domain] = domain
+		}
 		if target.State == TargetReady && !target.Unlisted {
-			sizes[target.Domain]++
+			domain.ready = append(domain.ready, &target)
+		}
+		if target.ListedSince.After(domain.listedSince) {
+			domain.listedSince = target.ListedSince
 		}
 	}
-	for name := range sizes {
-		names = append(names, name)
+	for _, domain := range view.domains {
+		slices.SortFunc(domain.ready, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
+	}
+	return view
+}
+
+// domainSizes returns the view's fabric domains with ready, listed targets, and the
+// number of these in each.
+func (view PoolView) domainSizes() (names []string, sizes map[string]int) {
+	sizes = map[string]int{}
+	for name, domain := range view.Indexed().domains {
+		if len(domain.ready) > 0 {
+			names = append(names, name)
+			sizes[name] = len(domain.ready)
+		}
 	}
 	slices.Sort(names)
 	return names, sizes
@@ -343,7 +391,7 @@
 		Name: "r" + strconv.FormatUint(formation.lastName, 36), Epoch: formation.lastEpoch, Model: model.Name, Domain: domain,
 	}
 	assignment.Members = formation.spares(view, assignment, nil, joinCostLoading)[:model.Size]
-	formation.Assignments = append(formation.Assignments, assignment)
+	formation.assign(assignment)
 	formation.recordHead(assignment)
 	return assignment
 }
@@ -351,7 +399,7 @@
 // nextReplica picks the model and the domain of the next new replica, whose
 // members join within the given cost.
 func (formation *Formation) nextReplica(view PoolView, maxCost int) (EngineModel, string, bool) {
-	names, sizes := view.domains()
+	names, sizes := view.domainSizes()
 	models := slices.Clone(view.Engine.Models)
 	targets := formation.targetsByModel(view.Engine)
 	slices.SortStableFunc(models, func(a, b EngineModel) int {
@@ -378,13 +426,9 @@
 
 // recentlyListed reports whether targets of the domain have just been listed: more
 // may follow, with the weights that a replica needs.
-func (view PoolView) recentlyListed(domain string) bool {
-	for _, target := range view.Targets {
-		if target.Domain == domain && view.Now.Sub(target.ListedSince) < relistInterval {
-			return true
-		}
-	}
-	return false
+func (view PoolView) recentlyListed(name string) bool {
+	domain := view.Indexed().domains[name]
+	return domain != nil && view.Now.Sub(domain.listedSince) < relistInterval
 }
 
 // reserveSize returns how many targets of a domain stay free when a replica is
--- a/formation_test.go
+++ b/formation_test.go
@@ -522,3 +522,22 @@
 		target.State = TargetReady
 	}
 }
+
+// BenchmarkPlanLargeFleet plans a round for 875 targets in 25 domains whose replicas
+// are open, after the loss of a member.
+func BenchmarkPlanLargeFleet(b *testing.B) {
+	pool := newSimulatedPool(nil, 25, 35)
+	formation := NewFormation(pool.view(false), 1000)
+	pool.run(formation, 20*time.Second, false)
+	pool.run(formation, 3*time.Second, true)
+	lost := pool.targets[formation.Assignments[3].Members[1]]
+	for b.Loop() {
+		lost.crashed = !lost.crashed
+		view := pool.view(true).Indexed()
+		formation.Update(view)
+		formation.Orders(view)
+		formation.Heads(view)
+		formation.StagingOrders(view, 4)
+		formation.PreloadOrders(view)
+	}
+}
--- a/formationorders.go
+++ b/formationorders.go
@@ -166,16 +166,10 @@
 // assignment. Otherwise a delayed order to open could open such a head although
 // its other members have joined another replica.
 func (formation *Formation) leaveAbandoned(view PoolView) []TargetOrder {
-	assigned := NewSet[string]()
-	for _, assignment := range formation.Assignments {
-		for _, id := range assignment.Members {
-			assigned.Add(id)
-		}
-	}
 	var orders []TargetOrder
 	for id, target := range view.Targets {
 		member := target.Membership
-		if member.Rank != 0 || member.State != MemberReady || member.isPreload() || assigned.Has(id) || view.openPending(target) {
+		if member.Rank != 0 || member.State != MemberReady || member.isPreload() || formation.assigned.Has(id) || view.openPending(target) {
 			continue
 		}
 		orders = append(orders, TargetOrder{Kind: OrderLeave, Target: target, Replica: member.Replica, Epoch: member.Epoch})
--- a/formationplacements.go
+++ b/formationplacements.go
@@ -23,7 +23,7 @@
 // maximises the targets per share of the model with the fewest, then the number of
 // targets in use. Each domain keeps its spares.
 func PlanPlacements(view PoolView) []Placement {
-	names, sizes := view.domains()
+	names, sizes := view.domainSizes()
 	models := view.Engine.Models
 	options := map[string][]layout{}
 	chosen := map[string]layout{}
--- a/formationrepair.go
+++ b/formationrepair.go
@@ -33,7 +33,7 @@
 	damaged = slices.DeleteFunc(damaged, func(assignment damagedAssignment) bool { return fill(assignment, joinCostStaged) })
 	damaged = slices.DeleteFunc(damaged, func(assignment damagedAssignment) bool {
 		if view.allFormed(assignment.Assignment) {
-			formation.Assignments = append(formation.Assignments, assignment.Assignment)
+			formation.assign(assignment.Assignment)
 			return true
 		}
 		return false
@@ -53,7 +53,7 @@
 // missing members first.
 func (formation *Formation) takeDamaged(view PoolView) []damagedAssignment {
 	var damaged []damagedAssignment
-	formation.Assignments = slices.DeleteFunc(formation.Assignments, func(assignment Assignment) bool {
+	formation.unassign(func(assignment Assignment) bool {
 		if !view.needsRepair(assignment) {
 			return false
 		}
@@ -95,7 +95,7 @@
 	formation.lastEpoch++
 	assignment.Epoch, assignment.Opened = formation.lastEpoch, false
 	assignment.Members = append(slices.Clone(damaged.survivors), spares...)
-	formation.Assignments = append(formation.Assignments, assignment)
+	formation.assign(assignment)
 	formation.recordHead(assignment)
 	return assignment
 }
--- a/formationspares.go
+++ b/formationspares.go
@@ -33,7 +33,8 @@
 // replica had the same model joins the next one in a fraction of the time.
 func (formation *Formation) PreloadOrders(view PoolView) []TargetOrder {
 	var orders []TargetOrder
-	names, _ := view.domains()
+	view = view.Indexed()
+	names, _ := view.domainSizes()
 	for _, name := range names {
 		for _, target := range formation.free(view, name, nil) {
 			if order, found := formation.preloadOrder(target, view); found {
@@ -73,7 +74,8 @@
 // loads may start now.
 func (formation *Formation) StagingOrders(view PoolView, limit int) []TargetOrder {
 	var orders []TargetOrder
-	names, _ := view.domains()
+	view = view.Indexed()
+	names, _ := view.domainSizes()
 	for _, name := range names {
 		if view.HasTraffic && view.recentlyListed(name) {
 			continue // the weights staged on targets still to be listed may be the ones that the replicas need
