Mesh: send the loads of large fleets in ranges, rank entries once a turn

Cause: a relay's announcement dropped the loads that did not fit into one datagram: about 45 heads did, and some 130 replicas stand before 295 entries, so that most were chosen without their load being known. A relay ranked the entries of each data centre anew for each peer and each message. Change: loads are encoded as arrays; a message names the range of targets that it has loads of, the next continues, receivers keep the rest and age its idle times. More than 16 updates of a kind are sent in turns. Rankings are kept for 40 ms, or until an entry comes, leaves or another relay is announced. Entries of a build before this one ignore the new loads.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -106,20 +106,95 @@
 	waitUntil(t, "the entry that left no longer counts", func() bool { return entries[0].LiveEntries() == 2 })
 }
 
-func TestMessagesFitIntoAPacket(t *testing.T) {
-	message := Message{From: "entry", Address: "10.0.0.1:7340"}
-	for i := range 200 {
-		message.Loads = append(message.Loads, Load{Target: fmt.Sprintf("i-%08x", i), Running: 10, PrefillTokens: 5000})
+// TestLoadsBeyondOneDatagram guards against entries of a large fleet that choose
+// replicas without knowing their load: 45 heads fitted into a relay's announcement, and
+// the others were left out.
+func TestLoadsBeyondOneDatagram(t *testing.T) {
+	tests := []struct {
+		name        string
+		heads       int
+		unreachable int
+	}{
+		{"one datagram", 20, 0},
+		{"295 entries before 130 heads", 130, 0},
+		{"400 entries before 575 heads", 575, 0},
+		{"a fabric domain goes dark", 130, maxUpdates},
 	}
-	datagram, err := message.Encode()
-	if err != nil || len(datagram) > maxDatagram {
-		t.Fatalf("the datagram has %d bytes, too many for a packet, or encoding failed: %v", len(datagram), err)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			message := Message{From: "frontend-pidurutalagala-1", Address: "10.200.100.100:7340", LiveEntries: 295, AllEntries: true}
+			for i := range test.heads {
+				message.Loads = append(message.Loads, Load{Target: fmt.Sprintf("i-%08x", i), Running: 10, PrefillTokens: 5000, IdleMillis: 100})
+			}
+			for i := range test.unreachable {
+				message.Unreachable = append(message.Unreachable, TargetInstance{ID: fmt.Sprintf("i-%08x", i), StartUnixMilli: 1_764_850_000_000})
+			}
+			var received Message
+			turns, next := 0, ""
+			receive := func() {
+				datagram, from, err := message.Encode(next)
+				next = from
+				if err != nil || len(datagram) > maxDatagram {
+					t.Fatalf("the datagram has %d bytes, too many for a packet, or encoding failed: %v", len(datagram), err)
+				}
+				decoded, err := Decode(datagram)
+				if err != nil {
+					t.Fatal(err)
+				}
+				received = decoded.withOtherRanges(received, 60*time.Millisecond)
+				turns++
+			}
+			for receive(); len(received.Loads) < test.heads; receive() {
+				if turns > test.heads/40+1 {
+					t.Fatalf("%d of %d loads known after %d messages", len(received.Loads), test.heads, turns)
+				}
+			}
+			t.Logf("all loads known after %d messages", turns)
+			message.Loads = message.Loads[1:] // the first head has become idle
+			for range turns {
+				receive()
+			}
+			if len(received.Loads) != test.heads-1 {
+				t.Errorf("%d loads are known, want %d", len(received.Loads), test.heads-1)
+			}
+			for _, load := range received.Loads {
+				if age := time.Duration(load.IdleMillis-100) * time.Millisecond; age < 0 || age > time.Duration(turns)*60*time.Millisecond {
+					t.Errorf("the load %v has aged by %s", load, age)
+				}
+			}
+		})
+	}
+}
+
+// TestUpdatesAreSentInTurns guards against a message that has no room for loads while
+// many targets are found unreachable at once.
+func TestUpdatesAreSentInTurns(t *testing.T) {
+	now := time.Now()
+	var updates []timestamped[TargetInstance]
+	for i := range int64(35) {
+		updates = append(updates, timestamped[TargetInstance]{TargetInstance{StartUnixMilli: i}, now})
+	}
+	sent := map[int64]int{}
+	for turn := range uint64(6) {
+		_, next := currentUpdates(updates, now, turn)
+		if len(next) > maxUpdates {
+			t.Errorf("turn %d sends %d updates, want at most %d", turn, len(next), maxUpdates)
+		}
+		for _, update := range next {
+			sent[update.StartUnixMilli]++
+		}
+	}
+	if len(sent) != len(updates) || sent[0] != 2 {
+		t.Errorf("6 turns sent %d of %d updates, want each twice", len(sent), len(updates))
+	}
+	if current, _ := currentUpdates(updates, now.Add(2*updateRepeatTime), 0); len(current) > 0 {
+		t.Errorf("%d updates are still repeated", len(current))
 	}
 }
 
 func FuzzDecode(f *testing.F) {
 	message := Message{From: "entry", Address: "10.0.0.1:7340", Loads: []Load{{Target: "i-1", Running: 3}}, Lease: LeaseUpdate{Holder: "x", Fence: 1}}
-	datagram, err := message.Encode()
+	datagram, _, err := message.Encode("")
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -130,7 +205,7 @@
 		if err != nil {
 			return
 		}
-		again, err := decoded.Encode()
+		again, _, err := decoded.Encode(decoded.Range.From)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -4,14 +4,22 @@
 package mesh
 
 import (
+	"slices"
+	"strings"
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 	greengageroute "greengageroute.example/greengageroute"
 )
 
-// maxDatagram is the largest datagram in bytes: it fits into one packet of every
-// common network.
-const maxDatagram = 1400
+const (
+	// maxDatagram is the largest datagram in bytes: it fits into one packet of every
+	// common network.
+	maxDatagram = 1400
+	// minLoads is how many loads a message has that is full without them.
+	minLoads = 10
+)
 
 type (
 	// Message is the datagram that one entry sends to another. A relay also sends
@@ -22,8 +30,7 @@
 		From        string           `cbor:"1,keyasint"`
 		Address     string           `cbor:"2,keyasint"` // IP:port for messages
 		DataCentre  string           `cbor:"3,keyasint"`
-		Sequence    uint64           `cbor:"4,keyasint"` // counted from the sender's start
-		Loads       []Load           `cbor:"5,keyasint,omitempty"`
+		Sequence    uint64           `cbor:"4,keyasint"`           // counted from the sender's start
 		Unreachable []TargetInstance `cbor:"6,keyasint,omitempty"` // found unreachable
 		Lease       LeaseUpdate      `cbor:"7,keyasint,omitempty"`
 		HasTraffic  bool             `cbor:"8,keyasint,omitempty"` // the sender, or an entry that its summary covers, has received requests
@@ -47,6 +54,18 @@
 		Readers []string `cbor:"16,keyasint,omitempty"`
 		// Slow are targets that reported themselves as slow.
 		Slow []TargetInstance `cbor:"17,keyasint,omitempty"`
+		// Loads are those of the targets with work in progress. If they don't fit into
+		// one datagram, each message has those of a range of targets, and receivers keep
+		// the others.
+		Loads []Load    `cbor:"18,keyasint,omitempty"`
+		Range LoadRange `cbor:"19,keyasint,omitempty"`
+	}
+
+	// LoadRange is the range of target ids whose loads a message has: from the first,
+	// included, to the second, excluded. The zero range includes all targets.
+	LoadRange struct {
+		From   string `cbor:"1,keyasint,omitempty"`
+		Before string `cbor:"2,keyasint,omitempty"` // empty: no limit
 	}
 
 	// RelayInfo names a relay.
@@ -58,10 +77,11 @@
 
 	// Load is the work that the sender has in progress at one target.
 	Load struct {
-		Target        string `cbor:"1,keyasint"`
-		Running       int    `cbor:"2,keyasint"`           // requests
-		PrefillTokens int    `cbor:"3,keyasint,omitempty"` // prompt tokens sent and not yet processed
-		IdleMillis    int64  `cbor:"4,keyasint,omitempty"` // since the target last sent anything
+		_             struct{} `cbor:",toarray"`
+		Target        string
+		Running       int   // requests
+		PrefillTokens int   // prompt tokens sent and not yet processed
+		IdleMillis    int64 // since the target last sent anything
 	}
 
 	// TargetInstance is a target from one start to the next.
@@ -98,18 +118,49 @@
 	return message
 }
 
-// Encode returns the datagram. Loads that don't fit into it are left out.
-func (message Message) Encode() ([]byte, error) {
-	for {
-		datagram, err := cbor.Marshal(message)
-		if err != nil {
-			return nil, trace.Wrap(err, "encoding a message to a peer")
+// Encode returns the datagram. If the loads don't fit into it, it has those of the
+// targets from the given id on. It returns the id with which the next message
+// continues, empty after the last.
+func (message Message) Encode(from string) (datagram []byte, next string, err error) {
+	datagram, err = cbor.Marshal(message)
+	if err != nil || len(datagram) <= maxDatagram || len(message.Loads) == 0 {
+		return datagram, "", trace.Wrap(err, "encoding a message to a peer")
+	}
+	sorted := slices.SortedFunc(slices.Values(message.Loads), func(a, b Load) int { return strings.Compare(a.Target, b.Target) })
+	start, _ := slices.BinarySearchFunc(sorted, from, func(load Load, id string) int { return strings.Compare(load.Target, id) })
+	if start == len(sorted) {
+		start, from = 0, ""
+	}
+	for count := len(sorted) - start; ; count = count * 9 / 10 {
+		message.Loads, message.Range = sorted[start:start+count], LoadRange{From: from}
+		if start+count < len(sorted) {
+			message.Range.Before = sorted[start+count].Target
+		}
+		datagram, err = cbor.Marshal(message)
+		if err != nil || len(datagram) <= maxDatagram || count <= minLoads {
+			return datagram, message.Range.Before, trace.Wrap(err, "encoding a message to a peer")
 		}
-		if len(datagram) <= maxDatagram || len(message.Loads) == 0 {
-			return datagram, nil
+	}
+}
+
+// includes reports whether a target is in the range.
+func (ids LoadRange) includes(target string) bool {
+	return target >= ids.From && (ids.Before == "" || target < ids.Before)
+}
+
+// withOtherRanges returns the message with the loads outside its range, from the
+// sender's previous message, which was received the given time ago.
+func (message Message) withOtherRanges(previous Message, age time.Duration) Message {
+	if message.Range == (LoadRange{}) || message.AllEntries != previous.AllEntries {
+		return message
+	}
+	for _, load := range previous.Loads {
+		if !message.Range.includes(load.Target) {
+			load.IdleMillis += age.Milliseconds()
+			message.Loads = append(message.Loads, load)
 		}
-		message.Loads = message.Loads[:len(message.Loads)*3/4]
 	}
+	return message
 }
 
 // Decode decodes a datagram.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -32,6 +32,9 @@
 	unresponsiveSendInterval = 3 * time.Second
 	// updateRepeatTime is how long an update is included in every message.
 	updateRepeatTime = time.Second
+	// maxUpdates is how many updates of a kind a message carries, so that a fabric
+	// domain that goes dark at once leaves room for the loads.
+	maxUpdates = 16
 )
 
 type (
@@ -72,9 +75,13 @@
 		unreachable   []timestamped[TargetInstance]
 		slow          []timestamped[TargetInstance]
 		crashes       []timestamped[CrashReport]
-		forwarded     map[any]time.Time // updates that this relay has forwarded
-		newestLease   LeaseUpdate       // newest lease among the received messages
+		forwarded     map[any]time.Time  // updates that this relay has forwarded
+		newestLease   LeaseUpdate        // newest lease among the received messages
+		rankings      map[string]ranking // by data centre
 		sendRequested chan struct{}
+		// nextLoads is the target from which the next message of a kind continues the
+		// loads.
+		nextLoads [messageKinds]string
 	}
 
 	peer struct {
@@ -107,7 +114,7 @@
 	return &Node{
 		self: Message{From: name, Address: conn.LocalAddr().String(), DataCentre: dataCentre, Capacity: capacity},
 		conn: conn, clock: clock, countFailure: countFailure, peers: map[string]*peer{},
-		forwarded: map[any]time.Time{}, sendRequested: make(chan struct{}, 1),
+		forwarded: map[any]time.Time{}, rankings: map[string]ranking{}, sendRequested: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -162,6 +169,7 @@
 		return
 	}
 	node.peerAddedAt = node.clock.Now()
+	clear(node.rankings)
 	node.peers[name] = &peer{address: parsed, own: Message{From: name, DataCentre: dataCentre, Address: address, Capacity: capacity}}
 }
 
@@ -306,9 +314,9 @@
 	node.self.ReadsStore = message.ReadsStore
 	node.sequence++
 	message.Sequence = node.sequence
-	node.unreachable, message.Unreachable = dropExpired(node.unreachable, now)
-	node.slow, message.Slow = dropExpired(node.slow, now)
-	node.crashes, message.Crashes = dropExpired(node.crashes, now)
+	node.unreachable, message.Unreachable = currentUpdates(node.unreachable, now, node.sequence)
+	node.slow, message.Slow = currentUpdates(node.slow, now, node.sequence)
+	node.crashes, message.Crashes = currentUpdates(node.crashes, now, node.sequence)
 	messages := node.outgoingMessages(message, now)
 	node.mu.Unlock()
 	for _, toSend := range messages {
@@ -317,11 +325,17 @@
 }
 
 func (node *Node) send(toSend outgoing) {
-	datagram, err := toSend.message.Encode()
+	node.mu.Lock()
+	from := node.nextLoads[toSend.kind]
+	node.mu.Unlock()
+	datagram, next, err := toSend.message.Encode(from)
 	if err != nil {
 		node.countFailure()
 		return
 	}
+	node.mu.Lock()
+	node.nextLoads[toSend.kind] = next
+	node.mu.Unlock()
 	slices.SortFunc(toSend.recipients, func(a, b netip.AddrPort) int { return a.Compare(b) })
 	for _, recipient := range toSend.recipients {
 		if _, err := node.conn.WriteToUDPAddrPort(datagram, recipient); err != nil {
@@ -330,15 +344,17 @@
 	}
 }
 
-// dropExpired returns the updates that are still to be repeated, with and without
-// their timestamps.
-func dropExpired[T any](updates []timestamped[T], now time.Time) ([]timestamped[T], []T) {
-	updates = slices.DeleteFunc(updates, func(update timestamped[T]) bool { return now.Sub(update.at) > updateRepeatTime })
-	values := make([]T, 0, len(updates))
-	for _, update := range updates {
-		values = append(values, update.value)
+// currentUpdates returns the updates that are still to be repeated, and those for the
+// next message. If there are more than fit, successive turns send all of them.
+func currentUpdates[T any](updates []timestamped[T], now time.Time, turn uint64) (current []timestamped[T], next []T) {
+	current = slices.DeleteFunc(updates, func(update timestamped[T]) bool { return now.Sub(update.at) > updateRepeatTime })
+	batches := (uint64(len(current)) + maxUpdates - 1) / maxUpdates
+	for i, update := range current {
+		if batches <= 1 || uint64(i)%batches == turn%batches {
+			next = append(next, update.value)
+		}
 	}
-	return updates, values
+	return current, next
 }
 
 func (node *Node) receive() {
@@ -369,15 +385,23 @@
 		sender = &peer{address: address}
 		node.peers[message.From] = sender
 	}
-	sender.receivedAt, sender.unansweredSince = node.clock.Now(), time.Time{}
+	now := node.clock.Now()
+	if !sender.isLive(now) || message.Leaving != sender.own.Leaving {
+		clear(node.rankings)
+	}
+	age := now.Sub(sender.receivedAt)
+	sender.receivedAt, sender.unansweredSince = now, time.Time{}
 	if message.LiveEntries > 0 {
-		sender.summary = message
 		if message.AllEntries {
-			sender.announcedAt = sender.receivedAt
+			if now.Sub(sender.announcedAt) >= freshness || !slices.Equal(message.Relays, sender.summary.Relays) {
+				clear(node.rankings)
+			}
+			sender.announcedAt = now
 		}
+		sender.summary = message.withOtherRanges(sender.summary, age)
 	}
 	if message.LiveEntries == 0 || sender.own.From == "" {
-		sender.own = message.senderState(message.LiveEntries > 0)
+		sender.own = message.senderState(message.LiveEntries > 0).withOtherRanges(sender.own, age)
 	}
 	node.forwardUpdates(message)
 	node.mu.Unlock()
--- a/mesh/ranking.go
+++ b/mesh/ranking.go
@@ -6,6 +6,16 @@
 	"time"
 )
 
+// rankingTTL is how long a ranking of the entries is used: a relay needs it for each
+// message that it sends or receives.
+const rankingTTL = 40 * time.Millisecond
+
+// ranking is the ranked entries of one data centre as of a time.
+type ranking struct {
+	entries []Message
+	at      time.Time
+}
+
 // isFullMesh reports whether every entry sends to every other, without relays.
 func (node *Node) isFullMesh() bool { return len(node.peers) < fullMeshLimit }
 
@@ -23,10 +33,20 @@
 }
 
 // rankedEntries returns the entries of a data centre that are presumed live, those on
-// the largest VMs first. If this entry follows a relay's announcement, only the
-// announced relays are known: they precede this entry, whatever messages this entry
-// has received itself.
+// the largest VMs first. Callers must not change the result.
 func (node *Node) rankedEntries(dataCentre string, now time.Time) []Message {
+	if cached, known := node.rankings[dataCentre]; known && now.Sub(cached.at) < rankingTTL {
+		return cached.entries
+	}
+	entries := node.rankEntries(dataCentre, now)
+	node.rankings[dataCentre] = ranking{entries, now}
+	return entries
+}
+
+// rankEntries ranks the entries of a data centre. If this entry follows a relay's
+// announcement, only the announced relays are known: they precede this entry, whatever
+// messages this entry has received itself.
+func (node *Node) rankEntries(dataCentre string, now time.Time) []Message {
 	if dataCentre != node.self.DataCentre {
 		return node.rankedByOwnView(dataCentre, now)
 	}
@@ -140,6 +160,7 @@
 		return announcement.Readers, len(ranked) - 1
 	}
 	if announcement == nil {
+		ranked = slices.Clone(ranked)
 		slices.SortStableFunc(ranked, func(a, b Message) int { return storeReaderOrder(a) - storeReaderOrder(b) })
 	}
 	for _, reader := range ranked[:min(relaysPerDataCentre, len(ranked))] {
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -28,9 +28,18 @@
 	forwardedTTL = 5 * time.Second
 )
 
+// Kinds of outgoing messages.
+const (
+	ownMessage = iota
+	summaryMessage
+	announcementMessage
+	messageKinds
+)
+
 type (
 	// outgoing is a message and its recipients.
 	outgoing struct {
+		kind       int
 		message    Message
 		recipients []netip.AddrPort
 	}
@@ -58,12 +67,12 @@
 // holds the lock.
 func (node *Node) outgoingMessages(message Message, now time.Time) []outgoing {
 	if node.isFullMesh() {
-		return []outgoing{{message, node.reachableAddresses(now, anyPeer)}}
+		return []outgoing{{ownMessage, message, node.reachableAddresses(now, anyPeer)}}
 	}
 	rank := node.rank(now)
 	ranked := node.rankedEntries(node.self.DataCentre, now)
 	relays := ranked[:min(relaysPerDataCentre, len(ranked))]
-	messages := []outgoing{{message, node.markContacted(now, func(other *peer) bool { return containsPeer(other, relays) })}}
+	messages := []outgoing{{ownMessage, message, node.markContacted(now, func(other *peer) bool { return containsPeer(other, relays) })}}
 	node.reportedLoads = message.Loads
 	if rank >= relaysPerDataCentre {
 		return messages
@@ -74,7 +83,7 @@
 	}
 	summary.HasTraffic = summary.HasTraffic || node.anyPeerHasTraffic()
 	summary.Loads, summary.LiveEntries = node.sumLoads(message.Loads, now, node.inDataCentre), node.countLiveLocal(now)
-	messages = append(messages, outgoing{summary, node.markContacted(now, func(other *peer) bool { return node.isRemoteRelay(other, now) })})
+	messages = append(messages, outgoing{summaryMessage, summary, node.markContacted(now, func(other *peer) bool { return node.isRemoteRelay(other, now) })})
 	if rank > 0 && node.firstRelayActive(now) {
 		return messages
 	}
@@ -90,7 +99,7 @@
 	if !readersAreRelays {
 		summary.Readers = readers
 	}
-	return append(messages, outgoing{summary, node.reachableAddresses(now, node.inDataCentre)})
+	return append(messages, outgoing{announcementMessage, summary, node.reachableAddresses(now, node.inDataCentre)})
 }
 
 func anyPeer(*peer) bool { return true }
