Balance: an entry of a large fleet prefers a share of the replicas

Change: eight replicas of a model in the entry's data centre and eight elsewhere, by rendezvous of entry and replica, cost nothing extra; others 30 to 60 ms. Entries of a large fleet that don't plan, nor read the list for the planner, poll the list each 200 ms instead of 60. Measured: TestEntriesOfLargeFleetDontHerd; without the shares 12 and 60 of 60 requests chose the same replica in two of its cases.

--- a/balance.go
+++ b/balance.go
@@ -1,6 +1,11 @@
 package greengageroute
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// remotePenalty is added for a replica in another data centre, since its events
@@ -18,17 +23,26 @@
 	// gapPenalty is added for a replica whose next iteration would make its running
 	// streams miss the gap objective.
 	gapPenalty = 150 * time.Millisecond
+	// shareSize is how many replicas of a model an entry prefers, of those in its data
+	// centre and of the others each. Entries of a large fleet would otherwise dial
+	// nearly every request, and all choose the same replicas before they learn of each
+	// other's requests.
+	shareSize = 8
+	// outsideSharePenalty is added for a replica that the entry doesn't prefer, up to
+	// twice as much by its rank, so that entries whose shares are full spread too.
+	outsideSharePenalty = 30 * time.Millisecond
 )
 
 type (
 	// ReplicaCandidate is a replica with the load and health known to the entry.
 	ReplicaCandidate struct {
 		Replica           Replica
-		Load              EngineLoad // from all entries
-		Slowdown          float64    // measured time divided by the published one
-		Local             bool       // its head is in the entry's data centre
-		Unresponsive      bool       // no event for longer than an iteration takes
-		HasIdleConnection bool       // there is an idle connection to its head
+		Load              EngineLoad    // from all entries
+		Slowdown          float64       // measured time divided by the published one
+		Local             bool          // its head is in the entry's data centre
+		Unresponsive      bool          // no event for longer than an iteration takes
+		HasIdleConnection bool          // there is an idle connection to its head
+		SharePenalty      time.Duration // positive if the entry prefers other replicas
 	}
 
 	// TargetCandidate is a target of a plain service with the load and health known
@@ -43,6 +57,41 @@
 	}
 )
 
+// SetSharePenalties sets the penalties of the candidates outside the entry's share. The
+// shares of the entries overlap at random, and change only with the replicas that come
+// and go.
+func SetSharePenalties(entry string, candidates []ReplicaCandidate) {
+	seed := xxhash.Sum64String(entry)
+	for _, local := range []bool{true, false} {
+		var highest [shareSize]uint64 // in descending order
+		for _, candidate := range candidates {
+			if candidate.Local == local {
+				insertDescending(&highest, candidate.shareWeight(seed))
+			}
+		}
+		for i := range candidates {
+			weight := candidates[i].shareWeight(seed)
+			if candidates[i].Local == local && weight < highest[shareSize-1] {
+				rank := 1 - float64(weight)/math.MaxUint64
+				candidates[i].SharePenalty = outsideSharePenalty + time.Duration(rank*float64(outsideSharePenalty))
+			}
+		}
+	}
+}
+
+func (candidate ReplicaCandidate) shareWeight(seed uint64) uint64 {
+	return mixBits(xxhash.Sum64String(candidate.Replica.Name) ^ seed)
+}
+
+// insertDescending inserts a value into the highest ones, if it is one of them.
+func insertDescending(highest *[shareSize]uint64, value uint64) {
+	for i := range highest {
+		if value > highest[i] {
+			value, highest[i] = highest[i], value
+		}
+	}
+}
+
 // TimeToFirstToken predicts the time to the first token at the replica.
 func (candidate ReplicaCandidate) TimeToFirstToken(engine *Engine, model EngineModel, promptTokens int) time.Duration {
 	expected := float64(engine.TimeToFirstToken(model, candidate.Load, promptTokens)) * max(candidate.Slowdown, 1)
@@ -71,6 +120,7 @@
 		if !candidate.HasIdleConnection {
 			cost += connectPenalty
 		}
+		cost += candidate.SharePenalty
 		if candidate.Load.Running > 0 && gapObjective > 0 && candidate.NextIterationTime(engine, model, promptTokens) > time.Duration(gapMargin*float64(gapObjective)) {
 			cost += gapPenalty
 		}
--- a/balance_test.go
+++ b/balance_test.go
@@ -1,6 +1,7 @@
 package greengageroute
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -205,3 +206,45 @@
 		}
 	}
 }
+
+// Requests arrive at the entries of a large fleet within one interval between messages,
+// so that all entries know the same loads. They must not all choose the replica with the
+// lowest load, and have to leave their share when it is full.
+func TestEntriesOfLargeFleetDontHerd(t *testing.T) {
+	model := testEngine.Models[1]
+	tests := []struct {
+		name     string
+		loads    func(replica int) EngineLoad
+		requests int
+		most     int // requests at one replica
+	}{
+		{"one replica is idle", func(replica int) EngineLoad { return EngineLoad{Running: min(replica, 6)} }, 60, 12},
+		{"all are alike", func(int) EngineLoad { return EngineLoad{Running: 6} }, 60, 6},
+		{"one in ten has room", func(replica int) EngineLoad { return EngineLoad{Running: 40 * min(replica%10, 1)} }, 60, 20},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			chosen := map[int]int{}
+			for request := range test.requests {
+				var candidates []ReplicaCandidate
+				for replica := range 100 {
+					candidates = append(candidates, ReplicaCandidate{
+						Replica: Replica{Name: fmt.Sprint("r", replica)}, Load: test.loads(replica), Slowdown: 1, Local: replica%5 == request%5,
+					})
+				}
+				SetSharePenalties(fmt.Sprint("entry-", request), candidates)
+				index, _ := ChooseReplica(testEngine, model, 700, 200*time.Millisecond, candidates)
+				if test.loads(index).Running > testEngine.Slots {
+					t.Fatalf("request %d goes to a full replica", request)
+				}
+				chosen[index]++
+			}
+			for index, count := range chosen {
+				if count > test.most {
+					t.Errorf("replica %d gets %d of %d requests, want at most %d", index, count, test.requests, test.most)
+				}
+			}
+			t.Logf("%d replicas chosen", len(chosen))
+		})
+	}
+}
--- a/control/follower.go
+++ b/control/follower.go
@@ -24,9 +24,13 @@
 	// unresponsive connection, is noticed within the 2 s after which a leaving target
 	// must get no more work.
 	listPollTimeout = 500 * time.Millisecond
-	// listBatchDelay is the delay between polls of the list; it batches changes that
-	// come together into one response.
-	listBatchDelay = 60 * time.Millisecond
+	// planningBatchDelay is the delay between polls of the list by an entry that may
+	// plan replicas or read the list for it; it batches changes that come together
+	// into one response.
+	planningBatchDelay = 60 * time.Millisecond
+	// listBatchDelay is the same for the other entries of a large fleet, which hear of
+	// lost targets by messages.
+	listBatchDelay = 200 * time.Millisecond
 	// retryDelay is the delay after a failed call.
 	retryDelay = 150 * time.Millisecond
 	// outageGrace is how long targets whose rows expired during an outage have to be
@@ -56,6 +60,7 @@
 		log         logr.Logger
 		counters    *expvar.Map
 		directory   *Directory
+		plans       func() bool
 		routes      atomic.Pointer[greengageroute.RouteTable]
 		confirmedAt atomic.Int64 // when the config was last known to be current, in Unix nanoseconds of the clock
 
@@ -69,16 +74,17 @@
 	feed struct {
 		table       string
 		pollTimeout time.Duration
-		batchDelay  time.Duration
+		batchDelay  func() time.Duration
 		onSnapshot  func(rows platform.Rows)
 		onChanges   func(rows platform.Rows)
 		onConfirmed func(confirmedAt time.Time)
 	}
 )
 
-// NewFollower returns a follower that updates the directory.
-func NewFollower(store Store, directory *Directory, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Follower {
-	return &Follower{store: store, directory: directory, clock: clock, counters: counters, log: log}
+// NewFollower returns a follower that updates the directory. plans reports whether this
+// entry needs changes of the list at once.
+func NewFollower(store Store, directory *Directory, plans func() bool, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Follower {
+	return &Follower{store: store, directory: directory, plans: plans, clock: clock, counters: counters, log: log}
 }
 
 // Routes returns the newest config that this entry knows, or nil.
@@ -103,7 +109,7 @@
 // RunList follows the list of targets until the context ends.
 func (follower *Follower) RunList(ctx context.Context) {
 	follower.run(ctx, feed{
-		table: platform.TargetTable, pollTimeout: listPollTimeout, batchDelay: listBatchDelay,
+		table: platform.TargetTable, pollTimeout: listPollTimeout, batchDelay: follower.listDelay,
 		onSnapshot: func(rows platform.Rows) {
 			written, _ := follower.decodeTargets(rows.Rows)
 			follower.directory.Replace(written, follower.dropTime())
@@ -118,6 +124,13 @@
 	})
 }
 
+func (follower *Follower) listDelay() time.Duration {
+	if follower.plans() {
+		return planningBatchDelay
+	}
+	return listBatchDelay
+}
+
 func (follower *Follower) run(ctx context.Context, feed feed) {
 	var version uint64
 	synced := false
@@ -148,7 +161,9 @@
 		}
 		synced, version = true, max(version, rows.Version)
 		feed.onConfirmed(started.Add(-rows.Age))
-		greengageroute.Sleep(ctx, feed.batchDelay)
+		if feed.batchDelay != nil {
+			greengageroute.Sleep(ctx, feed.batchDelay())
+		}
 	}
 }
 
--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -22,7 +22,7 @@
 		store := newFakeStore()
 		conn := &fakeConn{fakeStore: store, delay: 4 * time.Millisecond}
 		clock := greengageroute.RuntimeClock{}
-		follower := NewFollower(conn, NewDirectory(clock), clock, new(expvar.Map).Init(), logr.Discard())
+		follower := NewFollower(conn, NewDirectory(clock), func() bool { return true }, clock, new(expvar.Map).Init(), logr.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
 		go follower.RunConfig(ctx)
 		go follower.RunList(ctx)
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -60,6 +60,7 @@
 
 	// Dependencies holds the parts that a Service needs.
 	Dependencies struct {
+		Entry      string // name of this entry
 		DataCentre string
 		Bounds     greengageroute.Bounds
 		Config     Config
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -153,6 +153,7 @@
 			Local: head.DataCentre == service.DataCentre, Unresponsive: unresponsive, HasIdleConnection: service.Sender.HasIdleConnection(head, false),
 		})
 	}
+	greengageroute.SetSharePenalties(service.Entry, candidates)
 	index, timeToFirstToken := greengageroute.ChooseReplica(engine, model, exchange.PromptTokens, exchange.route.GapObjective, candidates)
 	if index < 0 {
 		return source{}, false
--- a/integration/deploymentproxies_test.go
+++ b/integration/deploymentproxies_test.go
@@ -114,7 +114,7 @@
 			continue
 		}
 		message.Address = proxy.set.proxyAddress(message.Address)
-		datagram, err := message.Encode()
+		datagram, _, err := message.Encode(message.Range.From)
 		if err != nil {
 			proxy.set.t.Error(err)
 			return
--- a/mesh/ranking.go
+++ b/mesh/ranking.go
@@ -27,6 +27,23 @@
 	return node.isFullMesh() || node.rank(node.clock.Now()) < relaysPerDataCentre
 }
 
+// IsFullMesh reports whether the fleet is so small that every entry sends to every
+// other.
+func (node *Node) IsFullMesh() bool {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	return node.isFullMesh()
+}
+
+// PlannerInDataCentre reports whether another entry of this data centre holds the
+// planner's lease, by the newest message about it.
+func (node *Node) PlannerInDataCentre() bool {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	holder, known := node.peers[node.newestLease.Holder]
+	return known && node.inDataCentre(holder)
+}
+
 // rank returns this entry's rank in its data centre: 0 for the first relay.
 func (node *Node) rank(now time.Time) int {
 	return slices.IndexFunc(node.rankedEntries(node.self.DataCentre, now), func(entry Message) bool { return entry.From == node.self.From })
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -109,7 +109,7 @@
 		return nil, err
 	}
 	entry.source = relay.NewSource(entry.store, entry.node, relay.NewCache(clock), clock, count(CountStoreReads))
-	entry.follower = control.NewFollower(entry.source, entry.directory, clock, entry.counters, entry.log)
+	entry.follower = control.NewFollower(entry.source, entry.directory, entry.needsListAtOnce, clock, entry.counters, entry.log)
 	targetClient := platform.NewTargetClient()
 	entry.prober = control.NewProber(targetClient, entry.directory, entry.node, clock, entry.counters, entry.log)
 	entry.planner = control.NewPlanner(control.PlannerOptions{
@@ -118,7 +118,7 @@
 		Clock: clock, Counters: entry.counters, Log: entry.log,
 	})
 	entry.service = edge.New(edge.Dependencies{
-		DataCentre: deployment.DataCentre, Bounds: deployment.Bounds, Config: entry.follower, Directory: entry.directory,
+		Entry: deployment.Name, DataCentre: deployment.DataCentre, Bounds: deployment.Bounds, Config: entry.follower, Directory: entry.directory,
 		Peers: entry.node, Prober: entry.prober, Sender: entry.upstream, Counters: entry.counters, Latencies: entry.latencies, Log: entry.log,
 	})
 	if entry.callerListener, err = net.Listen("tcp4", deployment.CallerAddress); err != nil {
@@ -138,6 +138,15 @@
 	return !entry.deployment.FirstStart || entry.service.HasTraffic() || entry.node.HasTraffic()
 }
 
+// needsListAtOnce reports whether this entry plans the replicas, or may have to: in a
+// large fleet the relays of the planner's data centre.
+func (entry *Entry) needsListAtOnce() bool {
+	if entry.node.IsFullMesh() || entry.lease.PeerUpdate().Holder != "" {
+		return true
+	}
+	return entry.node.IsRelay() && entry.node.PlannerInDataCentre()
+}
+
 // Run serves until the context ends, then shuts down gracefully: it fails the health
 // check, accepts connections until the load balancer has noticed, finishes the
 // requests that were received, and releases the lease.
