Large fleets: leave the store to its readers at the start

Change: an entry outside the first ranks waits its failover delay from its start on; a reader that doesn't read yet is asked again after 120 ms; only registered entries plan; retries of the registration are spread.

--- a/control/lease.go
+++ b/control/lease.go
@@ -20,9 +20,6 @@
 const (
 	controlTable = "control"
 	leaseKey     = "planner"
-	// instanceSeparator separates the entry's name from its process instance in the
-	// holder's name.
-	instanceSeparator = "#"
 	// leaseTerm outlasts two renewals. It is short because a failed member is not
 	// replaced while nobody holds the lease.
 	leaseTerm = 1600 * time.Millisecond
@@ -61,13 +58,13 @@
 // NewLease returns a lease that isn't held.
 func NewLease(store LeaseStore, holder string, clock greengageroute.Clock, log logr.Logger) *Lease {
 	instance := strconv.FormatInt(time.Now().UnixNano(), 36)
-	return &Lease{store: store, holder: holder + instanceSeparator + instance, createdAt: clock.Now(), clock: clock, log: log}
+	return &Lease{store: store, holder: holder + mesh.HolderSeparator + instance, createdAt: clock.Now(), clock: clock, log: log}
 }
 
 // sameEntry reports whether two holders are different process instances of one entry.
 func sameEntry(first, second string) bool {
-	firstName, _, _ := strings.Cut(first, instanceSeparator)
-	secondName, _, _ := strings.Cut(second, instanceSeparator)
+	firstName, _, _ := strings.Cut(first, mesh.HolderSeparator)
+	secondName, _, _ := strings.Cut(second, mesh.HolderSeparator)
 	return firstName == secondName && first != second
 }
 
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -14,6 +14,10 @@
 )
 
 const (
+	// HolderSeparator separates the entry's name from its process instance in the name
+	// of a lease's holder.
+	HolderSeparator = "#"
+
 	// maxDatagram is the largest datagram in bytes: it fits into one packet of every
 	// common network.
 	maxDatagram = 1400
--- a/mesh/ranking.go
+++ b/mesh/ranking.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -40,7 +41,8 @@
 func (node *Node) PlannerInDataCentre() bool {
 	node.mu.Lock()
 	defer node.mu.Unlock()
-	holder, known := node.peers[node.newestLease.Holder]
+	name, _, _ := strings.Cut(node.newestLease.Holder, HolderSeparator)
+	holder, known := node.peers[name]
 	return known && node.inDataCentre(holder)
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -32,6 +32,9 @@
 	responseMargin = 250 * time.Millisecond
 	// readerBackoff is how long a reader that failed is not asked again.
 	readerBackoff = time.Second
+	// notReadingBackoff is the same for a reader that responded but doesn't read the
+	// table from the store yet, as when all entries start together.
+	notReadingBackoff = 120 * time.Millisecond
 	// minFailoverDelay is how long an entry outside the immediateRanks goes at least
 	// without any reader before it calls the store. Another reader takes over meanwhile,
 	// and a whole fleet that calls the store at once costs more than it gains. Each
@@ -86,9 +89,10 @@
 
 		failoverDelay time.Duration
 
-		mu            sync.Mutex
-		failedReaders map[string]time.Time // when each last failed, by address
-		tables        map[string]*tableState
+		startedAt    time.Time
+		mu           sync.Mutex
+		backoffUntil map[string]time.Time // of readers that failed, by address
+		tables       map[string]*tableState
 	}
 
 	// tableState is how one table was last read.
@@ -117,7 +121,7 @@
 	}
 	return &Source{
 		store: store, peers: peers, cache: cache, clock: clock, countStoreCall: countStoreCall, client: &http.Client{Transport: transport},
-		failoverDelay: minFailoverDelay + rand.N(2*minFailoverDelay), failedReaders: map[string]time.Time{}, tables: map[string]*tableState{},
+		failoverDelay: minFailoverDelay + rand.N(2*minFailoverDelay), startedAt: clock.Now(), backoffUntil: map[string]time.Time{}, tables: map[string]*tableState{},
 	}
 }
 
@@ -223,7 +227,11 @@
 	_, rank := source.peers.Readers()
 	now := source.clock.Now()
 	source.update(name, func(table *tableState) {
-		withinDelay := !table.lastRead.IsZero() && now.Sub(table.lastRead) < source.failoverDelay
+		since := table.lastRead
+		if since.IsZero() {
+			since = source.startedAt
+		}
+		withinDelay := now.Sub(since) < source.failoverDelay
 		leaves = rank >= immediateRanks && (withinDelay || now.Before(table.retryStoreAt))
 	})
 	return leaves
@@ -240,7 +248,10 @@
 	return serves
 }
 
-var errNoReader = errors.New("no other entry reads the store for this entry, or all failed recently")
+var (
+	errNoReader   = errors.New("no other entry reads the store for this entry, or all failed recently")
+	errNotReading = errors.New("the reader doesn't read the table from the store")
+)
 
 // askReaders asks the readers one after the other and returns the first rows that are
 // at most maxAge old. If this entry is the first reader, there is no other to ask.
@@ -259,8 +270,12 @@
 		if err == nil || errors.As(err, &gone) {
 			return rows, err
 		}
+		backoff := readerBackoff
+		if errors.Is(err, errNotReading) {
+			backoff = notReadingBackoff
+		}
 		source.mu.Lock()
-		source.failedReaders[address] = source.clock.Now()
+		source.backoffUntil[address] = source.clock.Now().Add(backoff)
 		source.mu.Unlock()
 	}
 	return rows, err
@@ -269,8 +284,7 @@
 func (source *Source) failedRecently(address string) bool {
 	source.mu.Lock()
 	defer source.mu.Unlock()
-	failedAt, failed := source.failedReaders[address]
-	return failed && source.clock.Now().Sub(failedAt) < readerBackoff
+	return source.clock.Now().Before(source.backoffUntil[address])
 }
 
 func (source *Source) callReader(ctx context.Context, address, path string, wait time.Duration) (platform.Rows, error) {
@@ -291,6 +305,8 @@
 	defer response.Body.Close()
 	switch response.StatusCode {
 	case http.StatusOK:
+	case http.StatusServiceUnavailable:
+		return rows, errNotReading
 	case http.StatusGone:
 		return rows, &platform.HistoryGoneError{Table: request.URL.Query().Get("table")}
 	default:
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -137,6 +137,23 @@
 	}
 }
 
+// All entries of a large fleet start together. Those of higher rank numbers leave the
+// store to the readers, though these have read nothing yet, and ask them again soon.
+func TestWholeFleetStartsTogether(t *testing.T) {
+	ctx := context.Background()
+	reader, client, calls := newSourcePair(t, &fixedStore{rows: platform.Rows{Version: 7}})
+	client.peers.(*fixedPeers).rank = 30
+	var noReader *NoReaderError
+	if _, err := client.Read(ctx, "op"); !errors.As(err, &noReader) || calls.Load() > 0 {
+		t.Fatalf("got error %v after %d calls to the store, want NoReaderError after none", err, calls.Load())
+	}
+	reader.Read(ctx, "op")
+	time.Sleep(notReadingBackoff)
+	if rows, err := client.Read(ctx, "op"); err != nil || rows.Version != 7 || calls.Load() > 0 {
+		t.Errorf("got %+v, %v after %d calls to the store, want the reader's rows", rows, err, calls.Load())
+	}
+}
+
 // During an outage of the store an entry outside the first ranks calls it once and then
 // leaves further calls to the readers. It takes no rows from a reader whose own call
 // to the store failed.
@@ -161,7 +178,7 @@
 	}
 	store.err = nil
 	reader.Read(ctx, "op")
-	clear(client.failedReaders)
+	clear(client.backoffUntil)
 	if _, err := client.Read(ctx, "op"); err != nil || calls.Load() != 1 || !reader.ReadsStore() || client.ReadsStore() {
 		t.Errorf("after the outage: got error %v and %d calls to the store in all, want none and 1; or ReadsStore is wrong", err, calls.Load())
 	}
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -44,7 +44,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(registerRetryInterval):
+		case <-time.After(registerRetryInterval + rand.N(registerRetryInterval)):
 		}
 	}
 }
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -30,8 +30,9 @@
 const (
 	// entryTable is the table of the entries, keyed by their names.
 	entryTable = "entries"
-	// registerRetryInterval is the interval between attempts to register the entry.
-	registerRetryInterval = time.Second
+	// registerRetryInterval is the minimum interval between attempts to register the
+	// entry; it is at most twice as long.
+	registerRetryInterval = 700 * time.Millisecond
 	// registerWait is how long the reading of the config and the target list waits for
 	// the entry's registration, which takes one or two calls of the store.
 	registerWait = 400 * time.Millisecond
@@ -114,7 +115,7 @@
 	entry.prober = control.NewProber(targetClient, entry.directory, entry.node, clock, entry.counters, entry.log)
 	entry.planner = control.NewPlanner(control.PlannerOptions{
 		Lease: entry.lease, OrderSender: targetClient, Activity: entry.node, Directory: entry.directory, Routes: entry.follower.Routes,
-		HasTraffic: entry.systemHasTraffic, Confirm: entry.prober.Confirm, Eligible: entry.node.IsRelay, FormationDelay: deployment.Bounds.HeartbeatInterval,
+		HasTraffic: entry.systemHasTraffic, Confirm: entry.prober.Confirm, Eligible: entry.mayPlan, FormationDelay: deployment.Bounds.HeartbeatInterval,
 		Clock: clock, Counters: entry.counters, Log: entry.log,
 	})
 	entry.service = edge.New(edge.Dependencies{
@@ -138,6 +139,17 @@
 	return !entry.deployment.FirstStart || entry.service.HasTraffic() || entry.node.HasTraffic()
 }
 
+// mayPlan reports whether this entry may hold the planner's lease: it is a relay among
+// the entries that the store lists.
+func (entry *Entry) mayPlan() bool {
+	select {
+	case <-entry.registered:
+		return entry.node.IsRelay()
+	default:
+		return false
+	}
+}
+
 // needsListAtOnce reports whether this entry plans the replicas, or may have to: in a
 // large fleet the relays of the planner's data centre.
 func (entry *Entry) needsListAtOnce() bool {
