Planner: give up a lost head after two short timeouts

Change: a head that is not listed or was found unreachable is asked with a timeout of 200 ms, again after 220 ms. Two unanswered orders and no data to any entry within 600 ms are still needed.

--- a/control/planner.go
+++ b/control/planner.go
@@ -22,6 +22,10 @@
 	// orderRetryInterval is how long an order has to take effect before it is sent
 	// again; the list shows changes within a few hundred milliseconds.
 	orderRetryInterval = 700 * time.Millisecond
+	// absentOrderTimeout and absentRetryInterval are the same for a head that is not
+	// listed or was found unreachable: its members wait until it counts as failed.
+	absentOrderTimeout  = 200 * time.Millisecond
+	absentRetryInterval = 220 * time.Millisecond
 	// planInterval is how often the planner runs, in addition to every change of
 	// the list.
 	planInterval = 100 * time.Millisecond
@@ -310,14 +314,18 @@
 }
 
 // send sends an order in the background, unless the same order was sent within
-// orderRetryInterval. An order that needs a load is skipped, to be sent later,
+// its retry interval. An order that needs a load is skipped, to be sent later,
 // while the loads of the last second reach the rate that the weights' store allows.
 func (planner *Planner) send(ctx context.Context, order greengageroute.TargetOrder, view greengageroute.PoolView) {
 	now := planner.Clock.Now()
 	text := fmt.Sprint(order)
 	planner.mu.Lock()
 	last := planner.sent[order.Target.ID]
-	if last.text == text && now.Sub(last.at) < orderRetryInterval {
+	timeout, retryInterval := OrderTimeout, orderRetryInterval
+	if _, listed := view.Targets[order.Target.ID]; !listed {
+		timeout, retryInterval = absentOrderTimeout, absentRetryInterval
+	}
+	if last.text == text && now.Sub(last.at) < retryInterval {
 		planner.mu.Unlock()
 		return
 	}
@@ -340,15 +348,15 @@
 		planner.loadStarts = append(planner.loadStarts, now)
 	}
 	planner.mu.Unlock()
-	go planner.deliver(ctx, order)
+	go planner.deliver(ctx, order, timeout)
 }
 
-func (planner *Planner) deliver(ctx context.Context, order greengageroute.TargetOrder) {
+func (planner *Planner) deliver(ctx context.Context, order greengageroute.TargetOrder, timeout time.Duration) {
 	if !planner.Lease.Held().Holds(planner.Clock.Now(), OrderTimeout) {
 		return
 	}
 	started := planner.Clock.Now()
-	err := planner.OrderSender.Send(ctx, order, OrderTimeout)
+	err := planner.OrderSender.Send(ctx, order, timeout)
 	planner.Counters.Add(CountOrders, 1)
 	var refused *greengageroute.OrderRefusedError
 	outcome := "accepted"
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -21,7 +21,8 @@
 	fakeActivity struct{ active, cutOff bool }
 )
 
-func (unansweredOrderSender) Send(context.Context, greengageroute.TargetOrder, time.Duration) error {
+func (unansweredOrderSender) Send(_ context.Context, _ greengageroute.TargetOrder, timeout time.Duration) error {
+	time.Sleep(timeout)
 	return errors.New("no response")
 }
 
@@ -77,6 +78,30 @@
 	}
 }
 
+// TestLostHeadIsGivenUpSoon guards against replicas whose head is lost, of all losses one
+// in four where replicas have four members, and whose other members wait over a second
+// before they may join again.
+func TestLostHeadIsGivenUpSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		planner, _ := newTestPlanner(fakeActivity{})
+		planner.Lease.held = greengageroute.HeldLease{Fence: 1, RenewedAt: time.Now(), Term: time.Hour}
+		head := greengageroute.Target{ID: "i-head", Pool: "llm", StartUnixMilli: 1}
+		closing := greengageroute.TargetOrder{Kind: greengageroute.OrderClose, Target: head, Replica: "r1", Epoch: 7, Immediate: true}
+		view := greengageroute.PoolView{Engine: &greengageroute.Engine{}, Absent: map[string]greengageroute.Target{head.ID: head}}
+		started := time.Now()
+		for closed := false; !closed && time.Since(started) < 5*time.Second; {
+			planner.send(context.Background(), closing, view)
+			time.Sleep(10 * time.Millisecond)
+			planner.mu.Lock()
+			_, closed = planner.closedAt[head.ID]
+			planner.mu.Unlock()
+		}
+		if took := time.Since(started); took > 600*time.Millisecond {
+			t.Errorf("the head counted as failed after %s, want at most 600ms", took)
+		}
+	})
+}
+
 // TestAcceptedJoinLeavesReplica guards against members that wait for the list to show
 // that their head has left, and against taking a head that did not answer for one
 // that left.
