Formation: replicas that wait for a load take what has weights

Change: replicas that wait for a load take part in each repair: they are filled with staged targets, or merged, and wait on otherwise. A target that joins and still loads no longer counts as loaded. The simulated pool takes its time for staging, and shows staged weights only then. Registration at a fleet's start: writes are spread over 450 ms (295 at once were refused for 97 entries, which then read the store on their own), and the entries of a large fleet are read after 1.6 s; a restarted entry reads first and writes only a changed row.

--- a/formation.go
+++ b/formation.go
@@ -86,6 +86,7 @@
 	damagedAssignment struct {
 		Assignment
 		survivors []string
+		loading   []string // members that don't have the weights yet; the assignment waits for them
 	}
 
 	// Formation is the planner's working state. One goroutine changes it in place; it
@@ -295,11 +296,11 @@
 // joinCost ranks targets by how long each takes to join a replica of the model.
 func joinCost(target Target, model string) int {
 	switch {
-	case target.Membership.Model == model:
+	case target.Membership.Model == model && !target.joinsWithLoad():
 		return 0
 	case target.HasStaged(model) && target.Staging == "":
 		return joinCostStaged
-	case len(target.Staged) == 0 || target.Staging == model:
+	case len(target.Staged) == 0 || target.Staging == model || target.Membership.Model == model:
 		return 2
 	default:
 		return joinCostLoading // its staged weights may serve another replica
--- a/formation_test.go
+++ b/formation_test.go
@@ -15,8 +15,10 @@
 		engine  *Engine
 		targets map[string]*simulatedTarget
 		now     time.Time
-		orders  []TargetOrder          // orders carried out, for assertions
-		formed  map[string]Set[string] // members that have formed, by replica and epoch
+		// hasTraffic is that of the last view: from then on loads take their full time.
+		hasTraffic bool
+		orders     []TargetOrder          // orders carried out, for assertions
+		formed     map[string]Set[string] // members that have formed, by replica and epoch
 	}
 
 	// simulatedTarget is one target with its true state.
@@ -25,6 +27,7 @@
 		crashed  bool
 		unlisted bool
 		joinEnd  time.Time // when the join completes
+		stageEnd time.Time // when the staging completes
 	}
 )
 
@@ -53,6 +56,7 @@
 }
 
 func (pool *simulatedPool) view(hasTraffic bool) PoolView {
+	pool.hasTraffic = hasTraffic
 	view := PoolView{
 		Pool: "llm", Engine: pool.engine, Targets: map[string]Target{}, Absent: map[string]Target{},
 		ClosedAt: map[string]time.Time{}, Now: pool.now, HasTraffic: hasTraffic,
@@ -95,7 +99,12 @@
 			target.Membership = Membership{}
 		}
 	case OrderStage:
-		target.Staged = []string{order.Model}
+		model, _ := pool.engine.Model(order.Model)
+		loadTime := model.LoadTime
+		if !pool.hasTraffic {
+			loadTime /= 10
+		}
+		target.Staging, target.stageEnd = order.Model, pool.now.Add(loadTime)
 	}
 }
 
@@ -114,13 +123,16 @@
 	joinTime := 200 * time.Millisecond
 	model, _ := pool.engine.Model(order.Model)
 	switch {
-	case target.Membership.Model == order.Model:
+	case target.Membership.Model == order.Model && target.Membership.State != MemberJoining:
 	case target.HasStaged(order.Model):
 		joinTime = model.StageTime
 	default:
 		joinTime = model.LoadTime
+		if !pool.hasTraffic {
+			joinTime /= 10
+		}
 	}
-	target.joinEnd, target.Staged = pool.now.Add(joinTime), []string{order.Model}
+	target.joinEnd = pool.now.Add(joinTime)
 	target.Membership = Membership{
 		Replica: order.Replica, Epoch: order.Epoch, Model: order.Model, State: MemberJoining,
 		Rank: slices.Index(order.Members, target.ID),
@@ -146,8 +158,11 @@
 func (pool *simulatedPool) advance(length time.Duration) {
 	pool.now = pool.now.Add(length)
 	for id, target := range pool.targets {
+		if !target.crashed && target.Staging != "" && !target.stageEnd.After(pool.now) {
+			target.Staged, target.Staging = []string{target.Staging}, ""
+		}
 		if !target.crashed && target.Membership.State == MemberJoining && !target.joinEnd.After(pool.now) {
-			target.Membership.State = MemberReady
+			target.Membership.State, target.Staged = MemberReady, []string{target.Membership.Model}
 			key := fmt.Sprint(target.Membership.Replica, target.Membership.Epoch)
 			if pool.formed[key] == nil {
 				pool.formed[key] = Set[string]{}
@@ -510,7 +525,7 @@
 		target.crashed = true
 	case chance < 0.08 && target.crashed:
 		// The target restarts and has lost its state.
-		target.crashed, target.Membership, target.ListedSince = false, Membership{}, pool.now
+		target.crashed, target.Membership, target.Staging, target.ListedSince = false, Membership{}, "", pool.now
 		target.StartUnixMilli++
 	case chance < 0.12:
 		target.unlisted = true
@@ -541,3 +556,54 @@
 		formation.PreloadOrders(view)
 	}
 }
+
+// Members are lost one after the other in a domain whose spares are used up, while
+// newcomers load weights. Two replicas that each wait for a newcomer make one complete
+// replica out of their members.
+func TestWaitingReplicasAreMerged(t *testing.T) {
+	pool := newSimulatedPool(t, 1, 10)
+	engine := *testEngine
+	engine.Models = testEngine.Models[1:]
+	pool.engine = &engine
+	formation := NewFormation(pool.view(false), 1000)
+	pool.run(formation, 20*time.Second, false)
+	delete(pool.targets, formation.free(pool.view(false), "d0", nil)[0].ID)
+	if open := pool.openByModel()["small"]; open != 3 {
+		t.Fatalf("%d replicas are open, want 3", open)
+	}
+	for index := range 2 {
+		id := fmt.Sprint("new-", index)
+		pool.targets[id] = &simulatedTarget{Target: Target{ID: id, Pool: "llm", Domain: "d0", State: TargetReady, StartUnixMilli: 1, ListedSince: pool.now.Add(-time.Minute)}}
+	}
+	for index := range 2 {
+		pool.targets[formation.Assignments[0].Members[1]].crashed = true
+		pool.run(formation, 3*time.Second, true)
+		if open := pool.openByModel()["small"]; open != 2 {
+			t.Errorf("3 s after loss %d, %d replicas are open, want 2", index+1, open)
+		}
+	}
+}
+
+// A member that is cut off from the list is replaced by a target that loads weights,
+// and comes back long before the load ends. The replica takes it back at once.
+func TestReturnedTargetEndsTheWaitForALoad(t *testing.T) {
+	pool := newSimulatedPool(t, 1, 7)
+	engine := *testEngine
+	engine.Models = testEngine.Models[1:]
+	pool.engine = &engine
+	formation := NewFormation(pool.view(false), 1000)
+	pool.run(formation, 20*time.Second, false)
+	spare := formation.free(pool.view(false), "d0", nil)[0].ID
+	pool.targets[spare].Staged, pool.targets[spare].Membership = nil, Membership{}
+	cutOff := pool.targets[formation.Assignments[0].Members[1]]
+	cutOff.unlisted, cutOff.Membership = true, Membership{Model: "small"}
+	pool.run(formation, 4*time.Second, true)
+	if open := pool.openByModel()["small"]; open != 1 {
+		t.Errorf("%d replicas are open while a member loads, want 1", open)
+	}
+	cutOff.unlisted, cutOff.ListedSince = false, pool.now
+	pool.run(formation, 2*time.Second, true)
+	if open := pool.openByModel()["small"]; open != 2 {
+		t.Errorf("2 s after the member is listed again %d replicas are open, want 2", open)
+	}
+}
--- a/formationrepair.go
+++ b/formationrepair.go
@@ -7,19 +7,15 @@
 
 // repair replaces the missing members of assignments by targets of the same
 // domain: by targets with staged weights if there are enough, if need be after
-// dissolving other damaged replicas of the model, and else by targets that have to
-// load. A replica that only has leaving or slow members keeps running until staged
-// targets can replace these.
+// dissolving other replicas of the model that are damaged or wait for a member to
+// load, and else by targets that have to load. A replica that only has leaving or slow
+// members keeps running until staged targets can replace these.
 func (formation *Formation) repair(view PoolView) []Assignment {
-	damaged := formation.takeDamaged(view)
-	if len(damaged) == 0 {
-		return nil
-	}
+	damaged := append(formation.takeDamaged(view), formation.takeWaiting(view)...)
+	sortByMissing(damaged)
 	reserved := NewSet[string]()
 	for _, assignment := range damaged {
-		for _, id := range assignment.survivors {
-			reserved.Add(id)
-		}
+		assignment.reserve(reserved)
 	}
 	var changed []Assignment
 	fill := func(assignment damagedAssignment, maxCost int) bool {
@@ -28,6 +24,7 @@
 			return false
 		}
 		changed = append(changed, formation.reassign(assignment, spares[:assignment.missing()]))
+		assignment.release(reserved) // its members are assigned or free now
 		return true
 	}
 	damaged = slices.DeleteFunc(damaged, func(assignment damagedAssignment) bool { return fill(assignment, joinCostStaged) })
@@ -40,15 +37,55 @@
 	})
 	damaged = formation.merge(damaged, reserved, fill)
 	for _, assignment := range damaged {
-		if !fill(assignment, joinCostLoading) {
-			for _, id := range assignment.survivors {
-				delete(reserved, id)
-			}
+		switch {
+		case len(assignment.loading) > 0:
+			formation.assign(assignment.Assignment) // waits on
+		case !fill(assignment, joinCostLoading):
+			assignment.release(reserved)
 		}
 	}
 	return changed
 }
 
+// takeWaiting removes the assignments that wait for a member to load, while a load
+// takes its full time, and returns them.
+func (formation *Formation) takeWaiting(view PoolView) []damagedAssignment {
+	var waiting []damagedAssignment
+	if !view.HasTraffic {
+		return nil
+	}
+	formation.unassign(func(assignment Assignment) bool {
+		candidate := damagedAssignment{Assignment: assignment}
+		for _, id := range assignment.Members {
+			if target := view.Targets[id]; joinCost(target, assignment.Model) > joinCostStaged {
+				candidate.loading = append(candidate.loading, id)
+			} else {
+				candidate.survivors = append(candidate.survivors, id)
+			}
+		}
+		if len(candidate.loading) == 0 {
+			return false
+		}
+		waiting = append(waiting, candidate)
+		return true
+	})
+	return waiting
+}
+
+// reserve keeps the members from being used as spares.
+func (damaged damagedAssignment) reserve(reserved Set[string]) {
+	for _, id := range slices.Concat(damaged.survivors, damaged.loading) {
+		reserved.Add(id)
+	}
+}
+
+// release ends the reservation of the members.
+func (damaged damagedAssignment) release(reserved Set[string]) {
+	for _, id := range slices.Concat(damaged.survivors, damaged.loading) {
+		delete(reserved, id)
+	}
+}
+
 // takeDamaged removes the assignments that need repair and returns them, fewest
 // missing members first.
 func (formation *Formation) takeDamaged(view PoolView) []damagedAssignment {
@@ -57,13 +94,17 @@
 		if !view.needsRepair(assignment) {
 			return false
 		}
-		damaged = append(damaged, damagedAssignment{assignment, view.survivors(assignment)})
+		damaged = append(damaged, damagedAssignment{Assignment: assignment, survivors: view.survivors(assignment)})
 		return true
 	})
-	slices.SortStableFunc(damaged, func(a, b damagedAssignment) int { return cmp.Compare(a.missing(), b.missing()) })
+	sortByMissing(damaged)
 	return damaged
 }
 
+func sortByMissing(damaged []damagedAssignment) {
+	slices.SortStableFunc(damaged, func(a, b damagedAssignment) int { return cmp.Compare(a.missing(), b.missing()) })
+}
+
 // merge dissolves damaged replicas to complete others of the same model and domain
 // with their members, and returns the replicas that are still damaged. Those with
 // the most missing members are dissolved first.
@@ -73,16 +114,12 @@
 			if damaged[recipient].Model != damaged[donor].Model || damaged[recipient].Domain != damaged[donor].Domain {
 				continue
 			}
-			for _, id := range damaged[donor].survivors {
-				delete(reserved, id)
-			}
+			damaged[donor].release(reserved)
 			if fill(damaged[recipient], joinCostStaged) {
 				damaged = slices.Delete(damaged, donor, donor+1)
 				return formation.merge(slices.Delete(damaged, recipient, recipient+1), reserved, fill)
 			}
-			for _, id := range damaged[donor].survivors {
-				reserved.Add(id)
-			}
+			damaged[donor].reserve(reserved)
 		}
 	}
 	return damaged
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -1,12 +1,14 @@
 package serve
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/mesh"
 	"greengageroute.example/greengageroute/platform"
 )
@@ -31,9 +33,10 @@
 		return
 	}
 	for {
-		_, err := entry.store.Commit(ctx, platform.Write{Table: entryTable, Key: entry.deployment.Name, Value: value, Unconditional: true})
-		if err == nil {
-			err = entry.readPeers(ctx)
+		if entry.deployment.FirstStart {
+			err = entry.registerWithFleet(ctx, value)
+		} else {
+			err = entry.registerAlone(ctx, value)
 		}
 		if err == nil {
 			close(entry.registered)
@@ -41,14 +44,52 @@
 			return
 		}
 		entry.log.V(1).Info("entry not registered in the store yet; retrying", "cause", err.Error())
-		select {
-		case <-ctx.Done():
+		greengageroute.Sleep(ctx, registerRetryInterval+rand.N(registerRetryInterval))
+		if ctx.Err() != nil {
 			return
-		case <-time.After(registerRetryInterval + rand.N(registerRetryInterval)):
 		}
 	}
 }
 
+// registerWithFleet registers the entry while all others start too. The writes are
+// spread, since the store takes a limited number a second, and in a large fleet the
+// entries are read once all have been written.
+func (entry *Entry) registerWithFleet(ctx context.Context, value []byte) error {
+	started := time.Now()
+	greengageroute.Sleep(ctx, rand.N(registerSpread))
+	if err := entry.writeRow(ctx, value); err != nil {
+		return err
+	}
+	greengageroute.Sleep(ctx, registerSpread-time.Since(started))
+	if _, err := entry.readPeers(ctx); err != nil || entry.node.IsFullMesh() {
+		return err
+	}
+	greengageroute.Sleep(ctx, fleetStartTime-time.Since(started))
+	_, err := entry.readPeers(ctx)
+	return err
+}
+
+// registerAlone registers the entry in a running fleet. The row of an entry that was
+// restarted is often still there.
+func (entry *Entry) registerAlone(ctx context.Context, value []byte) error {
+	rows, err := entry.readPeers(ctx)
+	if err != nil {
+		return err
+	}
+	registered := slices.ContainsFunc(rows, func(row platform.Row) bool {
+		return row.Key == entry.deployment.Name && bytes.Equal(row.Value, value)
+	})
+	if registered {
+		return nil
+	}
+	return entry.writeRow(ctx, value)
+}
+
+func (entry *Entry) writeRow(ctx context.Context, value []byte) error {
+	_, err := entry.store.Commit(ctx, platform.Write{Table: entryTable, Key: entry.deployment.Name, Value: value, Unconditional: true})
+	return err
+}
+
 // rereadPeers reads the table of entries a second time, when entries that started at
 // the same time have written their rows. Only relays do so: in a large fleet only
 // they need to know all entries.
@@ -59,7 +100,7 @@
 		if !entry.node.IsRelay() {
 			return
 		}
-		if err := entry.readPeers(ctx); err != nil {
+		if _, err := entry.readPeers(ctx); err != nil {
 			entry.log.Info("table of entries not reread", "cause", err.Error())
 		}
 	}
@@ -73,17 +114,27 @@
 		select {
 		case <-ctx.Done():
 		case <-entry.registered:
-		case <-time.After(registerWait):
+		case <-time.After(entry.registerWait()):
 		}
 		loop(ctx)
 	}
 }
 
-// readPeers reads the table of entries and adds them to the node's peers.
-func (entry *Entry) readPeers(ctx context.Context) error {
+// registerWait returns how long the reading of the config and the target list waits for
+// the entry's registration.
+func (entry *Entry) registerWait() time.Duration {
+	if entry.deployment.FirstStart {
+		return fleetStartTime + registerTimeout
+	}
+	return registerTimeout
+}
+
+// readPeers reads the table of entries and adds them to the node's peers. It returns
+// the rows.
+func (entry *Entry) readPeers(ctx context.Context) ([]platform.Row, error) {
 	rows, err := entry.store.Read(ctx, entryTable)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	for _, row := range rows.Rows {
 		var peer entryRow
@@ -93,7 +144,7 @@
 		}
 		entry.node.AddPeer(row.Key, peer.DataCentre, peer.Address, peer.Cores)
 	}
-	return nil
+	return rows.Rows, nil
 }
 
 // Loads implements mesh.Source.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -33,9 +33,13 @@
 	// registerRetryInterval is the minimum interval between attempts to register the
 	// entry; it is at most twice as long.
 	registerRetryInterval = 700 * time.Millisecond
-	// registerWait is how long the reading of the config and the target list waits for
-	// the entry's registration, which takes one or two calls of the store.
-	registerWait = 400 * time.Millisecond
+	// registerTimeout is how long the reading of the config and the target list waits
+	// for the entry's registration, which takes one or two calls of the store.
+	registerTimeout = 400 * time.Millisecond
+	// registerSpread is the time over which the entries write their rows when all start
+	// together, and fleetStartTime when those of a large fleet have written them.
+	registerSpread = 450 * time.Millisecond
+	fleetStartTime = 1600 * time.Millisecond
 	// peerRereadDelay is the minimum delay before the entries are read a second time.
 	// Entries that started at the same time have registered by then.
 	peerRereadDelay = 2 * time.Second
--- a/table/client.go
+++ b/table/client.go
@@ -59,7 +59,7 @@
 func NewClient(address string) *Client {
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: 16, MaxResponseHeaderBytes: maxHeaderBytes,
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 	}
 	return &Client{baseURL: "http://" + address, http: &http.Client{Transport: transport}}
 }
--- a/target.go
+++ b/target.go
@@ -83,6 +83,12 @@
 	return member.State == MemberReady || member.State == MemberOpen || member.State == MemberClosing
 }
 
+// joinsWithLoad reports whether the target is joining a replica and loads the weights
+// for it.
+func (target Target) joinsWithLoad() bool {
+	return target.Membership.State == MemberJoining && !target.HasStaged(target.Membership.Model)
+}
+
 // HasStaged reports whether the model's weights are staged on the target's host.
 func (target Target) HasStaged(model string) bool {
 	for _, staged := range target.Staged {
