Show which settings an entry follows, and refuse unusable ones

Cause: after a settings file changes, nothing but a log line told which entries follow the new file; a memory limit or revocation time of zero was accepted. Change: metrics settings-digest, settings-in-force-since, settings-reloaded and settings-refused; the digest stands in the lines of start and reload; limits and bounds with which an entry can't run are refused, all at once.

--- a/deployment.go
+++ b/deployment.go
@@ -1,6 +1,12 @@
 package greengageroute
 
-import "time"
+import (
+	"errors"
+	"math"
+	"time"
+
+	"github.com/gravitational/trace"
+)
 
 type (
 	// Deployment is the configuration that an entry is started with on the platform.
@@ -19,6 +25,9 @@
 		Limits       VMLimits
 		Bounds       Bounds
 		FirstStart   bool // the whole system starts for the first time
+		// Digest identifies the text of the settings, so that operators can tell which
+		// entries follow which settings.
+		Digest string
 	}
 
 	// VMLimits are the resources of the entry's VM.
@@ -41,3 +50,23 @@
 		StableWindow      time.Duration
 	}
 )
+
+// Validate returns an error that names every setting with which an entry can't run.
+func (deployment Deployment) Validate() error {
+	var errs []error
+	positive := func(name string, value float64) {
+		if !(value > 0) || math.IsInf(value, 0) {
+			errs = append(errs, trace.BadParameter("the %s is %v; it must be above zero", name, value))
+		}
+	}
+	positive("CPU share", deployment.Limits.CPUShare)
+	positive("memory limit in MB", float64(deployment.Limits.MemoryMB))
+	positive("heartbeat interval", deployment.Bounds.HeartbeatInterval.Seconds())
+	positive("termination grace period", deployment.Bounds.TerminationGrace.Seconds())
+	positive("revocation time", deployment.Bounds.RevocationTime.Seconds())
+	positive("retry window", deployment.Bounds.RetryWindow.Seconds())
+	if !(deployment.Bounds.RetryRatio >= 0) || !(deployment.Bounds.RetryExtra >= 0) {
+		errs = append(errs, trace.BadParameter("the retry budget is %v of the requests and %v; neither may be negative", deployment.Bounds.RetryRatio, deployment.Bounds.RetryExtra))
+	}
+	return errors.Join(errs...)
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -62,9 +62,14 @@
 	sweepInterval  = time.Second
 )
 
-// CountStoreReads counts reads of the store by this entry itself, not through another
-// entry.
-const CountStoreReads = "store-reads"
+// Counters of an entry; docs/OPERATIONS.md lists them.
+const (
+	// CountStoreReads counts reads of the store by this entry itself, not through
+	// another entry.
+	CountStoreReads       = "store-reads"
+	CountSettingsReloaded = "settings-reloaded"
+	CountSettingsRefused  = "settings-refused"
+)
 
 type (
 	// Entry is an entry on the users' platform.
@@ -89,6 +94,9 @@
 		// registered is closed when the entry has written its row and read the others.
 		registered chan struct{}
 
+		settingsDigest atomic.Value // string: of the settings in force
+		settingsSince  atomic.Int64 // when they came into force, in Unix seconds of the time of day
+
 		callerListener, readyListener, peerListener net.Listener
 		metricsAddress                              string
 	}
@@ -105,6 +113,7 @@
 		deployment: deployment, counters: new(expvar.Map).Init(), registered: make(chan struct{}), latencies: edge.NewLatencyHistograms(), logSink: sink,
 		log: newLogger(sink), store: platform.NewStore(deployment.StoreAddress), directory: control.NewDirectory(clock), metricsAddress: metricsAddress,
 	}
+	entry.adoptSettings(deployment)
 	count := func(name string) func() { return func() { entry.counters.Add(name, 1) } }
 	entry.upstream = upstream.NewClient(count("target-connections"))
 	entry.lease = control.NewLease(entry.store, deployment.Name, clock, entry.log)
@@ -173,7 +182,7 @@
 	defer logWriter.Wait()
 	defer close(stopLogging)
 	entry.log.Info("entry starts", "name", entry.deployment.Name, "data-centre", entry.deployment.DataCentre,
-		"callers", entry.deployment.CallerAddress, "first-start", entry.deployment.FirstStart)
+		"callers", entry.deployment.CallerAddress, "first-start", entry.deployment.FirstStart, "settings", entry.deployment.Digest)
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var loops sync.WaitGroup
@@ -202,17 +211,26 @@
 	return err
 }
 
+// adoptSettings records which settings are in force.
+func (entry *Entry) adoptSettings(deployment greengageroute.Deployment) {
+	entry.settingsDigest.Store(deployment.Digest)
+	entry.settingsSince.Store(time.Now().Unix())
+}
+
 // Reload applies changed settings: the bounds and the memory limit. Addresses stay
 // as they were at the start of the process. If the settings are invalid, it logs the
 // error and changes nothing.
 func (entry *Entry) Reload(deployment greengageroute.Deployment, err error) {
 	if err != nil {
-		entry.log.Error(err, "settings not reloaded; the old ones stay in force")
+		entry.counters.Add(CountSettingsRefused, 1)
+		entry.log.Error(err, "settings not reloaded; the old ones stay in force", "settings", entry.settingsDigest.Load(), "refused", deployment.Digest)
 		return
 	}
+	entry.counters.Add(CountSettingsReloaded, 1)
 	entry.service.SetBounds(deployment.Bounds)
 	limitMemory(deployment)
-	entry.log.Info("settings reloaded", "name", deployment.Name, "memory-mb", deployment.Limits.MemoryMB,
+	entry.adoptSettings(deployment)
+	entry.log.Info("settings reloaded", "settings", deployment.Digest, "name", deployment.Name, "memory-mb", deployment.Limits.MemoryMB,
 		"revoke-ms", deployment.Bounds.RevocationTime.Milliseconds(), "moved", deployment.CallerAddress != entry.deployment.CallerAddress)
 }
 
@@ -278,14 +296,17 @@
 		entry.log.Error(err, "metrics not served: can't listen", "address", entry.metricsAddress)
 		return
 	}
-	server := newServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-		entry.counters.Do(func(counter expvar.KeyValue) { fmt.Fprintf(writer, "%s %s\n", counter.Key, counter.Value) })
-		fmt.Fprintf(writer, "log-lines-dropped %d\n", entry.logSink.dropped.Load())
-		entry.latencies.Write(writer)
-	}))
+	server := newServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { entry.writeMetrics(writer) }))
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		entry.log.Error(err, "metrics no longer served: server failed")
 	}
 }
+
+func (entry *Entry) writeMetrics(writer io.Writer) {
+	entry.counters.Do(func(counter expvar.KeyValue) { fmt.Fprintf(writer, "%s %s\n", counter.Key, counter.Value) })
+	fmt.Fprintf(writer, "settings-digest %s\nsettings-in-force-since %d\n", entry.settingsDigest.Load(), entry.settingsSince.Load())
+	fmt.Fprintf(writer, "log-lines-dropped %d\n", entry.logSink.dropped.Load())
+	entry.latencies.Write(writer)
+}
