Formation: members don't wait for a head that can't be opened

Cause: by reading the diff: a head that is broken and in no assignment is sent no order to leave, so the members of its former replica would have waited for it for good; one that still joins was never sent an order to open under its epoch. Change: only a head that is ready in its replica has to leave it first.

--- a/control/view.go
+++ b/control/view.go
@@ -79,15 +79,10 @@
 	return view.replicas[pool][model]
 }
 
-// poolReplicas returns the open replicas of a pool by model.
-func (view *View) poolReplicas(pool string) map[string][]greengageroute.Replica {
-	return view.replicas[pool]
-}
-
 // ReplicaOf returns the open replica that a target is a member of.
 func (view *View) ReplicaOf(target greengageroute.Target) (greengageroute.Replica, bool) {
 	member := target.Membership
-	for _, replica := range view.poolReplicas(target.Pool)[member.Model] {
+	for _, replica := range view.Replicas(target.Pool, member.Model) {
 		if member.BelongsTo(replica.Name, replica.Epoch) {
 			return replica, true
 		}
--- a/formation_test.go
+++ b/formation_test.go
@@ -458,6 +458,13 @@
 	if orders := formation.Orders(view); len(orders) != len(assignment.Members) {
 		t.Errorf("after the head left the orders are %v, want one for each member", orders)
 	}
+	// A head that is broken, or still joins, can't be opened by an order of before.
+	for _, state := range []MemberState{MemberBroken, MemberJoining} {
+		head.Membership.State = state
+		if orders := formation.Orders(pool.view(true)); len(orders) != len(assignment.Members) {
+			t.Errorf("of a head that is %s the orders are %v, want one for each member", state, orders)
+		}
+	}
 }
 
 // runRandomFaults runs a pool in which orders are lost or delayed, targets crash,
@@ -557,16 +564,22 @@
 	}
 }
 
-// Members are lost one after the other in a domain whose spares are used up, while
-// newcomers load weights. Two replicas that each wait for a newcomer make one complete
-// replica out of their members.
-func TestWaitingReplicasAreMerged(t *testing.T) {
-	pool := newSimulatedPool(t, 1, 10)
+// newSmallModelPool returns a domain whose replicas, all of the small model, are open.
+func newSmallModelPool(t *testing.T, targets int) (*simulatedPool, *Formation) {
+	pool := newSimulatedPool(t, 1, targets)
 	engine := *testEngine
 	engine.Models = testEngine.Models[1:]
 	pool.engine = &engine
 	formation := NewFormation(pool.view(false), 1000)
 	pool.run(formation, 20*time.Second, false)
+	return pool, formation
+}
+
+// Members are lost one after the other in a domain whose spares are used up, while
+// newcomers load weights. Two replicas that each wait for a newcomer make one complete
+// replica out of their members.
+func TestWaitingReplicasAreMerged(t *testing.T) {
+	pool, formation := newSmallModelPool(t, 10)
 	delete(pool.targets, formation.free(pool.view(false), "d0", nil)[0].ID)
 	if open := pool.openByModel()["small"]; open != 3 {
 		t.Fatalf("%d replicas are open, want 3", open)
@@ -587,12 +600,7 @@
 // A member that is cut off from the list is replaced by a target that loads weights,
 // and comes back long before the load ends. The replica takes it back at once.
 func TestReturnedTargetEndsTheWaitForALoad(t *testing.T) {
-	pool := newSimulatedPool(t, 1, 7)
-	engine := *testEngine
-	engine.Models = testEngine.Models[1:]
-	pool.engine = &engine
-	formation := NewFormation(pool.view(false), 1000)
-	pool.run(formation, 20*time.Second, false)
+	pool, formation := newSmallModelPool(t, 7)
 	spare := formation.free(pool.view(false), "d0", nil)[0].ID
 	pool.targets[spare].Staged, pool.targets[spare].Membership = nil, Membership{}
 	cutOff := pool.targets[formation.Assignments[0].Members[1]]
--- a/formationorders.go
+++ b/formationorders.go
@@ -73,8 +73,8 @@
 }
 
 // constraintOf returns whether a target has to stay in its replica for now, because
-// the replica's head serves or isn't known to have stopped serving. The head leaves a
-// replica first: as long as it is in the replica, a delayed order may open it again.
+// the replica's head serves or isn't known to have stopped serving. A closed head leaves
+// its replica first: as long as it is ready there, a delayed order may open it again.
 func (formation *Formation) constraintOf(target Target, view PoolView) constraint {
 	member := target.Membership
 	if member.Replica == "" {
@@ -88,7 +88,7 @@
 		belongs := head.Membership.BelongsTo(member.Replica, member.Epoch)
 		open := belongs && (head.Membership.State == MemberOpen || head.Membership.State == MemberReady && view.openPending(head))
 		serving := open || belongs && head.Membership.State == MemberClosing
-		stays := belongs && target.ID != id && !view.hasLeft(head)
+		stays := belongs && head.Membership.State == MemberReady && target.ID != id && !view.hasLeft(head)
 		return constraint{mustStay: serving || stays, mustClose: open, head: head}
 	}
 	if closedAt, found := view.ClosedAt[id]; found && closedAt.After(target.ListedSince) {
