Edge: the check of a silent replica ends with its attempt

Cause: with the race detector beside load, TestEndlessAnswersAreNotDelivered failed: its reader filled 8 MB byte by byte, which took longer than the route's second. Once that was mended, the detector found a race: the check of a silent replica reads the timer that is assigned as it starts. By reading, a check that runs while its attempt ends starts the stopped timer again, every 60 ms until the replica changes. Change: a timer with a lock that stays stopped; the test's reader copies by doubling. Measured: go test -race -count=8 ./edge passes; it failed 1 of 3 before. TestStoppedTimerIsNotStartedAgain.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -372,11 +373,10 @@
 type endlessReader string
 
 func (text endlessReader) Read(buffer []byte) (int, error) {
-	read := 0
-	for read < len(buffer) {
-		read += copy(buffer[read:], text)
+	for read := copy(buffer, text); read < len(buffer); {
+		read += copy(buffer[read:], buffer[:read])
 	}
-	return read, nil
+	return len(buffer), nil
 }
 
 // endless is a step of a script: the target returns an answer that never ends.
@@ -412,3 +412,23 @@
 		})
 	}
 }
+
+// TestStoppedTimerIsNotStartedAgain guards against a check that outlives its attempt: it
+// runs while the attempt ends, and starts the timer again afterwards.
+func TestStoppedTimerIsNotStartedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var checks atomic.Int32
+		timer := &recheckTimer{}
+		timer.start(time.Second, func() {
+			checks.Add(1)
+			time.Sleep(time.Second) // the attempt ends meanwhile
+			timer.reset(time.Second)
+		})
+		time.Sleep(1500 * time.Millisecond)
+		timer.stop()
+		time.Sleep(time.Minute)
+		if count := checks.Load(); count != 1 {
+			t.Errorf("%d checks ran, want 1", count)
+		}
+	})
+}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -58,7 +58,7 @@
 		source            source
 		answer            *upstream.Answer
 		reader            *bufio.Reader
-		unresponsiveTimer *time.Timer
+		unresponsiveTimer *recheckTimer
 		unresponsiveAfter time.Duration
 		lastEvent         time.Time
 		awaitingFirst     bool // no event has come yet
@@ -190,8 +190,9 @@
 		prefillTimer := time.AfterFunc(prefillEnd, attempt.finishPrefill)
 		defer prefillTimer.Stop()
 	}
-	attempt.unresponsiveTimer = time.AfterFunc(attempt.unresponsiveAfter, func() { attempt.checkUnresponsive(cancel) })
-	defer attempt.unresponsiveTimer.Stop()
+	attempt.unresponsiveTimer = &recheckTimer{}
+	attempt.unresponsiveTimer.start(attempt.unresponsiveAfter, func() { attempt.checkUnresponsive(cancel) })
+	defer attempt.unresponsiveTimer.stop()
 	service.Log.V(1).Info("attempt started", "id", exchange.ID, "replica", source.replica.Name, "epoch", source.replica.Epoch, "head", head.ID,
 		"running", source.load.Running, "reading", source.load.PrefillTokens, "expected-ms", source.timeToFirstToken.Milliseconds(), "after-event", exchange.LastEventID)
 	attempt.answer, err = service.Sender.Do(ctx, exchange.Request, exchange.newAttempt(head))
@@ -260,7 +261,7 @@
 	if !service.Peers.Active(replica.Head().ID, attempt.unresponsiveAfter) {
 		service.Prober.ProbeReplica(replica)
 	}
-	attempt.unresponsiveTimer.Reset(unresponsiveRecheck)
+	attempt.unresponsiveTimer.reset(unresponsiveRecheck)
 }
 
 // forwardEvents forwards complete events until the stream ends.
@@ -304,7 +305,7 @@
 // forwardEvent sends one event to the caller.
 func (attempt *streamAttempt) forwardEvent(event []byte) error {
 	now := time.Now()
-	attempt.unresponsiveTimer.Reset(attempt.unresponsiveAfter)
+	attempt.unresponsiveTimer.reset(attempt.unresponsiveAfter)
 	attempt.recordProgress(now)
 	exchange := attempt.exchange
 	exchange.timing.recordEvent(now.Sub(exchange.arrived))
