Balance, formation, mesh: compute once what was computed twice

Found by reading the change: the weight of each candidate was hashed twice for each request, damaged replicas were sorted twice in a row, and one condition was always implied by the next. Behaviour is the same; the tests are unchanged and pass.

--- a/balance.go
+++ b/balance.go
@@ -62,27 +62,28 @@
 // and go.
 func SetSharePenalties(entry string, candidates []ReplicaCandidate) {
 	seed := xxhash.Sum64String(entry)
-	for _, local := range []bool{true, false} {
-		var highest [shareSize]uint64 // in descending order
-		for _, candidate := range candidates {
-			if candidate.Local == local {
-				insertDescending(&highest, candidate.shareWeight(seed))
-			}
+	weights := make([]uint64, len(candidates))
+	var local, remote [shareSize]uint64 // highest weights, in descending order
+	for i, candidate := range candidates {
+		weights[i] = mixBits(xxhash.Sum64String(candidate.Replica.Name) ^ seed)
+		if candidate.Local {
+			insertDescending(&local, weights[i])
+		} else {
+			insertDescending(&remote, weights[i])
+		}
+	}
+	for i := range candidates {
+		lowest := remote[shareSize-1]
+		if candidates[i].Local {
+			lowest = local[shareSize-1]
 		}
-		for i := range candidates {
-			weight := candidates[i].shareWeight(seed)
-			if candidates[i].Local == local && weight < highest[shareSize-1] {
-				rank := 1 - float64(weight)/math.MaxUint64
-				candidates[i].SharePenalty = outsideSharePenalty + time.Duration(rank*float64(outsideSharePenalty))
-			}
+		if weights[i] < lowest {
+			rank := 1 - float64(weights[i])/math.MaxUint64
+			candidates[i].SharePenalty = outsideSharePenalty + time.Duration(rank*float64(outsideSharePenalty))
 		}
 	}
 }
 
-func (candidate ReplicaCandidate) shareWeight(seed uint64) uint64 {
-	return mixBits(xxhash.Sum64String(candidate.Replica.Name) ^ seed)
-}
-
 // insertDescending inserts a value into the highest ones, if it is one of them.
 func insertDescending(highest *[shareSize]uint64, value uint64) {
 	for i := range highest {
--- a/formationrepair.go
+++ b/formationrepair.go
@@ -12,7 +12,7 @@
 // members keeps running until staged targets can replace these.
 func (formation *Formation) repair(view PoolView) []Assignment {
 	damaged := append(formation.takeDamaged(view), formation.takeWaiting(view)...)
-	sortByMissing(damaged)
+	slices.SortStableFunc(damaged, func(a, b damagedAssignment) int { return cmp.Compare(a.missing(), b.missing()) })
 	reserved := NewSet[string]()
 	for _, assignment := range damaged {
 		assignment.reserve(reserved)
@@ -86,8 +86,7 @@
 	}
 }
 
-// takeDamaged removes the assignments that need repair and returns them, fewest
-// missing members first.
+// takeDamaged removes the assignments that need repair and returns them.
 func (formation *Formation) takeDamaged(view PoolView) []damagedAssignment {
 	var damaged []damagedAssignment
 	formation.unassign(func(assignment Assignment) bool {
@@ -97,14 +96,9 @@
 		damaged = append(damaged, damagedAssignment{Assignment: assignment, survivors: view.survivors(assignment)})
 		return true
 	})
-	sortByMissing(damaged)
 	return damaged
 }
 
-func sortByMissing(damaged []damagedAssignment) {
-	slices.SortStableFunc(damaged, func(a, b damagedAssignment) int { return cmp.Compare(a.missing(), b.missing()) })
-}
-
 // merge dissolves damaged replicas to complete others of the same model and domain
 // with their members, and returns the replicas that are still damaged. Those with
 // the most missing members are dissolved first.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -350,7 +350,7 @@
 	current = slices.DeleteFunc(updates, func(update timestamped[T]) bool { return now.Sub(update.at) > updateRepeatTime })
 	batches := (uint64(len(current)) + maxUpdates - 1) / maxUpdates
 	for i, update := range current {
-		if batches <= 1 || uint64(i)%batches == turn%batches {
+		if uint64(i)%batches == turn%batches {
 			next = append(next, update.value)
 		}
 	}
