Store: read its era, log restorations and versions that go back

Cause: logs and metrics can't tell whether an entry keeps a position that the store no longer has, whether a reader answers for it, or whether rows are compared across a restoration. Change: the era of the store's responses is read and handed on to entries behind a reader; the line "store was restored from a copy", the counter store-restorations and the gauge store-era show it, "table read at a lower version than before" shows versions that go back within an era. No decision uses the era yet.

--- a/control/follower.go
+++ b/control/follower.go
@@ -44,6 +44,10 @@
 	CountConfigsNotDecoded  = "configs-not-decoded"
 	CountListRowsNotDecoded = "list-rows-not-decoded"
 	CountStoreCallsFailed   = "store-calls-failed"
+	// CountStoreRestorations counts how often the store was found to be restored from a
+	// copy; GaugeStoreEra is its era.
+	CountStoreRestorations = "store-restorations"
+	GaugeStoreEra          = "store-era"
 )
 
 type (
@@ -68,6 +72,7 @@
 		failing     bool      // the last call failed
 		outageEnd   time.Time // end of the last outage
 		outageStart time.Time // start of the current or last outage
+		era         uint64    // of the store; 0 while unknown
 	}
 
 	// feed describes how one table is followed.
@@ -154,6 +159,7 @@
 			greengageroute.Sleep(ctx, retryDelay)
 			continue
 		}
+		follower.trackEra(feed.table, version, rows)
 		if synced {
 			feed.onChanges(rows)
 		} else {
@@ -190,6 +196,27 @@
 	}
 }
 
+// trackEra records the store's era and logs its restoration, and versions that went back
+// within an era.
+func (follower *Follower) trackEra(tableName string, version uint64, rows platform.Rows) {
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	if rows.Era == follower.era && rows.Version < version {
+		follower.log.Info("table read at a lower version than before", "table", tableName, "era", rows.Era, "version", rows.Version, "before", version, "age", rows.Age.String())
+	}
+	if rows.Era <= follower.era {
+		return
+	}
+	if follower.era > 0 {
+		follower.counters.Add(CountStoreRestorations, 1)
+		follower.log.Info("store was restored from a copy", "table", tableName, "era", rows.Era, "version", rows.Version, "before", version)
+	}
+	follower.era = rows.Era
+	era := new(expvar.Int)
+	era.Set(int64(rows.Era))
+	follower.counters.Set(GaugeStoreEra, era)
+}
+
 // dropTime returns when targets that are unlisted now are dropped.
 func (follower *Follower) dropTime() time.Time {
 	follower.mu.Lock()
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -30,6 +30,7 @@
 		history      []platform.Row // ascending by version
 		historyStart uint64         // version after which the history is complete
 		version      uint64
+		era          uint64        // of all versions
 		confirmedAt  time.Time     // when the rows were last known to be current
 		changed      chan struct{} // closed at the next change
 	}
@@ -46,7 +47,7 @@
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
 	fresh := &cachedTable{
-		rows: map[string]platform.Row{}, historyStart: rows.Version, version: rows.Version, confirmedAt: requestedAt, changed: make(chan struct{}),
+		rows: map[string]platform.Row{}, historyStart: rows.Version, version: rows.Version, era: rows.Era, confirmedAt: requestedAt, changed: make(chan struct{}),
 	}
 	for _, row := range rows.Rows {
 		fresh.rows[row.Key] = row
@@ -95,7 +96,7 @@
 	if table == nil {
 		return platform.Rows{}, false
 	}
-	rows := platform.Rows{Version: table.version, Age: cache.clock.Now().Sub(table.confirmedAt)}
+	rows := platform.Rows{Version: table.version, Era: table.era, Age: cache.clock.Now().Sub(table.confirmedAt)}
 	for _, row := range table.rows {
 		rows.Rows = append(rows.Rows, row)
 	}
@@ -131,7 +132,7 @@
 	if table == nil {
 		return rows, false, nil
 	}
-	rows = platform.Rows{Version: max(table.version, after), Age: cache.clock.Now().Sub(table.confirmedAt)}
+	rows = platform.Rows{Version: max(table.version, after), Era: table.era, Age: cache.clock.Now().Sub(table.confirmedAt)}
 	for _, row := range table.history {
 		if row.Version > after {
 			rows.Rows = append(rows.Rows, row)
