--- a/control/fakestore_test.go
+++ b/control/fakestore_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,10 +17,19 @@
 	fakeStore struct {
 		mu      sync.Mutex
 		version uint64
+		era     uint64
 		oldest  uint64 // first version of the history
 		rows    map[string]platform.Row
 		history []platform.Row
 		changed chan struct{}
+		reads   int // calls that read, by all entries
+	}
+
+	// storeCopy is a copy of the fake store.
+	storeCopy struct {
+		version uint64
+		rows    map[string]platform.Row
+		history []platform.Row
 	}
 
 	// fakeConn is one entry's connection to the store, with injected faults.
@@ -33,7 +44,30 @@
 )
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{rows: map[string]platform.Row{}, changed: make(chan struct{})}
+	return &fakeStore{rows: map[string]platform.Row{}, changed: make(chan struct{}), era: 1}
+}
+
+func (store *fakeStore) backup() storeCopy {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	return storeCopy{store.version, maps.Clone(store.rows), slices.Clone(store.history)}
+}
+
+// restore replaces the content with that of a copy and begins a new era: later versions
+// are given out again.
+func (store *fakeStore) restore(backup storeCopy) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.version, store.rows, store.history = backup.version, maps.Clone(backup.rows), slices.Clone(backup.history)
+	store.era++
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
+func (store *fakeStore) readCount() int {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	return store.reads
 }
 
 func (conn *fakeConn) set(edit func(conn *fakeConn)) {
@@ -60,7 +94,8 @@
 	store := conn.fakeStore
 	store.mu.Lock()
 	defer store.mu.Unlock()
-	rows := platform.Rows{Version: store.version}
+	store.reads++
+	rows := platform.Rows{Version: store.version, Era: store.era}
 	for _, row := range store.rows {
 		if row.Table == name {
 			rows.Rows = append(rows.Rows, row)
@@ -77,8 +112,9 @@
 		}
 		store := conn.fakeStore
 		store.mu.Lock()
-		rows, changed := platform.Rows{Version: store.version}, store.changed
-		truncated := after < store.oldest
+		store.reads++
+		rows, changed := platform.Rows{Version: store.version, Era: store.era}, store.changed
+		truncated := after < store.oldest || after > store.version
 		for _, row := range store.history {
 			if row.Table == name && row.Version > after {
 				rows.Rows = append(rows.Rows, row)
--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -79,6 +79,113 @@
 	})
 }
 
+// TestConfigIsAdoptedAfterTheStoreIsRestored guards against a config that is confirmed to
+// the operator and never comes into force, because its version was given out before.
+func TestConfigIsAdoptedAfterTheStoreIsRestored(t *testing.T) {
+	tests := []struct {
+		name   string
+		writes int // after the restoration and before the next config
+		seen   bool
+	}{
+		{"while the store is behind the position of the entry", 0, true},
+		{"at the position of the entry", 11, true},
+		{"after the store has passed the position of the entry", 40, true},
+		{"in one poll with the restoration", 11, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			follow(t, func(store *fakeStore, conn *fakeConn, follower *Follower) {
+				store.put("op", "config", `{"version":5}`)
+				copied := store.backup()
+				for i := range 10 {
+					store.put("control", "planner", fmt.Sprint(i))
+				}
+				store.put("op", "config", `{"version":7}`)
+				time.Sleep(time.Second)
+				if !test.seen {
+					conn.set(func(conn *fakeConn) { conn.down = true })
+					time.Sleep(3 * time.Second)
+				}
+				store.restore(copied)
+				store.put("op", "config", `{"version":7}`)
+				if test.seen {
+					time.Sleep(2 * time.Second)
+				}
+				for i := range test.writes {
+					store.put("control", "planner", fmt.Sprint(i))
+				}
+				store.put("op", "config", `{"version":9}`)
+				conn.set(func(conn *fakeConn) { conn.down = false })
+				time.Sleep(400 * time.Millisecond)
+				if version := follower.Routes().Version; version != 9 {
+					t.Errorf("version %d is in force 0.4 s after it was written, want 9", version)
+				}
+				reads := store.readCount()
+				time.Sleep(4 * time.Second)
+				if count := store.readCount() - reads; count > 80 {
+					t.Errorf("%d reads of the store in 4 s, want at most 80 as without a restoration", count)
+				}
+			})
+		})
+	}
+}
+
+// TestListOfARestoredStore guards against new work for targets that are leaving or gone,
+// and against targets that are dropped, because the store came back from a copy.
+func TestListOfARestoredStore(t *testing.T) {
+	row := func(state string, sequence int) string {
+		return fmt.Sprintf(`{"service":"ledger","address":"10.0.0.1:80","zone":"a","state":%q,"slots":6,"born":7,"sequence":%d}`, state, sequence)
+	}
+	follow(t, func(store *fakeStore, conn *fakeConn, follower *Follower) {
+		usable := func(id string) bool {
+			target, found := follower.directory.View().Target(id)
+			return found && target.State == greengageroute.TargetReady
+		}
+		check := func(when string, want map[string]bool) {
+			t.Helper()
+			for id, wanted := range want {
+				if usable(id) != wanted {
+					t.Errorf("%s: target %s is used: %v, want %v", when, id, usable(id), wanted)
+				}
+			}
+		}
+		for _, id := range []string{"leaving", "gone", "standing", "back"} {
+			store.put("servers", id, row("ready", 4))
+		}
+		time.Sleep(time.Second)
+		copied := store.backup()
+		store.put("servers", "leaving", row("draining", 5))
+		store.remove("servers", "gone")
+		store.remove("servers", "back")
+		store.put("servers", "new", row("ready", 1))
+		time.Sleep(time.Second)
+		store.restore(copied)
+		time.Sleep(time.Second)
+		check("a second after the restoration", map[string]bool{"leaving": false, "gone": false, "standing": true, "new": true, "back": false})
+		store.put("servers", "back", row("ready", 6))
+		store.put("servers", "new", row("ready", 2))
+		time.Sleep(200 * time.Millisecond)
+		check("after targets have written again", map[string]bool{"leaving": false, "gone": false, "standing": true, "new": true, "back": true})
+		store.remove("servers", "gone")
+		store.put("servers", "leaving", row("draining", 7))
+		time.Sleep(8 * time.Second)
+		check("in the end", map[string]bool{"leaving": false, "gone": false, "standing": true, "new": true, "back": true})
+	})
+	// What the store shows counts in the end, also if nobody writes it again.
+	follow(t, func(store *fakeStore, _ *fakeConn, follower *Follower) {
+		store.put("servers", "leaving", row("ready", 4))
+		time.Sleep(time.Second)
+		copied := store.backup()
+		store.put("servers", "leaving", row("draining", 5))
+		time.Sleep(time.Second)
+		store.restore(copied)
+		time.Sleep(8 * time.Second)
+		if target, found := follower.directory.View().Target("leaving"); !found || target.State != greengageroute.TargetReady {
+			t.Errorf("8 s after the restoration the target that the store lists as ready is %v, found %v", target.State, found)
+		}
+	})
+}
+
 func TestListedTargets(t *testing.T) {
 	follow(t, func(store *fakeStore, conn *fakeConn, follower *Follower) {
 		listed := func(id string) bool {
--- a/control/lease_test.go
+++ b/control/lease_test.go
@@ -139,6 +139,91 @@
 	}
 }
 
+// TestLeaseAfterTheStoreIsRestored guards against two planners at a time and against
+// epochs that are given out again, when the store comes back from a copy in which another
+// entry holds the lease, or nobody does, or the same holder with fewer renewals.
+func TestLeaseAfterTheStoreIsRestored(t *testing.T) {
+	for seed := range uint64(30) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 5))
+			contenders := newContenders(4)
+			store := contenders[0].conn.fakeStore
+			copies := []storeCopy{store.backup()}
+			holderOf := map[uint64]int{}
+			restoredAt, heldAt := time.Now(), time.Now()
+			for range 500 {
+				switch random.IntN(40) {
+				case 0, 1:
+					contender := contenders[random.IntN(len(contenders))]
+					contender.conn.set(func(conn *fakeConn) { conn.down = !conn.down })
+				case 2:
+					contender := contenders[random.IntN(len(contenders))]
+					contender.muted = !contender.muted
+				case 3, 4:
+					copies = append(copies, store.backup())
+				case 5:
+					store.restore(copies[max(0, len(copies)-1-random.IntN(3))])
+					restoredAt = time.Now()
+					for range random.IntN(30) { // gives versions out again
+						store.put("op", "config", "{}")
+					}
+				case 6:
+					for _, contender := range contenders {
+						contender.conn.set(func(conn *fakeConn) { conn.down = false })
+						contender.muted = false
+					}
+				}
+				step(contenders)
+				held := holders(contenders)
+				if len(held) > 1 {
+					t.Fatalf("seed %d: contenders %v hold the lease at the same time", seed, held)
+				}
+				for _, i := range held {
+					heldAt = time.Now()
+					fence := contenders[i].lease.Held().Fence
+					if other, used := holderOf[fence]; used && other != i {
+						t.Fatalf("seed %d: contenders %d and %d held the lease with fence %d", seed, other, i, fence)
+					}
+					holderOf[fence] = i
+				}
+			}
+			if restoredAt.After(heldAt.Add(10 * time.Second)) {
+				t.Errorf("seed %d: nobody holds the lease any more", seed)
+			}
+			time.Sleep(10 * time.Second)
+		})
+	}
+}
+
+// TestHolderKeepsItsLeaseAsTheStoreIsRestored guards against replicas that aren't repaired
+// for a whole term although the planner has been running all the while.
+func TestHolderKeepsItsLeaseAsTheStoreIsRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		contenders := newContenders(3)
+		store := contenders[0].conn.fakeStore
+		for range 30 {
+			step(contenders)
+		}
+		copied := store.backup()
+		for range 50 {
+			step(contenders)
+		}
+		first := holders(contenders)
+		fence := contenders[first[0]].lease.Held().Fence
+		store.restore(copied)
+		for range 50 {
+			step(contenders)
+			if held := holders(contenders); len(held) != 1 || held[0] != first[0] {
+				t.Fatalf("contenders %v hold the lease after the restoration, want %v", held, first)
+			}
+		}
+		if now := contenders[first[0]].lease.Held().Fence; now != fence {
+			t.Errorf("the holder has fence %d after the restoration, want %d: its replicas stand", now, fence)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
 func TestHeldLeaseIsNotReadByOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		contenders := newContenders(5)
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -288,6 +288,35 @@
 	}
 }
 
+// TestUsersPlatformStoreIsRestored guards against configs that were confirmed after the
+// store came back from a copy, and that entries behind a reader never follow.
+func TestUsersPlatformStoreIsRestored(t *testing.T) {
+	deployment := newDeployment(t, 7, 4)
+	deployment.requireStream(deployment.entries[0])
+	deployment.store.Put("op", "config", platformConfig(5, "key-1", "key-2"))
+	copied := deployment.store.Copy()
+	deployment.store.Put("op", "config", platformConfig(7, "key-1"))
+	time.Sleep(3 * time.Second) // renewals of the lease raise the store's version
+	deployment.store.Restore(copied, true)
+	time.Sleep(300 * time.Millisecond)
+	deployment.store.Put("op", "config", platformConfig(8, "key-1", "key-3"))
+	time.Sleep(2 * time.Second) // the time in which a config comes into force
+	for _, entry := range deployment.entries {
+		for _, test := range []struct {
+			key    string
+			status int
+		}{{"key-1", 200}, {"key-2", 401}, {"key-3", 200}} {
+			if status, body := deployment.send(entry, "GET", "/get/stock", deployment.nextAttemptID(), test.key); status != test.status {
+				t.Errorf("%s: %s got status %d (%s), want %d by config 8", entry.name, test.key, status, body, test.status)
+			}
+		}
+		deployment.requireStream(entry)
+	}
+	if violations := deployment.peers.Violations(); len(violations) > 0 {
+		t.Error(violations)
+	}
+}
+
 // Guards against streams that are lost or arrive incomplete when a member of their
 // group hangs: each has to continue at another group, and the group is formed
 // again with a spare.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -74,6 +74,28 @@
 	}
 }
 
+// TestEntriesBehindAReaderLearnOfARestoration guards against entries that poll a reader
+// after a position that the store no longer has, and hear that nothing changed.
+func TestEntriesBehindAReaderLearnOfARestoration(t *testing.T) {
+	ctx := context.Background()
+	reader, client, _ := newSourcePair(t, &fixedStore{rows: platform.Rows{Version: 298, Era: 1}})
+	if _, err := reader.Read(ctx, "op"); err != nil {
+		t.Fatal(err)
+	}
+	rows, err := client.Read(ctx, "op")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		reader.cache.Replace("op", platform.Rows{Version: 282, Era: 2}, time.Now())
+	}()
+	var gone *platform.HistoryGoneError
+	if _, err := client.Changes(ctx, "op", rows.Version, 5*time.Second); !errors.As(err, &gone) {
+		t.Errorf("changes after version 298 of a reader whose copy of the restored store is at version 282: got error %v, want HistoryGoneError", err)
+	}
+}
+
 func TestResponseCarriesConfirmationAge(t *testing.T) {
 	ctx := context.Background()
 	reader, client, _ := newSourcePair(t, &fixedStore{rows: platform.Rows{Version: 7}})
