Store: positions in a table belong to an era

Cause: a position in a table was a bare version. An entry kept the highest it had seen, although it had read the whole table at a lower one, and a reader answered a position that its copy doesn't reach as if nothing had changed. Change: a position is a revision: era and version. A read of the whole table sets it; a response of another era, or a reader whose copy is of another, means that the whole table must be read again; rows of an earlier era than the entry knows are not used. If history is gone twice in a row, the entry waits before it reads again.

--- a/control/fakestore_test.go
+++ b/control/fakestore_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/platform"
 	"greengageroute.example/greengageroute/table"
 )
@@ -104,7 +105,7 @@
 	return rows, nil
 }
 
-func (conn *fakeConn) Changes(ctx context.Context, name string, after uint64, wait time.Duration) (platform.Rows, error) {
+func (conn *fakeConn) Changes(ctx context.Context, name string, after greengageroute.StoreRevision, wait time.Duration) (platform.Rows, error) {
 	deadline := time.Now().Add(wait)
 	for {
 		if _, err := conn.call(); err != nil {
@@ -114,9 +115,9 @@
 		store.mu.Lock()
 		store.reads++
 		rows, changed := platform.Rows{Version: store.version, Era: store.era}, store.changed
-		truncated := after < store.oldest || after > store.version
+		truncated := after.Era != store.era || after.Version < store.oldest || after.Version > store.version
 		for _, row := range store.history {
-			if row.Table == name && row.Version > after {
+			if row.Table == name && row.Version > after.Version {
 				rows.Rows = append(rows.Rows, row)
 			}
 		}
--- a/control/follower.go
+++ b/control/follower.go
@@ -54,7 +54,7 @@
 	// Store is the part of the platform's store that a Follower uses.
 	Store interface {
 		Read(ctx context.Context, name string) (platform.Rows, error)
-		Changes(ctx context.Context, name string, after uint64, wait time.Duration) (platform.Rows, error)
+		Changes(ctx context.Context, name string, after greengageroute.StoreRevision, wait time.Duration) (platform.Rows, error)
 	}
 
 	// Follower keeps the config and the list of targets up to date.
@@ -137,21 +137,24 @@
 }
 
 func (follower *Follower) run(ctx context.Context, feed feed) {
-	var version uint64
-	synced := false
+	var position greengageroute.StoreRevision // up to which the table is known
+	synced, followed := false, true           // followed: changes came since the last read of the whole table
 	for ctx.Err() == nil {
 		started := follower.clock.Now()
 		var rows platform.Rows
 		var err error
 		if synced {
-			rows, err = follower.store.Changes(ctx, feed.table, version, feed.pollTimeout)
+			rows, err = follower.store.Changes(ctx, feed.table, position, feed.pollTimeout)
 		} else {
 			rows, err = follower.store.Read(ctx, feed.table)
 		}
 		var historyGone *platform.HistoryGoneError
 		if errors.As(err, &historyGone) {
-			follower.log.Info("table history is gone; reading the whole table", "table", feed.table, "version", version, "cause", err.Error())
-			synced = false
+			follower.log.Info("table history is gone; reading the whole table", "table", feed.table, "era", position.Era, "version", position.Version, "cause", err.Error())
+			if !followed {
+				greengageroute.Sleep(ctx, retryDelay)
+			}
+			synced, followed = false, false
 			continue
 		}
 		follower.trackOutage(ctx, feed.table, err)
@@ -159,13 +162,14 @@
 			greengageroute.Sleep(ctx, retryDelay)
 			continue
 		}
-		follower.trackEra(feed.table, version, rows)
+		follower.trackEra(feed.table, position, rows)
 		if synced {
 			feed.onChanges(rows)
+			followed, position.Version = true, max(position.Version, rows.Version)
 		} else {
 			feed.onSnapshot(rows)
+			synced, position = true, rows.Revision()
 		}
-		synced, version = true, max(version, rows.Version)
 		feed.onConfirmed(started.Add(-rows.Age))
 		if feed.batchDelay != nil {
 			greengageroute.Sleep(ctx, feed.batchDelay())
@@ -198,18 +202,18 @@
 
 // trackEra records the store's era and logs its restoration, and versions that went back
 // within an era.
-func (follower *Follower) trackEra(tableName string, version uint64, rows platform.Rows) {
+func (follower *Follower) trackEra(tableName string, position greengageroute.StoreRevision, rows platform.Rows) {
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
-	if rows.Era == follower.era && rows.Version < version {
-		follower.log.Info("table read at a lower version than before", "table", tableName, "era", rows.Era, "version", rows.Version, "before", version, "age", rows.Age.String())
+	if rows.Era == position.Era && rows.Version < position.Version {
+		follower.log.Info("table read at a lower version than before", "table", tableName, "era", rows.Era, "version", rows.Version, "before", position.Version, "age", rows.Age.String())
 	}
 	if rows.Era <= follower.era {
 		return
 	}
 	if follower.era > 0 {
 		follower.counters.Add(CountStoreRestorations, 1)
-		follower.log.Info("store was restored from a copy", "table", tableName, "era", rows.Era, "version", rows.Version, "before", version)
+		follower.log.Info("store was restored from a copy", "table", tableName, "era", rows.Era, "version", rows.Version, "before", position.Version)
 	}
 	follower.era = rows.Era
 	era := new(expvar.Int)
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -104,10 +104,11 @@
 	return rows, true
 }
 
-// Changes returns the changes after a version as soon as there are any or the wait is
-// over. It also reports whether the history no longer reaches back to the version
-// (gone), and whether the table is cached here (found).
-func (cache *Cache) Changes(ctx context.Context, name string, after uint64, wait time.Duration) (rows platform.Rows, gone, found bool) {
+// Changes returns the changes after a revision as soon as there are any or the wait is
+// over. It also reports whether the history no longer reaches back to the revision
+// (gone), and whether the table is cached here, of the revision's era or a later one
+// (found).
+func (cache *Cache) Changes(ctx context.Context, name string, after greengageroute.StoreRevision, wait time.Duration) (rows platform.Rows, gone, found bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for expired := false; ; {
@@ -125,18 +126,21 @@
 	}
 }
 
-func (cache *Cache) changesSince(name string, after uint64) (rows platform.Rows, gone bool, changed <-chan struct{}) {
+func (cache *Cache) changesSince(name string, after greengageroute.StoreRevision) (rows platform.Rows, gone bool, changed <-chan struct{}) {
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
 	table := cache.tables[name]
-	if table == nil {
+	switch {
+	case table == nil || after.Era > table.era:
 		return rows, false, nil
+	case after.Era > 0 && after.Era < table.era:
+		return rows, true, table.changed
 	}
-	rows = platform.Rows{Version: max(table.version, after), Era: table.era, Age: cache.clock.Now().Sub(table.confirmedAt)}
+	rows = platform.Rows{Version: max(table.version, after.Version), Era: table.era, Age: cache.clock.Now().Sub(table.confirmedAt)}
 	for _, row := range table.history {
-		if row.Version > after {
+		if row.Version > after.Version {
 			rows.Rows = append(rows.Rows, row)
 		}
 	}
-	return rows, after < table.historyStart, table.changed
+	return rows, after.Version < table.historyStart, table.changed
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -63,7 +63,7 @@
 	// Store is the platform's store.
 	Store interface {
 		Read(ctx context.Context, name string) (platform.Rows, error)
-		Changes(ctx context.Context, name string, after uint64, wait time.Duration) (platform.Rows, error)
+		Changes(ctx context.Context, name string, after greengageroute.StoreRevision, wait time.Duration) (platform.Rows, error)
 	}
 
 	// Peers name the entries that read the store.
@@ -93,6 +93,7 @@
 		mu           sync.Mutex
 		backoffUntil map[string]time.Time // of readers that failed, by address
 		tables       map[string]*tableState
+		era          uint64 // latest known of the store
 	}
 
 	// tableState is how one table was last read.
@@ -138,16 +139,19 @@
 	requestedAt := source.clock.Now()
 	source.countStoreCall()
 	rows, err = source.store.Read(ctx, name)
+	if err == nil {
+		err = source.recordEra(rows)
+	}
 	if source.recordStoreCall(name, err) {
 		source.cache.Replace(name, rows, requestedAt)
 	}
 	return rows, err
 }
 
-// Changes returns the changes of a table after a version, waiting for them if there
+// Changes returns the changes of a table after a revision, waiting for them if there
 // are none yet.
-func (source *Source) Changes(ctx context.Context, name string, after uint64, wait time.Duration) (platform.Rows, error) {
-	query := url.Values{"table": {name}, "after": {strconv.FormatUint(after, 10)}}
+func (source *Source) Changes(ctx context.Context, name string, after greengageroute.StoreRevision, wait time.Duration) (platform.Rows, error) {
+	query := url.Values{"table": {name}, "after": {strconv.FormatUint(after.Version, 10)}, "era": {strconv.FormatUint(after.Era, 10)}}
 	rows, err := source.askReaders(ctx, "/changes?"+query.Encode(), min(wait, maxWait), 2*wait+ageMargin)
 	if err == nil {
 		source.recordRead(name, false)
@@ -167,12 +171,34 @@
 	requestedAt := source.clock.Now()
 	source.countStoreCall()
 	rows, err = source.store.Changes(ctx, name, after, wait)
+	if err == nil {
+		err = source.recordEra(rows)
+	}
 	if source.recordStoreCall(name, err) {
 		source.cache.Apply(name, rows, requestedAt)
 	}
 	return rows, err
 }
 
+// Era returns the latest era of the store that this entry knows, or 0.
+func (source *Source) Era() uint64 {
+	source.mu.Lock()
+	defer source.mu.Unlock()
+	return source.era
+}
+
+// recordEra records the era of rows. It returns an error if they are from before a
+// restoration of the store that this entry knows of.
+func (source *Source) recordEra(rows platform.Rows) error {
+	source.mu.Lock()
+	defer source.mu.Unlock()
+	if rows.Era < source.era {
+		return trace.ConnectionProblem(nil, "the rows are of era %d of the store, which is in era %d; reading them again", rows.Era, source.era)
+	}
+	source.era = rows.Era
+	return nil
+}
+
 // ReadsStore reports whether this entry reads all its tables from the store itself, so
 // that others can ask it for them.
 func (source *Source) ReadsStore() bool {
@@ -266,6 +292,9 @@
 		if err == nil && rows.Age > maxAge {
 			err = trace.ConnectionProblem(nil, "the reader last confirmed its rows with the store %s ago; asking another reader", rows.Age)
 		}
+		if err == nil {
+			err = source.recordEra(rows)
+		}
 		var gone *platform.HistoryGoneError
 		if err == nil || errors.As(err, &gone) {
 			return rows, err
@@ -334,8 +363,10 @@
 			http.Error(writer, "the query parameter after must be a version number", http.StatusBadRequest)
 			return
 		}
-		wait, _ := strconv.Atoi(request.FormValue("wait-ms")) // 0 if missing: respond at once
-		rows, gone, found := source.cache.Changes(request.Context(), name, after, min(time.Duration(wait)*time.Millisecond, maxWait))
+		wait, _ := strconv.Atoi(request.FormValue("wait-ms"))         // 0 if missing: respond at once
+		era, _ := strconv.ParseUint(request.FormValue("era"), 10, 64) // 0 if missing: entries of older builds know no eras
+		revision := greengageroute.StoreRevision{Era: era, Version: after}
+		rows, gone, found := source.cache.Changes(request.Context(), name, revision, min(time.Duration(wait)*time.Millisecond, maxWait))
 		writeRows(writer, rows, gone, found && source.canServe(name))
 	})
 	return mux
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -31,12 +31,17 @@
 	return store.rows, store.err
 }
 
-func (store *fixedStore) Changes(context.Context, string, uint64, time.Duration) (platform.Rows, error) {
-	return platform.Rows{Version: store.rows.Version}, store.err
+func (store *fixedStore) Changes(context.Context, string, greengageroute.StoreRevision, time.Duration) (platform.Rows, error) {
+	return platform.Rows{Version: store.rows.Version, Era: store.rows.Era}, store.err
 }
 
 func (peers *fixedPeers) Readers() ([]string, int) { return peers.addresses, peers.rank }
 
+// at returns a version of a store that names no eras.
+func at(version uint64) greengageroute.StoreRevision {
+	return greengageroute.StoreRevision{Version: version}
+}
+
 // newSourcePair returns the source of a reader, and the source of a client, an entry that
 // asks the reader. Calls counts the client's calls to the store itself.
 func newSourcePair(t *testing.T, store *fixedStore) (reader, client *Source, calls *atomic.Int64) {
@@ -64,12 +69,12 @@
 		time.Sleep(50 * time.Millisecond)
 		reader.cache.Apply("op", platform.Rows{Version: 9, Rows: []platform.Row{{Table: "op", Key: "config", Value: []byte("v9"), Version: 9}}}, time.Now())
 	}()
-	rows, err = client.Changes(ctx, "op", rows.Version, 5*time.Second)
+	rows, err = client.Changes(ctx, "op", rows.Revision(), 5*time.Second)
 	if err != nil || len(rows.Rows) != 1 || string(rows.Rows[0].Value) != "v9" || rows.Version != 9 {
 		t.Errorf("got changes %+v, %v, want version 9", rows, err)
 	}
 	var gone *platform.HistoryGoneError
-	if _, err := client.Changes(ctx, "op", 3, 0); !errors.As(err, &gone) {
+	if _, err := client.Changes(ctx, "op", at(3), 0); !errors.As(err, &gone) {
 		t.Errorf("changes from before the reader's first read: got error %v, want HistoryGoneError", err)
 	}
 }
@@ -91,7 +96,7 @@
 		reader.cache.Replace("op", platform.Rows{Version: 282, Era: 2}, time.Now())
 	}()
 	var gone *platform.HistoryGoneError
-	if _, err := client.Changes(ctx, "op", rows.Version, 5*time.Second); !errors.As(err, &gone) {
+	if _, err := client.Changes(ctx, "op", rows.Revision(), 5*time.Second); !errors.As(err, &gone) {
 		t.Errorf("changes after version 298 of a reader whose copy of the restored store is at version 282: got error %v, want HistoryGoneError", err)
 	}
 }
@@ -101,7 +106,7 @@
 	reader, client, _ := newSourcePair(t, &fixedStore{rows: platform.Rows{Version: 7}})
 	reader.Read(ctx, "op")
 	reader.cache.Replace("op", platform.Rows{Version: 7}, time.Now().Add(-time.Second))
-	rows, err := client.Changes(ctx, "op", 7, time.Second)
+	rows, err := client.Changes(ctx, "op", at(7), time.Second)
 	if err != nil || rows.Age < time.Second {
 		t.Errorf("rows confirmed a second ago have the age %s; error: %v", rows.Age, err)
 	}
@@ -127,7 +132,7 @@
 			test.fail(reader, client)
 			var gone *platform.HistoryGoneError
 			// The store's changes can't follow rows that were read through the reader.
-			if _, err := client.Changes(ctx, "op", 7, 0); !errors.As(err, &gone) {
+			if _, err := client.Changes(ctx, "op", at(7), 0); !errors.As(err, &gone) {
 				t.Fatalf("got error %v, want HistoryGoneError", err)
 			}
 			if rows, err := client.Read(ctx, "op"); err != nil || rows.Version != 7 || calls.Load() != 1 {
@@ -147,7 +152,7 @@
 	peers := client.peers.(*fixedPeers)
 	peers.rank, peers.addresses = 30, []string{"127.0.0.1:1"}
 	for range 5 {
-		_, err := client.Changes(ctx, "op", 7, 0)
+		_, err := client.Changes(ctx, "op", at(7), 0)
 		var noReader *NoReaderError
 		if !errors.As(err, &noReader) || calls.Load() > 0 {
 			t.Fatalf("got error %v after %d calls to the store, want NoReaderError after none", err, calls.Load())
@@ -187,7 +192,7 @@
 	client.Read(ctx, "op")
 	client.peers.(*fixedPeers).rank = 30
 	store.err = errors.New("the store is down")
-	reader.Changes(ctx, "op", 7, 0)
+	reader.Changes(ctx, "op", at(7), 0)
 	if reader.ReadsStore() {
 		t.Error("ReadsStore is true of an entry whose last call to the store failed")
 	}
