List: a restored store's rows don't outweigh what targets wrote later

Seen: in a test, targets that were leaving or gone got new work after the store had come back from a copy, new ones were dropped at once, and a target that the copy showed with a lower version than the one known was never updated again. Cause: rows were ordered by version alone, and versions go back. Change: rows carry the revision (era and version). A row of a later era counts at once if the target counts more statements in it, or was started later; else what the entry knows stays until the target writes again, or for 5 s, in which a live target writes its row and that of an ended one lapses. Rows that the copy lacks have 2.5 s, as after an outage.

--- a/control/directory.go
+++ b/control/directory.go
@@ -25,6 +25,10 @@
 	// absentTTL is how long a target that is no longer listed is remembered: its
 	// replica's members may have to be released from it.
 	absentTTL = time.Minute
+	// outdatedTTL is how long a row of a restored store doesn't count that is older than
+	// what this entry knows of the target. A live target writes its row again meanwhile,
+	// and the row of one that has ended lapses.
+	outdatedTTL = 5 * time.Second
 )
 
 type (
@@ -40,6 +44,7 @@
 		// unlisted are members that are no longer listed. This also happens to targets
 		// that only lost the store: their replicas may still be complete.
 		unlisted      map[string]absentTarget
+		outdated      map[string]outdatedRow
 		unreachable   map[mesh.TargetInstance]time.Time
 		slow          map[mesh.TargetInstance]time.Time
 		routes        *greengageroute.RouteTable
@@ -57,13 +62,19 @@
 		target greengageroute.Target
 		since  time.Time
 	}
+
+	// outdatedRow is a row of a restored store that doesn't count yet.
+	outdatedRow struct {
+		target greengageroute.Target
+		since  time.Time
+	}
 )
 
 // NewDirectory returns an empty directory.
 func NewDirectory(clock greengageroute.Clock) *Directory {
 	directory := &Directory{
 		clock: clock, targets: map[string]greengageroute.Target{}, dropAt: map[string]time.Time{},
-		absent: map[string]absentTarget{}, unlisted: map[string]absentTarget{},
+		absent: map[string]absentTarget{}, unlisted: map[string]absentTarget{}, outdated: map[string]outdatedRow{},
 		unreachable: map[mesh.TargetInstance]time.Time{}, slow: map[mesh.TargetInstance]time.Time{}, watchers: map[uint64]func(){},
 		touched: greengageroute.Set[string]{}, memberships: map[replicaID]map[string]*greengageroute.Target{}, open: map[replicaID]greengageroute.Replica{},
 	}
@@ -109,13 +120,18 @@
 		listed := greengageroute.Set[string]{}
 		for _, target := range targets {
 			listed.Add(target.ID)
-			directory.put(target)
+			if known, found := directory.newerThanCopy(target); found {
+				directory.keep(known, target)
+			} else {
+				directory.put(target)
+			}
 		}
 		for id := range directory.targets {
 			if !listed.Has(id) {
 				directory.scheduleDrop(id, dropAt)
 			}
 		}
+		maps.DeleteFunc(directory.outdated, func(id string, _ outdatedRow) bool { return !listed.Has(id) })
 	})
 }
 
@@ -127,16 +143,38 @@
 			directory.put(target)
 		}
 		for _, id := range removed {
+			delete(directory.outdated, id)
 			directory.scheduleDrop(id, dropAt)
 		}
 	})
 }
 
+// newerThanCopy returns what this entry knows of a target, listed or not, if the target
+// wrote it after the row that a restored store shows.
+func (directory *Directory) newerThanCopy(target greengageroute.Target) (known greengageroute.Target, found bool) {
+	known, found = directory.targets[target.ID]
+	if !found {
+		var removed absentTarget
+		removed, found = directory.absent[target.ID]
+		known = removed.target
+	}
+	return known, found && known.Revision.Era < target.Revision.Era && !target.StatedAfter(known)
+}
+
+// keep keeps what this entry knows of a target instead of a restored store's row.
+func (directory *Directory) keep(known, copied greengageroute.Target) {
+	delete(directory.dropAt, known.ID)
+	if _, waits := directory.outdated[known.ID]; !waits {
+		directory.outdated[known.ID] = outdatedRow{copied, directory.clock.Now()}
+	}
+}
+
 func (directory *Directory) put(target greengageroute.Target) {
 	known, found := directory.targets[target.ID]
-	if found && known.Revision > target.Revision {
+	if found && target.Revision.Before(known.Revision) {
 		return
 	}
+	delete(directory.outdated, target.ID)
 	target.ListedSince = directory.clock.Now()
 	if found && known.StartUnixMilli == target.StartUnixMilli {
 		target.ListedSince = known.ListedSince
@@ -247,6 +285,9 @@
 	for _, removed := range directory.unlisted {
 		due = due || now.Sub(removed.since) > unlistedGrace
 	}
+	for _, row := range directory.outdated {
+		due = due || now.Sub(row.since) > outdatedTTL
+	}
 	directory.mu.Unlock()
 	if !due {
 		return
@@ -257,6 +298,11 @@
 				directory.drop(id)
 			}
 		}
+		for _, row := range maps.Clone(directory.outdated) {
+			if now.Sub(row.since) > outdatedTTL {
+				directory.put(row.target)
+			}
+		}
 		maps.DeleteFunc(directory.unlisted, func(id string, removed absentTarget) bool {
 			return now.Sub(removed.since) > unlistedGrace && directory.touch(id)
 		})
--- a/control/follower.go
+++ b/control/follower.go
@@ -70,7 +70,7 @@
 
 		mu          sync.Mutex
 		failing     bool      // the last call failed
-		outageEnd   time.Time // end of the last outage
+		outageEnd   time.Time // end of the last outage, or when the store was last found restored
 		outageStart time.Time // start of the current or last outage
 		era         uint64    // of the store; 0 while unknown
 	}
@@ -116,12 +116,12 @@
 	follower.run(ctx, feed{
 		table: platform.TargetTable, pollTimeout: listPollTimeout, batchDelay: follower.listDelay,
 		onSnapshot: func(rows platform.Rows) {
-			written, _ := follower.decodeTargets(rows.Rows)
+			written, _ := follower.decodeTargets(rows)
 			follower.directory.Replace(written, follower.dropTime())
 		},
 		onChanges: func(rows platform.Rows) {
 			if len(rows.Rows) > 0 {
-				written, removed := follower.decodeTargets(rows.Rows)
+				written, removed := follower.decodeTargets(rows)
 				follower.directory.Apply(written, removed, follower.dropTime())
 			}
 		},
@@ -212,6 +212,8 @@
 		return
 	}
 	if follower.era > 0 {
+		// Rows that were written after the copy are missing until they are written again.
+		follower.outageEnd = follower.clock.Now()
 		follower.counters.Add(CountStoreRestorations, 1)
 		follower.log.Info("store was restored from a copy", "table", tableName, "era", rows.Era, "version", rows.Version, "before", position.Version)
 	}
@@ -249,13 +251,13 @@
 	}
 }
 
-func (follower *Follower) decodeTargets(rows []platform.Row) (written []greengageroute.Target, removed []string) {
-	for _, row := range rows {
+func (follower *Follower) decodeTargets(rows platform.Rows) (written []greengageroute.Target, removed []string) {
+	for _, row := range rows.Rows {
 		if row.Deleted {
 			removed = append(removed, row.Key)
 			continue
 		}
-		target, err := platform.DecodeTarget(row)
+		target, err := platform.DecodeTarget(row, rows.Era)
 		if err != nil {
 			follower.counters.Add(CountListRowsNotDecoded, 1)
 			follower.log.V(1).Info("list row not decoded; ignoring it", "row", row.Key, "cause", err.Error())
--- a/control/headstate.go
+++ b/control/headstate.go
@@ -12,7 +12,7 @@
 	pendingOpens := map[string]greengageroute.ReplicaKey{}
 	for id, pending := range planner.pendingOpens {
 		head, listed := targets[id]
-		newer := listed && head.Revision > pending.revision
+		newer := listed && pending.revision.Before(head.Revision)
 		if newer && (pending.answered || !head.Membership.BelongsTo(pending.key.Name, pending.key.Epoch)) {
 			delete(planner.pendingOpens, id)
 			continue
--- a/control/planner.go
+++ b/control/planner.go
@@ -139,8 +139,8 @@
 	// pendingOpen is an order to a head to open whose effect the list may not show yet.
 	pendingOpen struct {
 		key      greengageroute.ReplicaKey
-		revision uint64 // of the head's row when the order was sent
-		answered bool   // the head responded to this order or a later one; until then it may open at any time
+		revision greengageroute.StoreRevision // of the head's row when the order was sent
+		answered bool                         // the head responded to this order or a later one; until then it may open at any time
 	}
 
 	// leftReplica is the replica that one run of a target has left.
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -139,7 +139,7 @@
 
 func TestPendingOpens(t *testing.T) {
 	key := greengageroute.ReplicaKey{Name: "r1", Epoch: 7}
-	head := greengageroute.Target{ID: "i-head", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1, Revision: 20}
+	head := greengageroute.Target{ID: "i-head", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1, Revision: greengageroute.StoreRevision{Version: 20}}
 	head.Membership = greengageroute.Membership{Replica: key.Name, Epoch: key.Epoch, Model: "m", State: greengageroute.MemberReady}
 	unanswered, refused := errors.New("unanswered"), &greengageroute.OrderRefusedError{Status: 409}
 	tests := []struct {
@@ -166,7 +166,7 @@
 				planner.recordResponse(open, response)
 			}
 			listed := head
-			listed.Revision = test.revision
+			listed.Revision.Version = test.revision
 			directory.Replace([]greengageroute.Target{listed}, time.Time{})
 			if found := planner.poolView("llm", nil, directory.View()).PendingOpens[head.ID] == key; found != test.pending {
 				t.Errorf("open is pending: %t, want %t", found, test.pending)
--- a/control/view_test.go
+++ b/control/view_test.go
@@ -56,7 +56,7 @@
 				if index%size == 0 && random.IntN(8) > 0 {
 					state = greengageroute.MemberOpen
 				}
-				target := greengageroute.Target{ID: id, Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1, Revision: uint64(step), Membership: greengageroute.Membership{
+				target := greengageroute.Target{ID: id, Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1, Revision: greengageroute.StoreRevision{Version: uint64(step)}, Membership: greengageroute.Membership{
 					Replica: fmt.Sprint("r", index/size), Epoch: uint64(1 + random.IntN(8)/7), Model: model, Rank: index % size, State: state,
 				}}
 				old := directory.View()
--- a/target.go
+++ b/target.go
@@ -42,7 +42,10 @@
 		Membership     Membership
 		// Revision is the revision of the list's row, so that an older reading never
 		// replaces a newer one.
-		Revision uint64
+		Revision StoreRevision
+		// Statement counts what the target has written to the list since its start; 0 if
+		// unknown.
+		Statement uint64
 		// ListedSince is since when this entry has seen the target listed without
 		// interruption.
 		ListedSince time.Time
@@ -89,6 +92,19 @@
 	return target.Membership.State == MemberJoining && !target.HasStaged(target.Membership.Model)
 }
 
+// StatedAfter reports whether the target wrote its row after another one, also if the
+// store was restored from a copy in between: then a lower version may be newer.
+func (target Target) StatedAfter(other Target) bool {
+	switch {
+	case target.Revision.Era == other.Revision.Era:
+		return other.Revision.Before(target.Revision)
+	case target.StartUnixMilli != other.StartUnixMilli:
+		return target.StartUnixMilli > other.StartUnixMilli
+	default:
+		return target.Statement > other.Statement || target.Statement == 0 && other.Revision.Before(target.Revision)
+	}
+}
+
 // HasStaged reports whether the model's weights are staged on the target's host.
 func (target Target) HasStaged(model string) bool {
 	for _, staged := range target.Staged {
