Store: rows of the entries are written again in a new era

Seen: in a test, the rows of the entries, of heads and of refused causes stayed lost after the store had come back from a copy, so that later entries didn't find earlier ones. Cause: rows are written once, or as they change, and a write counted as kept for good. Change: each entry knows the era in which it wrote its row, and writes it again in a later one, over 0.45 s and 5 ms for each live entry; the planner writes heads and refused causes again. An entry that takes the lease doesn't adopt causes from a restored row: running entries know the newer ones. Result: TestUsersPlatformRowsAreWrittenAgain failed before and passes. One call for each entry and era: at 400 entries 400 writes in 2.5 s.

--- a/control/heads.go
+++ b/control/heads.go
@@ -49,18 +49,18 @@
 
 // storeHeads writes the heads for the next planner when they have changed. It
 // doesn't wait for the write, and retries one that fails: the row is only read once
-// another planner takes over.
+// another planner takes over. It writes them again if the store was restored from a copy.
 func (planner *Planner) storeHeads(ctx context.Context, view greengageroute.PoolView, formation *greengageroute.Formation) {
 	encoded, err := json.Marshal(formation.Heads(view))
 	if err != nil {
 		planner.Log.Error(err, "replica heads not encoded", "pool", view.Pool)
 		return
 	}
-	now := planner.Clock.Now()
+	now, era := planner.Clock.Now(), planner.Lease.Era()
 	planner.mu.Lock()
-	if planner.headsWriteFailed {
+	if planner.headsWriteFailed || era != planner.storedHeadsEra {
 		clear(planner.storedHeads)
-		planner.headsWriteFailed = false
+		planner.headsWriteFailed, planner.storedHeadsEra = false, era
 	}
 	planner.mu.Unlock()
 	if planner.storedHeads[view.Pool] == string(encoded) || now.Sub(planner.headsStoredAt) < headsWriteInterval {
--- a/control/planner.go
+++ b/control/planner.go
@@ -126,7 +126,8 @@
 		unknownHeads     map[string]greengageroute.Target
 		headsWriteFailed bool // storedHeads has to be written again
 
-		storedHeads   map[string]string // heads as last written, by pool
+		storedHeads    map[string]string // heads as last written, by pool
+		storedHeadsEra uint64            // of the store, when they were written
 		headsStoredAt time.Time
 		loadStarts    []time.Time // start times of the loads of the last second
 	}
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -317,6 +317,20 @@
 	}
 }
 
+// TestUsersPlatformRowsAreWrittenAgain guards against entries that later ones don't find,
+// and heads that the next planner doesn't know, because the store lost their rows.
+func TestUsersPlatformRowsAreWrittenAgain(t *testing.T) {
+	deployment := newEmptyDeployment(t)
+	empty := deployment.store.Copy()
+	deployment.startTargetsAndEntries(7, 3)
+	deployment.requireStream(deployment.entries[0])
+	deployment.store.Restore(empty, true)
+	for _, row := range []string{"entries/entry-0", "entries/entry-1", "entries/entry-2", "control/heads-llm", "control/planner"} {
+		deployment.waitFor("row "+row+" is written again", func() bool { return deployment.store.Has(row) })
+	}
+	deployment.requireStream(deployment.entries[1])
+}
+
 // Guards against streams that are lost or arrive incomplete when a member of their
 // group hangs: each has to continue at another group, and the group is formed
 // again with a spare.
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -33,14 +33,16 @@
 		return
 	}
 	for {
+		var era uint64
 		if entry.deployment.FirstStart {
-			err = entry.registerWithFleet(ctx, value)
+			era, err = entry.registerWithFleet(ctx, value)
 		} else {
-			err = entry.registerAlone(ctx, value)
+			era, err = entry.registerAlone(ctx, value)
 		}
 		if err == nil {
 			close(entry.registered)
 			entry.rereadPeers(ctx)
+			entry.keepRegistered(ctx, value, era)
 			return
 		}
 		entry.log.V(1).Info("entry not registered in the store yet; retrying", "cause", err.Error())
@@ -53,41 +55,62 @@
 
 // registerWithFleet registers the entry while all others start too. The writes are
 // spread, since the store takes a limited number a second, and in a large fleet the
-// entries are read once all have been written.
-func (entry *Entry) registerWithFleet(ctx context.Context, value []byte) error {
+// entries are read once all have been written. It returns the store's era in which the row
+// was written.
+func (entry *Entry) registerWithFleet(ctx context.Context, value []byte) (era uint64, err error) {
 	started := time.Now()
 	greengageroute.Sleep(ctx, rand.N(registerSpread))
-	if err := entry.writeRow(ctx, value); err != nil {
-		return err
+	if era, err = entry.writeRow(ctx, value); err != nil {
+		return 0, err
 	}
 	greengageroute.Sleep(ctx, registerSpread-time.Since(started))
 	if _, err := entry.readPeers(ctx); err != nil || entry.node.IsFullMesh() {
-		return err
+		return era, err
 	}
 	greengageroute.Sleep(ctx, fleetStartTime-time.Since(started))
-	_, err := entry.readPeers(ctx)
-	return err
+	_, err = entry.readPeers(ctx)
+	return era, err
 }
 
 // registerAlone registers the entry in a running fleet. The row of an entry that was
-// restarted is often still there.
-func (entry *Entry) registerAlone(ctx context.Context, value []byte) error {
+// restarted is often still there. It returns the store's era in which the row was.
+func (entry *Entry) registerAlone(ctx context.Context, value []byte) (era uint64, err error) {
 	rows, err := entry.readPeers(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	registered := slices.ContainsFunc(rows, func(row platform.Row) bool {
+	registered := slices.ContainsFunc(rows.Rows, func(row platform.Row) bool {
 		return row.Key == entry.deployment.Name && bytes.Equal(row.Value, value)
 	})
 	if registered {
-		return nil
+		return rows.Era, nil
 	}
 	return entry.writeRow(ctx, value)
 }
 
-func (entry *Entry) writeRow(ctx context.Context, value []byte) error {
-	_, err := entry.store.Commit(ctx, platform.Write{Table: entryTable, Key: entry.deployment.Name, Value: value, Unconditional: true})
-	return err
+// keepRegistered writes the entry's row again when the store was restored from a copy, which
+// may lack it. All entries of the fleet do so, and spread their writes.
+func (entry *Entry) keepRegistered(ctx context.Context, value []byte, era uint64) {
+	for ctx.Err() == nil {
+		greengageroute.Sleep(ctx, registerCheckInterval)
+		if entry.source.Era() <= era {
+			continue
+		}
+		greengageroute.Sleep(ctx, rand.N(registerSpread+time.Duration(entry.node.LiveEntries())*registerWriteTime))
+		written, err := entry.writeRow(ctx, value)
+		if err != nil {
+			entry.log.Info("entry not registered again in the restored store; retrying", "cause", err.Error())
+			continue
+		}
+		entry.log.Info("entry registered again in the restored store", "era", written)
+		era = written
+	}
+}
+
+// writeRow writes the entry's row and returns the store's era.
+func (entry *Entry) writeRow(ctx context.Context, value []byte) (era uint64, err error) {
+	revision, err := entry.store.Commit(ctx, platform.Write{Table: entryTable, Key: entry.deployment.Name, Value: value, Unconditional: true})
+	return revision.Era, err
 }
 
 // rereadPeers reads the table of entries a second time, when entries that started at
@@ -131,10 +154,10 @@
 
 // readPeers reads the table of entries and adds them to the node's peers. It returns
 // the rows.
-func (entry *Entry) readPeers(ctx context.Context) ([]platform.Row, error) {
+func (entry *Entry) readPeers(ctx context.Context) (platform.Rows, error) {
 	rows, err := entry.store.Read(ctx, entryTable)
 	if err != nil {
-		return nil, err
+		return platform.Rows{}, err
 	}
 	for _, row := range rows.Rows {
 		var peer entryRow
@@ -144,7 +167,7 @@
 		}
 		entry.node.AddPeer(row.Key, peer.DataCentre, peer.Address, peer.Cores)
 	}
-	return rows.Rows, nil
+	return rows, nil
 }
 
 // Loads implements mesh.Source.
--- a/serve/quarantine.go
+++ b/serve/quarantine.go
@@ -28,17 +28,24 @@
 type storedVerdicts struct {
 	known bool
 	value []greengageroute.QuarantineVerdict // sorted by cause
+	// outdated is set once the store was restored from a copy, which may hold other causes.
+	outdated bool
+	era      uint64 // of the store
 }
 
 // keepVerdicts reads the stored causes of crashes when the entry starts, unless all
 // entries do so for the first time, and when it takes the planner's lease. It writes them
-// while it holds the lease.
+// while it holds the lease. After a restoration of the store it doesn't read them: the
+// entries that run know the newer ones.
 func (entry *Entry) keepVerdicts(ctx context.Context) {
 	stored, held := storedVerdicts{known: entry.deployment.FirstStart}, false
 	for ctx.Err() == nil {
 		taken := !held && entry.holdsLease()
 		held = entry.holdsLease()
-		stored.known = stored.known && !taken
+		if era := entry.source.Era(); era != stored.era {
+			stored.outdated, stored.era = stored.era > 0, era
+		}
+		stored.known = stored.known && (!taken || stored.outdated)
 		wait := writeVerdictsInterval
 		if !stored.known {
 			stored = entry.readVerdicts(ctx, stored)
@@ -57,7 +64,7 @@
 		entry.log.V(1).Info("stored causes of crashes not read yet; retrying", "cause", err.Error())
 		return stored
 	}
-	stored.known, stored.value = true, nil
+	stored.known, stored.outdated, stored.value = true, false, nil
 	for _, row := range rows.Rows {
 		if row.Key != quarantineKey {
 			continue
@@ -81,7 +88,7 @@
 		current[i].SinceCrashMillis = 0 // an age in a row would not grow
 	}
 	slices.SortFunc(current, func(a, b greengageroute.QuarantineVerdict) int { return cmp.Compare(a.Cause, b.Cause) })
-	if slices.EqualFunc(current, stored.value, sameVerdict) {
+	if !stored.outdated && slices.EqualFunc(current, stored.value, sameVerdict) {
 		return stored
 	}
 	value, err := json.Marshal(current)
@@ -94,6 +101,6 @@
 		return stored
 	}
 	entry.log.Info("causes of crashes stored", "count", len(current))
-	stored.value = current
+	stored.value, stored.outdated = current, false
 	return stored
 }
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -40,6 +40,11 @@
 	// together, and fleetStartTime when those of a large fleet have written them.
 	registerSpread = 450 * time.Millisecond
 	fleetStartTime = 1600 * time.Millisecond
+	// registerWriteTime is the time of the store for the write of one row, as it takes 200 a
+	// second in one part.
+	registerWriteTime = 5 * time.Millisecond
+	// registerCheckInterval is how often an entry checks whether the store was restored.
+	registerCheckInterval = time.Second
 	// peerRereadDelay is the minimum delay before the entries are read a second time.
 	// Entries that started at the same time have registered by then.
 	peerRereadDelay = 2 * time.Second
