Config: a config older than that of other entries isn't the newest

Seen: in a test, an entry that started while the store had come back from a copy accepted a key that had been revoked before. Cause: what the store returns counted as the newest config, whatever other entries know; a change that didn't reach an entry was never noticed by it. Change: messages between entries carry the version of the config that the sender follows. After two such polls the entry reads the whole table again. Result: TestUsersPlatformEntryStartsFromAnOldCopy failed before and passes, as does TestConfigThatPeersFollowIsReadAgain.

--- a/control/fakestore_test.go
+++ b/control/fakestore_test.go
@@ -178,6 +178,14 @@
 	_, _ = store.commit([]platform.Write{{Table: name, Key: key, Value: []byte(value), Unconditional: true}})
 }
 
+// putUnnoticed writes a row without a change that polls return.
+func (store *fakeStore) putUnnoticed(name, key, value string) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.version++
+	store.rows[name+"/"+key] = platform.Row{Table: name, Key: key, Value: []byte(value), Version: store.version}
+}
+
 func (store *fakeStore) remove(name, key string) {
 	_, _ = store.commit([]platform.Write{{Table: name, Key: key, Unconditional: true, Remove: true}})
 }
--- a/control/follower.go
+++ b/control/follower.go
@@ -48,6 +48,9 @@
 	// copy; GaugeStoreEra is its era.
 	CountStoreRestorations = "store-restorations"
 	GaugeStoreEra          = "store-era"
+	// CountConfigsBehind counts polls of the config that ended while another entry followed
+	// a newer one.
+	CountConfigsBehind = "configs-behind-peers"
 )
 
 type (
@@ -65,6 +68,7 @@
 		counters    *expvar.Map
 		directory   *Directory
 		plans       func() bool
+		peersConfig func() (version uint64, known bool)
 		routes      atomic.Pointer[greengageroute.RouteTable]
 		confirmedAt atomic.Int64 // when the config was last known to be current, in Unix nanoseconds of the clock
 
@@ -83,13 +87,16 @@
 		onSnapshot  func(rows platform.Rows)
 		onChanges   func(rows platform.Rows)
 		onConfirmed func(confirmedAt time.Time)
+		// outdated reports whether other entries know newer rows.
+		outdated func() bool
 	}
 )
 
 // NewFollower returns a follower that updates the directory. plans reports whether this
-// entry needs changes of the list at once.
-func NewFollower(store Store, directory *Directory, plans func() bool, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Follower {
-	return &Follower{store: store, directory: directory, plans: plans, clock: clock, counters: counters, log: log}
+// entry needs changes of the list at once, and peersConfig returns the highest version of
+// the config that another entry follows, once it is known.
+func NewFollower(store Store, directory *Directory, plans func() bool, peersConfig func() (version uint64, known bool), clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Follower {
+	return &Follower{store: store, directory: directory, plans: plans, peersConfig: peersConfig, clock: clock, counters: counters, log: log}
 }
 
 // Routes returns the newest config that this entry knows, or nil.
@@ -106,11 +113,29 @@
 		table: platform.ConfigTable, pollTimeout: configPollTimeout,
 		onSnapshot: follower.adoptConfig, onChanges: follower.adoptConfig,
 		onConfirmed: func(confirmedAt time.Time) {
-			follower.confirmedAt.Store(max(confirmedAt.UnixNano(), follower.confirmedAt.Load()))
+			// A restored store may have an older config than other entries know.
+			if !follower.behindPeers() {
+				follower.confirmedAt.Store(max(confirmedAt.UnixNano(), follower.confirmedAt.Load()))
+			}
+		},
+		outdated: func() bool {
+			behind := follower.behindPeers()
+			if behind {
+				follower.counters.Add(CountConfigsBehind, 1)
+			}
+			return behind
 		},
 	})
 }
 
+// behindPeers reports whether another entry follows a newer config than this one, or may do
+// so.
+func (follower *Follower) behindPeers() bool {
+	routes := follower.routes.Load()
+	newest, known := follower.peersConfig()
+	return routes != nil && (routes.Version < newest || !known)
+}
+
 // RunList follows the list of targets until the context ends.
 func (follower *Follower) RunList(ctx context.Context) {
 	follower.run(ctx, feed{
@@ -126,6 +151,7 @@
 			}
 		},
 		onConfirmed: func(time.Time) { follower.directory.Expire() },
+		outdated:    func() bool { return false },
 	})
 }
 
@@ -139,6 +165,7 @@
 func (follower *Follower) run(ctx context.Context, feed feed) {
 	var position greengageroute.StoreRevision // up to which the table is known
 	synced, followed := false, true           // followed: changes came since the last read of the whole table
+	outdated := false
 	for ctx.Err() == nil {
 		started := follower.clock.Now()
 		var rows platform.Rows
@@ -171,6 +198,13 @@
 			synced, position = true, rows.Revision()
 		}
 		feed.onConfirmed(started.Add(-rows.Age))
+		// The poll may have ended just before the change came: only the second one shows
+		// that this entry has missed it.
+		wasOutdated := outdated
+		if outdated = feed.outdated(); outdated && wasOutdated {
+			follower.log.Info("other entries know newer rows; reading the whole table", "table", feed.table, "era", position.Era, "version", position.Version)
+			synced, outdated = false, false
+		}
 		if feed.batchDelay != nil {
 			greengageroute.Sleep(ctx, feed.batchDelay())
 		}
--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +23,7 @@
 		store := newFakeStore()
 		conn := &fakeConn{fakeStore: store, delay: 4 * time.Millisecond}
 		clock := greengageroute.RuntimeClock{}
-		follower := NewFollower(conn, NewDirectory(clock), func() bool { return true }, clock, new(expvar.Map).Init(), logr.Discard())
+		follower := NewFollower(conn, NewDirectory(clock), func() bool { return true }, func() (uint64, bool) { return 0, true }, clock, new(expvar.Map).Init(), logr.Discard())
 		ctx, cancel := context.WithCancel(context.Background())
 		go follower.RunConfig(ctx)
 		go follower.RunList(ctx)
@@ -130,6 +131,36 @@
 	}
 }
 
+// TestConfigThatPeersFollowIsReadAgain guards against an entry that follows an old config
+// for good because a change didn't reach it, and against a config that counts as the
+// newest while another entry follows a newer one.
+func TestConfigThatPeersFollowIsReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		clock := greengageroute.RuntimeClock{}
+		var peersVersion atomic.Uint64
+		peersConfig := func() (uint64, bool) { return peersVersion.Load(), true }
+		follower := NewFollower(&fakeConn{fakeStore: store, delay: 4 * time.Millisecond}, NewDirectory(clock), func() bool { return true }, peersConfig, clock, new(expvar.Map).Init(), logr.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(5 * time.Second) // lets the loop end
+		defer cancel()
+		store.put("op", "config", `{"version":5}`)
+		go follower.RunConfig(ctx)
+		time.Sleep(time.Second)
+		store.putUnnoticed("op", "config", `{"version":9}`)
+		peersVersion.Store(9)
+		time.Sleep(2*configPollTimeout + 100*time.Millisecond)
+		if version := follower.Routes().Version; version != 9 {
+			t.Errorf("version %d is in force two polls after another entry adopted version 9", version)
+		}
+		peersVersion.Store(11)
+		time.Sleep(3 * time.Second)
+		if age := follower.Age(); age < 2*time.Second {
+			t.Errorf("version 9 counts as confirmed %s ago while another entry has followed version 11 for 3 s", age)
+		}
+	})
+}
+
 // TestListOfARestoredStore guards against new work for targets that are leaving or gone,
 // and against targets that are dropped, because the store came back from a copy.
 func TestListOfARestoredStore(t *testing.T) {
--- a/control/planner.go
+++ b/control/planner.go
@@ -128,8 +128,8 @@
 
 		storedHeads    map[string]string // heads as last written, by pool
 		storedHeadsEra uint64            // of the store, when they were written
-		headsStoredAt time.Time
-		loadStarts    []time.Time // start times of the loads of the last second
+		headsStoredAt  time.Time
+		loadStarts     []time.Time // start times of the loads of the last second
 	}
 
 	sentOrder struct {
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -317,6 +317,38 @@
 	}
 }
 
+// TestUsersPlatformEntryStartsFromAnOldCopy guards against keys that were revoked long ago
+// and that an entry accepts because it started while the store had an old config.
+func TestUsersPlatformEntryStartsFromAnOldCopy(t *testing.T) {
+	deployment := newEmptyDeployment(t)
+	deployment.startTargetsAndEntries(7, 2)
+	deployment.store.Put("op", "config", platformConfig(5, "key-1", "key-2"))
+	copied := deployment.store.Copy()
+	deployment.store.Put("op", "config", platformConfig(7, "key-1"))
+	deployment.waitFor("the key is revoked", func() bool {
+		status, _ := deployment.send(deployment.entries[1], "GET", "/get/stock", deployment.nextAttemptID(), "key-2")
+		return status == http.StatusUnauthorized
+	})
+	deployment.store.Restore(copied, false)
+	late := deployment.startEntry("entry-2")
+	started := time.Now()
+	for time.Since(started) < 5*time.Second {
+		if status, _ := deployment.send(late, "GET", "/get/stock", deployment.nextAttemptID(), "key-2"); status == http.StatusOK {
+			t.Fatalf("a key that was revoked before is accepted by an entry that started %s ago", time.Since(started))
+		}
+		if status, body := deployment.send(deployment.entries[0], "GET", "/get/stock", deployment.nextAttemptID(), "key-1"); status != http.StatusOK {
+			t.Fatalf("an entry that knows the newest config answers %d: %s", status, body)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	deployment.store.Put("op", "config", platformConfig(7, "key-1"))
+	deployment.entries = append(deployment.entries, late)
+	deployment.waitReady()
+	if status, body := deployment.send(late, "GET", "/get/stock", deployment.nextAttemptID(), "key-1"); status != http.StatusOK {
+		t.Errorf("once the config is written again, the late entry answers %d: %s", status, body)
+	}
+}
+
 // TestUsersPlatformRowsAreWrittenAgain guards against entries that later ones don't find,
 // and heads that the next planner doesn't know, because the store lost their rows.
 func TestUsersPlatformRowsAreWrittenAgain(t *testing.T) {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -42,9 +42,10 @@
 	defer entry.mu.Unlock()
 	return entry.limits
 }
-func (entry *testEntry) Lease() LeaseUpdate { return entry.lease }
-func (entry *testEntry) HasTraffic() bool   { return true }
-func (entry *testEntry) ReadsStore() bool   { return entry.readsStore.Load() }
+func (entry *testEntry) Lease() LeaseUpdate    { return entry.lease }
+func (entry *testEntry) HasTraffic() bool      { return true }
+func (entry *testEntry) ConfigVersion() uint64 { return 0 }
+func (entry *testEntry) ReadsStore() bool      { return entry.readsStore.Load() }
 func (entry *testEntry) TargetsUnreachable(_ string, unreachable []TargetInstance) {
 	entry.mu.Lock()
 	defer entry.mu.Unlock()
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -71,6 +71,8 @@
 		Quarantined []greengageroute.QuarantineVerdict `cbor:"22,keyasint,omitempty"`
 		// Limits are those of the targets in the range of the loads.
 		Limits []TargetLimit `cbor:"23,keyasint,omitempty"`
+		// ConfigVersion is the version of the config that the sender follows.
+		ConfigVersion uint64 `cbor:"24,keyasint,omitempty"`
 	}
 
 	// LoadRange is the range of target ids whose loads a message has: from the first,
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -55,6 +55,8 @@
 		HasTraffic() bool
 		// ReadsStore reports whether the entry reads the store itself.
 		ReadsStore() bool
+		// ConfigVersion returns the version of the config that this entry follows, or 0.
+		ConfigVersion() uint64
 		// Quarantined returns the causes of crashes that this entry refuses.
 		Quarantined() []greengageroute.QuarantineVerdict
 	}
@@ -260,6 +262,21 @@
 	return false
 }
 
+// NewestConfig returns the highest version of the config that a live peer follows, or 0.
+// It isn't known while this entry has peers and hasn't had the time to hear from one.
+func (node *Node) NewestConfig() (version uint64, known bool) {
+	now := node.clock.Now()
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	known = len(node.peers) == 0 || !node.discoveringPeers(now)
+	for _, other := range node.peers {
+		if other.isLive(now) {
+			version, known = max(version, other.own.ConfigVersion, other.summary.ConfigVersion), true
+		}
+	}
+	return version, known
+}
+
 // Loads returns the load of all peers together, by target.
 func (node *Node) Loads() map[string]greengageroute.EngineLoad {
 	now := node.clock.Now()
@@ -336,7 +353,7 @@
 	message := node.self
 	message.Loads, message.Lease, message.HasTraffic, message.Leaving = node.source.Loads(), node.source.Lease(), node.source.HasTraffic(), leaving
 	message.ReadsStore = node.source.ReadsStore()
-	message.Limits = node.source.Limits()
+	message.Limits, message.ConfigVersion = node.source.Limits(), node.source.ConfigVersion()
 	verdicts := node.source.Quarantined()
 	node.mu.Lock()
 	node.self.ReadsStore = message.ReadsStore
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -185,6 +185,14 @@
 // ReadsStore implements mesh.Source.
 func (entry *Entry) ReadsStore() bool { return entry.source.ReadsStore() }
 
+// ConfigVersion implements mesh.Source.
+func (entry *Entry) ConfigVersion() uint64 {
+	if routes := entry.follower.Routes(); routes != nil {
+		return routes.Version
+	}
+	return 0
+}
+
 // TargetsUnreachable implements mesh.Sink. The entry that holds the planner's lease probes
 // the reported targets itself before it acts. Other entries mark a target as
 // unreachable without a probe, unless it was active here recently.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -128,7 +128,7 @@
 		return nil, err
 	}
 	entry.source = relay.NewSource(entry.store, entry.node, relay.NewCache(clock), clock, count(CountStoreReads))
-	entry.follower = control.NewFollower(entry.source, entry.directory, entry.needsListAtOnce, clock, entry.counters, entry.log)
+	entry.follower = control.NewFollower(entry.source, entry.directory, entry.needsListAtOnce, entry.node.NewestConfig, clock, entry.counters, entry.log)
 	targetClient := platform.NewTargetClient()
 	entry.prober = control.NewProber(targetClient, entry.directory, entry.node, clock, entry.counters, entry.log)
 	entry.planner = control.NewPlanner(control.PlannerOptions{
