--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -72,8 +72,8 @@
 	for i := range 2 {
 		deployment.plainTargets = append(deployment.plainTargets, deployment.startTarget(fmt.Sprintf("i-plain-%d", i), "ledger", ""))
 	}
-	for i := range entries {
-		deployment.entries = append(deployment.entries, deployment.startEntry(fmt.Sprint("entry-", i)))
+	for range entries {
+		deployment.entries = append(deployment.entries, deployment.startEntry(fmt.Sprint("entry-", len(deployment.entries))))
 	}
 	deployment.waitReady()
 }
@@ -126,6 +126,11 @@
 }
 
 func (deployment *deployment) startEntry(name string) *entryProcess {
+	return deployment.startEntryIn("a", name)
+}
+
+// startEntryIn starts an entry in a data centre.
+func (deployment *deployment) startEntryIn(dataCentre, name string) *entryProcess {
 	peerAddress := freePort(deployment.t, func(address string) (io.Closer, error) { return net.Listen("tcp4", address) })
 	_, port, _ := strings.Cut(peerAddress, ":")
 	entry := &entryProcess{
@@ -139,7 +144,7 @@
 	}
 	settingsPath := filepath.Join(deployment.t.TempDir(), name+".conf")
 	writeFile(deployment.t, settingsPath, fmt.Sprintf(`node_name=%s
-zone=a
+zone=%s
 ip_address=127.0.0.1
 listen_addresses.frontend=%s
 listen_addresses.ready=%s
@@ -158,7 +163,7 @@
 bounds.extra_retries=282
 bounds.stall_ms=6000
 platform.address=%s
-`, name, listenAddress, entry.readyAddress, port, port, storeAddress))
+`, name, dataCentre, listenAddress, entry.readyAddress, port, port, storeAddress))
 	entry.settingsPath = settingsPath
 	deployment.startProcess(entry)
 	deployment.t.Cleanup(func() {
