Edge, control: an entry tells failed targets from its own failed links

Seen: callers of entries that had lost all targets were refused (74 of 462 and 0 of 122 first tries served), and those of the other entries too (306 of 358), for 21 s. Cause: an entry took what its own links showed for the state of the targets. It left out the targets that didn't respond to it, told the others, who did the same, and as planner closed and reassigned replicas that served (106 targets, 111 assignments in a second). Change: before it takes a target for failed, an entry probes four others, two of its own data centre; if fewer than half respond it is isolated. It then reports no failures and no crashes, gives the planner's lease up, and forwards requests to other entries, which choose the target. A stream is resumed through them from its last event; a call that may have run isn't sent again; a forwarded request isn't forwarded again. Messages say which entries are isolated. The links are probed every 150 ms until half of the targets respond.

--- a/control/follower.go
+++ b/control/follower.go
@@ -71,6 +71,8 @@
 		peersConfig func() (version uint64, known bool)
 		routes      atomic.Pointer[greengageroute.RouteTable]
 		confirmedAt atomic.Int64 // when the config was last known to be current, in Unix nanoseconds of the clock
+		// polledAt is when a poll last found it current, whatever other entries know.
+		polledAt atomic.Int64
 
 		mu          sync.Mutex
 		failing     bool      // the last call failed
@@ -102,8 +104,12 @@
 // Routes returns the newest config that this entry knows, or nil.
 func (follower *Follower) Routes() *greengageroute.RouteTable { return follower.routes.Load() }
 
-// Age returns how long ago the config was last known to be current.
+// Age returns how long ago the config was last known to be current. A poll counts only
+// while no other entry follows a newer config: a restored store may have an older one.
 func (follower *Follower) Age() time.Duration {
+	if polledAt := follower.polledAt.Load(); polledAt > follower.confirmedAt.Load() && !follower.behindPeers() {
+		follower.confirmedAt.Store(polledAt)
+	}
 	return time.Duration(follower.clock.Now().UnixNano() - follower.confirmedAt.Load())
 }
 
@@ -113,10 +119,7 @@
 		table: platform.ConfigTable, pollTimeout: configPollTimeout,
 		onSnapshot: follower.adoptConfig, onChanges: follower.adoptConfig,
 		onConfirmed: func(confirmedAt time.Time) {
-			// A restored store may have an older config than other entries know.
-			if !follower.behindPeers() {
-				follower.confirmedAt.Store(max(confirmedAt.UnixNano(), follower.confirmedAt.Load()))
-			}
+			follower.polledAt.Store(max(confirmedAt.UnixNano(), follower.polledAt.Load()))
 		},
 		outdated: func() bool {
 			behind := follower.behindPeers()
@@ -129,11 +132,16 @@
 }
 
 // behindPeers reports whether another entry follows a newer config than this one, or may do
-// so.
+// so. Only a store that names its era may have been restored before this entry started.
 func (follower *Follower) behindPeers() bool {
 	routes := follower.routes.Load()
+	if routes == nil {
+		return false
+	}
 	newest, known := follower.peersConfig()
-	return routes != nil && (routes.Version < newest || !known)
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	return routes.Version < newest || !known && follower.era > 0
 }
 
 // RunList follows the list of targets until the context ends.
--- a/control/planner.go
+++ b/control/planner.go
@@ -85,6 +85,9 @@
 		// Confirm probes members that are no longer listed and marks those that
 		// don't respond as unreachable.
 		Confirm func(unlisted []mesh.TargetInstance)
+		// Isolated reports whether no target responds to this entry. It gives the lease up
+		// then, since it can neither tell which targets have failed nor send orders.
+		Isolated func() bool
 		// Eligible reports whether this entry may hold the lease.
 		Eligible func() bool
 		// FormationDelay is how long the number of listed targets must stay the same
@@ -176,13 +179,13 @@
 	for {
 		select {
 		case <-ctx.Done():
-			releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), OrderTimeout)
-			defer cancel()
-			if err := planner.Lease.Release(releaseCtx); err != nil {
-				planner.Log.Info("lease not released; it will expire", "cause", err.Error())
-			}
+			planner.release(context.WithoutCancel(ctx))
 			return
 		case <-ticker.C:
+			if planner.Isolated() {
+				planner.release(ctx)
+				continue
+			}
 			if !planner.Eligible() {
 				continue
 			}
@@ -196,6 +199,15 @@
 	}
 }
 
+// release gives the lease up if this entry holds it.
+func (planner *Planner) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
+	defer cancel()
+	if err := planner.Lease.Release(ctx); err != nil {
+		planner.Log.Info("lease not released; it will expire", "cause", err.Error())
+	}
+}
+
 // Wake triggers another planning round. It does not block.
 func (planner *Planner) Wake() {
 	select {
@@ -207,7 +219,7 @@
 func (planner *Planner) plan(ctx context.Context) {
 	held := planner.Lease.Held()
 	routes, view := planner.Routes(), planner.Directory.View()
-	if !held.Holds(planner.Clock.Now(), OrderTimeout) || routes == nil || !view.Listed {
+	if !held.Holds(planner.Clock.Now(), OrderTimeout) || routes == nil || !view.Listed || planner.Isolated() {
 		return
 	}
 	planner.Confirm(planner.Directory.Unlisted())
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -35,7 +35,7 @@
 	directory := NewDirectory(clock)
 	lease := NewLease(&fakeConn{fakeStore: newFakeStore()}, "entry", true, clock, logr.Discard())
 	planner := NewPlanner(PlannerOptions{
-		Lease: lease, OrderSender: unansweredOrderSender{}, Activity: activity, Directory: directory, HasTraffic: func() bool { return true },
+		Lease: lease, OrderSender: unansweredOrderSender{}, Activity: activity, Directory: directory, HasTraffic: func() bool { return true }, Isolated: func() bool { return false },
 		Clock: clock, Counters: new(expvar.Map).Init(), Log: logr.Discard(),
 	})
 	return planner, directory
--- a/control/prober.go
+++ b/control/prober.go
@@ -33,6 +33,15 @@
 	// slowdownLimit is the slowdown from which a member is reported as slow:
 	// replacing it costs the replica half a second.
 	slowdownLimit = 1.5
+	// linkProbes is how many targets of this data centre, and how many of the others, are
+	// probed to check the links, and linkCheckTTL how long the result counts.
+	linkProbes   = 2
+	linkCheckTTL = 150 * time.Millisecond
+	// minTargetsIsolated is how many targets there must be before those that all fail say
+	// something about this entry's links.
+	minTargetsIsolated = 5
+	// isolationCheckInterval is how often an isolated entry tries its links again.
+	isolationCheckInterval = 150 * time.Millisecond
 	// confirmInterval is how often a target that may have failed is probed.
 	confirmInterval = time.Second
 )
@@ -43,6 +52,10 @@
 	CountTargetsUnreachable = "targets-found-dead"
 	CountTargetsSlow        = "targets-found-slow"
 	CountFalseAlarms        = "silent-replicas-found-whole"
+	// CountIsolations counts how often this entry lost its links to most targets, and
+	// CountFailuresInDoubt the targets that were not taken for failed because of that.
+	CountIsolations      = "isolations"
+	CountFailuresInDoubt = "target-failures-in-doubt"
 )
 
 type (
@@ -60,12 +73,16 @@
 	// Prober probes the members of unresponsive replicas and reports those that are
 	// unreachable or slow to the other entries.
 	Prober struct {
-		reporter  Reporter
-		directory *Directory
-		notifier  Notifier
-		clock     greengageroute.Clock
-		counters  *expvar.Map
-		log       logr.Logger
+		dataCentre string
+		reporter   Reporter
+		directory  *Directory
+		notifier   Notifier
+		clock      greengageroute.Clock
+		counters   *expvar.Map
+		log        logr.Logger
+
+		links     *greengageroute.LinkState
+		linkCheck sync.Mutex // held while targets are probed to check the links
 
 		mu          sync.Mutex
 		probedAt    map[greengageroute.ReplicaKey]time.Time
@@ -73,10 +90,11 @@
 	}
 )
 
-// NewProber returns a prober.
-func NewProber(reporter Reporter, directory *Directory, notifier Notifier, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Prober {
+// NewProber returns the prober of an entry in the given data centre.
+func NewProber(dataCentre string, reporter Reporter, directory *Directory, notifier Notifier, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Prober {
 	return &Prober{
-		reporter: reporter, directory: directory, notifier: notifier, clock: clock, counters: counters, log: log,
+		dataCentre: dataCentre, reporter: reporter, directory: directory, notifier: notifier, clock: clock, counters: counters, log: log,
+		links:    &greengageroute.LinkState{},
 		probedAt: map[greengageroute.ReplicaKey]time.Time{}, confirmedAt: map[mesh.TargetInstance]time.Time{},
 	}
 }
@@ -141,6 +159,10 @@
 		prober.log.Info("unresponsive replica is healthy; all members answered a probe", "replica", replica.Name, "epoch", replica.Epoch)
 		return
 	}
+	if !prober.LinksWork() {
+		prober.counters.Add(CountFailuresInDoubt, int64(len(unreachable)))
+		return
+	}
 	for _, instance := range prober.directory.MarkUnreachable(unreachable...) {
 		prober.counters.Add(CountTargetsUnreachable, 1)
 		prober.log.Info("target unreachable or restarted", "target", instance.ID, "born", instance.StartUnixMilli, "replica", replica.Name, "epoch", replica.Epoch)
@@ -228,7 +250,12 @@
 			continue
 		}
 		go func() {
-			if _, alive := prober.probeTarget(target); !alive && len(prober.directory.MarkUnreachable(instance)) > 0 {
+			_, alive := prober.probeTarget(target)
+			if !alive && !prober.LinksWork() {
+				prober.counters.Add(CountFailuresInDoubt, 1)
+				return
+			}
+			if !alive && len(prober.directory.MarkUnreachable(instance)) > 0 {
 				prober.counters.Add(CountTargetsUnreachable, 1)
 				prober.log.Info("target unreachable or restarted", "target", instance.ID, "born", instance.StartUnixMilli, "replica", target.Membership.Replica, "epoch", target.Membership.Epoch)
 			}
@@ -246,3 +273,86 @@
 	_ = conn.Close()
 	return true
 }
+
+// Isolated reports whether most targets don't respond to this entry, which says nothing about
+// the targets. The entry then forwards requests to others, and plans nothing.
+func (prober *Prober) Isolated() bool { return prober.links.Isolated() }
+
+// LinksWork reports whether targets respond to this entry. It probes a few of them if that
+// wasn't done just before.
+func (prober *Prober) LinksWork() bool {
+	prober.linkCheck.Lock()
+	defer prober.linkCheck.Unlock()
+	if !prober.links.CheckedWithin(linkCheckTTL, prober.clock.Now()) {
+		prober.checkLinks()
+	}
+	return !prober.Isolated()
+}
+
+// checkLinks probes a few targets. The caller holds linkCheck.
+func (prober *Prober) checkLinks() {
+	targets := prober.directory.View().All()
+	if len(targets) < minTargetsIsolated {
+		return
+	}
+	probed := prober.sample(targets)
+	responded := prober.countResponses(probed)
+	changed, since := prober.links.RecordCheck(responded, len(probed), prober.clock.Now())
+	switch {
+	case changed && prober.Isolated():
+		prober.counters.Add(CountIsolations, 1)
+		prober.log.Info("targets don't respond to this entry; others get its requests", "probed", len(probed), "responded", responded)
+	case changed:
+		prober.log.Info("targets respond to this entry again", "after", prober.clock.Now().Sub(since).String())
+	}
+}
+
+// sample returns some targets at random, of this data centre and of others.
+func (prober *Prober) sample(targets []greengageroute.Target) (sample []greengageroute.Target) {
+	local, remote := 0, 0
+	for _, index := range rand.Perm(len(targets)) {
+		target, count := targets[index], &remote
+		if target.DataCentre == prober.dataCentre {
+			count = &local
+		}
+		if *count < linkProbes {
+			*count++
+			sample = append(sample, target)
+		}
+	}
+	return sample
+}
+
+// countResponses returns how many targets respond to a probe.
+func (prober *Prober) countResponses(targets []greengageroute.Target) (count int) {
+	responses := make(chan bool, len(targets))
+	for _, target := range targets {
+		go func() { responses <- prober.responds(target) }()
+	}
+	for range targets {
+		if <-responses {
+			count++
+		}
+	}
+	return count
+}
+
+// responds reports whether a target responds to a probe on a new connection, with whatever.
+func (prober *Prober) responds(target greengageroute.Target) bool {
+	prober.counters.Add(CountProbes, 1)
+	_, err := prober.reporter.Report(context.Background(), target, probeTimeout)
+	var refused *greengageroute.OrderRefusedError
+	return err == nil || errors.As(err, &refused)
+}
+
+// RunLinkChecks tries the links of an isolated entry again until the context ends.
+func (prober *Prober) RunLinkChecks(ctx context.Context) {
+	for ctx.Err() == nil {
+		greengageroute.Sleep(ctx, isolationCheckInterval)
+		if prober.Isolated() {
+			prober.linkCheck.Lock()
+			prober.checkLinks()
+			prober.linkCheck.Unlock()
+		}
+	}
+}
--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -71,7 +71,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				prober := NewProber(&scriptedReporter{script: test.script}, NewDirectory(greengageroute.RuntimeClock{}), &fakeNotifier{},
+				prober := NewProber("a", &scriptedReporter{script: test.script}, NewDirectory(greengageroute.RuntimeClock{}), &fakeNotifier{},
 					greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
 				started := time.Now()
 				_, alive := prober.probeTarget(greengageroute.Target{ID: "i-1", StartUnixMilli: 7})
--- a/control/view.go
+++ b/control/view.go
@@ -73,6 +73,16 @@
 	return pool
 }
 
+// All returns all targets that are listed and not found unreachable, or have Unlisted set.
+func (view *View) All() (targets []greengageroute.Target) {
+	for _, shard := range view.targets {
+		for _, target := range shard {
+			targets = append(targets, *target)
+		}
+	}
+	return targets
+}
+
 // Replicas returns the open replicas of a pool's model, sorted by name. Callers must
 // not change it.
 func (view *View) Replicas(pool, model string) []greengageroute.Replica {
--- a/edge/call.go
+++ b/edge/call.go
@@ -30,6 +30,9 @@
 	reason := "no target of the service is ready"
 	for range maxTargetsTried {
 		if len(tried) > 0 {
+			if exchange.isolated() {
+				return exchange.forwardToEntries(ctx)
+			}
 			// Another target may have crashed since.
 			if err := exchange.quarantineError(); err != nil {
 				return err
@@ -85,6 +88,8 @@
 		defer cancel()
 	}
 	began := time.Now()
+	silenceTimer := time.AfterFunc(silentCallCheck, service.checkSilence)
+	defer silenceTimer.Stop()
 	done := service.tracker.Begin(target.ID, 0)
 	defer func() {
 		done()
@@ -93,11 +98,13 @@
 	answer, err = service.Sender.Do(ctx, exchange.Request, exchange.newAttempt(target))
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
+		exchange.checkLinks(ctx)
 		return nil, nil, err
 	}
 	exchange.recordSent(target)
 	exchange.mayHaveRun = exchange.mayHaveRun || err != nil || !answer.NotRun
 	if err != nil {
+		exchange.checkLinks(ctx)
 		exchange.checkCrash(ctx, target, began, greengageroute.AnswerProgress{}, err)
 		return nil, nil, err
 	}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -57,8 +57,12 @@
 	fixture.crashes = append(fixture.crashes, report)
 }
 func (fixture *fixture) Active(string, time.Duration) bool           { return false }
+func (fixture *fixture) Helpers() []string                           { return nil }
+func (fixture *fixture) LinksWork() bool                             { return true }
+func (fixture *fixture) Isolated() bool                              { return false }
 func (fixture *fixture) Loads() map[string]greengageroute.EngineLoad { return fixture.loads }
-func (fixture *fixture) ProbeReplica(greengageroute.Replica)         { fixture.probedReplicas++ }
+
+func (fixture *fixture) ProbeReplica(greengageroute.Replica) { fixture.probedReplicas++ }
 
 func (fixture *fixture) AcceptsConnections(greengageroute.Target) bool { return fixture.targetsAccept }
 
@@ -86,6 +90,9 @@
 func (calmDependencies) IsFullMesh() bool                                   { return true }
 func (calmDependencies) LoadChanged()                                       {}
 func (calmDependencies) Active(string, time.Duration) bool                  { return true }
+func (calmDependencies) Helpers() []string                                  { return nil }
+func (calmDependencies) LinksWork() bool                                    { return true }
+func (calmDependencies) Isolated() bool                                     { return false }
 func (calmDependencies) ReportCrash(greengageroute.CrashReport)             {}
 func (calmDependencies) ReportSound(...greengageroute.CrashCause)           {}
 func (calmDependencies) ProbeReplica(greengageroute.Replica)                {}
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -47,6 +47,9 @@
 		// Active reports whether any entry has received something from the target
 		// within the given time.
 		Active(target string, within time.Duration) bool
+		// Helpers returns the addresses of other entries to which requests can be
+		// forwarded, in the order in which to try them.
+		Helpers() []string
 	}
 
 	// Prober checks targets that may have failed.
@@ -55,6 +58,10 @@
 		ProbeReplica(replica greengageroute.Replica)
 		// AcceptsConnections reports whether a target accepts connections.
 		AcceptsConnections(target greengageroute.Target) bool
+		// LinksWork reports whether targets respond to this entry. It may probe some.
+		LinksWork() bool
+		// Isolated reports whether most targets were found not to respond to this entry.
+		Isolated() bool
 	}
 
 	// Sender sends attempts to targets.
@@ -76,6 +83,7 @@
 		Peers      Peers
 		Prober     Prober
 		Sender     Sender
+		PeerSender Sender // sends requests to other entries
 		Counters   *expvar.Map
 		Latencies  *LatencyHistograms
 		Log        logr.Logger
@@ -113,6 +121,7 @@
 		triedTargets string                      // IDs of the targets tried, for the log
 		limitWait    time.Duration               // until a target takes a request, if all were at their limits at the last choice
 		mayHaveRun   bool                        // a target may have run the request
+		forwarded    bool                        // another entry, which reaches no target, sent the request
 		cause        greengageroute.CrashCause   // stands for the request in the quarantine
 		partCauses   []greengageroute.CrashCause // stand for the parts of its prompt, but the last
 		headerSent   bool                        // status and header were sent to the caller
@@ -149,6 +158,10 @@
 	// CountQuarantined counts requests refused because targets crashed while running
 	// them.
 	CountQuarantined = "requests-quarantined"
+	// CountForwarded counts requests sent to other entries because no target responds to
+	// this one, and CountHelped those of other entries.
+	CountForwarded = "requests-forwarded-to-entries"
+	CountHelped    = "requests-of-other-entries"
 	// CountLimitsNamed counts the limits that targets began to name.
 	CountLimitsNamed = "target-limits-named"
 	// CountLimited counts requests refused because all targets are at their limits.
@@ -201,10 +214,12 @@
 
 // ServeHTTP implements http.Handler.
 func (service *Service) ServeHTTP(writer http.ResponseWriter, httpRequest *http.Request) {
-	exchange := &exchange{
-		Request: platform.DecodeRequest(httpRequest), service: service, writer: writer, httpRequest: httpRequest, arrived: time.Now(),
-		routes: service.Config.Routes(),
-	}
+	service.serve(&exchange{Request: platform.DecodeRequest(httpRequest), writer: writer, httpRequest: httpRequest})
+}
+
+func (service *Service) serve(exchange *exchange) {
+	writer, httpRequest := exchange.writer, exchange.httpRequest
+	exchange.service, exchange.arrived, exchange.routes = service, time.Now(), service.Config.Routes()
 	service.Counters.Add(CountRequests, 1)
 	service.hasTraffic.Store(true)
 	if service.keepAlivesDisabled.Load() || !service.ConfigFresh() {
--- a/edge/filters.go
+++ b/edge/filters.go
@@ -110,12 +110,17 @@
 	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
 }
 
-// forward sends the request to a target of the route's kind.
+// forward sends the request to a target of the route's kind, or to another entry if no
+// target responds to this one.
 func forward(ctx context.Context, exchange *exchange) error {
 	ctx, cancel := context.WithDeadline(ctx, exchange.deadline)
 	defer cancel()
-	if exchange.route.Kind == greengageroute.Streaming {
+	switch {
+	case exchange.isolated():
+		return exchange.forwardToEntries(ctx)
+	case exchange.route.Kind == greengageroute.Streaming:
 		return exchange.stream(ctx)
+	default:
+		return exchange.call(ctx)
 	}
-	return exchange.call(ctx)
 }
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -60,7 +60,7 @@
 			return
 		}
 		service.probeHead(target)
-		if progress.IsSound() {
+		if progress.IsSound() || !service.Prober.LinksWork() {
 			return
 		}
 		service.Counters.Add(CountCrashReports, 1)
--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -67,6 +67,9 @@
 	case errors.As(err, &refusal):
 		service.Counters.Add(CountRefused+strconv.Itoa(refusal.Status), 1)
 		service.Log.V(1).Info("request refused", append(facts, "status", refusal.Status, "retry-after", refusal.RetryAfter.String())...)
+		if exchange.forwarded && !exchange.mayHaveRun {
+			platform.MarkNotRun(exchange.writer.Header())
+		}
 		refusal.write(exchange.writer, exchange.ID)
 	default:
 		service.Counters.Add(CountResponsesAborted, 1)
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -82,6 +82,9 @@
 	tried := greengageroute.Set[string]{}
 	reason, retryAfter := "no replica of the model is available", noReplicaRetryAfter
 	for range maxTargetsTried {
+		if len(tried) > 0 && exchange.isolated() {
+			return exchange.forwardToEntries(ctx)
+		}
 		source, found := exchange.pickSource(tried)
 		if !found && exchange.limitWait > 0 {
 			return exchange.limitError()
@@ -229,11 +232,13 @@
 		if ctx.Err() == nil {
 			service.probeHead(head)
 		}
+		exchange.checkLinks(ctx)
 		return false, err
 	}
 	exchange.recordSent(head)
 	exchange.mayHaveRun = exchange.mayHaveRun || err != nil || !attempt.answer.NotRun
 	if err != nil {
+		exchange.checkLinks(ctx)
 		exchange.checkCrash(ctx, head, attempt.sentAt, attempt.progress, err)
 		return false, replicaLossOr(ctx, err)
 	}
@@ -282,6 +287,10 @@
 	if attempt.source.engine == nil {
 		return
 	}
+	if attempt.exchange.isolated() {
+		cancel(errReplicaLost)
+		return
+	}
 	view := service.Directory.View()
 	for _, member := range replica.Members {
 		if listed, found := view.Target(member.ID); !found || listed.StartUnixMilli != member.StartUnixMilli {
--- a/edge/tracker.go
+++ b/edge/tracker.go
@@ -4,6 +4,7 @@
 	"hash/maphash"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
@@ -36,6 +37,8 @@
 	Tracker struct {
 		seed   maphash.Seed
 		shards [trackerShards]trackerShard
+		// lastActivity is when any target last sent something, in Unix nanoseconds.
+		lastActivity atomic.Int64
 	}
 
 	trackerShard struct {
@@ -105,6 +108,7 @@
 
 // RecordEvent records the arrival of a stream's event from a target.
 func (tracker *Tracker) RecordEvent(id string, now time.Time) {
+	tracker.lastActivity.Store(now.UnixNano())
 	tracker.update(id, func(stats *TargetStats) { stats.LastActivity = now })
 }
 
@@ -127,6 +131,11 @@
 	return 1 + (stats.slowdown-1)*math.Exp(-now.Sub(stats.slowdownUpdated).Seconds()/slowdownDecay.Seconds())
 }
 
+// Silent reports whether no target has sent anything within the given time.
+func (tracker *Tracker) Silent(within time.Duration) bool {
+	return time.Now().UnixNano()-tracker.lastActivity.Load() > int64(within)
+}
+
 // RecordAnswer records an answer's duration and whether it failed.
 func (tracker *Tracker) RecordAnswer(id string, latency time.Duration, failed bool) {
 	now := time.Now()
--- /dev/null
+++ b/linkstate.go
@@ -0,0 +1,43 @@
+package greengageroute
+
+import (
+	"sync"
+	"time"
+)
+
+// LinkState records whether an entry's own links to the targets work, as opposed to the
+// targets themselves. It is safe for use by several goroutines.
+type LinkState struct {
+	mu        sync.Mutex
+	checkedAt time.Time
+	isolated  bool
+	since     time.Time // of the isolation
+}
+
+// RecordCheck records how many of the probed targets responded, in a check that ended at the
+// given time. The entry is isolated while fewer than half of them respond. It reports
+// whether that has changed, and since when the entry has been isolated.
+func (state *LinkState) RecordCheck(responded, probed int, now time.Time) (changed bool, since time.Time) {
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	wasIsolated := state.isolated
+	state.isolated, state.checkedAt = 2*responded < probed, now
+	if state.isolated && !wasIsolated {
+		state.since = now
+	}
+	return state.isolated != wasIsolated, state.since
+}
+
+// CheckedWithin reports whether the links were checked within the given time.
+func (state *LinkState) CheckedWithin(within time.Duration, now time.Time) bool {
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	return !state.checkedAt.IsZero() && now.Sub(state.checkedAt) < within
+}
+
+// Isolated reports whether most targets don't respond to this entry.
+func (state *LinkState) Isolated() bool {
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	return state.isolated
+}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -18,17 +18,17 @@
 // updates that it receives.
 type testEntry struct {
 	*Node
-	mu           sync.Mutex
-	loads        []Load
-	limits       []TargetLimit
-	unreachable  []TargetInstance
-	lease        LeaseUpdate
-	slow         []TargetInstance
-	leaseUpdates []LeaseUpdate
-	readsStore   atomic.Bool
-	refused      []greengageroute.QuarantineVerdict
-	sound        []greengageroute.CrashCause
-	crashes      []greengageroute.CrashReport
+	mu                   sync.Mutex
+	loads                []Load
+	limits               []TargetLimit
+	unreachable          []TargetInstance
+	lease                LeaseUpdate
+	slow                 []TargetInstance
+	leaseUpdates         []LeaseUpdate
+	readsStore, isolated atomic.Bool
+	refused              []greengageroute.QuarantineVerdict
+	sound                []greengageroute.CrashCause
+	crashes              []greengageroute.CrashReport
 }
 
 func (entry *testEntry) Loads() []Load {
@@ -45,6 +45,7 @@
 func (entry *testEntry) Lease() LeaseUpdate    { return entry.lease }
 func (entry *testEntry) HasTraffic() bool      { return true }
 func (entry *testEntry) ConfigVersion() uint64 { return 0 }
+func (entry *testEntry) Isolated() bool        { return entry.isolated.Load() }
 func (entry *testEntry) ReadsStore() bool      { return entry.readsStore.Load() }
 func (entry *testEntry) TargetsUnreachable(_ string, unreachable []TargetInstance) {
 	entry.mu.Lock()
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -73,6 +73,8 @@
 		Limits []TargetLimit `cbor:"23,keyasint,omitempty"`
 		// ConfigVersion is the version of the config that the sender follows.
 		ConfigVersion uint64 `cbor:"24,keyasint,omitempty"`
+		// Isolated is set if no target responds to the sender.
+		Isolated bool `cbor:"25,keyasint,omitempty"`
 	}
 
 	// LoadRange is the range of target ids whose loads a message has: from the first,
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -1,7 +1,9 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -38,6 +40,8 @@
 	// maxCrashUpdates is the same for reports of crashes and for causes that are refused,
 	// which are longer. Of the latter, those of the latest crashes are sent.
 	maxCrashUpdates = 8
+	// minCapacity is assumed for entries whose VM's cores are not known.
+	minCapacity = 0.05
 	// verdictInterval is how often the entry sends the causes that it refuses.
 	verdictInterval = time.Second
 )
@@ -57,6 +61,8 @@
 		ReadsStore() bool
 		// ConfigVersion returns the version of the config that this entry follows, or 0.
 		ConfigVersion() uint64
+		// Isolated reports whether no target responds to this entry.
+		Isolated() bool
 		// Quarantined returns the causes of crashes that this entry refuses.
 		Quarantined() []greengageroute.QuarantineVerdict
 	}
@@ -112,6 +118,12 @@
 		sentAt          time.Time
 	}
 
+	// helper is an entry that requests can be forwarded to; the lowest draw is first.
+	helper struct {
+		address string
+		draw    float64
+	}
+
 	timestamped[T any] struct {
 		value T
 		at    time.Time
@@ -277,6 +289,50 @@
 	return version, known
 }
 
+// Helpers returns the addresses of other entries to which requests can be forwarded, in the
+// order in which to try them: at random, those on larger VMs more often first, and those of
+// this data centre only if half of its entries can help.
+func (node *Node) Helpers() (addresses []string) {
+	now := node.clock.Now()
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	var local, remote []helper
+	entries := 1
+	for _, other := range node.peers {
+		able := !other.own.Leaving && !other.own.Isolated
+		if node.isFullMesh() {
+			able = able && other.isLive(now)
+		} else {
+			// Most entries of a large fleet are known from the store's list alone.
+			able = able && (other.isLive(now) || other.mayBeLive(now))
+		}
+		switch {
+		case !node.inDataCentre(other):
+			if able {
+				remote = append(remote, newHelper(other))
+			}
+		case able:
+			entries++
+			local = append(local, newHelper(other))
+		default:
+			entries++
+		}
+	}
+	if 2*len(local) < entries {
+		local = append(local, remote...)
+	}
+	slices.SortFunc(local, func(a, b helper) int { return cmp.Compare(a.draw, b.draw) })
+	for _, found := range local {
+		addresses = append(addresses, found.address)
+	}
+	return addresses
+}
+
+// newHelper draws the place of an entry in the order of helpers.
+func newHelper(other *peer) helper {
+	return helper{other.own.Address, rand.ExpFloat64() / max(other.own.Capacity, minCapacity)}
+}
+
 // Loads returns the load of all peers together, by target.
 func (node *Node) Loads() map[string]greengageroute.EngineLoad {
 	now := node.clock.Now()
@@ -353,7 +409,7 @@
 	message := node.self
 	message.Loads, message.Lease, message.HasTraffic, message.Leaving = node.source.Loads(), node.source.Lease(), node.source.HasTraffic(), leaving
 	message.ReadsStore = node.source.ReadsStore()
-	message.Limits, message.ConfigVersion = node.source.Limits(), node.source.ConfigVersion()
+	message.Limits, message.ConfigVersion, message.Isolated = node.source.Limits(), node.source.ConfigVersion(), node.source.Isolated()
 	verdicts := node.source.Quarantined()
 	node.mu.Lock()
 	node.self.ReadsStore = message.ReadsStore
--- a/request.go
+++ b/request.go
@@ -34,6 +34,10 @@
 		Urgency     int           // 0 stands for the target's default
 		LastEventID string        // event after which a stream is resumed
 		AtMostOnce  bool          // must not run twice, so that it can't be sent again after a lost connection
+		// ToEntry is set if the target is another entry, which chooses a target itself.
+		ToEntry bool
+		// AttemptsSent is how many attempts were sent before, for another entry.
+		AttemptsSent int
 	}
 
 	// AnswerHead holds the status and header of a target's response, and what the
@@ -53,6 +57,7 @@
 		// together; 0 if it names none.
 		LimitPerSecond float64
 		IdleTimeout    time.Duration
+		RetryAfter     time.Duration // named by an entry that refuses
 		Header         http.Header
 	}
 )
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -167,6 +167,7 @@
 		}
 		entry.node.AddPeer(row.Key, peer.DataCentre, peer.Address, peer.Cores)
 	}
+	entry.node.LoadChanged() // introduces this entry to its peers, which respond
 	return rows, nil
 }
 
@@ -185,6 +186,9 @@
 // ReadsStore implements mesh.Source.
 func (entry *Entry) ReadsStore() bool { return entry.source.ReadsStore() }
 
+// Isolated implements mesh.Source.
+func (entry *Entry) Isolated() bool { return entry.prober.Isolated() }
+
 // ConfigVersion implements mesh.Source.
 func (entry *Entry) ConfigVersion() uint64 {
 	if routes := entry.follower.Routes(); routes != nil {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -94,8 +94,10 @@
 		prober    *control.Prober
 		node      *mesh.Node
 		upstream  *upstream.Client
-		service   *edge.Service
-		stopping  atomic.Bool
+		// peerUpstream sends requests to other entries.
+		peerUpstream *upstream.Client
+		service      *edge.Service
+		stopping     atomic.Bool
 		// registered is closed when the entry has written its row and read the others.
 		registered chan struct{}
 
@@ -121,6 +123,7 @@
 	entry.adoptSettings(deployment)
 	count := func(name string) func() { return func() { entry.counters.Add(name, 1) } }
 	entry.upstream = upstream.NewClient(count("target-connections"))
+	entry.peerUpstream = upstream.NewClient(count("entry-connections"))
 	entry.lease = control.NewLease(entry.store, deployment.Name, deployment.FirstStart, clock, entry.log)
 	var err error
 	entry.node, err = mesh.Listen(deployment.Name, deployment.DataCentre, fmt.Sprintf("%s:%d", deployment.IP, deployment.PeerPort), deployment.Limits.CPUShare, clock, count("peer-datagrams-failed"))
@@ -130,15 +133,15 @@
 	entry.source = relay.NewSource(entry.store, entry.node, relay.NewCache(clock), clock, count(CountStoreReads))
 	entry.follower = control.NewFollower(entry.source, entry.directory, entry.needsListAtOnce, entry.node.NewestConfig, clock, entry.counters, entry.log)
 	targetClient := platform.NewTargetClient()
-	entry.prober = control.NewProber(targetClient, entry.directory, entry.node, clock, entry.counters, entry.log)
+	entry.prober = control.NewProber(deployment.DataCentre, targetClient, entry.directory, entry.node, clock, entry.counters, entry.log)
 	entry.planner = control.NewPlanner(control.PlannerOptions{
 		Lease: entry.lease, OrderSender: targetClient, Activity: entry.node, Directory: entry.directory, Routes: entry.follower.Routes,
-		HasTraffic: entry.systemHasTraffic, Confirm: entry.prober.Confirm, Eligible: entry.mayPlan, FormationDelay: deployment.Bounds.HeartbeatInterval,
+		HasTraffic: entry.systemHasTraffic, Confirm: entry.prober.Confirm, Isolated: entry.prober.Isolated, Eligible: entry.mayPlan, FormationDelay: deployment.Bounds.HeartbeatInterval,
 		Clock: clock, Counters: entry.counters, Log: entry.log,
 	})
 	entry.service = edge.New(edge.Dependencies{
 		Entry: deployment.Name, DataCentre: deployment.DataCentre, Bounds: deployment.Bounds, Config: entry.follower, Directory: entry.directory,
-		Peers: entry.node, Prober: entry.prober, Sender: entry.upstream, Counters: entry.counters, Latencies: entry.latencies, Log: entry.log, MayTryQuarantined: entry.holdsLease,
+		Peers: entry.node, Prober: entry.prober, Sender: entry.upstream, PeerSender: entry.peerUpstream, Counters: entry.counters, Latencies: entry.latencies, Log: entry.log, MayTryQuarantined: entry.holdsLease,
 	})
 	if entry.callerListener, err = net.Listen("tcp4", deployment.CallerAddress); err != nil {
 		return nil, trace.Wrap(err, "listening for callers on %s", deployment.CallerAddress)
@@ -195,14 +198,14 @@
 	defer stop()
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		entry.afterRegistration(entry.follower.RunConfig), entry.afterRegistration(entry.follower.RunList), entry.planner.Run, entry.register, entry.keepVerdicts, entry.sweep, entry.serveMetrics,
+		entry.afterRegistration(entry.follower.RunConfig), entry.afterRegistration(entry.follower.RunList), entry.planner.Run, entry.register, entry.keepVerdicts, entry.sweep, entry.serveMetrics, entry.prober.RunLinkChecks,
 		func(ctx context.Context) { entry.node.Run(ctx, entry, entry) },
 	} {
 		loops.Go(func() { loop(background) })
 	}
 	callerServer := newServer(entry.service)
 	readyServer := newServer(http.HandlerFunc(entry.handleReady))
-	peerServer := newServer(entry.source.Handler())
+	peerServer := newServer(entry.peerHandler())
 	serveErrors := make(chan error, 3)
 	go func() { serveErrors <- callerServer.Serve(entry.callerListener) }()
 	go func() { serveErrors <- readyServer.Serve(entry.readyListener) }()
@@ -212,7 +215,7 @@
 		return trace.Wrap(err, "serving HTTP")
 	case <-ctx.Done():
 	}
-	err := entry.shutDown(callerServer)
+	err := entry.shutDown(callerServer, peerServer)
 	stop()
 	loops.Wait()
 	entry.log.Info("entry stopped", "name", entry.deployment.Name)
@@ -252,7 +255,18 @@
 	}
 }
 
-func (entry *Entry) shutDown(callerServer *http.Server) error {
+// peerHandler serves other entries: the rows that this entry reads for them, and requests
+// that they forward.
+func (entry *Entry) peerHandler() http.Handler {
+	rows := entry.source.Handler()
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if !entry.service.ServeForwarded(writer, request) {
+			rows.ServeHTTP(writer, request)
+		}
+	})
+}
+
+func (entry *Entry) shutDown(callerServer, peerServer *http.Server) error {
 	start := time.Now()
 	entry.log.Info("entry stops", "name", entry.deployment.Name)
 	entry.stopping.Store(true)
@@ -263,6 +277,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), remaining)
 	defer cancel()
 	err := callerServer.Shutdown(ctx)
+	if err == nil {
+		err = peerServer.Shutdown(ctx)
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		entry.log.Info("requests still running at the end of the termination grace period")
 		return nil
@@ -289,6 +306,7 @@
 			return
 		case <-ticker.C:
 			entry.upstream.CloseExpired()
+			entry.peerUpstream.CloseExpired()
 			entry.directory.Expire()
 		}
 	}
