--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -167,7 +167,7 @@
 	row := func(state string, sequence int) string {
 		return fmt.Sprintf(`{"service":"ledger","address":"10.0.0.1:80","zone":"a","state":%q,"slots":6,"born":7,"sequence":%d}`, state, sequence)
 	}
-	follow(t, func(store *fakeStore, conn *fakeConn, follower *Follower) {
+	follow(t, func(store *fakeStore, _ *fakeConn, follower *Follower) {
 		usable := func(id string) bool {
 			target, found := follower.directory.View().Target(id)
 			return found && target.State == greengageroute.TargetReady
--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -83,3 +85,80 @@
 		})
 	}
 }
+
+// linkReporter responds for the targets of some data centres, and for none of the given ids.
+type linkReporter struct {
+	dataCentres []string
+	failed      []string
+	probes      atomic.Int64
+}
+
+func (reporter *linkReporter) Report(_ context.Context, target greengageroute.Target, timeout time.Duration) (greengageroute.TargetReport, error) {
+	reporter.probes.Add(1)
+	if slices.Contains(reporter.dataCentres, target.DataCentre) && !slices.Contains(reporter.failed, target.ID) {
+		return greengageroute.TargetReport{StartUnixMilli: 1}, nil
+	}
+	time.Sleep(timeout)
+	return greengageroute.TargetReport{}, errors.New("no response")
+}
+
+// TestFailedLinksAreNotFailedTargets guards against an entry that takes targets for failed,
+// and tells the others so, because its own links have failed.
+func TestFailedLinksAreNotFailedTargets(t *testing.T) {
+	replica := greengageroute.Replica{Name: "r", Epoch: 1, Members: []greengageroute.Target{{ID: "a-0", DataCentre: "a", StartUnixMilli: 1}, {ID: "a-1", DataCentre: "a", StartUnixMilli: 1}}}
+	tests := []struct {
+		name       string
+		responding []string
+		failed     []string
+		isolated   bool
+		found      int
+	}{
+		{"a replica has failed", []string{"a", "b"}, []string{"a-0", "a-1"}, false, 2},
+		{"all links have failed", nil, nil, true, 0},
+		{"the other data centre is cut off", []string{"a"}, []string{"a-0"}, false, 1},
+		{"the data centre of this entry is dark", []string{"b"}, nil, false, 2},
+		{"a single target responds", []string{"a", "b"}, except("a-7"), true, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				directory := NewDirectory(greengageroute.RuntimeClock{})
+				var targets []greengageroute.Target
+				for i := range 10 {
+					for _, dataCentre := range []string{"a", "b"} {
+						targets = append(targets, greengageroute.Target{ID: fmt.Sprint(dataCentre, "-", i), DataCentre: dataCentre, StartUnixMilli: 1, State: greengageroute.TargetReady})
+					}
+				}
+				directory.Replace(targets, time.Time{})
+				reporter := &linkReporter{dataCentres: test.responding, failed: test.failed}
+				prober := NewProber("a", reporter, directory, &fakeNotifier{}, greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
+				prober.ProbeReplica(replica)
+				time.Sleep(2 * time.Second)
+				if found := len(directory.View().Absent); found != test.found || prober.Isolated() != test.isolated {
+					t.Errorf("%d targets found unreachable, isolated: %v, want %d and %v", found, prober.Isolated(), test.found, test.isolated)
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				go prober.RunLinkChecks(ctx)
+				probes := reporter.probes.Load()
+				time.Sleep(3 * time.Second)
+				if test.isolated == (reporter.probes.Load() == probes) {
+					t.Errorf("%d probes of the links in 3 s, isolated: %v", reporter.probes.Load()-probes, test.isolated)
+				}
+				cancel()
+				time.Sleep(time.Second) // lets the loop end
+			})
+		})
+	}
+}
+
+// except returns the ids of all targets but one.
+func except(id string) (ids []string) {
+	for i := range 10 {
+		for _, dataCentre := range []string{"a", "b"} {
+			if other := fmt.Sprint(dataCentre, "-", i); other != id {
+				ids = append(ids, other)
+			}
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/edge/forward_test.go
@@ -0,0 +1,167 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/control"
+	"greengageroute.example/greengageroute/upstream"
+)
+
+// isolatedEntry is an entry that no target responds to. Its helpers follow a script.
+type isolatedEntry struct {
+	calmDependencies
+	helpers  script
+	attempts []greengageroute.Attempt
+	lost     bool // the links are lost as the first target is tried
+	isolated bool
+}
+
+func (entry *isolatedEntry) LiveEntries() int  { return 3 }
+func (entry *isolatedEntry) Isolated() bool    { return entry.isolated }
+func (entry *isolatedEntry) Helpers() []string { return []string{"h1", "h2", "h3", "h4", "h5"} }
+
+func (entry *isolatedEntry) LinksWork() bool {
+	entry.isolated = entry.isolated || entry.lost
+	return !entry.isolated
+}
+
+func (entry *isolatedEntry) Do(ctx context.Context, _ greengageroute.Request, attempt greengageroute.Attempt) (*upstream.Answer, error) {
+	if !attempt.ToEntry {
+		return unreachable(ctx, attempt)
+	}
+	entry.attempts = append(entry.attempts, attempt)
+	if len(entry.attempts) > len(entry.helpers) {
+		return nil, &upstream.NotSentError{Target: attempt.Target.ID, Cause: errors.New("no step left in the script")}
+	}
+	return entry.helpers[len(entry.attempts)-1](ctx, attempt)
+}
+
+func (entry *isolatedEntry) service() *Service {
+	directory := control.NewDirectory(greengageroute.RuntimeClock{})
+	directory.SetRoutes(testRoutes)
+	directory.Replace([]greengageroute.Target{
+		{ID: "ledger-a", Pool: "ledger", State: greengageroute.TargetReady, Slots: 6},
+		{ID: "llm-a", Pool: "llm", State: greengageroute.TargetReady, Membership: greengageroute.Membership{Replica: "ra", Epoch: 1, Model: "m", State: greengageroute.MemberOpen}},
+	}, time.Time{})
+	return New(Dependencies{
+		Bounds: greengageroute.Bounds{RevocationTime: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 300},
+		Config: entry, Directory: directory, Peers: entry, Prober: entry, Sender: entry, PeerSender: entry,
+		Counters: new(expvar.Map).Init(), Latencies: NewLatencyHistograms(), Log: logr.Discard(), MayTryQuarantined: func() bool { return false },
+	})
+}
+
+// refusedBy is a step of a script: the entry refuses the request without having it run.
+func refusedBy(status int) func(context.Context, greengageroute.Attempt) (*upstream.Answer, error) {
+	return func(context.Context, greengageroute.Attempt) (*upstream.Answer, error) {
+		head := greengageroute.AnswerHead{ID: "id-1", Status: status, NotRun: true, RetryAfter: 700 * time.Millisecond}
+		return &upstream.Answer{AnswerHead: head, Body: strings.NewReader("")}, nil
+	}
+}
+
+// TestIsolatedEntryForwardsRequests guards against callers who are refused by an entry that
+// has lost its targets, against calls that run twice, and against refusals that aren't true.
+func TestIsolatedEntryForwardsRequests(t *testing.T) {
+	tests := []struct {
+		name    string
+		path    string
+		helpers script
+		lost    bool
+		status  int
+		body    string
+		sent    int
+	}{
+		{"an action", "/post/x", script{answers(200, "done")}, false, 200, "done", 1},
+		{"an action, as the links are lost", "/post/x", script{answers(200, "done")}, true, 200, "done", 1},
+		{"an action that may have run is not sent again", "/post/x", script{resets, answers(200, "twice")}, false, 502, "", 1},
+		{"an action without an answer", "/post/x", script{hangs}, false, 504, "", 1},
+		{"the first entry isn't reached", "/post/x", script{unreachable, answers(200, "done")}, false, 200, "done", 2},
+		{"the first entry is isolated too", "/post/x", script{refusedBy(421), answers(200, "done")}, false, 200, "done", 2},
+		{"no entry is reached", "/post/x", script{unreachable, unreachable, unreachable, answers(200, "too late")}, false, 503, "", 3},
+		{"the other entry is at capacity", "/post/x", script{refusedBy(503), answers(200, "no")}, false, 503, "", 1},
+		{"the other entry has another config", "/post/x", script{refusedBy(404)}, false, 503, "", 1},
+		{"a target's error is forwarded", "/post/x", script{answers(500, "failed")}, false, 500, "failed", 1},
+		{"a read whose answer is lost goes to another entry", "/get/x", script{resets, answers(200, "done")}, false, 200, "done", 2},
+		{"a stream", "/chat/x", script{answers(200, events(1, 5))}, false, 200, events(1, 5), 1},
+		{"a stream, as the links are lost", "/chat/x", script{answers(200, events(1, 5))}, true, 200, events(1, 5), 1},
+		{"a stream that is cut is resumed through another entry", "/chat/x", script{aborts(events(1, 2)), answers(200, events(3, 5))}, false, 200, events(1, 5), 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				entry := &isolatedEntry{helpers: test.helpers, lost: test.lost, isolated: !test.lost}
+				recorder := httptest.NewRecorder()
+				entry.service().ServeHTTP(recorder, newRequest("POST", test.path))
+				if recorder.Code != test.status || len(entry.attempts) != test.sent {
+					t.Errorf("got %d after %d entries, want %d after %d", recorder.Code, len(entry.attempts), test.status, test.sent)
+				}
+				if test.body != "" && recorder.Body.String() != test.body {
+					t.Errorf("got body %q, want %q", recorder.Body.String(), test.body)
+				}
+				if recorder.Code == http.StatusServiceUnavailable && recorder.Header().Get("Retry-After") == "" {
+					t.Error("the 503 has no Retry-After header")
+				}
+				for number, attempt := range entry.attempts {
+					if number > 0 && strings.HasPrefix(test.body, "id: 1") && attempt.LastEventID != "2" {
+						t.Errorf("the stream is resumed after event %q, want 2", attempt.LastEventID)
+					}
+				}
+				time.Sleep(time.Second) // lets the crash checks of lost answers finish
+			})
+		})
+	}
+}
+
+// TestForwardedRequests guards against requests that entries pass around, against a refusal
+// that the forwarding entry can't tell from one after a run, and against more attempts than
+// the route allows.
+func TestForwardedRequests(t *testing.T) {
+	tests := []struct {
+		name      string
+		isolated  bool
+		forwarded string // attempts sent before; empty: a caller's own request
+		script    script
+		served    bool
+		status    int
+		notRun    bool
+	}{
+		{"a request of another entry", false, "0", script{answers(200, "done")}, true, 200, false},
+		{"this entry is isolated too", true, "0", nil, true, 421, true},
+		{"no target is reached", false, "0", script{unreachable, unreachable, unreachable}, true, 503, true},
+		{"the answer is lost", false, "0", script{resets}, true, 502, false},
+		{"no attempt is left", false, "1", script{answers(200, "one too many")}, true, 503, true},
+		{"not forwarded", false, "", nil, false, 200, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fixture := newFixture(test.script)
+				if test.isolated {
+					fixture.service.Prober = &isolatedEntry{isolated: true}
+				}
+				request := newRequest("POST", "/post/x")
+				if test.forwarded != "" {
+					request.Header.Set("Entry-Attempts", test.forwarded)
+				}
+				recorder := httptest.NewRecorder()
+				served := fixture.service.ServeForwarded(recorder, request)
+				if served != test.served || recorder.Code != test.status {
+					t.Errorf("served: %v with %d, want %v with %d", served, recorder.Code, test.served, test.status)
+				}
+				if notRun := recorder.Header().Get("X-Greengageroute-Not-Executed") != ""; notRun != test.notRun {
+					t.Errorf("marked as not run: %v, want %v", notRun, test.notRun)
+				}
+				time.Sleep(time.Second) // lets the crash checks of lost answers finish
+			})
+		})
+	}
+}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -194,6 +195,18 @@
 	}
 }
 
+// restoreStore restores the store from copies that are up to 4 s old until the deadline, on
+// its own beside the other faults.
+func (soak *soak) restoreStore(random *rand.Rand, deadline time.Time) {
+	for time.Now().Before(deadline) {
+		copied, copiedAt := soak.store.Copy(), time.Now()
+		time.Sleep(time.Duration(500+random.IntN(3500)) * time.Millisecond)
+		soak.logFault("the store is restored from a copy, %s old", time.Since(copiedAt))
+		soak.store.Restore(copied, true)
+		time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+	}
+}
+
 // restart stops an entry with the signal and starts it again.
 func (soak *soak) restart(entry *entryProcess, signal syscall.Signal) {
 	_ = entry.cmd.Process.Signal(syscall.SIGCONT)
@@ -325,6 +338,9 @@
 				random := rand.New(rand.NewPCG(seed, uint64(10+name)))
 				callers.Go(func() { soak.runCaller(name, random, deadline) })
 			}
+			if !slices.Contains(soakRegressions, seed) { // found without restorations
+				callers.Go(func() { soak.restoreStore(rand.New(rand.NewPCG(seed, 30)), deadline) })
+			}
 			for time.Now().Before(deadline) {
 				soak.injectFault(&pendingUndos)
 				time.Sleep(time.Duration(100+soak.random.IntN(900)) * time.Millisecond)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"reflect"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -145,6 +146,45 @@
 	waitUntil(t, "the entry that left no longer counts", func() bool { return entries[0].LiveEntries() == 2 })
 }
 
+// TestHelpersReachTargets guards against requests that are forwarded to entries that can't
+// help, and against a data centre whose last entries get all requests of the others.
+func TestHelpersReachTargets(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	entries := make([]*testEntry, 6)
+	for i := range entries {
+		node, err := Listen(fmt.Sprint("entry-", i), string(rune('a'+i/3)), "127.0.0.1:0", 0.3, greengageroute.RuntimeClock{}, func() {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		entries[i] = &testEntry{Node: node}
+	}
+	for i, entry := range entries {
+		for j, other := range entries {
+			if i != j {
+				entry.AddPeer(other.self.From, other.self.DataCentre, other.Address(), 0.3)
+			}
+		}
+		go entry.Run(ctx, entry, entry)
+	}
+	helpers := func() string {
+		var names []string
+		for _, address := range entries[0].Helpers() {
+			index := slices.IndexFunc(entries, func(other *testEntry) bool { return other.Address() == address })
+			names = append(names, fmt.Sprint(index))
+		}
+		slices.Sort(names)
+		return strings.Join(names, " ")
+	}
+	waitUntil(t, "the others of the data centre help", func() bool { return helpers() == "1 2" })
+	entries[1].isolated.Store(true)
+	waitUntil(t, "other data centres help if most of this one can't", func() bool { return helpers() == "2 3 4 5" })
+	entries[4].Leave()
+	waitUntil(t, "an entry that leaves doesn't help", func() bool { return helpers() == "2 3 5" })
+	entries[1].isolated.Store(false)
+	waitUntil(t, "the entry helps again", func() bool { return helpers() == "1 2" })
+}
+
 // TestLoadsBeyondOneDatagram guards against entries of a large fleet that choose
 // replicas without knowing their load: 45 heads fitted into a relay's announcement, and
 // the others were left out.
