Entry: a cut-off entry's probes condemn no group

Seen: in a test, an entry of the product's own interface that no VM answers reported each group that it probes as unhealthy, and all entries took it out of service. Cause: as on the users' platform: an entry's own links were taken for the state of the VMs. Change: a group whose members don't answer is reported only if at least half of four VMs of other groups answer, if there are any. The other prober's healthy results stand until they expire. Result: TestProbesOfACutOffEntryCondemnNoGroup failed before and passes; the tests of groups that lose members, of isolated and of frozen entries pass.

--- a/entry/counters.go
+++ b/entry/counters.go
@@ -12,6 +12,7 @@
 	CountPeerDropped         = "peer-messages-dropped"
 	CountGroupsUnhealthy     = "groups-lost"
 	CountProbes              = "probes"
+	CountProbesInDoubt       = "probes-in-doubt"
 	CountOrders              = "orders"
 	CountOrdersFailed        = "orders-failed"
 	CountVMsTaken            = "vms-taken"
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -95,6 +95,11 @@
 	}
 	health := entry.probeVMs(ctx, vms)
 	reason := group.UnhealthyReason(health)
+	if reason != "" && unreachableMember(group, health) && !entry.linksWork(ctx, group) {
+		// The other prober's healthy results stand until they expire.
+		entry.counters.Add(CountProbesInDoubt, 1)
+		return
+	}
 	entry.probeResults.Record(greengageroute.ProbeResult{
 		Group: group.Name, Generation: group.Generation, At: startedAt, Healthy: reason == "", Reason: reason,
 		Streams: health[group.Leader().VM].Report.Streams, Local: true,
