Links: no isolation from too few targets; entries of older builds don't help

Found on reading: an isolated entry whose list shrank to fewer than five targets was never released, and an entry of an older build answers a forwarded request with 404, which the caller would have got. Tests of both; the first failed before.

--- a/control/prober.go
+++ b/control/prober.go
@@ -292,10 +292,10 @@
 // checkLinks probes a few targets. The caller holds linkCheck.
 func (prober *Prober) checkLinks() {
 	targets := prober.directory.View().All()
-	if len(targets) < minTargetsIsolated {
-		return
+	var probed []greengageroute.Target
+	if len(targets) >= minTargetsIsolated {
+		probed = prober.sample(targets)
 	}
-	probed := prober.sample(targets)
 	responded := prober.countResponses(probed)
 	changed, since := prober.links.RecordCheck(responded, len(probed), prober.clock.Now())
 	switch {
--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -144,6 +144,11 @@
 				if test.isolated == (reporter.probes.Load() == probes) {
 					t.Errorf("%d probes of the links in 3 s, isolated: %v", reporter.probes.Load()-probes, test.isolated)
 				}
+				directory.Replace(nil, time.Time{})
+				time.Sleep(time.Second)
+				if prober.Isolated() {
+					t.Error("the entry is isolated from no targets")
+				}
 				cancel()
 				time.Sleep(time.Second) // lets the loop end
 			})
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -21,8 +21,12 @@
 	silentCallCheck = 250 * time.Millisecond
 )
 
-// errIsolatedHelper is returned when an entry can't help because it is isolated too.
-var errIsolatedHelper = errors.New("the other entry reaches no target either")
+var (
+	// errIsolatedHelper is returned when an entry can't help because it is isolated too.
+	errIsolatedHelper = errors.New("the other entry reaches no target either")
+	// errCannotForward is returned when an entry of an older build can't help.
+	errCannotForward = errors.New("the other entry doesn't take forwarded requests")
+)
 
 // isolated reports whether the request has to be forwarded because no target responds to
 // this entry. A forwarded request is not forwarded again.
@@ -83,7 +87,7 @@
 			return exchange.timeoutError()
 		case errors.As(err, &refusal):
 			return exchange.noAnswerError(http.StatusBadGateway, refusal.Reason, refusal.RetryAfter)
-		case errors.As(err, &notSent), errors.Is(err, errIsolatedHelper):
+		case errors.As(err, &notSent), errors.Is(err, errIsolatedHelper), errors.Is(err, errCannotForward):
 		default:
 			reason = err.Error()
 		}
@@ -106,7 +110,7 @@
 		return false, err
 	}
 	exchange.triedTargets += address + " "
-	if err == nil && answer.NotRun && !answer.Signed {
+	if err == nil && !answer.Signed && (answer.NotRun || answer.ID == "") {
 		answer.Close(false)
 		return false, helperRefusal(answer)
 	}
@@ -138,7 +142,10 @@
 // helperRefusal returns the error for a request that another entry refused without having
 // it run. What it says of keys and routes is by its config, which may be another one.
 func helperRefusal(answer *upstream.Answer) error {
-	if answer.Status == http.StatusMisdirectedRequest {
+	switch {
+	case answer.ID == "":
+		return errCannotForward
+	case answer.Status == http.StatusMisdirectedRequest:
 		return errIsolatedHelper
 	}
 	return unavailable("the entry that the request was forwarded to refused it", max(answer.RetryAfter, minOverloadRetryAfter))
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -68,6 +68,11 @@
 	}
 }
 
+// olderBuild is a step of a script: the entry doesn't know forwarded requests.
+func olderBuild(context.Context, greengageroute.Attempt) (*upstream.Answer, error) {
+	return &upstream.Answer{AnswerHead: greengageroute.AnswerHead{Status: http.StatusNotFound}, Body: strings.NewReader("404 page not found")}, nil
+}
+
 // TestIsolatedEntryForwardsRequests guards against callers who are refused by an entry that
 // has lost its targets, against calls that run twice, and against refusals that aren't true.
 func TestIsolatedEntryForwardsRequests(t *testing.T) {
@@ -86,6 +91,7 @@
 		{"an action without an answer", "/post/x", script{hangs}, false, 504, "", 1},
 		{"the first entry isn't reached", "/post/x", script{unreachable, answers(200, "done")}, false, 200, "done", 2},
 		{"the first entry is isolated too", "/post/x", script{refusedBy(421), answers(200, "done")}, false, 200, "done", 2},
+		{"the first entry is of an older build", "/post/x", script{olderBuild, answers(200, "done")}, false, 200, "done", 2},
 		{"no entry is reached", "/post/x", script{unreachable, unreachable, unreachable, answers(200, "too late")}, false, 503, "", 3},
 		{"the other entry is at capacity", "/post/x", script{refusedBy(503), answers(200, "no")}, false, 503, "", 1},
 		{"the other entry has another config", "/post/x", script{refusedBy(404)}, false, 503, "", 1},
