Links: judged for this data centre and the others apart

Cause: a test failed once: of four sampled targets, those of the other data centres were cut off and one of the two here had failed, which counted as isolated. Change: three targets here and three elsewhere are probed; the links work if most of either respond.

--- a/control/prober.go
+++ b/control/prober.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,7 +36,7 @@
 	slowdownLimit = 1.5
 	// linkProbes is how many targets of this data centre, and how many of the others, are
 	// probed to check the links, and linkCheckTTL how long the result counts.
-	linkProbes   = 2
+	linkProbes   = 3
 	linkCheckTTL = 150 * time.Millisecond
 	// minTargetsIsolated is how many targets there must be before those that all fail say
 	// something about this entry's links.
@@ -289,52 +290,66 @@
 	return !prober.Isolated()
 }
 
-// checkLinks probes a few targets. The caller holds linkCheck.
+// checkLinks probes a few targets of this data centre and a few others. The links work if
+// most of either respond: the other data centres may be cut off, and this one may be dark.
+// The caller holds linkCheck.
 func (prober *Prober) checkLinks() {
-	targets := prober.directory.View().All()
-	var probed []greengageroute.Target
-	if len(targets) >= minTargetsIsolated {
-		probed = prober.sample(targets)
-	}
-	responded := prober.countResponses(probed)
-	changed, since := prober.links.RecordCheck(responded, len(probed), prober.clock.Now())
+	local, remote := prober.sample()
+	work := len(local)+len(remote) == 0 || prober.mostRespond(slices.Concat(local, remote), len(local))
+	changed, since := prober.links.RecordCheck(work, prober.clock.Now())
 	switch {
-	case changed && prober.Isolated():
+	case changed && !work:
 		prober.counters.Add(CountIsolations, 1)
-		prober.log.Info("targets don't respond to this entry; others get its requests", "probed", len(probed), "responded", responded)
+		prober.log.Info("targets don't respond to this entry; others get its requests", "probed", len(local)+len(remote))
 	case changed:
 		prober.log.Info("targets respond to this entry again", "after", prober.clock.Now().Sub(since).String())
 	}
 }
 
-// sample returns some targets at random, of this data centre and of others.
-func (prober *Prober) sample(targets []greengageroute.Target) (sample []greengageroute.Target) {
-	local, remote := 0, 0
+// sample returns some targets at random, of this data centre and of others. It returns none
+// if there are too few to conclude anything from.
+func (prober *Prober) sample() (local, remote []greengageroute.Target) {
+	targets := prober.directory.View().All()
+	if len(targets) < minTargetsIsolated {
+		return nil, nil
+	}
 	for _, index := range rand.Perm(len(targets)) {
-		target, count := targets[index], &remote
-		if target.DataCentre == prober.dataCentre {
-			count = &local
-		}
-		if *count < linkProbes {
-			*count++
-			sample = append(sample, target)
+		target := targets[index]
+		switch {
+		case target.DataCentre == prober.dataCentre && len(local) < linkProbes:
+			local = append(local, target)
+		case target.DataCentre != prober.dataCentre && len(remote) < linkProbes:
+			remote = append(remote, target)
 		}
 	}
-	return sample
+	return local, remote
 }
 
-// countResponses returns how many targets respond to a probe.
-func (prober *Prober) countResponses(targets []greengageroute.Target) (count int) {
-	responses := make(chan bool, len(targets))
-	for _, target := range targets {
-		go func() { responses <- prober.responds(target) }()
+// mostRespond probes targets, of which the first are local, and reports whether more than
+// half of the local ones, or of the others, respond.
+func (prober *Prober) mostRespond(targets []greengageroute.Target, locals int) bool {
+	responses := make(chan int, len(targets)) // index of the target, or -1
+	for index, target := range targets {
+		go func() {
+			if !prober.responds(target) {
+				index = -1
+			}
+			responses <- index
+		}()
 	}
+	local, remote := 0, 0
 	for range targets {
-		if <-responses {
-			count++
+		switch index := <-responses; {
+		case index >= locals:
+			remote++
+		case index >= 0:
+			local++
+		}
+		if 2*local > locals || 2*remote > len(targets)-locals {
+			return true
 		}
 	}
-	return count
+	return false
 }
 
 // responds reports whether a target responds to a probe on a new connection, with whatever.
--- a/linkstate.go
+++ b/linkstate.go
@@ -14,14 +14,13 @@
 	since     time.Time // of the isolation
 }
 
-// RecordCheck records how many of the probed targets responded, in a check that ended at the
-// given time. The entry is isolated while fewer than half of them respond. It reports
-// whether that has changed, and since when the entry has been isolated.
-func (state *LinkState) RecordCheck(responded, probed int, now time.Time) (changed bool, since time.Time) {
+// RecordCheck records whether targets responded in a check that ended at the given time.
+// It reports whether that has changed, and since when the entry has been isolated.
+func (state *LinkState) RecordCheck(responded bool, now time.Time) (changed bool, since time.Time) {
 	state.mu.Lock()
 	defer state.mu.Unlock()
 	wasIsolated := state.isolated
-	state.isolated, state.checkedAt = 2*responded < probed, now
+	state.isolated, state.checkedAt = !responded, now
 	if state.isolated && !wasIsolated {
 		state.since = now
 	}
