--- a/mesh/node.go
+++ b/mesh/node.go
@@ -153,7 +153,9 @@
 
 // Run exchanges messages until the context ends.
 func (node *Node) Run(ctx context.Context, source Source, sink Sink) {
+	node.mu.Lock()
 	node.source, node.sink = source, sink
+	node.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { node.conn.Close() })
 	defer stop()
 	go node.receive()
@@ -406,11 +408,13 @@
 
 func (node *Node) sendMessages(leaving bool) {
 	now := node.clock.Now()
-	message := node.self
-	message.Loads, message.Lease, message.HasTraffic, message.Leaving = node.source.Loads(), node.source.Lease(), node.source.HasTraffic(), leaving
-	message.ReadsStore = node.source.ReadsStore()
-	message.Limits, message.ConfigVersion, message.Isolated = node.source.Limits(), node.source.ConfigVersion(), node.source.Isolated()
-	verdicts := node.source.Quarantined()
+	node.mu.Lock()
+	message, source := node.self, node.source
+	node.mu.Unlock()
+	message.Loads, message.Lease, message.HasTraffic, message.Leaving = source.Loads(), source.Lease(), source.HasTraffic(), leaving
+	message.ReadsStore = source.ReadsStore()
+	message.Limits, message.ConfigVersion, message.Isolated = source.Limits(), source.ConfigVersion(), source.Isolated()
+	verdicts := source.Quarantined()
 	node.mu.Lock()
 	node.self.ReadsStore = message.ReadsStore
 	node.sequence++
