Control, edge: one way to tell an ended attempt, simpler link checks

The check of the links coded local and other targets by index; it asks each of the two lists now. Rows that don't count yet and absent targets are of one type, and keeping what is known needs the copied row alone.

--- a/control/directory.go
+++ b/control/directory.go
@@ -40,11 +40,11 @@
 		mu      sync.Mutex
 		targets map[string]greengageroute.Target
 		dropAt  map[string]time.Time // when to drop targets that a store outage may have unlisted
-		absent  map[string]absentTarget
+		absent  map[string]datedTarget
 		// unlisted are members that are no longer listed. This also happens to targets
 		// that only lost the store: their replicas may still be complete.
-		unlisted      map[string]absentTarget
-		outdated      map[string]outdatedRow
+		unlisted      map[string]datedTarget
+		outdated      map[string]datedTarget // as rows of a restored store show them, which don't count yet
 		unreachable   map[mesh.TargetInstance]time.Time
 		slow          map[mesh.TargetInstance]time.Time
 		routes        *greengageroute.RouteTable
@@ -58,13 +58,8 @@
 		view atomic.Pointer[View]
 	}
 
-	absentTarget struct {
-		target greengageroute.Target
-		since  time.Time
-	}
-
-	// outdatedRow is a row of a restored store that doesn't count yet.
-	outdatedRow struct {
+	// datedTarget is a target that has been absent, or whose row hasn't counted, since a time.
+	datedTarget struct {
 		target greengageroute.Target
 		since  time.Time
 	}
@@ -74,7 +69,7 @@
 func NewDirectory(clock greengageroute.Clock) *Directory {
 	directory := &Directory{
 		clock: clock, targets: map[string]greengageroute.Target{}, dropAt: map[string]time.Time{},
-		absent: map[string]absentTarget{}, unlisted: map[string]absentTarget{}, outdated: map[string]outdatedRow{},
+		absent: map[string]datedTarget{}, unlisted: map[string]datedTarget{}, outdated: map[string]datedTarget{},
 		unreachable: map[mesh.TargetInstance]time.Time{}, slow: map[mesh.TargetInstance]time.Time{}, watchers: map[uint64]func(){},
 		touched: greengageroute.Set[string]{}, memberships: map[replicaID]map[string]*greengageroute.Target{}, open: map[replicaID]greengageroute.Replica{},
 	}
@@ -120,8 +115,8 @@
 		listed := greengageroute.Set[string]{}
 		for _, target := range targets {
 			listed.Add(target.ID)
-			if known, found := directory.newerThanCopy(target); found {
-				directory.keep(known, target)
+			if directory.outweighs(target) {
+				directory.keepKnown(target)
 			} else {
 				directory.put(target)
 			}
@@ -131,7 +126,7 @@
 				directory.scheduleDrop(id, dropAt)
 			}
 		}
-		maps.DeleteFunc(directory.outdated, func(id string, _ outdatedRow) bool { return !listed.Has(id) })
+		maps.DeleteFunc(directory.outdated, func(id string, _ datedTarget) bool { return !listed.Has(id) })
 	})
 }
 
@@ -149,23 +144,22 @@
 	})
 }
 
-// newerThanCopy returns what this entry knows of a target, listed or not, if the target
-// wrote it after the row that a restored store shows.
-func (directory *Directory) newerThanCopy(target greengageroute.Target) (known greengageroute.Target, found bool) {
-	known, found = directory.targets[target.ID]
+// outweighs reports whether the target wrote what this entry knows of it, listed or not,
+// after the row that a restored store shows.
+func (directory *Directory) outweighs(copied greengageroute.Target) bool {
+	known, found := directory.targets[copied.ID]
 	if !found {
-		var removed absentTarget
-		removed, found = directory.absent[target.ID]
-		known = removed.target
+		removed, remembered := directory.absent[copied.ID]
+		known, found = removed.target, remembered
 	}
-	return known, found && known.Revision.Era < target.Revision.Era && !target.StatedAfter(known)
+	return found && known.Revision.Era < copied.Revision.Era && !copied.StatedAfter(known)
 }
 
-// keep keeps what this entry knows of a target instead of a restored store's row.
-func (directory *Directory) keep(known, copied greengageroute.Target) {
-	delete(directory.dropAt, known.ID)
-	if _, waits := directory.outdated[known.ID]; !waits {
-		directory.outdated[known.ID] = outdatedRow{copied, directory.clock.Now()}
+// keepKnown keeps what this entry knows of a target instead of a restored store's row.
+func (directory *Directory) keepKnown(copied greengageroute.Target) {
+	delete(directory.dropAt, copied.ID)
+	if _, waits := directory.outdated[copied.ID]; !waits {
+		directory.outdated[copied.ID] = datedTarget{copied, directory.clock.Now()}
 	}
 }
 
@@ -199,7 +193,7 @@
 func (directory *Directory) drop(id string) {
 	directory.touched.Add(id)
 	if target, found := directory.targets[id]; found {
-		removed := absentTarget{target, directory.clock.Now()}
+		removed := datedTarget{target, directory.clock.Now()}
 		directory.absent[id] = removed
 		if target.State == greengageroute.TargetReady && target.Membership.Rank > 0 && target.Membership.Formed() {
 			directory.unlisted[id] = removed
@@ -303,10 +297,10 @@
 				directory.put(row.target)
 			}
 		}
-		maps.DeleteFunc(directory.unlisted, func(id string, removed absentTarget) bool {
+		maps.DeleteFunc(directory.unlisted, func(id string, removed datedTarget) bool {
 			return now.Sub(removed.since) > unlistedGrace && directory.touch(id)
 		})
-		maps.DeleteFunc(directory.absent, func(id string, removed absentTarget) bool {
+		maps.DeleteFunc(directory.absent, func(id string, removed datedTarget) bool {
 			return now.Sub(removed.since) > absentTTL && directory.touch(id)
 		})
 		maps.DeleteFunc(directory.unreachable, func(instance mesh.TargetInstance, since time.Time) bool {
--- a/control/prober.go
+++ b/control/prober.go
@@ -7,7 +7,6 @@
 	"maps"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -251,12 +250,14 @@
 			continue
 		}
 		go func() {
-			_, alive := prober.probeTarget(target)
-			if !alive && !prober.LinksWork() {
+			if _, alive := prober.probeTarget(target); alive {
+				return
+			}
+			if !prober.LinksWork() {
 				prober.counters.Add(CountFailuresInDoubt, 1)
 				return
 			}
-			if !alive && len(prober.directory.MarkUnreachable(instance)) > 0 {
+			if len(prober.directory.MarkUnreachable(instance)) > 0 {
 				prober.counters.Add(CountTargetsUnreachable, 1)
 				prober.log.Info("target unreachable or restarted", "target", instance.ID, "born", instance.StartUnixMilli, "replica", target.Membership.Replica, "epoch", target.Membership.Epoch)
 			}
@@ -295,12 +296,16 @@
 // The caller holds linkCheck.
 func (prober *Prober) checkLinks() {
 	local, remote := prober.sample()
-	work := len(local)+len(remote) == 0 || prober.mostRespond(slices.Concat(local, remote), len(local))
+	results := make(chan bool, 2)
+	go func() { results <- prober.mostRespond(local) }()
+	go func() { results <- prober.mostRespond(remote) }()
+	probed := len(local) + len(remote)
+	work := probed == 0 || <-results || <-results
 	changed, since := prober.links.RecordCheck(work, prober.clock.Now())
 	switch {
 	case changed && !work:
 		prober.counters.Add(CountIsolations, 1)
-		prober.log.Info("targets don't respond to this entry; others get its requests", "probed", len(local)+len(remote))
+		prober.log.Info("targets don't respond to this entry; others get its requests", "probed", probed)
 	case changed:
 		prober.log.Info("targets respond to this entry again", "after", prober.clock.Now().Sub(since).String())
 	}
@@ -325,27 +330,18 @@
 	return local, remote
 }
 
-// mostRespond probes targets, of which the first are local, and reports whether more than
-// half of the local ones, or of the others, respond.
-func (prober *Prober) mostRespond(targets []greengageroute.Target, locals int) bool {
-	responses := make(chan int, len(targets)) // index of the target, or -1
-	for index, target := range targets {
-		go func() {
-			if !prober.responds(target) {
-				index = -1
-			}
-			responses <- index
-		}()
+// mostRespond probes targets and reports whether more than half of them respond.
+func (prober *Prober) mostRespond(targets []greengageroute.Target) bool {
+	responses := make(chan bool, len(targets))
+	for _, target := range targets {
+		go func() { responses <- prober.responds(target) }()
 	}
-	local, remote := 0, 0
+	count := 0
 	for range targets {
-		switch index := <-responses; {
-		case index >= locals:
-			remote++
-		case index >= 0:
-			local++
+		if <-responses {
+			count++
 		}
-		if 2*local > locals || 2*remote > len(targets)-locals {
+		if 2*count > len(targets) {
 			return true
 		}
 	}
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -76,15 +76,15 @@
 		}
 		service.Counters.Add(CountForwarded, 1)
 		complete, err := exchange.forwardToEntry(ctx, address)
+		if complete {
+			return nil
+		}
+		if ended := exchange.endedError(ctx, err); ended != nil {
+			return ended
+		}
 		var notSent *upstream.NotSentError
 		var refusal *Refusal
 		switch {
-		case complete:
-			return nil
-		case errors.Is(err, errCallerDisconnected) || exchange.httpRequest.Context().Err() != nil:
-			return errCallerDisconnected
-		case ctx.Err() != nil:
-			return exchange.timeoutError()
 		case errors.As(err, &refusal):
 			return exchange.noAnswerError(http.StatusBadGateway, refusal.Reason, refusal.RetryAfter)
 		case errors.As(err, &notSent), errors.Is(err, errIsolatedHelper), errors.Is(err, errCannotForward):
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -110,14 +110,14 @@
 			exchange.service.Counters.Add(CountStreamsResumed, 1)
 		}
 		complete, err := exchange.attemptStream(ctx, source)
+		if complete {
+			return nil
+		}
+		if ended := exchange.endedError(ctx, err); ended != nil {
+			return ended
+		}
 		var notSent *upstream.NotSentError
 		switch {
-		case complete:
-			return nil
-		case errors.Is(err, errCallerDisconnected) || exchange.httpRequest.Context().Err() != nil:
-			return errCallerDisconnected
-		case ctx.Err() != nil:
-			return exchange.timeoutError()
 		case errors.As(err, &notSent):
 			reason = "the replica is unreachable"
 		case errors.Is(err, errNotRun):
@@ -132,6 +132,19 @@
 	return exchange.noAnswerError(http.StatusBadGateway, reason, retryAfter)
 }
 
+// endedError returns the error of a request whose caller has left or whose deadline has
+// passed during an attempt, else nil.
+func (exchange *exchange) endedError(ctx context.Context, err error) error {
+	switch {
+	case errors.Is(err, errCallerDisconnected) || exchange.httpRequest.Context().Err() != nil:
+		return errCallerDisconnected
+	case ctx.Err() != nil:
+		return exchange.timeoutError()
+	default:
+		return nil
+	}
+}
+
 // errNotRun is returned when the target answered that it did not run the request.
 var errNotRun = errors.New("the target did not run the request")
 
