Edge, upstream: the end of a connection isn't the end of an answer

Cause: the kernel closes a crashed process's connections as one that has finished does. The entry took that end for complete if anything accepted connections at the address, if the attempts were used up, or if the route wasn't a stream's. Change: such an end counts only if the process that sent the answer still runs. An engine is asked for its report, which shows the start of its process; a plain target, whose answers don't, for a health check on a connection that it accepted before the request. Otherwise the stream is resumed, the read repeated, and where neither is allowed the stream broken off or the call answered 502. A plain target that sends such answers gets a second connection ahead, so that it can be asked. An entry frames what it forwards, so its unframed answers are cut off.

--- a/control/prober.go
+++ b/control/prober.go
@@ -276,6 +276,13 @@
 	return true
 }
 
+// SameProcess reports whether a target responds and its process is still the listed one,
+// by the time of its start.
+func (prober *Prober) SameProcess(target greengageroute.Target) bool {
+	report, alive := prober.probeTarget(target)
+	return alive && report.StartUnixMilli != 0 && report.StartUnixMilli == target.StartUnixMilli
+}
+
 // Isolated reports whether most targets don't respond to this entry, which says nothing about
 // the targets. The entry then forwards requests to others, and plans nothing.
 func (prober *Prober) Isolated() bool { return prober.links.Isolated() }
--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -167,3 +167,32 @@
 	}
 	return ids
 }
+
+// TestProcessIsToldByItsStart guards against a restarted target that vouches for an answer
+// which its crash cut off.
+func TestProcessIsToldByItsStart(t *testing.T) {
+	tests := []struct {
+		name   string
+		listed int64
+		report scriptedReport
+		same   bool
+	}{
+		{"the listed process", 7, scriptedReport{startUnixMilli: 7}, true},
+		{"a process that started later", 7, scriptedReport{startUnixMilli: 8}, false},
+		{"a report without a start", 7, scriptedReport{}, false},
+		{"neither states a start", 0, scriptedReport{}, false},
+		{"no response", 7, scriptedReport{noReply: true}, false},
+		{"another target has the address", 7, scriptedReport{err: &greengageroute.OrderRefusedError{Target: "i-1", Status: 421}}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reporter := &scriptedReporter{script: []scriptedReport{test.report}}
+				prober := NewProber("a", reporter, NewDirectory(greengageroute.RuntimeClock{}), &fakeNotifier{}, greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
+				if same := prober.SameProcess(greengageroute.Target{ID: "i-1", StartUnixMilli: test.listed}); same != test.same {
+					t.Errorf("same process: %t, want %t", same, test.same)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/edge/answerend.go
@@ -0,0 +1,39 @@
+package edge
+
+import (
+	"context"
+	"errors"
+
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/upstream"
+)
+
+// errEndUnconfirmed is returned for an answer that only its connection's end delimits and
+// whose target did not confirm that it is complete.
+var errEndUnconfirmed = errors.New("the answer has neither a length nor chunks, and its target may have crashed")
+
+// confirmEnd returns an error for an answer that was read to its end and may be cut off.
+// With a length or chunks it is complete. Without them it is taken for complete if the
+// process that sent it still runs: an engine's state report shows the start of the process,
+// other targets are asked on a connection that they accepted before the request.
+func (exchange *exchange) confirmEnd(ctx context.Context, target greengageroute.Target, answer *upstream.Answer) error {
+	if !answer.EndsWithConnection {
+		return nil
+	}
+	service := exchange.service
+	service.Counters.Add(CountUnframedAnswers, 1)
+	confirmed := false
+	if exchange.pool.Engine != nil {
+		confirmed = service.Prober.SameProcess(target)
+	} else {
+		confirmed = service.Sender.ServesKeptConnection(ctx, target, exchange.pool.HealthPath, answer.SentAt)
+	}
+	service.Log.V(1).Info("answer ended with its connection", "id", exchange.ID, "target", target.ID, "born", target.StartUnixMilli, "status", answer.Status,
+		"after-event", exchange.LastEventID, "confirmed", confirmed)
+	if confirmed {
+		return nil
+	}
+	service.Counters.Add(CountEndsUnconfirmed, 1)
+	exchange.checkLinks(ctx)
+	return errEndUnconfirmed
+}
--- a/edge/call.go
+++ b/edge/call.go
@@ -111,10 +111,18 @@
 	service.recordLimit(target, answer, began)
 	body, err = readAnswer(answer)
 	answer.Close(err == nil)
-	if err == nil && !answer.NotRun {
-		exchange.recordSound()
+	if answer.NotRun {
+		return answer, body, err
 	}
-	return answer, body, err
+	if err == nil {
+		err = exchange.confirmEnd(ctx, target, answer)
+	}
+	if err != nil {
+		exchange.checkCrash(ctx, target, began, greengageroute.AnswerProgress{}, &upstream.AnswerLostError{Target: target.ID, Cause: err})
+		return nil, nil, err
+	}
+	exchange.recordSound()
+	return answer, body, nil
 }
 
 // readAnswer reads the body of an answer that is delivered as a whole.
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -40,6 +40,7 @@
 		loads          map[string]greengageroute.EngineLoad
 		crashes        []greengageroute.CrashReport
 		targetsAccept  bool
+		confirmations  []bool // whether targets confirm the ends of their answers, in order
 		liveEntries    int
 	}
 )
@@ -62,12 +63,31 @@
 func (fixture *fixture) Isolated() bool                              { return false }
 func (fixture *fixture) Loads() map[string]greengageroute.EngineLoad { return fixture.loads }
 
-func (fixture *fixture) ProbeReplica(greengageroute.Replica) { fixture.probedReplicas++ }
+func (fixture *fixture) ProbeReplica(greengageroute.Replica) {
+	fixture.mu.Lock()
+	defer fixture.mu.Unlock()
+	fixture.probedReplicas++
+}
 
 func (fixture *fixture) AcceptsConnections(greengageroute.Target) bool { return fixture.targetsAccept }
 
 func (fixture *fixture) HasIdleConnection(greengageroute.Target, bool) bool { return false }
 
+func (fixture *fixture) SameProcess(greengageroute.Target) bool { return fixture.confirm() }
+
+func (fixture *fixture) ServesKeptConnection(_ context.Context, _ greengageroute.Target, path string, _ time.Time) bool {
+	return fixture.confirm() && path == "/health"
+}
+
+func (fixture *fixture) confirm() bool {
+	if len(fixture.confirmations) == 0 {
+		return false
+	}
+	confirmed := fixture.confirmations[0]
+	fixture.confirmations = fixture.confirmations[1:]
+	return confirmed
+}
+
 func (fixture *fixture) Do(ctx context.Context, _ greengageroute.Request, attempt greengageroute.Attempt) (*upstream.Answer, error) {
 	fixture.mu.Lock()
 	index := len(fixture.attempts)
@@ -98,6 +118,10 @@
 func (calmDependencies) ProbeReplica(greengageroute.Replica)                {}
 func (calmDependencies) AcceptsConnections(greengageroute.Target) bool      { return true }
 func (calmDependencies) HasIdleConnection(greengageroute.Target, bool) bool { return true }
+func (calmDependencies) SameProcess(greengageroute.Target) bool             { return true }
+func (calmDependencies) ServesKeptConnection(context.Context, greengageroute.Target, string, time.Time) bool {
+	return true
+}
 
 var (
 	testEngine = &greengageroute.Engine{
@@ -112,7 +136,7 @@
 			Name: "chat", Host: "h", Prefix: "/chat/", Kind: greengageroute.Streaming, Timeout: 8 * time.Second, Attempts: 2, Resumable: true,
 			LatencyObjective: 250 * time.Millisecond, GapObjective: 200 * time.Millisecond, Pools: toPool("llm"),
 		},
-	}, map[string]greengageroute.Pool{"ledger": {Name: "ledger"}, "llm": {Name: "llm", Engine: testEngine}},
+	}, map[string]greengageroute.Pool{"ledger": {Name: "ledger", HealthPath: "/health"}, "llm": {Name: "llm", Engine: testEngine}},
 		map[string]greengageroute.KeyOwner{"key": {Name: "counters"}}, greengageroute.CallerLimits{BodyBytes: 1000}, true)
 )
 
@@ -300,20 +324,28 @@
 // because its target has crashed between two events.
 func TestStreamsThatEndWithTheirConnection(t *testing.T) {
 	tests := []struct {
-		name   string
-		accept bool
-		body   string
+		name          string
+		accept        bool
+		second        func(context.Context, greengageroute.Attempt) (*upstream.Answer, error)
+		confirmations []bool
+		body          string
+		aborted       bool
 	}{
-		{"the target is up", true, events(1, 2)},
-		{"the target has crashed", false, events(1, 4)},
+		{"the target is up", true, nil, []bool{true}, events(1, 2), false},
+		{"the target has crashed", false, answers(200, events(3, 4)), nil, events(1, 4), false},
+		{"another process accepts connections at once", true, answers(200, events(3, 4)), nil, events(1, 4), false},
+		{"the second target has crashed too", false, unframed(events(3, 3)), nil, events(1, 3), true},
+		{"the second target has crashed before its first event", false, unframed(""), nil, events(1, 2), true},
+		{"the second target confirms that nothing follows", false, unframed(""), []bool{false, true}, events(1, 2), false},
+		{"there is no second target", false, unreachable, nil, events(1, 2), true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fixture := newFixture(script{unframed(events(1, 2)), answers(200, events(3, 4))})
-				fixture.targetsAccept = test.accept
+				fixture := newFixture(script{unframed(events(1, 2)), test.second})
+				fixture.targetsAccept, fixture.confirmations = test.accept, test.confirmations
 				recorder, aborted := fixture.serve(newRequest("POST", "/chat/x"))
-				if aborted || recorder.Body.String() != test.body {
+				if aborted != test.aborted || recorder.Body.String() != test.body {
 					t.Errorf("got body %q, aborted: %t; want %q", recorder.Body, aborted, test.body)
 				}
 				time.Sleep(time.Second)
@@ -326,6 +358,39 @@
 	}
 }
 
+// TestCallsThatEndWithTheirConnection guards against half an answer of a crashed target
+// that is delivered with the length of the half.
+func TestCallsThatEndWithTheirConnection(t *testing.T) {
+	tests := []struct {
+		name          string
+		method        string
+		path          string
+		script        script
+		confirmations []bool
+		status        int
+		body          string
+	}{
+		{"a read of a target that is up", "GET", "/get/x", script{unframed("whole")}, []bool{true}, 200, "whole"},
+		{"a read of a crashed target is repeated", "GET", "/get/x", script{unframed("ha"), answers(200, "whole")}, nil, 200, "whole"},
+		{"a read of two crashed targets", "GET", "/get/x", script{unframed("ha"), unframed("ha")}, nil, 502, ""},
+		{"an action of a target that is up", "POST", "/post/x", script{unframed("whole")}, []bool{true}, 200, "whole"},
+		{"an action of a crashed target may have run", "POST", "/post/x", script{unframed("ha"), answers(200, "twice")}, nil, 502, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fixture := newFixture(test.script)
+				fixture.confirmations = test.confirmations
+				recorder, _ := fixture.serve(newRequest(test.method, test.path))
+				if recorder.Code != test.status || test.status == 200 && recorder.Body.String() != test.body {
+					t.Errorf("got %d %q, want %d %q", recorder.Code, recorder.Body, test.status, test.body)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 func TestSecondAttemptStartsAfterTheLastCompleteEvent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fixture := newFixture(script{aborts(events(1, 2) + "id: 3\n"), answers(200, events(3, 3))})
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -58,6 +58,8 @@
 		ProbeReplica(replica greengageroute.Replica)
 		// AcceptsConnections reports whether a target accepts connections.
 		AcceptsConnections(target greengageroute.Target) bool
+		// SameProcess reports whether a target's process is still the listed one.
+		SameProcess(target greengageroute.Target) bool
 		// LinksWork reports whether targets respond to this entry. It may probe some.
 		LinksWork() bool
 		// Isolated reports whether most targets were found not to respond to this entry.
@@ -71,6 +73,9 @@
 		// target that a request may use. With atMostOnce, only a recently used one
 		// counts.
 		HasIdleConnection(target greengageroute.Target, atMostOnce bool) bool
+		// ServesKeptConnection reports whether a target answers a health check on a
+		// connection that was opened before the given time.
+		ServesKeptConnection(ctx context.Context, target greengageroute.Target, healthPath string, openedBefore time.Time) bool
 	}
 
 	// Dependencies holds the parts that a Service needs.
@@ -158,6 +163,10 @@
 	// CountQuarantined counts requests refused because targets crashed while running
 	// them.
 	CountQuarantined = "requests-quarantined"
+	// CountUnframedAnswers counts answers with neither a length nor chunks,
+	// CountEndsUnconfirmed those whose target didn't confirm that they are complete.
+	CountUnframedAnswers = "answers-without-length"
+	CountEndsUnconfirmed = "answer-ends-unconfirmed"
 	// CountForwarded counts requests sent to other entries because no target responds to
 	// this one, and CountHelped those of other entries.
 	CountForwarded = "requests-forwarded-to-entries"
@@ -339,7 +348,7 @@
 func (exchange *exchange) newAttempt(target greengageroute.Target) greengageroute.Attempt {
 	return greengageroute.Attempt{
 		Target: target, Remaining: time.Until(exchange.deadline), LastEventID: exchange.LastEventID,
-		AtMostOnce: exchange.route.Kind == greengageroute.NonIdempotent,
+		AtMostOnce: exchange.route.Kind == greengageroute.NonIdempotent, NeedsSpare: exchange.pool.Engine == nil,
 	}
 }
 
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -123,16 +123,19 @@
 	if exchange.route.Kind == greengageroute.Streaming && answer.Status == http.StatusOK {
 		stream := &streamAttempt{
 			exchange: exchange, source: source{replica: greengageroute.Replica{Members: []greengageroute.Target{helper}}},
-			answer: answer, lastEvent: sentAt, sentAt: sentAt, unresponsiveAfter: time.Hour, unresponsiveTimer: &recheckTimer{},
+			answer: answer, lastEvent: sentAt, sentAt: sentAt, unresponsiveAfter: time.Hour, unresponsiveTimer: &recheckTimer{}, fromEntry: true,
 		}
 		stream.unresponsiveTimer.start(stream.unresponsiveAfter, func() {})
 		defer stream.unresponsiveTimer.stop()
-		return stream.forwardEvents()
+		return stream.forwardEvents(ctx)
 	}
 	if exchange.headerSent {
 		return false, errors.New("the other entry could not resume the stream")
 	}
 	body, err := readAnswer(answer)
+	if err == nil && answer.EndsWithConnection {
+		err = errEndedByEntry
+	}
 	if err != nil {
 		return false, err
 	}
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -99,6 +99,9 @@
 		{"a read whose answer is lost goes to another entry", "/get/x", script{resets, answers(200, "done")}, false, 200, "done", 2},
 		{"a stream", "/chat/x", script{answers(200, events(1, 5))}, false, 200, events(1, 5), 1},
 		{"a stream, as the links are lost", "/chat/x", script{answers(200, events(1, 5))}, true, 200, events(1, 5), 1},
+		{"an action whose answer the other entry breaks off", "/post/x", script{unframed("ha"), answers(200, "twice")}, false, 502, "", 1},
+		{"a read whose answer the other entry breaks off", "/get/x", script{unframed("ha"), answers(200, "done")}, false, 200, "done", 2},
+		{"a stream that the other entry breaks off between events", "/chat/x", script{unframed(events(1, 2)), answers(200, events(3, 5))}, false, 200, events(1, 5), 2},
 		{"a stream that is cut is resumed through another entry", "/chat/x", script{aborts(events(1, 2)), answers(200, events(3, 5))}, false, 200, events(1, 5), 2},
 	}
 	for _, test := range tests {
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -46,9 +46,9 @@
 	// errEndedWithinEvent is returned for a stream that ends without an error after a
 	// part of an event: its target has broken it off.
 	errEndedWithinEvent = errors.New("the stream ended within an event")
-	// errEndedWithTarget is returned for a stream that only its connection's end delimits
-	// and whose target no longer accepts connections.
-	errEndedWithTarget = errors.New("the stream ended with its target")
+	// errEndedByEntry is returned for a stream that another entry, which frames all its
+	// answers, ended without a frame.
+	errEndedByEntry = errors.New("the other entry broke the stream off")
 )
 
 type (
@@ -73,6 +73,7 @@
 		sentAt            time.Time
 		progress          greengageroute.AnswerProgress
 		inPrefill         atomic.Bool
+		fromEntry         bool // another entry forwards the stream
 	}
 )
 
@@ -261,9 +262,9 @@
 		return false, errNotRun
 	}
 	if attempt.answer.Status != http.StatusOK {
-		return exchange.forwardFailure(attempt.answer)
+		return exchange.forwardFailure(ctx, head, attempt.answer)
 	}
-	complete, err = attempt.forwardEvents()
+	complete, err = attempt.forwardEvents(ctx)
 	if err != nil && !errors.Is(err, errCallerDisconnected) {
 		exchange.checkCrash(ctx, head, attempt.sentAt, attempt.progress, &upstream.AnswerLostError{Target: head.ID, Cause: err})
 	}
@@ -272,11 +273,14 @@
 
 // forwardFailure delivers the target's error answer, unless the request may be
 // retried at another target.
-func (exchange *exchange) forwardFailure(answer *upstream.Answer) (bool, error) {
+func (exchange *exchange) forwardFailure(ctx context.Context, target greengageroute.Target, answer *upstream.Answer) (bool, error) {
 	if exchange.headerSent || answer.Status >= http.StatusInternalServerError && exchange.route.Resumable && exchange.attemptsSent < exchange.route.Attempts {
 		return false, errors.New("the target returned an error")
 	}
 	body, err := readAnswer(answer)
+	if err == nil {
+		err = exchange.confirmEnd(ctx, target, answer)
+	}
 	if err != nil {
 		return false, err
 	}
@@ -319,7 +323,7 @@
 }
 
 // forwardEvents forwards complete events until the stream ends.
-func (attempt *streamAttempt) forwardEvents() (complete bool, err error) {
+func (attempt *streamAttempt) forwardEvents(ctx context.Context) (complete bool, err error) {
 	attempt.reader = bufio.NewReaderSize(attempt.answer.Body, 1<<10)
 	var event []byte
 	for {
@@ -331,7 +335,7 @@
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF):
-			return attempt.finish(event)
+			return attempt.finish(ctx, event)
 		case err != nil:
 			return false, err
 		}
@@ -347,7 +351,7 @@
 
 // finish handles the regular end of a stream. The rest is what came after the last
 // complete event.
-func (attempt *streamAttempt) finish(rest []byte) (bool, error) {
+func (attempt *streamAttempt) finish(ctx context.Context, rest []byte) (bool, error) {
 	if len(rest) > 0 && attempt.isEventStream() {
 		return false, errEndedWithinEvent
 	}
@@ -356,25 +360,19 @@
 			return false, err
 		}
 	}
-	if attempt.mayBeCut() {
-		return false, errEndedWithTarget
+	if attempt.fromEntry && attempt.answer.EndsWithConnection {
+		return false, errEndedByEntry
+	}
+	if err := attempt.exchange.confirmEnd(ctx, attempt.source.replica.Head(), attempt.answer); err != nil {
+		return false, err
 	}
 	attempt.exchange.sendHeader(attempt.answer)
-	if !attempt.progress.IsSound() && !attempt.answer.EndsWithConnection {
+	if !attempt.progress.IsSound() {
 		attempt.exchange.recordSound()
 	}
 	return true, nil
 }
 
-// mayBeCut reports whether the stream ended because its target's process did. Only a
-// stream without length and chunks may look complete then. It is resumed, if possible,
-// to receive the rest.
-func (attempt *streamAttempt) mayBeCut() bool {
-	exchange := attempt.exchange
-	return attempt.answer.EndsWithConnection && exchange.route.Resumable && exchange.attemptsSent < exchange.route.Attempts &&
-		!exchange.service.Prober.AcceptsConnections(attempt.source.replica.Head())
-}
-
 // isEventStream reports whether the target's answer consists of events, as it does
 // unless its header says otherwise.
 func (attempt *streamAttempt) isEventStream() bool {
--- a/request.go
+++ b/request.go
@@ -38,6 +38,9 @@
 		ToEntry bool
 		// AttemptsSent is how many attempts were sent before, for another entry.
 		AttemptsSent int
+		// NeedsSpare asks for a second connection to a target whose answers lately had
+		// neither a length nor chunks. It shows later whether the target's process ended.
+		NeedsSpare bool
 	}
 
 	// AnswerHead holds the status and header of a target's response, and what the
@@ -45,13 +48,14 @@
 	AnswerHead struct {
 		ID              string
 		Status          int
+		Instance        string // the target that answered, if it says so
 		Signed          bool
 		NotRun          bool   // the target did not run the request and never will
 		FaultyMember    string // the member that prevents the replica from serving
 		CloseConnection bool   // the target closes the connection after this response
 		Encoded         bool   // the body has a content encoding and is not the target's own bytes
-		// EndsWithConnection reports that the body has neither a length nor chunks. If the
-		// target's process ends within it, it may look complete.
+		// EndsWithConnection reports that the body has neither a length nor chunks. The
+		// operating system ends it in the same way if the target's process crashes.
 		EndsWithConnection bool
 		// LimitPerSecond is the rate of requests that the target takes from all entries
 		// together; 0 if it names none.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -46,20 +47,27 @@
 	// maxResponses is how many responses are read in search of the request's own.
 	// Late answers to earlier requests and 1xx responses are skipped.
 	maxResponses = 3
+	// unframedTTL is how long after an answer without length and chunks a target is
+	// expected to send such answers again.
+	unframedTTL = 10 * time.Second
+	// keptConnectionTimeout is how long a target has to respond on a kept connection.
+	keptConnectionTimeout = 300 * time.Millisecond
 )
 
 type (
 	// Client sends requests to targets. It is safe for use by several goroutines.
 	Client struct {
-		mu     sync.Mutex
-		idle   map[string][]*conn // by address and ID of the target
-		onDial func()
+		mu         sync.Mutex
+		idle       map[string][]*conn   // by address and ID of the target
+		unframedAt map[string]time.Time // last answer without length and chunks, likewise
+		onDial     func()
 	}
 
 	// Answer is a target's answer whose body has not been read yet.
 	Answer struct {
 		greengageroute.AnswerHead
 		Body   io.Reader
+		SentAt time.Time // when the request was about to be written
 		client *Client
 		conn   *conn
 		key    string
@@ -93,6 +101,7 @@
 		net.Conn
 		limit       *limitedReader
 		reader      *bufio.Reader // reads from limit
+		openedAt    time.Time
 		idleSince   time.Time
 		idleTimeout time.Duration // announced by the target; 0 if none is
 		written     chan error    // result of a body that is written in the background; nil without one
@@ -137,7 +146,7 @@
 
 // NewClient returns a client that calls onDial before it dials a new connection.
 func NewClient(onDial func()) *Client {
-	return &Client{idle: map[string][]*conn{}, onDial: onDial}
+	return &Client{idle: map[string][]*conn{}, unframedAt: map[string]time.Time{}, onDial: onDial}
 }
 
 // Do sends an attempt and returns its answer as soon as the header is read. When
@@ -150,6 +159,15 @@
 	if err != nil {
 		return nil, &NotSentError{Target: target.ID, Cause: err}
 	}
+	if attempt.NeedsSpare {
+		client.keepSpare(ctx, key, target.Address)
+	}
+	return client.exchange(ctx, conn, key, request, attempt)
+}
+
+// exchange sends an attempt on a connection and reads the head of its answer.
+func (client *Client) exchange(ctx context.Context, conn *conn, key string, request greengageroute.Request, attempt greengageroute.Attempt) (*Answer, error) {
+	target, sentAt := attempt.Target, time.Now()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	lost := func(cause error) error {
 		stop()
@@ -173,7 +191,10 @@
 		head := platform.DecodeAnswer(response)
 		if head.ID == request.ID || head.ID == "" && head.Status >= http.StatusBadRequest {
 			conn.idleTimeout = head.IdleTimeout
-			return &Answer{AnswerHead: head, Body: response.Body, client: client, conn: conn, key: key, stop: stop}, nil
+			if head.EndsWithConnection {
+				client.recordUnframed(key)
+			}
+			return &Answer{AnswerHead: head, Body: response.Body, SentAt: sentAt, client: client, conn: conn, key: key, stop: stop}, nil
 		}
 		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes))
 		if err == nil && skipped == maxForeignBytes {
@@ -219,6 +240,10 @@
 		}
 		idle.Close()
 	}
+	return client.dial(ctx, address)
+}
+
+func (client *Client) dial(ctx context.Context, address string) (*conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	client.onDial()
 	netConn, err := dialer.DialContext(ctx, "tcp4", address)
@@ -226,7 +251,7 @@
 		return nil, trace.Wrap(err)
 	}
 	limit := &limitedReader{conn: netConn}
-	return &conn{Conn: netConn, limit: limit, reader: bufio.NewReaderSize(limit, bufferSize)}, nil
+	return &conn{Conn: netConn, limit: limit, reader: bufio.NewReaderSize(limit, bufferSize), openedAt: time.Now()}, nil
 }
 
 // HasIdleConnection reports whether the pool has an idle connection to the target
@@ -282,6 +307,7 @@
 			delete(client.idle, key)
 		}
 	}
+	maps.DeleteFunc(client.unframedAt, func(_ string, at time.Time) bool { return time.Since(at) > unframedTTL })
 	client.mu.Unlock()
 	for _, conn := range expired {
 		conn.Close()
--- /dev/null
+++ b/upstream/keptconnection.go
@@ -0,0 +1,74 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+)
+
+// ServesKeptConnection reports whether a target answers a health check on a connection
+// that was opened before the given time. A process that ends closes all its connections,
+// so the one that answers is the one that was running then.
+func (client *Client) ServesKeptConnection(ctx context.Context, target greengageroute.Target, healthPath string, openedBefore time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, keptConnectionTimeout)
+	defer cancel()
+	key := poolKey(target)
+	for conn := client.popOpenedBefore(key, openedBefore); conn != nil; conn = client.popOpenedBefore(key, openedBefore) {
+		if !conn.usable() {
+			conn.Close()
+			continue
+		}
+		request := greengageroute.Request{Method: http.MethodGet, URI: healthPath, Host: target.Address, Header: http.Header{}}
+		answer, err := client.exchange(ctx, conn, key, request, greengageroute.Attempt{Target: target, Remaining: keptConnectionTimeout})
+		if err != nil {
+			continue
+		}
+		_, err = io.Copy(io.Discard, io.LimitReader(answer.Body, maxForeignBytes))
+		answer.Close(err == nil)
+		// Any status will do, but a copy of an earlier answer names no instance.
+		return answer.Instance == target.ID
+	}
+	return false
+}
+
+func (client *Client) popOpenedBefore(key string, openedBefore time.Time) *conn {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	conns := client.idle[key]
+	for i, conn := range slices.Backward(conns) {
+		if conn.openedAt.Before(openedBefore) {
+			client.idle[key] = slices.Delete(conns, i, i+1)
+			return conn
+		}
+	}
+	return nil
+}
+
+func (client *Client) recordUnframed(key string) {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	client.unframedAt[key] = time.Now()
+}
+
+// keepSpare opens an idle connection to a target whose answers lately had neither a
+// length nor chunks, unless there is one. Without it nothing could be told of the answer's
+// end, and a failure here has no other effect.
+func (client *Client) keepSpare(ctx context.Context, key, address string) {
+	client.mu.Lock()
+	at, unframed := client.unframedAt[key]
+	found := slices.ContainsFunc(client.idle[key], (*conn).usable)
+	client.mu.Unlock()
+	if !unframed || found || time.Since(at) > unframedTTL {
+		return
+	}
+	spare, err := client.dial(ctx, address)
+	if err != nil {
+		return
+	}
+	spare.idleSince = time.Now()
+	client.put(key, spare)
+}
