--- a/control/headstate.go
+++ b/control/headstate.go
@@ -66,7 +66,7 @@
 }
 
 // recordResponse records a head's response to an order to open or close. A head
-// that refuses doesn't serve; a head that carries out the order is soon listed in
+// whose state refuses doesn't serve; a head that carries out the order is soon listed in
 // its new state.
 func (planner *Planner) recordResponse(order greengageroute.TargetOrder, err error) {
 	planner.mu.Lock()
@@ -76,7 +76,9 @@
 	switch {
 	case !known:
 	case errors.As(err, &refused):
-		delete(planner.pendingOpens, order.Target.ID)
+		if refused.TellsState() {
+			delete(planner.pendingOpens, order.Target.ID)
+		}
 	case err == nil:
 		pending.answered = true
 		planner.pendingOpens[order.Target.ID] = pending
@@ -85,7 +87,7 @@
 
 // recordCloseResult records the result of an order to close. An unlisted head
 // counts as closed once it has carried out an immediate close, has refused the
-// order, which it does if it doesn't serve, or has left orders unanswered while no
+// order by its state, which it does if it doesn't serve, or has left orders unanswered while no
 // entry has received data from it either.
 func (planner *Planner) recordCloseResult(order greengageroute.TargetOrder, err error) {
 	var refused *greengageroute.OrderRefusedError
@@ -96,8 +98,11 @@
 	case err == nil && order.Immediate:
 		planner.unansweredOrders[id] = 0
 		planner.closedAt[id] = now
-	case errors.As(err, &refused):
+	case errors.As(err, &refused) && refused.TellsState():
 		planner.closedAt[id] = now
+	case errors.As(err, &refused):
+		// The head may serve, and is neither lost nor silent.
+		planner.unansweredOrders[id] = 0
 	case !planner.Activity.Reaches(order.Target.DataCentre):
 		// The whole data centre is unreachable from here: the head may still serve there.
 		planner.unansweredOrders[id] = 0
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -41,6 +41,8 @@
 	return planner, directory
 }
 
+// TestAbsentHeadIsRecordedAsClosed guards against members that are taken from an open head,
+// also because it turned an order away without saying anything about its state.
 func TestAbsentHeadIsRecordedAsClosed(t *testing.T) {
 	head := greengageroute.Target{ID: "i-head", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1}
 	closing := greengageroute.TargetOrder{Kind: greengageroute.OrderClose, Target: head, Immediate: true}
@@ -53,6 +55,9 @@
 	}{
 		{"the head closed", fakeActivity{}, []error{nil}, false, true},
 		{"the head refused because it doesn't serve", fakeActivity{}, []error{&greengageroute.OrderRefusedError{Status: 409}}, false, true},
+		{"the head turned the order away because it is busy", fakeActivity{}, []error{&greengageroute.OrderRefusedError{Status: 503}}, false, false},
+		{"the head failed", fakeActivity{}, []error{&greengageroute.OrderRefusedError{Status: 500}, &greengageroute.OrderRefusedError{Status: 500}}, false, false},
+		{"one order is unanswered, the next turned away", fakeActivity{}, []error{errors.New("unanswered"), &greengageroute.OrderRefusedError{Status: 503}, errors.New("unanswered")}, false, false},
 		{"one order is unanswered", fakeActivity{}, []error{errors.New("unanswered")}, false, false},
 		{"orders are unanswered", fakeActivity{}, []error{errors.New("unanswered"), errors.New("unanswered")}, false, true},
 		{"orders are unanswered, but an entry hears from the head", fakeActivity{active: true}, []error{errors.New("unanswered"), errors.New("unanswered")}, false, false},
--- a/targetorder.go
+++ b/targetorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 )
 
@@ -37,6 +38,18 @@
 	}
 )
 
+// TellsState reports whether the status says that the target can't carry out the order in
+// its state, or isn't the one expected. Other refusals, as by a busy target, leave open what
+// the state is.
+func (err *OrderRefusedError) TellsState() bool {
+	switch err.Status {
+	case http.StatusConflict, http.StatusPreconditionFailed, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
 // String returns the kind's name.
 func (kind OrderKind) String() string {
 	return [...]string{"none", "join", "open", "close", "leave", "stage"}[kind]
