Upstream: spare connections as soon as a pool sends unframed answers

Cause: a plain target whose first such answer came could not be asked, each at each entry; deposits that had run were answered 502. Change: one such answer of the pool is enough, for a minute.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -47,9 +47,9 @@
 	// maxResponses is how many responses are read in search of the request's own.
 	// Late answers to earlier requests and 1xx responses are skipped.
 	maxResponses = 3
-	// unframedTTL is how long after an answer without length and chunks a target is
-	// expected to send such answers again.
-	unframedTTL = 10 * time.Second
+	// unframedTTL is how long after an answer without length and chunks the targets of its
+	// pool are expected to send such answers again.
+	unframedTTL = time.Minute
 	// keptConnectionTimeout is how long a target has to respond on a kept connection.
 	keptConnectionTimeout = 300 * time.Millisecond
 )
@@ -59,7 +59,7 @@
 	Client struct {
 		mu         sync.Mutex
 		idle       map[string][]*conn   // by address and ID of the target
-		unframedAt map[string]time.Time // last answer without length and chunks, likewise
+		unframedAt map[string]time.Time // last answer without length and chunks, by pool
 		onDial     func()
 	}
 
@@ -160,7 +160,7 @@
 		return nil, &NotSentError{Target: target.ID, Cause: err}
 	}
 	if attempt.NeedsSpare {
-		client.keepSpare(ctx, key, target.Address)
+		client.keepSpare(ctx, key, target)
 	}
 	return client.exchange(ctx, conn, key, request, attempt)
 }
@@ -192,7 +192,7 @@
 		if head.ID == request.ID || head.ID == "" && head.Status >= http.StatusBadRequest {
 			conn.idleTimeout = head.IdleTimeout
 			if head.EndsWithConnection {
-				client.recordUnframed(key)
+				client.recordUnframed(target.Pool)
 			}
 			return &Answer{AnswerHead: head, Body: response.Body, SentAt: sentAt, client: client, conn: conn, key: key, stop: stop}, nil
 		}
--- a/upstream/keptconnection.go
+++ b/upstream/keptconnection.go
@@ -48,24 +48,24 @@
 	return nil
 }
 
-func (client *Client) recordUnframed(key string) {
+func (client *Client) recordUnframed(pool string) {
 	client.mu.Lock()
 	defer client.mu.Unlock()
-	client.unframedAt[key] = time.Now()
+	client.unframedAt[pool] = time.Now()
 }
 
-// keepSpare opens an idle connection to a target whose answers lately had neither a
-// length nor chunks, unless there is one. Without it nothing could be told of the answer's
-// end, and a failure here has no other effect.
-func (client *Client) keepSpare(ctx context.Context, key, address string) {
+// keepSpare opens an idle connection to a target unless there is one, if answers of its
+// pool lately had neither a length nor chunks. Without it nothing could be told of the
+// answer's end, and a failure here has no other effect.
+func (client *Client) keepSpare(ctx context.Context, key string, target greengageroute.Target) {
 	client.mu.Lock()
-	at, unframed := client.unframedAt[key]
+	at, unframed := client.unframedAt[target.Pool]
 	found := slices.ContainsFunc(client.idle[key], (*conn).usable)
 	client.mu.Unlock()
 	if !unframed || found || time.Since(at) > unframedTTL {
 		return
 	}
-	spare, err := client.dial(ctx, address)
+	spare, err := client.dial(ctx, target.Address)
 	if err != nil {
 		return
 	}
