Target: an answer of a service without a length is lost, not whole

The same fault in the product's own interface: a call of a plain service took the end of the connection for the end of the answer. Services there have a length or chunks (errors name the remedy); what has neither is lost: reads go to the next target, actions are asked for their outcome. Engines' answers have an end mark with a count.

--- a/target/service.go
+++ b/target/service.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -26,10 +27,14 @@
 	}
 )
 
+// errNoLength is returned for an answer that only the end of its connection delimits. It
+// ends in the same way if the target crashes midway.
+var errNoLength = errors.New("the answer has neither a length nor chunks and may be cut off; have the service send a Content-Length")
+
 // Call forwards a call to a target of a plain service. A call with a key uses a
 // new connection: if none can be made, nothing has reached the target, and the
 // error is an *UnreachableError. Answers with any status are returned without an
-// error.
+// error, if they have a length or chunks.
 func (client *Client) Call(ctx context.Context, address string, call ServiceCall) (greengageroute.Answer, error) {
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
@@ -50,12 +55,21 @@
 	if err == nil && len(body) > maxAnswerBytes {
 		err = fmt.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
 	}
+	if err == nil && endsWithConnection(response) {
+		err = errNoLength
+	}
 	if err != nil {
 		return greengageroute.Answer{}, &AnswerLostError{Address: address, Cause: err}
 	}
 	return greengageroute.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// endsWithConnection reports whether a response has a body with neither a length nor
+// chunks. A compressed one, which the HTTP library has unpacked, has a checksum.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody && !response.Uncompressed
+}
+
 // Outcome queries a target for the outcome of the action with an idempotency key.
 // known is false if the target has no record of the key, which does not prove that
 // the action will never run.
