Edge, control, platform: targets that ask for rest get it

Cause: Retry-After in a target's 503 was not read, and a target that turns everything away has nothing running and looks like the best choice. Change: the entry that was turned away sends that process no calls, streams, resumed streams, orders and probes for so long, at most a minute; orders wait 10 s at most, as a head may be needed to release members, and a probe becomes a connection without a request. If all targets of a request are at rest it is refused at once with the shortest remaining time. Numbers that are none count as no rest. The rest is that of one entry, so nothing is told to others.

--- a/control/planner.go
+++ b/control/planner.go
@@ -50,7 +50,9 @@
 
 // Counters of the planner; docs/OPERATIONS.md lists them.
 const (
-	CountOrders            = "orders"
+	CountOrders = "orders"
+	// CountOrdersHeldBack counts orders not sent because the target had asked for rest.
+	CountOrdersHeldBack    = "orders-held-back"
 	CountOrdersRefused     = "orders-refused"
 	CountOrdersNotAnswered = "orders-not-answered"
 	CountReplicasAssigned  = "replicas-assigned"
@@ -372,8 +374,12 @@
 	err := planner.OrderSender.Send(ctx, order, timeout)
 	planner.Counters.Add(CountOrders, 1)
 	var refused *greengageroute.OrderRefusedError
+	var rests *greengageroute.TargetRestsError
 	outcome := "accepted"
 	switch {
+	case errors.As(err, &rests):
+		outcome = "not sent: the target is at rest"
+		planner.Counters.Add(CountOrdersHeldBack, 1)
 	case errors.As(err, &refused):
 		outcome = fmt.Sprintf("refused with %d", refused.Status)
 		planner.Counters.Add(CountOrdersRefused, 1)
--- a/control/prober.go
+++ b/control/prober.go
@@ -267,6 +267,10 @@
 
 // AcceptsConnections reports whether a target accepts a connection.
 func (prober *Prober) AcceptsConnections(target greengageroute.Target) bool {
+	return acceptsConnections(target)
+}
+
+func acceptsConnections(target greengageroute.Target) bool {
 	conn, err := net.DialTimeout("tcp4", target.Address, probeTimeout)
 	if err != nil {
 		return false
--- a/edge/call.go
+++ b/edge/call.go
@@ -108,7 +108,7 @@
 		exchange.checkCrash(ctx, target, began, greengageroute.AnswerProgress{}, err)
 		return nil, nil, err
 	}
-	service.recordLimit(target, answer, began)
+	service.recordNotices(target, answer, began)
 	body, err = readAnswer(answer)
 	answer.Close(err == nil)
 	if answer.NotRun {
@@ -165,11 +165,11 @@
 		if target.State != greengageroute.TargetReady || tried.Has(target.ID) {
 			continue
 		}
-		wait := service.limitWait(target.ID, limits)
+		stats := service.tracker.Stats(target.ID)
+		wait := max(service.limitWait(target.ID, limits), stats.rest.Remaining(target.StartUnixMilli, time.Now()))
 		if wait > 0 {
 			waits = append(waits, wait)
 		}
-		stats := service.tracker.Stats(target.ID)
 		candidates = append(candidates, greengageroute.TargetCandidate{
 			Target: target, Running: stats.Running + loads[target.ID].Running, Latency: stats.Latency,
 			Failures: stats.Failures, Local: target.DataCentre == service.DataCentre,
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -124,7 +124,7 @@
 		deadline     time.Time
 		attemptsSent int                         // attempts that reached a target
 		triedTargets string                      // IDs of the targets tried, for the log
-		limitWait    time.Duration               // until a target takes a request, if all were at their limits at the last choice
+		limitWait    time.Duration               // until a target takes a request, if all were at their limits or at rest at the last choice
 		mayHaveRun   bool                        // a target may have run the request
 		forwarded    bool                        // another entry, which reaches no target, sent the request
 		cause        greengageroute.CrashCause   // stands for the request in the quarantine
@@ -173,7 +173,9 @@
 	CountHelped    = "requests-of-other-entries"
 	// CountLimitsNamed counts the limits that targets began to name.
 	CountLimitsNamed = "target-limits-named"
-	// CountLimited counts requests refused because all targets are at their limits.
+	// CountRests counts the rests that targets asked for.
+	CountRests = "target-rests"
+	// CountLimited counts requests refused because all targets are at their limits or at rest.
 	CountLimited = "requests-over-limits"
 	// CountCausesQuarantined counts the requests and prompt parts that were found to
 	// crash targets, CountCausesReleased those that are no longer refused.
@@ -279,6 +281,33 @@
 	}
 }
 
+// recordNotices records what a target says about itself in an answer to a request, or in
+// the response to an order or a probe. The answer of another target that has its address
+// says nothing.
+func (service *Service) recordNotices(target greengageroute.Target, answer *upstream.Answer, sentAt time.Time) {
+	if answer.Status == http.StatusMisdirectedRequest && answer.Instance != target.ID {
+		return
+	}
+	service.recordLimit(target, answer, sentAt)
+	if answer.Status == http.StatusServiceUnavailable {
+		service.RecordRest(target, answer.RetryAfter)
+	}
+}
+
+// RecordRest records that a target has turned a request, an order or a probe away and wants
+// nothing from this entry for a time, 0 if it named none.
+func (service *Service) RecordRest(target greengageroute.Target, asked time.Duration) {
+	if asked > 0 && service.tracker.RecordRest(target, asked) {
+		service.Counters.Add(CountRests, 1)
+		service.Log.Info("target asks for rest", "target", target.ID, "born", target.StartUnixMilli, "retry-after", asked.String())
+	}
+}
+
+// Rest returns the rest that a target has asked this entry for.
+func (service *Service) Rest(target greengageroute.Target) greengageroute.TargetRest {
+	return service.tracker.Rest(target.ID)
+}
+
 // limitWait returns how long a target takes no further request by the limit that it
 // names. It adopts what the peers know of the limit.
 func (service *Service) limitWait(target string, limits map[string]greengageroute.PeerLimit) time.Duration {
@@ -301,10 +330,11 @@
 	}
 }
 
-// limitError returns the refusal of a request whose targets are all at their limits.
+// limitError returns the refusal of a request whose targets are all at their limits or at
+// rest.
 func (exchange *exchange) limitError() error {
 	exchange.service.Counters.Add(CountLimited, 1)
-	return exchange.noAnswerError(http.StatusBadGateway, "the targets are at the limits that they name", max(exchange.limitWait, minOverloadRetryAfter))
+	return exchange.noAnswerError(http.StatusBadGateway, "the targets are at the limits that they name, or asked for rest", max(exchange.limitWait, minOverloadRetryAfter))
 }
 
 // retryBudget returns the retry budget of the request's pool.
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -161,7 +161,7 @@
 }
 
 // pickSource chooses the replica for the next attempt. A stream that has begun is resumed
-// regardless of limits.
+// regardless of limits, but not at a head that asked for rest.
 func (exchange *exchange) pickSource(tried greengageroute.Set[string]) (source, bool) {
 	engine := exchange.pool.Engine
 	if engine == nil {
@@ -181,11 +181,12 @@
 		if tried.Has(head.ID) || head.State != greengageroute.TargetReady {
 			continue
 		}
-		wait := service.limitWait(head.ID, limits)
-		if wait > 0 {
+		stats := service.tracker.Stats(head.ID)
+		rest := stats.rest.Remaining(head.StartUnixMilli, time.Now())
+		limit := service.limitWait(head.ID, limits)
+		if wait := max(limit, rest); wait > 0 {
 			waits = append(waits, wait)
 		}
-		stats := service.tracker.Stats(head.ID)
 		load := loads[head.ID]
 		load.Running += stats.Running
 		load.PrefillTokens += stats.PrefillTokens
@@ -194,7 +195,7 @@
 		candidates = append(candidates, greengageroute.ReplicaCandidate{
 			Replica: replica, Load: load, Slowdown: slowdown,
 			Local: head.DataCentre == service.DataCentre, Unresponsive: unresponsive, HasIdleConnection: service.Sender.HasIdleConnection(head, false),
-			Limited: wait > 0 && !exchange.headerSent,
+			Limited: rest > 0 || limit > 0 && !exchange.headerSent,
 		})
 	}
 	exchange.recordLimitWaits(len(candidates), waits)
@@ -257,7 +258,7 @@
 		return false, replicaLossOr(ctx, err)
 	}
 	defer func() { attempt.answer.Close(complete) }()
-	service.recordLimit(head, attempt.answer, attempt.sentAt)
+	service.recordNotices(head, attempt.answer, attempt.sentAt)
 	if attempt.answer.NotRun {
 		return false, errNotRun
 	}
--- a/edge/tracker.go
+++ b/edge/tracker.go
@@ -25,6 +25,8 @@
 	slowdownDecay = 4 * time.Second
 	// latencyWeight is the weight of the newest answer in the mean latency.
 	latencyWeight = 0.2
+	// recordTTL is how long the record of an idle target is kept: longer than any rest.
+	recordTTL = 90 * time.Second
 	// liftedTTL is how long the peers are told that a target has lifted its limit.
 	liftedTTL = 2 * time.Second
 	// turnRetryAfter is sent when targets take requests, but none from this entry now.
@@ -59,6 +61,7 @@
 		limit           greengageroute.TargetLimit
 		sent            greengageroute.SendCount // by this entry, while the target has a limit
 		usedTurn        int64                    // the last one in which this entry sent a request
+		rest            greengageroute.TargetRest
 	}
 )
 
@@ -205,6 +208,23 @@
 	return wait
 }
 
+// RecordRest records that a target has turned a request away and wants no more for a time.
+// It reports whether the target took requests before.
+func (tracker *Tracker) RecordRest(target greengageroute.Target, asked time.Duration) (began bool) {
+	now := time.Now()
+	tracker.update(target.ID, func(stats *TargetStats) {
+		began = stats.rest.Remaining(target.StartUnixMilli, now) == 0
+		stats.rest = stats.rest.WithRest(asked, target.StartUnixMilli, now)
+	})
+	return began
+}
+
+// Rest returns the rest that a target has asked this entry for.
+func (tracker *Tracker) Rest(id string) (rest greengageroute.TargetRest) {
+	tracker.update(id, func(stats *TargetStats) { rest = stats.rest })
+	return rest
+}
+
 // Limits returns the limits that the entry knows, and how many requests it sent lately.
 func (tracker *Tracker) Limits() []mesh.TargetLimit {
 	var limits []mesh.TargetLimit
@@ -236,7 +256,7 @@
 }
 
 // Loads returns the load of each target with running requests. It drops the
-// records of targets that have been idle for a minute.
+// records of targets that have been idle for recordTTL.
 func (tracker *Tracker) Loads() []mesh.Load {
 	var loads []mesh.Load
 	for i := range tracker.shards {
@@ -246,7 +266,7 @@
 			if stats.Running > 0 {
 				idle := time.Since(stats.LastActivity).Milliseconds()
 				loads = append(loads, mesh.Load{Target: id, Running: stats.Running, PrefillTokens: stats.PrefillTokens, IdleMillis: idle})
-			} else if time.Since(stats.LastActivity) > time.Minute {
+			} else if time.Since(stats.LastActivity) > recordTTL {
 				delete(shard.targets, id)
 			}
 		}
--- a/request.go
+++ b/request.go
@@ -61,7 +61,8 @@
 		// together; 0 if it names none.
 		LimitPerSecond float64
 		IdleTimeout    time.Duration
-		RetryAfter     time.Duration // named by an entry that refuses
-		Header         http.Header
+		// RetryAfter is when a target, or an entry, that turns requests away takes them again.
+		RetryAfter time.Duration
+		Header     http.Header
 	}
 )
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -171,6 +171,16 @@
 	return rows, nil
 }
 
+// RecordRest implements platform.Notices.
+func (entry *Entry) RecordRest(target greengageroute.Target, asked time.Duration) {
+	entry.service.RecordRest(target, asked)
+}
+
+// Rest implements control.Rests.
+func (entry *Entry) Rest(target greengageroute.Target) greengageroute.TargetRest {
+	return entry.service.Rest(target)
+}
+
 // Loads implements mesh.Source.
 func (entry *Entry) Loads() []mesh.Load { return entry.service.Tracker().Loads() }
 
