Edge, control, mesh: a target that says it is leaving gets no more requests

The process counts as leaving until it ends, at the planner too. The entry tells the others in its messages at once, for a second (about 20 bytes for each target, 16 targets a message; at 400 entries relays repeat it once), and the answer that it passes on to an isolated entry names the target, which a target can't do itself. Who hears nothing learns it from the target's first answer or from the list. Result: the tests for it are new; the header was not read before.

--- a/control/directory.go
+++ b/control/directory.go
@@ -29,6 +29,9 @@
 	// what this entry knows of the target. A live target writes its row again meanwhile,
 	// and the row of one that has ended lapses.
 	outdatedTTL = 5 * time.Second
+	// leavingTTL is how long an unlisted target counts as leaving: longer than it may go on
+	// serving, cut off from the store.
+	leavingTTL = 10 * time.Minute
 )
 
 type (
@@ -47,6 +50,7 @@
 		outdated      map[string]datedTarget // as rows of a restored store show them, which don't count yet
 		unreachable   map[mesh.TargetInstance]time.Time
 		slow          map[mesh.TargetInstance]time.Time
+		leaving       map[mesh.TargetInstance]time.Time // when they were last listed, or said so
 		routes        *greengageroute.RouteTable
 		watchers      map[uint64]func()
 		lastWatcherID uint64
@@ -70,7 +74,7 @@
 	directory := &Directory{
 		clock: clock, targets: map[string]greengageroute.Target{}, dropAt: map[string]time.Time{},
 		absent: map[string]datedTarget{}, unlisted: map[string]datedTarget{}, outdated: map[string]datedTarget{},
-		unreachable: map[mesh.TargetInstance]time.Time{}, slow: map[mesh.TargetInstance]time.Time{}, watchers: map[uint64]func(){},
+		unreachable: map[mesh.TargetInstance]time.Time{}, slow: map[mesh.TargetInstance]time.Time{}, leaving: map[mesh.TargetInstance]time.Time{}, watchers: map[uint64]func(){},
 		touched: greengageroute.Set[string]{}, memberships: map[replicaID]map[string]*greengageroute.Target{}, open: map[replicaID]greengageroute.Replica{},
 	}
 	directory.view.Store(&View{})
@@ -221,6 +225,29 @@
 	return added
 }
 
+// MarkLeaving marks targets that say that they are leaving, until their processes end. It
+// returns those that were not marked before.
+func (directory *Directory) MarkLeaving(instances ...mesh.TargetInstance) []mesh.TargetInstance {
+	directory.mu.Lock()
+	var added []mesh.TargetInstance
+	for _, instance := range instances {
+		if _, known := directory.leaving[instance]; !known {
+			added = append(added, instance)
+		}
+	}
+	directory.mu.Unlock()
+	if len(added) == 0 {
+		return nil
+	}
+	directory.update(func() {
+		for _, instance := range added {
+			directory.leaving[instance] = directory.clock.Now()
+			directory.touched.Add(instance.ID)
+		}
+	})
+	return added
+}
+
 // MarkSlow marks targets that reported that they are slow. It returns those that
 // were not marked within the last half of slowTTL.
 func (directory *Directory) MarkSlow(instances ...mesh.TargetInstance) []mesh.TargetInstance {
@@ -259,8 +286,8 @@
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
 	var unlisted []mesh.TargetInstance
-	for id, removed := range directory.unlisted {
-		unlisted = append(unlisted, mesh.TargetInstance{ID: id, StartUnixMilli: removed.target.StartUnixMilli})
+	for _, removed := range directory.unlisted {
+		unlisted = append(unlisted, removed.target.Instance())
 	}
 	return unlisted
 }
@@ -269,6 +296,7 @@
 func (directory *Directory) Expire() {
 	now := directory.clock.Now()
 	directory.mu.Lock()
+	directory.expireLeaving(now)
 	due := false
 	for _, at := range directory.dropAt {
 		due = due || !at.After(now)
@@ -309,6 +337,18 @@
 	})
 }
 
+// expireLeaving forgets leaving targets that have long not been listed. The caller holds the
+// lock.
+func (directory *Directory) expireLeaving(now time.Time) {
+	maps.DeleteFunc(directory.leaving, func(instance mesh.TargetInstance, since time.Time) bool {
+		if target, listed := directory.targets[instance.ID]; listed && target.StartUnixMilli == instance.StartUnixMilli {
+			directory.leaving[instance] = now
+			return false
+		}
+		return now.Sub(since) > leavingTTL
+	})
+}
+
 // touch marks a target that the current update may have changed. It returns true.
 func (directory *Directory) touch(id string) bool {
 	directory.touched.Add(id)
--- a/control/prober.go
+++ b/control/prober.go
@@ -142,7 +142,7 @@
 		probes.Go(func() {
 			report, alive := prober.probeTarget(member)
 			if !alive {
-				failed <- mesh.TargetInstance{ID: member.ID, StartUnixMilli: member.StartUnixMilli}
+				failed <- member.Instance()
 			} else if report.Slowdown >= slowdownLimit {
 				prober.reportSlow(member, report.Slowdown)
 			}
@@ -172,7 +172,7 @@
 
 // reportSlow marks a member as slow, so that the planner looks for a replacement.
 func (prober *Prober) reportSlow(member greengageroute.Target, slowdown float64) {
-	instance := mesh.TargetInstance{ID: member.ID, StartUnixMilli: member.StartUnixMilli}
+	instance := member.Instance()
 	for _, added := range prober.directory.MarkSlow(instance) {
 		prober.counters.Add(CountTargetsSlow, 1)
 		prober.log.Info("target is slow", "target", added.ID, "pace", slowdown, "replica", member.Membership.Replica, "epoch", member.Membership.Epoch)
--- a/control/view.go
+++ b/control/view.go
@@ -9,7 +9,6 @@
 	"sync"
 
 	greengageroute "greengageroute.example/greengageroute"
-	"greengageroute.example/greengageroute/mesh"
 )
 
 // viewShards is the number of parts of a view's targets. A change copies only the
@@ -150,11 +149,14 @@
 		target = removed.target
 		target.Unlisted = true
 	}
+	if _, leaving := directory.leaving[target.Instance()]; leaving {
+		target.State = greengageroute.TargetLeaving
+	}
 	return target, !directory.isUnreachable(target)
 }
 
 func (directory *Directory) isUnreachable(target greengageroute.Target) bool {
-	_, unreachable := directory.unreachable[mesh.TargetInstance{ID: target.ID, StartUnixMilli: target.StartUnixMilli}]
+	_, unreachable := directory.unreachable[target.Instance()]
 	return unreachable
 }
 
--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/upstream"
@@ -23,10 +24,13 @@
 	service := exchange.service
 	service.Counters.Add(CountUnframedAnswers, 1)
 	confirmed := false
-	if exchange.pool.Engine != nil {
+	switch now := time.Now(); {
+	case exchange.pool.Engine != nil:
 		confirmed = service.Prober.SameProcess(target)
-	} else {
-		confirmed = service.Sender.ServesKeptConnection(ctx, target, exchange.pool.HealthPath, answer.SentAt)
+	case service.Rest(target).Remaining(target.StartUnixMilli, now) == 0:
+		var head greengageroute.AnswerHead
+		head, confirmed = service.Sender.ServesKeptConnection(ctx, target, exchange.pool.HealthPath, answer.SentAt)
+		exchange.recordNotices(target, head, now)
 	}
 	service.Log.V(1).Info("answer ended with its connection", "id", exchange.ID, "target", target.ID, "born", target.StartUnixMilli, "status", answer.Status,
 		"after-event", exchange.LastEventID, "confirmed", confirmed)
--- a/edge/call.go
+++ b/edge/call.go
@@ -108,7 +108,7 @@
 		exchange.checkCrash(ctx, target, began, greengageroute.AnswerProgress{}, err)
 		return nil, nil, err
 	}
-	service.recordNotices(target, answer, began)
+	exchange.recordNotices(target, answer.AnswerHead, began)
 	body, err = readAnswer(answer)
 	answer.Close(err == nil)
 	if answer.NotRun {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -42,6 +42,9 @@
 		targetsAccept  bool
 		confirmations  []bool // whether targets confirm the ends of their answers, in order
 		liveEntries    int
+		health         greengageroute.AnswerHead // answer to health checks
+		// reportedLeaving are the targets reported to the peers.
+		reportedLeaving []greengageroute.TargetInstance
 	}
 )
 
@@ -52,6 +55,10 @@
 func (fixture *fixture) IsFullMesh() bool                            { return true }
 func (fixture *fixture) Limits() map[string]greengageroute.PeerLimit { return nil }
 func (fixture *fixture) ReportSound(...greengageroute.CrashCause)    {}
+func (fixture *fixture) ReportLeaving(leaving ...greengageroute.TargetInstance) {
+	fixture.reportedLeaving = append(fixture.reportedLeaving, leaving...)
+}
+
 func (fixture *fixture) ReportCrash(report greengageroute.CrashReport) {
 	fixture.mu.Lock()
 	defer fixture.mu.Unlock()
@@ -75,8 +82,8 @@
 
 func (fixture *fixture) SameProcess(greengageroute.Target) bool { return fixture.confirm() }
 
-func (fixture *fixture) ServesKeptConnection(_ context.Context, _ greengageroute.Target, path string, _ time.Time) bool {
-	return fixture.confirm() && path == "/health"
+func (fixture *fixture) ServesKeptConnection(_ context.Context, _ greengageroute.Target, path string, _ time.Time) (greengageroute.AnswerHead, bool) {
+	return fixture.health, fixture.confirm() && path == "/health"
 }
 
 func (fixture *fixture) confirm() bool {
@@ -114,13 +121,14 @@
 func (calmDependencies) LinksWork() bool                                    { return true }
 func (calmDependencies) Isolated() bool                                     { return false }
 func (calmDependencies) ReportCrash(greengageroute.CrashReport)             {}
+func (calmDependencies) ReportLeaving(...greengageroute.TargetInstance)     {}
 func (calmDependencies) ReportSound(...greengageroute.CrashCause)           {}
 func (calmDependencies) ProbeReplica(greengageroute.Replica)                {}
 func (calmDependencies) AcceptsConnections(greengageroute.Target) bool      { return true }
 func (calmDependencies) HasIdleConnection(greengageroute.Target, bool) bool { return true }
 func (calmDependencies) SameProcess(greengageroute.Target) bool             { return true }
-func (calmDependencies) ServesKeptConnection(context.Context, greengageroute.Target, string, time.Time) bool {
-	return true
+func (calmDependencies) ServesKeptConnection(context.Context, greengageroute.Target, string, time.Time) (greengageroute.AnswerHead, bool) {
+	return greengageroute.AnswerHead{}, true
 }
 
 var (
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -42,6 +42,8 @@
 		// LoadChanged notifies the peers that a request was sent.
 		LoadChanged()
 		ReportCrash(report greengageroute.CrashReport)
+		// ReportLeaving notifies the peers of targets that say that they are leaving.
+		ReportLeaving(leaving ...greengageroute.TargetInstance)
 		// ReportSound notifies the peers of causes that crash no targets.
 		ReportSound(causes ...greengageroute.CrashCause)
 		// Active reports whether any entry has received something from the target
@@ -75,7 +77,7 @@
 		HasIdleConnection(target greengageroute.Target, atMostOnce bool) bool
 		// ServesKeptConnection reports whether a target answers a health check on a
 		// connection that was opened before the given time.
-		ServesKeptConnection(ctx context.Context, target greengageroute.Target, healthPath string, openedBefore time.Time) bool
+		ServesKeptConnection(ctx context.Context, target greengageroute.Target, healthPath string, openedBefore time.Time) (greengageroute.AnswerHead, bool)
 	}
 
 	// Dependencies holds the parts that a Service needs.
@@ -173,6 +175,9 @@
 	CountHelped    = "requests-of-other-entries"
 	// CountLimitsNamed counts the limits that targets began to name.
 	CountLimitsNamed = "target-limits-named"
+	// CountTargetsLeaving counts the targets that said in an answer that they are leaving,
+	// before the list or another entry did.
+	CountTargetsLeaving = "targets-leaving-by-answer"
 	// CountRests counts the rests that targets asked for.
 	CountRests = "target-rests"
 	// CountLimited counts requests refused because all targets are at their limits or at rest.
@@ -269,7 +274,7 @@
 }
 
 // recordLimit records the limit that a target names in its answer.
-func (service *Service) recordLimit(target greengageroute.Target, answer *upstream.Answer, sentAt time.Time) {
+func (service *Service) recordLimit(target greengageroute.Target, answer greengageroute.AnswerHead, sentAt time.Time) {
 	if !service.tracker.RecordLimit(target.ID, answer.LimitPerSecond, sentAt) {
 		return
 	}
@@ -281,10 +286,10 @@
 	}
 }
 
-// recordNotices records what a target says about itself in an answer to a request, or in
-// the response to an order or a probe. The answer of another target that has its address
-// says nothing.
-func (service *Service) recordNotices(target greengageroute.Target, answer *upstream.Answer, sentAt time.Time) {
+// recordNotices records what a target says about itself in an answer. The answer of another
+// target that has its address says nothing.
+func (exchange *exchange) recordNotices(target greengageroute.Target, answer greengageroute.AnswerHead, sentAt time.Time) {
+	service := exchange.service
 	if answer.Status == http.StatusMisdirectedRequest && answer.Instance != target.ID {
 		return
 	}
@@ -292,6 +297,23 @@
 	if answer.Status == http.StatusServiceUnavailable {
 		service.RecordRest(target, answer.RetryAfter)
 	}
+	if answer.Leaving {
+		if exchange.forwarded {
+			platform.NameTarget(exchange.writer.Header(), target.Instance())
+		}
+		service.RecordLeaving(target.Instance())
+	}
+}
+
+// RecordLeaving records that a target says that it is leaving, and notifies the peers. It
+// gets no more requests.
+func (service *Service) RecordLeaving(instance greengageroute.TargetInstance) {
+	if len(service.Directory.MarkLeaving(instance)) == 0 {
+		return
+	}
+	service.Counters.Add(CountTargetsLeaving, 1)
+	service.Log.Info("target says that it is leaving", "target", instance.ID, "born", instance.StartUnixMilli)
+	service.Peers.ReportLeaving(instance)
 }
 
 // RecordRest records that a target has turned a request, an order or a probe away and wants
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -110,6 +110,9 @@
 		return false, err
 	}
 	exchange.triedTargets += address + " "
+	if err == nil && answer.ForwardedFrom.ID != "" {
+		service.RecordLeaving(answer.ForwardedFrom)
+	}
 	if err == nil && !answer.Signed && (answer.NotRun || answer.ID == "") {
 		answer.Close(false)
 		return false, helperRefusal(answer)
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -258,7 +258,7 @@
 		return false, replicaLossOr(ctx, err)
 	}
 	defer func() { attempt.answer.Close(complete) }()
-	service.recordNotices(head, attempt.answer, attempt.sentAt)
+	exchange.recordNotices(head, attempt.answer.AnswerHead, attempt.sentAt)
 	if attempt.answer.NotRun {
 		return false, errNotRun
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -25,6 +25,7 @@
 	unreachable          []TargetInstance
 	lease                LeaseUpdate
 	slow                 []TargetInstance
+	leaving              []TargetInstance
 	leaseUpdates         []LeaseUpdate
 	readsStore, isolated atomic.Bool
 	refused              []greengageroute.QuarantineVerdict
@@ -60,6 +61,12 @@
 	entry.slow = append(entry.slow, slow...)
 }
 
+func (entry *testEntry) TargetsLeaving(_ string, leaving []TargetInstance) {
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	entry.leaving = append(entry.leaving, leaving...)
+}
+
 func (entry *testEntry) CrashesReported(_ string, crashes []greengageroute.CrashReport) {
 	entry.mu.Lock()
 	defer entry.mu.Unlock()
@@ -335,10 +342,11 @@
 	}
 	entries[39].ReportUnreachable(TargetInstance{ID: "i-9", StartUnixMilli: 4})
 	entries[39].ReportSlow(TargetInstance{ID: "i-9", StartUnixMilli: 4})
-	waitUntil(t, "the unreachable target, the slow target and the lease are known to all", func() bool {
+	entries[39].ReportLeaving(TargetInstance{ID: "i-9", StartUnixMilli: 4}) // the same target as the slow one
+	waitUntil(t, "the unreachable target, the slow target, the leaving target and the lease are known to all", func() bool {
 		for _, entry := range entries[:39] {
 			entry.mu.Lock()
-			known := len(entry.unreachable) > 0 && len(entry.slow) > 0 && (entry == entries[0] || len(entry.leaseUpdates) > 0)
+			known := len(entry.unreachable) > 0 && len(entry.slow) > 0 && len(entry.leaving) > 0 && (entry == entries[0] || len(entry.leaseUpdates) > 0)
 			entry.mu.Unlock()
 			if !known {
 				return false
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -75,6 +75,8 @@
 		ConfigVersion uint64 `cbor:"24,keyasint,omitempty"`
 		// Isolated is set if no target responds to the sender.
 		Isolated bool `cbor:"25,keyasint,omitempty"`
+		// TargetsLeaving are targets that say that they are leaving.
+		TargetsLeaving []TargetInstance `cbor:"26,keyasint,omitempty"`
 	}
 
 	// LoadRange is the range of target ids whose loads a message has: from the first,
@@ -111,10 +113,7 @@
 	}
 
 	// TargetInstance is a target from one start to the next.
-	TargetInstance struct {
-		ID             string `cbor:"1,keyasint"`
-		StartUnixMilli int64  `cbor:"2,keyasint"`
-	}
+	TargetInstance = greengageroute.TargetInstance
 
 	// LeaseUpdate is the planner's lease as the sender last wrote it.
 	LeaseUpdate struct {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -71,6 +71,7 @@
 	Sink interface {
 		TargetsUnreachable(from string, unreachable []TargetInstance)
 		TargetsSlow(from string, slow []TargetInstance)
+		TargetsLeaving(from string, leaving []TargetInstance)
 		CrashesReported(from string, crashes []greengageroute.CrashReport)
 		CausesFoundSound(from string, causes []greengageroute.CrashCause)
 		CausesQuarantined(from string, verdicts []greengageroute.QuarantineVerdict)
@@ -96,6 +97,7 @@
 		peerAddedAt      time.Time // when a peer from the store's list was last added
 		unreachable      []timestamped[TargetInstance]
 		slow             []timestamped[TargetInstance]
+		targetsLeaving   []timestamped[TargetInstance]
 		crashes          []timestamped[greengageroute.CrashReport]
 		sound            []timestamped[greengageroute.CrashCause]
 		verdictsAt       time.Time          // when the refused causes were last sent
@@ -225,6 +227,16 @@
 	node.requestSend()
 }
 
+// ReportLeaving notifies the peers at once of targets that say that they are leaving.
+func (node *Node) ReportLeaving(leaving ...TargetInstance) {
+	node.mu.Lock()
+	for _, target := range leaving {
+		node.targetsLeaving = append(node.targetsLeaving, timestamped[TargetInstance]{target, node.clock.Now()})
+	}
+	node.mu.Unlock()
+	node.requestSend()
+}
+
 // ReportCrash notifies the peers at once that a target crashed during a request.
 func (node *Node) ReportCrash(report greengageroute.CrashReport) {
 	node.mu.Lock()
@@ -421,6 +433,7 @@
 	message.Sequence = node.sequence
 	node.unreachable, message.Unreachable = currentUpdates(node.unreachable, now, node.sequence, maxUpdates)
 	node.slow, message.Slow = currentUpdates(node.slow, now, node.sequence, maxUpdates)
+	node.targetsLeaving, message.TargetsLeaving = currentUpdates(node.targetsLeaving, now, node.sequence, maxUpdates)
 	node.crashes, message.Crashes = currentUpdates(node.crashes, now, node.sequence, maxCrashUpdates)
 	node.sound, message.Sound = currentUpdates(node.sound, now, node.sequence, maxUpdates)
 	if now.Sub(node.verdictsAt) >= verdictInterval {
@@ -524,6 +537,9 @@
 	if len(message.Slow) > 0 {
 		node.sink.TargetsSlow(message.From, message.Slow)
 	}
+	if len(message.TargetsLeaving) > 0 {
+		node.sink.TargetsLeaving(message.From, message.TargetsLeaving)
+	}
 	if len(message.Crashes) > 0 {
 		node.sink.CrashesReported(message.From, message.Crashes)
 	}
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -48,6 +48,9 @@
 	// type keeps it apart from the key of the same target as an unreachable one.
 	slowUpdate TargetInstance
 
+	// leavingUpdate is the key of a leaving target among the forwarded updates.
+	leavingUpdate TargetInstance
+
 	// crashUpdate is the key of a report among the forwarded updates.
 	crashUpdate struct {
 		crashID        string
@@ -253,6 +256,11 @@
 			node.slow = append(node.slow, timestamped[TargetInstance]{slow, now})
 		}
 	}
+	for _, leaving := range message.TargetsLeaving {
+		if node.isNew(leavingUpdate(leaving), now) {
+			node.targetsLeaving = append(node.targetsLeaving, timestamped[TargetInstance]{leaving, now})
+		}
+	}
 	for _, crash := range message.Crashes {
 		if node.isNew(newCrashUpdate(crash), now) {
 			node.crashes = append(node.crashes, timestamped[greengageroute.CrashReport]{crash, now})
--- a/request.go
+++ b/request.go
@@ -61,6 +61,11 @@
 		// together; 0 if it names none.
 		LimitPerSecond float64
 		IdleTimeout    time.Duration
+		// Leaving reports that the target says that it is leaving.
+		Leaving bool
+		// ForwardedFrom is the target whose answer another entry passes on, if that target
+		// is leaving.
+		ForwardedFrom TargetInstance
 		// RetryAfter is when a target, or an entry, that turns requests away takes them again.
 		RetryAfter time.Duration
 		Header     http.Header
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -176,6 +176,11 @@
 	entry.service.RecordRest(target, asked)
 }
 
+// RecordLeaving implements platform.Notices.
+func (entry *Entry) RecordLeaving(target greengageroute.Target) {
+	entry.service.RecordLeaving(target.Instance())
+}
+
 // Rest implements control.Rests.
 func (entry *Entry) Rest(target greengageroute.Target) greengageroute.TargetRest {
 	return entry.service.Rest(target)
@@ -232,6 +237,11 @@
 	}
 }
 
+// TargetsLeaving implements mesh.Sink.
+func (entry *Entry) TargetsLeaving(_ string, leaving []mesh.TargetInstance) {
+	entry.directory.MarkLeaving(leaving...)
+}
+
 // CrashesReported implements mesh.Sink.
 func (entry *Entry) CrashesReported(_ string, crashes []greengageroute.CrashReport) {
 	for _, report := range crashes {
--- a/target.go
+++ b/target.go
@@ -54,6 +54,12 @@
 		Unlisted bool
 	}
 
+	// TargetInstance is a target from one start of its process to the next.
+	TargetInstance struct {
+		ID             string `cbor:"1,keyasint"`
+		StartUnixMilli int64  `cbor:"2,keyasint"`
+	}
+
 	// Membership is a target's place in a replica. The zero value means none.
 	Membership struct {
 		Replica string
@@ -75,6 +81,11 @@
 	}
 )
 
+// Instance returns the target as it is until its process ends.
+func (target Target) Instance() TargetInstance {
+	return TargetInstance{target.ID, target.StartUnixMilli}
+}
+
 // BelongsTo reports whether the membership is of the replica under the epoch.
 func (member Membership) BelongsTo(replica string, epoch uint64) bool {
 	return member.Replica == replica && member.Epoch == epoch
--- a/upstream/keptconnection.go
+++ b/upstream/keptconnection.go
@@ -12,8 +12,9 @@
 
 // ServesKeptConnection reports whether a target answers a health check on a connection
 // that was opened before the given time. A process that ends closes all its connections,
-// so the one that answers is the one that was running then.
-func (client *Client) ServesKeptConnection(ctx context.Context, target greengageroute.Target, healthPath string, openedBefore time.Time) bool {
+// so the one that answers is the one that was running then. It returns the answer's head,
+// which is zero if there is none.
+func (client *Client) ServesKeptConnection(ctx context.Context, target greengageroute.Target, healthPath string, openedBefore time.Time) (greengageroute.AnswerHead, bool) {
 	ctx, cancel := context.WithTimeout(ctx, keptConnectionTimeout)
 	defer cancel()
 	key := poolKey(target)
@@ -30,9 +31,9 @@
 		_, err = io.Copy(io.Discard, io.LimitReader(answer.Body, maxForeignBytes))
 		answer.Close(err == nil)
 		// Any status will do, but a copy of an earlier answer names no instance.
-		return answer.Instance == target.ID
+		return answer.AnswerHead, answer.Instance == target.ID
 	}
-	return false
+	return greengageroute.AnswerHead{}, false
 }
 
 func (client *Client) popOpenedBefore(key string, openedBefore time.Time) *conn {
--- a/upstream/keptconnection_test.go
+++ b/upstream/keptconnection_test.go
@@ -100,14 +100,14 @@
 			process := startProcess(t, "i-1", "127.0.0.1:0")
 			target, client := process.target(), NewClient(func() {})
 			sentAt := sendUnframed(t, client, target, true)
-			if client.ServesKeptConnection(context.Background(), target, "/health", sentAt) {
+			if _, confirmed := client.ServesKeptConnection(context.Background(), target, "/health", sentAt); confirmed {
 				t.Fatal("confirmed without a connection from before the request")
 			}
 			// The target is now known to send such answers.
 			sentAt = sendUnframed(t, client, target, true)
 			test.after(t, process)
 			time.Sleep(20 * time.Millisecond) // the connections' end arrives
-			if confirmed := client.ServesKeptConnection(context.Background(), target, "/health", sentAt); confirmed != test.confirmed {
+			if _, confirmed := client.ServesKeptConnection(context.Background(), target, "/health", sentAt); confirmed != test.confirmed {
 				t.Errorf("confirmed: %t, want %t", confirmed, test.confirmed)
 			}
 		})
