Upstream: a copy of an earlier refusal is no answer to the next request

Cause: an error answer without an attempt id counted as the request's own on any connection. Change: it does only on a connection that has carried nothing else, which is then closed. On a kept one, whose target has echoed ids, it is skipped like one with another id; if the request's own answer doesn't follow within a second, the request may have run.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -45,8 +45,11 @@
 	maxHeadBytes    = 64 << 10
 	maxForeignBytes = 1 << 20
 	// maxResponses is how many responses are read in search of the request's own.
-	// Late answers to earlier requests and 1xx responses are skipped.
+	// Late answers to earlier requests, copies of them and 1xx responses are skipped.
 	maxResponses = 3
+	// maxForeignWait is how long the request's own answer is awaited after a refusal that
+	// bears no id on a connection that has carried answers with ids.
+	maxForeignWait = time.Second
 	// unframedTTL is how long after an answer without length and chunks the targets of its
 	// pool are expected to send such answers again.
 	unframedTTL = time.Minute
@@ -102,6 +105,7 @@
 		limit       *limitedReader
 		reader      *bufio.Reader // reads from limit
 		openedAt    time.Time
+		exchanges   int // requests sent
 		idleSince   time.Time
 		idleTimeout time.Duration // announced by the target; 0 if none is
 		written     chan error    // result of a body that is written in the background; nil without one
@@ -168,6 +172,7 @@
 // exchange sends an attempt on a connection and reads the head of its answer.
 func (client *Client) exchange(ctx context.Context, conn *conn, key string, request greengageroute.Request, attempt greengageroute.Attempt) (*Answer, error) {
 	target, sentAt := attempt.Target, time.Now()
+	conn.exchanges++
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	lost := func(cause error) error {
 		stop()
@@ -189,8 +194,15 @@
 			continue
 		}
 		head := platform.DecodeAnswer(response)
-		if head.ID == request.ID || head.ID == "" && head.Status >= http.StatusBadRequest {
+		refusedWithoutID := head.ID == "" && head.Status >= http.StatusBadRequest
+		if head.ID == request.ID || refusedWithoutID && conn.exchanges == 1 {
 			conn.idleTimeout = head.IdleTimeout
+			// Once the connection is kept, a refusal without an id may be a copy of an
+			// earlier one.
+			head.CloseConnection = head.CloseConnection || head.ID != request.ID
+			if err := conn.SetReadDeadline(time.Time{}); err != nil {
+				return nil, lost(err)
+			}
 			if head.EndsWithConnection {
 				client.recordUnframed(target.Pool)
 			}
@@ -203,6 +215,11 @@
 		if err != nil {
 			return nil, lost(err)
 		}
+		if refusedWithoutID {
+			if err := conn.SetReadDeadline(time.Now().Add(maxForeignWait)); err != nil {
+				return nil, lost(err)
+			}
+		}
 	}
 	return nil, lost(errors.New("received only answers to other requests"))
 }
