Edge: what resumes a stream consists of events

Cause, here: a second answer with another status was left out already, but one with status 200 was forwarded whatever its type: a JSON error stood in the stream, an empty text ended it. Change: an answer that resumes a stream and names a type other than that of events is left out; the next target is tried, or the stream broken off.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -284,6 +284,17 @@
 	}
 }
 
+// ofType is a step of a script: the target returns a success with a content type.
+func ofType(contentType, body string) func(context.Context, greengageroute.Attempt) (*upstream.Answer, error) {
+	return func(ctx context.Context, attempt greengageroute.Attempt) (*upstream.Answer, error) {
+		answer, err := answers(200, body)(ctx, attempt)
+		answer.Header.Set("Content-Type", contentType)
+		return answer, err
+	}
+}
+
+// TestStreamsResumeAtAnotherReplica guards against streams that miss events or have them
+// twice, that look complete and aren't, or that contain the error of a second target.
 func TestStreamsResumeAtAnotherReplica(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -298,6 +309,11 @@
 		{"ended within an event", script{answers(200, events(1, 2)+"id: 3\ndata: t"), answers(200, events(3, 4))}, events(1, 4), false},
 		{"ended after the line of an event", script{answers(200, events(1, 2)+"id: 3\ndata: t3\n"), answers(200, events(3, 4))}, events(1, 4), false},
 		{"ended within an event twice", script{answers(200, events(1, 2)+"id: 3"), answers(200, "id: 3\n")}, events(1, 2), true},
+		{"the second target answers with an error", script{aborts(events(1, 2)), answers(500, "HTTP/1.1 500 failed")}, events(1, 2), true},
+		{"the second target refuses for good", script{aborts(events(1, 2)), answers(404, "not here")}, events(1, 2), true},
+		{"the second target didn't run it", script{aborts(events(1, 2)), rejects}, events(1, 2), true},
+		{"the second target sends an error as a success", script{aborts(events(1, 2)), ofType("application/json", "{\"error\": 500}")}, events(1, 2), true},
+		{"the second target sends an empty text", script{aborts(events(1, 2)), ofType("text/plain", "")}, events(1, 2), true},
 		{"aborted twice", script{aborts(events(1, 2)), aborts(events(3, 3))}, events(1, 3), true},
 	}
 	for _, test := range tests {
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -46,6 +46,9 @@
 	// errEndedWithinEvent is returned for a stream that ends without an error after a
 	// part of an event: its target has broken it off.
 	errEndedWithinEvent = errors.New("the stream ended within an event")
+	// errNotEvents is returned for the answer to a request to resume a stream that is no
+	// stream, such as the text of an error.
+	errNotEvents = errors.New("the stream was to be resumed, and the answer consists of no events")
 	// errEndedByEntry is returned for a stream that another entry, which frames all its
 	// answers, ended without a frame.
 	errEndedByEntry = errors.New("the other entry broke the stream off")
@@ -325,6 +328,9 @@
 
 // forwardEvents forwards complete events until the stream ends.
 func (attempt *streamAttempt) forwardEvents(ctx context.Context) (complete bool, err error) {
+	if attempt.exchange.headerSent && !attempt.isEventStream() {
+		return false, errNotEvents
+	}
 	attempt.reader = bufio.NewReaderSize(attempt.answer.Body, 1<<10)
 	var event []byte
 	for {
