Edge: 503 and the like promise only what the target states

Found while listing what is taken as word of a run: a target's 503 or 429 without the header that it wasn't run reached the caller of a non-idempotent call unchanged, where it promises that the call has not run (REFUSED). Change: such a call is answered 502. Idempotent ones and resumable streams are delivered as before.

--- a/edge/call.go
+++ b/edge/call.go
@@ -142,8 +142,23 @@
 	return exchange.noAnswerError(http.StatusGatewayTimeout, "the request timed out", 0)
 }
 
-// deliver sends a target's answer to the caller unchanged.
+// promisesNotRun reports whether callers take a status for a promise that their request has
+// not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// deliver sends a target's answer to the caller unchanged, unless its status promises what
+// the target doesn't state.
 func (exchange *exchange) deliver(answer *upstream.Answer, body []byte) error {
+	if promisesNotRun(answer.Status) && !answer.NotRun && !exchange.route.Retryable() && !exchange.route.Resumable {
+		return exchange.noAnswerError(http.StatusBadGateway, "the target failed with status "+strconv.Itoa(answer.Status), 0)
+	}
 	header := exchange.writer.Header()
 	for name, values := range answer.Header {
 		header[name] = values
