--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -27,7 +27,7 @@
 	switch now := time.Now(); {
 	case exchange.pool.Engine != nil:
 		confirmed = service.Prober.SameProcess(target)
-	case service.Rest(target).Remaining(target.StartUnixMilli, now) == 0:
+	case exchange.pool.HealthPath != "" && service.Rest(target).Remaining(target.StartUnixMilli, now) == 0:
 		var head greengageroute.AnswerHead
 		head, confirmed = service.Sender.ServesKeptConnection(ctx, target, exchange.pool.HealthPath, answer.SentAt)
 		exchange.recordNotices(target, head, now)
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -104,7 +104,7 @@
 			route("chat", "/chat/", "streaming", "llm"), route("post", "/post/", "non_idempotent", "ledger"), route("get", "/get/", "idempotent", "ledger"),
 		},
 		"services": []any{
-			map[string]any{"name": "ledger"},
+			map[string]any{"name": "ledger", "health_path": standin.HealthPath},
 			map[string]any{"name": "llm", "engine": map[string]any{
 				"slots": 8, "stride": 2, "step_ms": 5, "read_per_s": 50000, "chunk": 512, "loads_per_s": 20, "loads_at_once": 20,
 				"usual":  map[string]any{"prompt": 100, "answer": 60},
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -207,6 +207,28 @@
 	}
 }
 
+// troubleTargets has random targets answer in trouble, or say that they are leaving, until
+// the deadline, on its own beside the other faults.
+func (soak *soak) troubleTargets(random *rand.Rand, deadline time.Time) {
+	targets := slices.Concat(soak.modelTargets, soak.plainTargets)
+	for time.Now().Before(deadline) {
+		target := targets[random.IntN(len(targets))]
+		trouble := standin.Trouble{
+			Kind: standin.EndUnframed + standin.TroubleKind(random.IntN(6)), Share: []float64{0.1, 0.5, 1}[random.IntN(3)],
+			Rest: time.Duration(100+random.IntN(3000)) * time.Millisecond,
+		}
+		duration := time.Duration(200+random.IntN(2000)) * time.Millisecond
+		soak.logFault("%s: %s, a share of %.1f, for %s", target.ID, trouble.Kind, trouble.Share, duration)
+		target.SetTrouble(trouble)
+		time.Sleep(duration)
+		target.SetTrouble(standin.Trouble{})
+		if random.IntN(8) == 0 && target != soak.plainTargets[1] { // one plain target remains
+			soak.logFault("%s says that it is leaving", target.ID)
+			target.SayLeaving()
+		}
+	}
+}
+
 // restart stops an entry with the signal and starts it again.
 func (soak *soak) restart(entry *entryProcess, signal syscall.Signal) {
 	_ = entry.cmd.Process.Signal(syscall.SIGCONT)
@@ -261,6 +283,8 @@
 			soak.t.Errorf("%+v was refused, though its key and route are valid", request)
 		case request.status == 200 && request.path == "/chat/x" && request.body != expectedStream():
 			soak.t.Errorf("stream %s with status 200 has body %q, want all 30 events", request.id, request.body)
+		case callerResult{request.path, request.id, request.status, request.body}.isCut():
+			soak.t.Errorf("call %+v with status 200 has not the whole answer of a target", request)
 		case request.status == 200:
 			soak.succeeded++
 		}
@@ -338,8 +362,9 @@
 				random := rand.New(rand.NewPCG(seed, uint64(10+name)))
 				callers.Go(func() { soak.runCaller(name, random, deadline) })
 			}
-			if !slices.Contains(soakRegressions, seed) { // found without restorations
+			if !slices.Contains(soakRegressions, seed) { // found without these faults
 				callers.Go(func() { soak.restoreStore(rand.New(rand.NewPCG(seed, 30)), deadline) })
+				callers.Go(func() { soak.troubleTargets(rand.New(rand.NewPCG(seed, 40)), deadline) })
 			}
 			for time.Now().Before(deadline) {
 				soak.injectFault(&pendingUndos)
