Control: a head that no longer serves its replica confirms no answer

Found while listing what is taken as word of a run: a head whose replica broke, or was closed at once, cuts its requests off and goes on running, so that its process alone doesn't show that an answer without length and chunks is whole. Change: the report has to show the same replica, open or letting its requests end.

--- a/control/prober.go
+++ b/control/prober.go
@@ -280,11 +280,17 @@
 	return true
 }
 
-// SameProcess reports whether a target responds and its process is still the listed one,
-// by the time of its start.
-func (prober *Prober) SameProcess(target greengageroute.Target) bool {
-	report, alive := prober.probeTarget(target)
-	return alive && report.StartUnixMilli != 0 && report.StartUnixMilli == target.StartUnixMilli
+// StillServes reports whether the head of a replica responds, is still the listed process, by
+// the time of its start, and serves its replica: one that has lost a member, or was told to
+// abort its requests, doesn't.
+func (prober *Prober) StillServes(head greengageroute.Target) bool {
+	report, alive := prober.probeTarget(head)
+	if !alive || report.StartUnixMilli == 0 || report.StartUnixMilli != head.StartUnixMilli {
+		return false
+	}
+	member := report.Membership
+	return member.BelongsTo(head.Membership.Replica, head.Membership.Epoch) &&
+		(member.State == greengageroute.MemberOpen || member.State == greengageroute.MemberClosing)
 }
 
 // Isolated reports whether most targets don't respond to this entry, which says nothing about
--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -28,6 +28,7 @@
 	startUnixMilli int64
 	err            error
 	noReply        bool
+	membership     greengageroute.Membership
 }
 
 func (reporter *scriptedReporter) Report(_ context.Context, _ greengageroute.Target, timeout time.Duration) (greengageroute.TargetReport, error) {
@@ -40,7 +41,7 @@
 	if step.noReply {
 		return greengageroute.TargetReport{}, errors.New("no response")
 	}
-	return greengageroute.TargetReport{StartUnixMilli: step.startUnixMilli}, step.err
+	return greengageroute.TargetReport{StartUnixMilli: step.startUnixMilli, Membership: step.membership}, step.err
 }
 
 type fakeNotifier struct{ slow []mesh.TargetInstance }
@@ -168,19 +169,27 @@
 	return ids
 }
 
-// TestProcessIsToldByItsStart guards against a restarted target that vouches for an answer
-// which its crash cut off.
-func TestProcessIsToldByItsStart(t *testing.T) {
+// TestHeadStillServes guards against a head that vouches for an answer which was cut off as it
+// restarted, lost a member or closed.
+func TestHeadStillServes(t *testing.T) {
+	membership := func(epoch uint64, state greengageroute.MemberState) greengageroute.Membership {
+		return greengageroute.Membership{Replica: "r1", Epoch: epoch, State: state}
+	}
+	open := membership(5, greengageroute.MemberOpen)
 	tests := []struct {
 		name   string
 		listed int64
 		report scriptedReport
-		same   bool
+		serves bool
 	}{
-		{"the listed process", 7, scriptedReport{startUnixMilli: 7}, true},
-		{"a process that started later", 7, scriptedReport{startUnixMilli: 8}, false},
-		{"a report without a start", 7, scriptedReport{}, false},
-		{"neither states a start", 0, scriptedReport{}, false},
+		{"the listed process", 7, scriptedReport{startUnixMilli: 7, membership: open}, true},
+		{"it closes and lets requests end", 7, scriptedReport{startUnixMilli: 7, membership: membership(5, greengageroute.MemberClosing)}, true},
+		{"it has lost a member", 7, scriptedReport{startUnixMilli: 7, membership: membership(5, greengageroute.MemberBroken)}, false},
+		{"it has closed", 7, scriptedReport{startUnixMilli: 7, membership: membership(5, greengageroute.MemberReady)}, false},
+		{"it has joined another replica", 7, scriptedReport{startUnixMilli: 7, membership: membership(6, greengageroute.MemberOpen)}, false},
+		{"a process that started later", 7, scriptedReport{startUnixMilli: 8, membership: open}, false},
+		{"a report without a start", 7, scriptedReport{membership: open}, false},
+		{"neither states a start", 0, scriptedReport{membership: open}, false},
 		{"no response", 7, scriptedReport{noReply: true}, false},
 		{"another target has the address", 7, scriptedReport{err: &greengageroute.OrderRefusedError{Target: "i-1", Status: 421}}, false},
 	}
@@ -189,8 +198,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				reporter := &scriptedReporter{script: []scriptedReport{test.report}}
 				prober := NewProber("a", reporter, NewDirectory(greengageroute.RuntimeClock{}), &fakeNotifier{}, greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
-				if same := prober.SameProcess(greengageroute.Target{ID: "i-1", StartUnixMilli: test.listed}); same != test.same {
-					t.Errorf("same process: %t, want %t", same, test.same)
+				head := greengageroute.Target{ID: "i-1", StartUnixMilli: test.listed, Membership: open}
+				if serves := prober.StillServes(head); serves != test.serves {
+					t.Errorf("still serves: %t, want %t", serves, test.serves)
 				}
 			})
 		})
--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -15,8 +15,9 @@
 
 // confirmEnd returns an error for an answer that was read to its end and may be cut off.
 // With a length or chunks it is complete. Without them it is taken for complete if the
-// process that sent it still runs: an engine's state report shows the start of the process,
-// other targets are asked on a connection that they accepted before the request.
+// process that sent it still runs: an engine's state report shows the start of the process
+// and whether it still serves its replica, other targets are asked on a connection that they
+// accepted before the request.
 func (exchange *exchange) confirmEnd(ctx context.Context, target greengageroute.Target, answer *upstream.Answer) error {
 	if !answer.EndsWithConnection {
 		return nil
@@ -26,7 +27,7 @@
 	confirmed := false
 	switch now := time.Now(); {
 	case exchange.pool.Engine != nil:
-		confirmed = service.Prober.SameProcess(target)
+		confirmed = service.Prober.StillServes(target)
 	case exchange.pool.HealthPath != "" && service.Rest(target).Remaining(target.StartUnixMilli, now) == 0:
 		var head greengageroute.AnswerHead
 		head, confirmed = service.Sender.ServesKeptConnection(ctx, target, exchange.pool.HealthPath, answer.SentAt)
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -80,7 +80,7 @@
 
 func (fixture *fixture) HasIdleConnection(greengageroute.Target, bool) bool { return false }
 
-func (fixture *fixture) SameProcess(greengageroute.Target) bool { return fixture.confirm() }
+func (fixture *fixture) StillServes(greengageroute.Target) bool { return fixture.confirm() }
 
 func (fixture *fixture) ServesKeptConnection(_ context.Context, _ greengageroute.Target, path string, _ time.Time) (greengageroute.AnswerHead, bool) {
 	return fixture.health, fixture.confirm() && path == "/health"
@@ -126,7 +126,7 @@
 func (calmDependencies) ProbeReplica(greengageroute.Replica)                {}
 func (calmDependencies) AcceptsConnections(greengageroute.Target) bool      { return true }
 func (calmDependencies) HasIdleConnection(greengageroute.Target, bool) bool { return true }
-func (calmDependencies) SameProcess(greengageroute.Target) bool             { return true }
+func (calmDependencies) StillServes(greengageroute.Target) bool             { return true }
 func (calmDependencies) ServesKeptConnection(context.Context, greengageroute.Target, string, time.Time) (greengageroute.AnswerHead, bool) {
 	return greengageroute.AnswerHead{}, true
 }
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -60,8 +60,9 @@
 		ProbeReplica(replica greengageroute.Replica)
 		// AcceptsConnections reports whether a target accepts connections.
 		AcceptsConnections(target greengageroute.Target) bool
-		// SameProcess reports whether a target's process is still the listed one.
-		SameProcess(target greengageroute.Target) bool
+		// StillServes reports whether the head of a replica is still the listed process and
+		// serves its replica.
+		StillServes(head greengageroute.Target) bool
 		// LinksWork reports whether targets respond to this entry. It may probe some.
 		LinksWork() bool
 		// Isolated reports whether most targets were found not to respond to this entry.
