Edge: a stream broken off for an HTTP/1.0 caller is reset

Found while looking for the same fault elsewhere: callers with HTTP/1.0 get no chunks, so that the close of a broken-off stream completed it. The connection is reset now.

--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -74,10 +75,27 @@
 	default:
 		service.Counters.Add(CountResponsesAborted, 1)
 		service.Log.V(1).Info("response aborted", facts...)
+		if !exchange.httpRequest.ProtoAtLeast(1, 1) {
+			resetConnection(exchange.writer)
+		}
 		panic(http.ErrAbortHandler) // a truncated answer must not look complete
 	}
 }
 
+// resetConnection resets a caller's connection. Callers with HTTP/1.0 get answers without
+// chunks, which a close completes.
+func resetConnection(writer http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+		// Without it the connection is closed without a reset, as it would be otherwise.
+		_ = tcp.SetLinger(0)
+	}
+	conn.Close()
+}
+
 func (refusal *Refusal) write(writer http.ResponseWriter, id string) {
 	header := writer.Header()
 	if id != "" {
