--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -92,6 +92,14 @@
 	})
 }
 
+// slowReader takes a while for each read.
+type slowReader struct{ io.Reader }
+
+func (slow slowReader) Read(buffer []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	return slow.Reader.Read(buffer)
+}
+
 // TestHealthChecksDontLiftLimits guards against a limit that is forgotten because an answer to
 // a health check doesn't name it, or there is none.
 func TestHealthChecksDontLiftLimits(t *testing.T) {
@@ -99,7 +107,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			limited := func(ctx context.Context, attempt greengageroute.Attempt) (*upstream.Answer, error) {
 				answer, err := unframed("done")(ctx, attempt)
-				answer.LimitPerSecond = 0.5
+				answer.LimitPerSecond, answer.Body = 0.5, slowReader{answer.Body}
 				return answer, err
 			}
 			fixture := newFixture(script{limited})
