Upstream: no system calls per plain call while no answer is unframed

Found reading the change once more: each call to a plain target checked every idle connection to it with a system call, under the pool's lock, before it looked whether a spare connection is wanted at all; and each answer cleared a read deadline that is set only after a copy of a refusal. Both are done only where they matter. Behaviour is the same; tests unchanged.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -185,6 +185,7 @@
 	if err := conn.send(request, attempt); err != nil {
 		return nil, lost(err)
 	}
+	limited := false // the wait for the request's own answer
 	for range maxResponses {
 		response, err := conn.readHead(request.Method)
 		if err != nil {
@@ -200,8 +201,10 @@
 			// Once the connection is kept, a refusal without an id may be a copy of an
 			// earlier one.
 			head.CloseConnection = head.CloseConnection || head.ID != request.ID
-			if err := conn.SetReadDeadline(time.Time{}); err != nil {
-				return nil, lost(err)
+			if limited {
+				if err := conn.SetReadDeadline(time.Time{}); err != nil {
+					return nil, lost(err)
+				}
 			}
 			if head.EndsWithConnection {
 				client.recordUnframed(target.Pool)
@@ -216,6 +219,7 @@
 			return nil, lost(err)
 		}
 		if refusedWithoutID {
+			limited = true
 			if err := conn.SetReadDeadline(time.Now().Add(maxForeignWait)); err != nil {
 				return nil, lost(err)
 			}
--- a/upstream/keptconnection.go
+++ b/upstream/keptconnection.go
@@ -64,9 +64,10 @@
 func (client *Client) keepSpare(ctx context.Context, key string, target greengageroute.Target) {
 	client.mu.Lock()
 	at, unframed := client.unframedAt[target.Pool]
-	found := slices.ContainsFunc(client.idle[key], (*conn).usable)
+	// Each check is a system call.
+	needed := unframed && time.Since(at) <= unframedTTL && !slices.ContainsFunc(client.idle[key], (*conn).usable)
 	client.mu.Unlock()
-	if !unframed || found || time.Since(at) > unframedTTL {
+	if !needed {
 		return
 	}
 	spare, err := client.dial(ctx, target.Address)
