Edge, platform: one rule for what an answer says of availability

Found reading the change once more: which status makes a Retry-After a backoff, and that a 421 of another target says nothing, stood in edge for answers and again in platform, which should decide nothing, for orders and reports. AnswerHead.Availability has it now; platform passes on what it decoded. The one difference: a 421 in which the target names itself counts in responses to orders and reports as it does in answers. Tests keep their assertions.

--- a/edge/backoffload_test.go
+++ b/edge/backoffload_test.go
@@ -228,7 +228,7 @@
 		fixture := newFixture(script{aborts(events(1, 2)), answers(200, events(3, 4))})
 		for _, id := range []string{"llm-a", "llm-b"} {
 			target, _ := fixture.service.Directory.View().Target(id)
-			fixture.service.RecordBackoff(target, time.Second)
+			fixture.service.recordBackoff(target, time.Second)
 		}
 		recorder, aborted := fixture.serve(newRequest("POST", "/chat/x"))
 		if !aborted || recorder.Body.String() != events(1, 2) || len(fixture.attempts) != 1 {
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -287,34 +287,36 @@
 	}
 }
 
-// recordNotices records what a target says about itself in an answer. The answer of another
-// target that has its address says nothing.
+// recordNotices records what a target says about itself in an answer.
 func (exchange *exchange) recordNotices(target greengageroute.Target, answer greengageroute.AnswerHead, sentAt time.Time) {
-	service := exchange.service
-	if answer.Status == http.StatusMisdirectedRequest && answer.Instance != target.ID {
-		return
+	if answer.IsFrom(target) {
+		exchange.service.recordLimit(target, answer, sentAt)
 	}
-	service.recordLimit(target, answer, sentAt)
 	exchange.recordAvailability(target, answer)
 }
 
-// recordAvailability records whether a target wants no requests for a time, or is leaving.
+// recordAvailability records what a target says of its availability, and names a leaving one
+// to the entry that forwarded the request.
 func (exchange *exchange) recordAvailability(target greengageroute.Target, answer greengageroute.AnswerHead) {
-	service := exchange.service
-	if answer.Status == http.StatusServiceUnavailable {
-		service.RecordBackoff(target, answer.RetryAfter)
+	exchange.service.RecordAvailability(target, answer)
+	if _, leaving := answer.Availability(target); leaving && exchange.forwarded {
+		platform.NameTarget(exchange.writer.Header(), target.Instance())
 	}
-	if answer.Leaving {
-		if exchange.forwarded {
-			platform.NameTarget(exchange.writer.Header(), target.Instance())
-		}
-		service.RecordLeaving(target.Instance())
+}
+
+// RecordAvailability records what a target says of its availability in the response to a
+// request, an order or a probe.
+func (service *Service) RecordAvailability(target greengageroute.Target, answer greengageroute.AnswerHead) {
+	backoff, leaving := answer.Availability(target)
+	service.recordBackoff(target, backoff)
+	if leaving {
+		service.recordLeaving(target.Instance())
 	}
 }
 
-// RecordLeaving records that a target says that it is leaving, and notifies the peers. It
+// recordLeaving records that a target says that it is leaving, and notifies the peers. It
 // gets no more requests.
-func (service *Service) RecordLeaving(instance greengageroute.TargetInstance) {
+func (service *Service) recordLeaving(instance greengageroute.TargetInstance) {
 	if len(service.Directory.MarkLeaving(instance)) == 0 {
 		return
 	}
@@ -323,9 +325,9 @@
 	service.Peers.ReportLeaving(instance)
 }
 
-// RecordBackoff records that a target has turned a request, an order or a probe away and wants
-// nothing from this entry for a time, 0 if it named none.
-func (service *Service) RecordBackoff(target greengageroute.Target, asked time.Duration) {
+// recordBackoff records that a target wants nothing from this entry for a time, unless that
+// is 0.
+func (service *Service) recordBackoff(target greengageroute.Target, asked time.Duration) {
 	if asked > 0 && service.tracker.RecordBackoff(target, asked) {
 		service.Counters.Add(CountBackoffs, 1)
 		service.Log.Info("target asks for a backoff", "target", target.ID, "born", target.StartUnixMilli, "retry-after", asked.String())
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -111,7 +111,7 @@
 	}
 	exchange.triedTargets += address + " "
 	if err == nil && answer.ForwardedFrom.ID != "" {
-		service.RecordLeaving(answer.ForwardedFrom)
+		service.recordLeaving(answer.ForwardedFrom)
 	}
 	if err == nil && !answer.Signed && (answer.NotRun || answer.ID == "") {
 		answer.Close(false)
--- a/request.go
+++ b/request.go
@@ -71,3 +71,21 @@
 		Header     http.Header
 	}
 )
+
+// IsFrom reports whether an answer is that of the target that the request was sent to. Another
+// one at its address answers 421.
+func (answer AnswerHead) IsFrom(target Target) bool {
+	return answer.Status != http.StatusMisdirectedRequest || answer.Instance == target.ID
+}
+
+// Availability returns what an answer says of the target's availability: for how long it wants
+// nothing from this entry, 0 if it takes requests, and whether it is leaving.
+func (answer AnswerHead) Availability(target Target) (backoff time.Duration, leaving bool) {
+	if !answer.IsFrom(target) {
+		return 0, false
+	}
+	if answer.Status == http.StatusServiceUnavailable {
+		backoff = answer.RetryAfter
+	}
+	return backoff, answer.Leaving
+}
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -171,14 +171,9 @@
 	return rows, nil
 }
 
-// RecordBackoff implements platform.Notices.
-func (entry *Entry) RecordBackoff(target greengageroute.Target, asked time.Duration) {
-	entry.service.RecordBackoff(target, asked)
-}
-
-// RecordLeaving implements platform.Notices.
-func (entry *Entry) RecordLeaving(target greengageroute.Target) {
-	entry.service.RecordLeaving(target.Instance())
+// RecordAvailability implements platform.Notices.
+func (entry *Entry) RecordAvailability(target greengageroute.Target, answer greengageroute.AnswerHead) {
+	entry.service.RecordAvailability(target, answer)
 }
 
 // Backoff implements control.Backoffs.
