--- a/mesh/node.go
+++ b/mesh/node.go
@@ -209,47 +209,33 @@
 
 // ReportUnreachable notifies the peers at once of targets that were found unreachable.
 func (node *Node) ReportUnreachable(unreachable ...TargetInstance) {
-	node.mu.Lock()
-	for _, target := range unreachable {
-		node.unreachable = append(node.unreachable, timestamped[TargetInstance]{target, node.clock.Now()})
-	}
-	node.mu.Unlock()
-	node.requestSend()
+	report(node, &node.unreachable, unreachable)
 }
 
 // ReportSlow notifies the peers at once of targets that reported themselves as slow.
-func (node *Node) ReportSlow(slow ...TargetInstance) {
-	node.mu.Lock()
-	for _, target := range slow {
-		node.slow = append(node.slow, timestamped[TargetInstance]{target, node.clock.Now()})
-	}
-	node.mu.Unlock()
-	node.requestSend()
-}
+func (node *Node) ReportSlow(slow ...TargetInstance) { report(node, &node.slow, slow) }
 
 // ReportLeaving notifies the peers at once of targets that say that they are leaving.
 func (node *Node) ReportLeaving(leaving ...TargetInstance) {
-	node.mu.Lock()
-	for _, target := range leaving {
-		node.targetsLeaving = append(node.targetsLeaving, timestamped[TargetInstance]{target, node.clock.Now()})
-	}
-	node.mu.Unlock()
-	node.requestSend()
+	report(node, &node.targetsLeaving, leaving)
 }
 
 // ReportCrash notifies the peers at once that a target crashed during a request.
-func (node *Node) ReportCrash(report greengageroute.CrashReport) {
-	node.mu.Lock()
-	node.crashes = append(node.crashes, timestamped[greengageroute.CrashReport]{report, node.clock.Now()})
-	node.mu.Unlock()
-	node.requestSend()
+func (node *Node) ReportCrash(crash greengageroute.CrashReport) {
+	report(node, &node.crashes, []greengageroute.CrashReport{crash})
 }
 
 // ReportSound notifies the peers at once of causes that crash no targets.
 func (node *Node) ReportSound(causes ...greengageroute.CrashCause) {
+	report(node, &node.sound, causes)
+}
+
+// report adds to the updates of a kind, which the node's lock guards, and has them sent at
+// once.
+func report[T any](node *Node, updates *[]timestamped[T], added []T) {
 	node.mu.Lock()
-	for _, cause := range causes {
-		node.sound = append(node.sound, timestamped[greengageroute.CrashCause]{cause, node.clock.Now()})
+	for _, value := range added {
+		*updates = append(*updates, timestamped[T]{value, node.clock.Now()})
 	}
 	node.mu.Unlock()
 	node.requestSend()
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -246,29 +246,19 @@
 	if node.isFullMesh() || node.rank(now) >= relaysPerDataCentre {
 		return
 	}
-	for _, unreachable := range message.Unreachable {
-		if node.isNew(unreachable, now) {
-			node.unreachable = append(node.unreachable, timestamped[TargetInstance]{unreachable, now})
-		}
-	}
-	for _, slow := range message.Slow {
-		if node.isNew(slowUpdate(slow), now) {
-			node.slow = append(node.slow, timestamped[TargetInstance]{slow, now})
-		}
-	}
-	for _, leaving := range message.TargetsLeaving {
-		if node.isNew(leavingUpdate(leaving), now) {
-			node.targetsLeaving = append(node.targetsLeaving, timestamped[TargetInstance]{leaving, now})
-		}
-	}
-	for _, crash := range message.Crashes {
-		if node.isNew(newCrashUpdate(crash), now) {
-			node.crashes = append(node.crashes, timestamped[greengageroute.CrashReport]{crash, now})
-		}
-	}
-	for _, cause := range message.Sound {
-		if node.isNew(cause, now) {
-			node.sound = append(node.sound, timestamped[greengageroute.CrashCause]{cause, now})
+	forwardNew(node, &node.unreachable, message.Unreachable, func(target TargetInstance) any { return target }, now)
+	forwardNew(node, &node.slow, message.Slow, func(target TargetInstance) any { return slowUpdate(target) }, now)
+	forwardNew(node, &node.targetsLeaving, message.TargetsLeaving, func(target TargetInstance) any { return leavingUpdate(target) }, now)
+	forwardNew(node, &node.crashes, message.Crashes, func(crash greengageroute.CrashReport) any { return newCrashUpdate(crash) }, now)
+	forwardNew(node, &node.sound, message.Sound, func(cause greengageroute.CrashCause) any { return cause }, now)
+}
+
+// forwardNew adds the new ones of received updates to the relay's own. The key tells an update
+// from those of all kinds.
+func forwardNew[T any](node *Node, updates *[]timestamped[T], received []T, key func(T) any, now time.Time) {
+	for _, value := range received {
+		if node.isNew(key(value), now) {
+			*updates = append(*updates, timestamped[T]{value, now})
 		}
 	}
 }
