One check for answers with neither a length nor chunks; plainer names

Names left over from the renaming to backoff read oddly, and a comment said the opposite of what it should. Behaviour and assertions are the same.

--- a/control/backofffilter.go
+++ b/control/backofffilter.go
@@ -39,8 +39,8 @@
 	return filter.orders.Send(ctx, order, timeout)
 }
 
-// Report requests a target's state report. That of a target that accepts a
-// connection is empty.
+// Report requests a target's state report. During a backoff it is empty if the target accepts
+// a connection.
 func (filter *BackoffFilter) Report(ctx context.Context, target greengageroute.Target, timeout time.Duration) (greengageroute.TargetReport, error) {
 	remaining := filter.backoffs.Backoff(target).Remaining(target.StartUnixMilli, filter.clock.Now())
 	switch {
--- a/control/backofffilter_test.go
+++ b/control/backofffilter_test.go
@@ -46,8 +46,8 @@
 		orders, reports int
 	}{
 		{"no backoff", 0, 0, false, true, true, 1, 1},
-		{"in its backoff", 3 * time.Second, time.Second, false, true, true, 0, 0},
-		{"in its backoff and crashed", 3 * time.Second, time.Second, false, false, false, 0, 0},
+		{"during a backoff", 3 * time.Second, time.Second, false, true, true, 0, 0},
+		{"crashed during a backoff", 3 * time.Second, time.Second, false, false, false, 0, 0},
 		{"after its backoff", 3 * time.Second, 3 * time.Second, false, true, true, 1, 1},
 		{"a later process", 3 * time.Second, time.Second, true, true, true, 1, 1},
 		{"a long backoff holds shorter for orders", time.Minute, 10 * time.Second, false, true, true, 1, 0},
@@ -73,8 +73,8 @@
 					t.Errorf("counts as alive: %t, want %t", alive, test.alive)
 				}
 				err := filter.Send(context.Background(), greengageroute.TargetOrder{Kind: greengageroute.OrderClose, Target: target}, time.Second)
-				var backoffs *greengageroute.BackoffError
-				if errors.As(err, &backoffs) == (test.orders > 0) {
+				var heldBack *greengageroute.BackoffError
+				if errors.As(err, &heldBack) == (test.orders > 0) {
 					t.Errorf("got error %v for an order", err)
 				}
 				if busy.orders != test.orders || (busy.reports > 0) != (test.reports > 0) {
--- a/control/headstate.go
+++ b/control/headstate.go
@@ -87,16 +87,16 @@
 
 // recordCloseResult records the result of an order to close. An unlisted head
 // counts as closed once it has carried out an immediate close, has refused the
-// order by its state, which it does if it doesn't serve, or has left orders unanswered while no
-// entry has received data from it either.
+// order by its state, which it does if it doesn't serve, or has left orders unanswered
+// while no entry has received data from it either.
 func (planner *Planner) recordCloseResult(order greengageroute.TargetOrder, err error) {
 	var refused *greengageroute.OrderRefusedError
-	var backoffs *greengageroute.BackoffError
+	var heldBack *greengageroute.BackoffError
 	id, now := order.Target.ID, planner.Clock.Now()
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
 	switch {
-	case errors.As(err, &backoffs): // not sent
+	case errors.As(err, &heldBack): // not sent
 	case err == nil && order.Immediate:
 		planner.unansweredOrders[id] = 0
 		planner.closedAt[id] = now
--- a/control/planner.go
+++ b/control/planner.go
@@ -374,10 +374,10 @@
 	err := planner.OrderSender.Send(ctx, order, timeout)
 	planner.Counters.Add(CountOrders, 1)
 	var refused *greengageroute.OrderRefusedError
-	var backoffs *greengageroute.BackoffError
+	var heldBack *greengageroute.BackoffError
 	outcome := "accepted"
 	switch {
-	case errors.As(err, &backoffs):
+	case errors.As(err, &heldBack):
 		outcome = "not sent: the target asked for a backoff"
 		planner.Counters.Add(CountOrdersHeldBack, 1)
 	case errors.As(err, &refused):
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -56,7 +56,7 @@
 		{"the head closed", fakeActivity{}, []error{nil}, false, true},
 		{"the head refused because it doesn't serve", fakeActivity{}, []error{&greengageroute.OrderRefusedError{Status: 409}}, false, true},
 		{"the head turned the order away because it is busy", fakeActivity{}, []error{&greengageroute.OrderRefusedError{Status: 503}}, false, false},
-		{"orders were held back because the head is in its backoff", fakeActivity{}, []error{&greengageroute.BackoffError{}, &greengageroute.BackoffError{}, &greengageroute.BackoffError{}}, false, false},
+		{"orders were held back because the head asked for a backoff", fakeActivity{}, []error{&greengageroute.BackoffError{}, &greengageroute.BackoffError{}, &greengageroute.BackoffError{}}, false, false},
 		{"the head failed", fakeActivity{}, []error{&greengageroute.OrderRefusedError{Status: 500}, &greengageroute.OrderRefusedError{Status: 500}}, false, false},
 		{"one order is unanswered, the next turned away", fakeActivity{}, []error{errors.New("unanswered"), &greengageroute.OrderRefusedError{Status: 503}, errors.New("unanswered")}, false, false},
 		{"one order is unanswered", fakeActivity{}, []error{errors.New("unanswered")}, false, false},
--- a/edge/backoffload_test.go
+++ b/edge/backoffload_test.go
@@ -250,7 +250,7 @@
 	tests := []struct {
 		name     string
 		answer   func(context.Context, greengageroute.Attempt) (*upstream.Answer, error)
-		backoffs bool
+		backsOff bool
 	}{
 		{"the target turns the request away", asks(503, ""), true},
 		{"another target has the address", asks(421, "other"), false},
@@ -263,14 +263,14 @@
 				fixture.serve(newRequest("GET", "/get/x"))
 				target := fixture.attempts[0].Target
 				backoff := fixture.service.Backoff(target)
-				if backoffs := backoff.Remaining(target.StartUnixMilli, time.Now()) > 0; backoffs != test.backoffs {
-					t.Errorf("the target backoffs: %t, want %t", backoffs, test.backoffs)
+				if backsOff := backoff.Remaining(target.StartUnixMilli, time.Now()) > 0; backsOff != test.backsOff {
+					t.Errorf("the entry backs off: %t, want %t", backsOff, test.backsOff)
 				}
 				if backoff.Remaining(target.StartUnixMilli+1, time.Now()) > 0 {
-					t.Error("the target backoffs after its restart")
+					t.Error("the entry backs off from the restarted target")
 				}
 				if backoff.Remaining(target.StartUnixMilli, time.Now().Add(time.Minute)) > 0 {
-					t.Error("the target backoffs for more than a minute")
+					t.Error("the entry backs off for more than a minute")
 				}
 			})
 		})
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -87,7 +87,7 @@
 			t.Errorf("the target is %s, want leaving", listed.State)
 		}
 		if fixture.service.Backoff(target).Remaining(target.StartUnixMilli, time.Now()) == 0 {
-			t.Error("the target doesn't backoff")
+			t.Error("the entry doesn't back off")
 		}
 	})
 }
--- a/request.go
+++ b/request.go
@@ -89,3 +89,9 @@
 	}
 	return backoff, answer.Leaving
 }
+
+// EndsWithConnection reports whether a response has a body with neither a length nor chunks. One
+// that the HTTP library has unpacked has a checksum.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody && !response.Uncompressed
+}
--- a/target/service.go
+++ b/target/service.go
@@ -55,7 +55,7 @@
 	if err == nil && len(body) > maxAnswerBytes {
 		err = fmt.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
 	}
-	if err == nil && endsWithConnection(response) {
+	if err == nil && greengageroute.EndsWithConnection(response) {
 		err = errNoLength
 	}
 	if err != nil {
@@ -64,12 +64,6 @@
 	return greengageroute.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// endsWithConnection reports whether a response has a body with neither a length nor
-// chunks. A compressed one, which the HTTP library has unpacked, has a checksum.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody && !response.Uncompressed
-}
-
 // Outcome queries a target for the outcome of the action with an idempotency key.
 // known is false if the target has no record of the key, which does not prove that
 // the action will never run.
