--- a/edge/backoffload_test.go
+++ b/edge/backoffload_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,7 +14,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/control"
 	"greengageroute.example/greengageroute/upstream"
@@ -88,12 +86,7 @@
 	directory.Replace(targets, time.Time{})
 	for i := range load.entries {
 		entry := &backoffEntry{fleet: fleet, asked: map[string][]*askedBackoff{}}
-		entry.service = New(Dependencies{
-			Entry:  fmt.Sprint("entry-", i),
-			Bounds: greengageroute.Bounds{RevocationTime: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 300},
-			Config: entry, Directory: directory, Peers: entry, Prober: entry, Sender: entry,
-			Counters: new(expvar.Map).Init(), Latencies: NewLatencyHistograms(), Log: logr.Discard(), MayTryQuarantined: func() bool { return false },
-		})
+		entry.service = newTestService(fmt.Sprint("entry-", i), directory, entry)
 		fleet.entries = append(fleet.entries, entry)
 	}
 	return fleet
--- a/edge/crashload_test.go
+++ b/edge/crashload_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -17,7 +16,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/control"
 	"greengageroute.example/greengageroute/upstream"
@@ -109,11 +107,8 @@
 }
 
 func (entry *crashEntry) start() {
-	entry.service = New(Dependencies{
-		Bounds: greengageroute.Bounds{RevocationTime: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 300},
-		Config: entry, Directory: entry.fleet.directory, Peers: entry, Prober: entry, Sender: entry,
-		Counters: new(expvar.Map).Init(), Latencies: NewLatencyHistograms(), Log: logr.Discard(), MayTryQuarantined: func() bool { return entry == entry.fleet.entries[0] },
-	})
+	entry.service = newTestService("", entry.fleet.directory, entry)
+	entry.service.MayTryQuarantined = func() bool { return entry == entry.fleet.entries[0] }
 }
 
 func (entry *crashEntry) LiveEntries() int { return len(entry.fleet.entries) }
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -25,6 +25,14 @@
 )
 
 type (
+	// fakeDependencies are the dependencies of a service that tests replace by one fake.
+	fakeDependencies interface {
+		Config
+		Peers
+		Prober
+		Sender
+	}
+
 	// script holds the fake targets' reaction to each attempt, in order.
 	script []func(ctx context.Context, attempt greengageroute.Attempt) (*upstream.Answer, error)
 
@@ -165,12 +173,19 @@
 			}})
 	}
 	directory.Replace(targets, time.Time{})
-	fixture.service = New(Dependencies{
+	fixture.service = newTestService("", directory, fixture)
+	return fixture
+}
+
+// newTestService returns the service of an entry that depends on one fake, and tries no
+// quarantined requests.
+func newTestService(entry string, directory *control.Directory, fake fakeDependencies) *Service {
+	return New(Dependencies{
+		Entry:  entry,
 		Bounds: greengageroute.Bounds{RevocationTime: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 300},
-		Config: fixture, Directory: directory, Peers: fixture, Prober: fixture, Sender: fixture,
+		Config: fake, Directory: directory, Peers: fake, Prober: fake, Sender: fake, PeerSender: fake,
 		Counters: new(expvar.Map).Init(), Latencies: NewLatencyHistograms(), Log: logr.Discard(), MayTryQuarantined: func() bool { return false },
 	})
-	return fixture
 }
 
 func newRequest(method, path string) *http.Request {
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,7 +10,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/control"
 	"greengageroute.example/greengageroute/upstream"
@@ -53,11 +51,7 @@
 		{ID: "ledger-a", Pool: "ledger", State: greengageroute.TargetReady, Slots: 6},
 		{ID: "llm-a", Pool: "llm", State: greengageroute.TargetReady, Membership: greengageroute.Membership{Replica: "ra", Epoch: 1, Model: "m", State: greengageroute.MemberOpen}},
 	}, time.Time{})
-	return New(Dependencies{
-		Bounds: greengageroute.Bounds{RevocationTime: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 300},
-		Config: entry, Directory: directory, Peers: entry, Prober: entry, Sender: entry, PeerSender: entry,
-		Counters: new(expvar.Map).Init(), Latencies: NewLatencyHistograms(), Log: logr.Discard(), MayTryQuarantined: func() bool { return false },
-	})
+	return newTestService("", directory, entry)
 }
 
 // refusedBy is a step of a script: the entry refuses the request without having it run.
--- a/edge/limitload_test.go
+++ b/edge/limitload_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,7 +13,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/control"
 	"greengageroute.example/greengageroute/upstream"
@@ -95,12 +93,7 @@
 	fleet.directory.Replace(targets, time.Time{})
 	for i := range load.entries {
 		entry := &limitEntry{fleet: fleet, toldAt: map[string]time.Time{}}
-		entry.service = New(Dependencies{
-			Entry:  fmt.Sprint("entry-", i),
-			Bounds: greengageroute.Bounds{RevocationTime: 5 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 300},
-			Config: entry, Directory: fleet.directory, Peers: entry, Prober: entry, Sender: entry,
-			Counters: new(expvar.Map).Init(), Latencies: NewLatencyHistograms(), Log: logr.Discard(), MayTryQuarantined: func() bool { return false },
-		})
+		entry.service = newTestService(fmt.Sprint("entry-", i), fleet.directory, entry)
 		fleet.entries = append(fleet.entries, entry)
 	}
 	return fleet
