--- a/review/_world/main.go
+++ b/review/_world/main.go
@@ -22,7 +22,8 @@
 // cases holds the scripts by name. Each returns whether the rule held; an error means that the
 // case could not run.
 var cases = map[string]func(world *world) (held bool, err error){
-	"revoked-key": revokedKey,
+	"revoked-key":    revokedKey,
+	"event-boundary": eventBoundary,
 }
 
 func main() {
