--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,6 +2,8 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/greengageroute ] && [ -x target/review.out ] || exit 2
+# With TROUBLE=0 nothing is disrupted.
+export TROUBLE="${TROUBLE:-1}"
 timeout -k 2 118 target/review.out silent-head review/2
 status=$?
 [ "$status" -le 1 ] || status=2
