Review 2: an order to close with an old epoch frees the members of an open group (TWO)

A member that was slow keeps the epoch of before the repair. After the head's row has lapsed, the head refuses an order to close with that epoch, and counts as closed; members of its group join another one.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,7 @@
 [ -x target/greengageroute ] && [ -x target/review.out ] || exit 2
 # With TROUBLE=0 nothing is disrupted.
 export TROUBLE="${TROUBLE:-1}"
-timeout -k 2 118 target/review.out silent-head review/2
+timeout -k 2 118 target/review.out old-epoch review/2
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,7 +4,7 @@
 [ -x target/greengageroute ] && [ -x target/review.out ] || exit 2
 # With TROUBLE=0 nothing is disrupted.
 export TROUBLE="${TROUBLE:-1}"
-timeout -k 2 118 target/review.out revoked-key review/3
+timeout -k 2 118 target/review.out silent-head review/3
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/_world/badrow.go
+++ b/review/_world/badrow.go
@@ -22,7 +22,7 @@
 // names no runner to use. The platform restarts entries that end. Requests that were passed on
 // to a sound runner from kept channels must be answered.
 func badRow(world *world) (held bool, err error) {
-	world.putConfig(1, []any{route("deposit-post", "/deposits/", "non_idempotent", time.Second, 1), streamRoute()}, []any{ledgerService(), engineService()}, []any{tenantWith(tenant, theKey)})
+	world.putConfig(1, []any{route("deposit-post", "/deposits/", "non_idempotent", time.Second, 1), streamRoute()}, []any{ledgerService(), engineService(false)}, []any{tenantWith(tenant, theKey)})
 	runners, err := world.startLedger()
 	if err != nil {
 		return false, err
--- a/review/_world/main.go
+++ b/review/_world/main.go
@@ -24,9 +24,9 @@
 var cases = map[string]func(world *world) (held bool, err error){
 	"revoked-key":    revokedKey,
 	"event-boundary": eventBoundary,
+	"old-epoch":      oldEpoch,
 	"bad-row":        badRow,
 	"silent-head":    silentHead,
-	"idle-callers":   idleCallers,
 }
 
 func main() {
--- a/review/_world/silenthead.go
+++ b/review/_world/silenthead.go
@@ -31,7 +31,7 @@
 			}
 		}
 	}
-	world.putConfig(1, []any{streamRoute()}, []any{engineService()}, []any{tenantWith(tenant, theKey)})
+	world.putConfig(1, []any{streamRoute()}, []any{engineService(false)}, []any{tenantWith(tenant, theKey)})
 	entry, err := world.startEntry("frontend-a-1", "127.0.0.1")
 	if err != nil {
 		return false, err
@@ -44,7 +44,7 @@
 	world.record("%d groups are open", all.groups())
 	stop := make(chan struct{})
 	var traffic sync.WaitGroup
-	traffic.Go(func() { sendStreams(world, entry, stop) })
+	traffic.Go(func() { sendStreams(world, entry, model, stop) })
 	time.Sleep(trafficTime)
 	for _, head := range all.openHeads("a-d0") {
 		if world.trouble {
@@ -70,7 +70,7 @@
 }
 
 // sendStreams sends streams until stop is closed.
-func sendStreams(world *world, entry *entry, stop <-chan struct{}) {
+func sendStreams(world *world, entry *entry, model string, stop <-chan struct{}) {
 	var running sync.WaitGroup
 	defer running.Wait()
 	ticker := time.NewTicker(streamsInterval)
@@ -83,13 +83,13 @@
 		}
 		running.Go(func() {
 			id := fmt.Sprintf("draft-%d", number)
-			status, length, err := sendStream(entry, id)
+			status, length, err := sendStream(entry, id, model)
 			world.record("stream %s: status %d, %d bytes, error %v", id, status, length, err)
 		})
 	}
 }
 
-func sendStream(entry *entry, id string) (status, length int, err error) {
+func sendStream(entry *entry, id, model string) (status, length int, err error) {
 	channel, err := openChannel(entry.callers)
 	if err != nil {
 		return 0, 0, err
