Mesh: an entry that is leaving stays so

Cause: Leave sent one message that said so; the messages that follow each 250 ms, and on each change of the load, while the entry ends its requests, said that it wasn't leaving. The others counted it as live again, and forwarded requests to it until its process was gone. The test passed when it looked in between.

Now the state is kept, and all messages carry it; the load of an entry that leaves still counts. mesh passes, 5 runs of the tests concerned, 2 with the race detector.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -153,6 +153,38 @@
 	waitUntil(t, "the entry that left no longer counts", func() bool { return entries[0].LiveEntries() == 2 })
 }
 
+// TestLeavingEntryStaysGone guards against requests that are forwarded to an entry that is
+// stopping: its messages after the first one said that it wasn't leaving.
+func TestLeavingEntryStaysGone(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	entries := make([]*testEntry, 2)
+	for i := range entries {
+		node, err := Listen(fmt.Sprint("entry-", i), "a", "127.0.0.1:0", 0.3, greengageroute.RuntimeClock{}, func() {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		entries[i] = &testEntry{Node: node, loads: []Load{{Target: "i-1", Running: 1}}}
+	}
+	entries[0].AddPeer("entry-1", "a", entries[1].Address(), 0.3)
+	for _, entry := range entries {
+		go entry.Run(ctx, entry, entry)
+	}
+	waitUntil(t, "the other entry is live", func() bool { return entries[0].LiveEntries() == 2 })
+	entries[1].Leave()
+	waitUntil(t, "the entry that left no longer counts", func() bool { return entries[0].LiveEntries() == 1 })
+	for range 10 {
+		entries[1].LoadChanged() // has messages sent while its requests end
+		time.Sleep(2 * minSendInterval)
+		if live, helpers := entries[0].LiveEntries(), entries[0].Helpers(); live != 1 || len(helpers) > 0 {
+			t.Fatalf("%d entries are live and %v help while one of two is leaving, want 1 and none", live, helpers)
+		}
+	}
+	if load := entries[0].Node.Loads()["i-1"]; load.Running != 1 {
+		t.Errorf("the load of the entry that leaves is %d, want 1", load.Running)
+	}
+}
+
 // TestHelpersReachTargets guards against requests that are forwarded to entries that can't
 // help, and against a data centre whose last entries get all requests of the others.
 func TestHelpersReachTargets(t *testing.T) {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -174,7 +174,7 @@
 			time.Sleep(minSendInterval - min(minSendInterval, time.Since(sentAt)))
 		}
 		sentAt = time.Now()
-		node.sendMessages(false)
+		node.sendMessages()
 	}
 }
 
@@ -188,8 +188,13 @@
 	}
 }
 
-// Leave notifies the peers that this entry is stopping.
-func (node *Node) Leave() { node.sendMessages(true) }
+// Leave notifies the peers, now and with all later messages, that this entry is stopping.
+func (node *Node) Leave() {
+	node.mu.Lock()
+	node.self.Leaving = true
+	node.mu.Unlock()
+	node.sendMessages()
+}
 
 // AddPeer adds an entry that the store lists.
 func (node *Node) AddPeer(name, dataCentre, address string, capacity float64) {
@@ -404,12 +409,12 @@
 	return !other.receivedAt.IsZero() && now.Sub(other.receivedAt) < liveTimeout && !other.own.Leaving
 }
 
-func (node *Node) sendMessages(leaving bool) {
+func (node *Node) sendMessages() {
 	now := node.clock.Now()
 	node.mu.Lock()
 	message, source := node.self, node.source
 	node.mu.Unlock()
-	message.Loads, message.Lease, message.HasTraffic, message.Leaving = source.Loads(), source.Lease(), source.HasTraffic(), leaving
+	message.Loads, message.Lease, message.HasTraffic = source.Loads(), source.Lease(), source.HasTraffic()
 	message.ReadsStore = source.ReadsStore()
 	message.Limits, message.ConfigVersion, message.Isolated = source.Limits(), source.ConfigVersion(), source.Isolated()
 	verdicts := source.Quarantined()
