Streams: the end of a long line is no empty line

Callers saw a stream that went on with the next event in the middle of one, if its target was reset before the last line feed of an event whose data line has 1,024 or 2,048 bytes: pieces of two runs were joined.

Cause: lines were read in parts of 1,024 bytes, and a last part of the line feed alone was taken for the empty line that ends an event. The part of the event so far was forwarded, its id recorded, and the stream resumed after it.

Only a line feed at the start of a line ends an event now. The reader is a type of its own.

--- a/edge/stream.go
+++ b/edge/stream.go
@@ -1,10 +1,8 @@
 package edge
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -36,8 +34,6 @@
 	// minOverloadRetryAfter keeps callers from retrying before any running request
 	// has ended.
 	minOverloadRetryAfter = 200 * time.Millisecond
-	// maxEventBytes limits an event, which is forwarded when it is complete.
-	maxEventBytes = 1 << 20
 )
 
 var (
@@ -69,7 +65,6 @@
 		exchange          *exchange
 		source            source
 		answer            *upstream.Answer
-		reader            *bufio.Reader
 		unresponsiveTimer *recheckTimer
 		unresponsiveAfter time.Duration
 		lastEvent         time.Time
@@ -331,28 +326,18 @@
 	if attempt.exchange.headerSent && !attempt.isEventStream() {
 		return false, errNotEvents
 	}
-	attempt.reader = bufio.NewReaderSize(attempt.answer.Body, 1<<10)
-	var event []byte
+	reader := newEventReader(attempt.answer.Body)
 	for {
-		line, err := attempt.reader.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case len(event) > maxEventBytes:
-			return false, fmt.Errorf("an event of the stream is longer than %d bytes", maxEventBytes)
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case errors.Is(err, io.EOF):
+		event, err := reader.next()
+		if errors.Is(err, io.EOF) {
 			return attempt.finish(ctx, event)
-		case err != nil:
-			return false, err
 		}
-		if len(line) > 2 || len(line) == 2 && line[0] != '\r' {
-			continue
+		if err != nil {
+			return false, err
 		}
 		if err := attempt.forwardEvent(event); err != nil {
 			return false, err
 		}
-		event = event[:0]
 	}
 }
 
