--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -15,7 +15,7 @@
 	"greengageroute.example/greengageroute/relay"
 )
 
-const testTarget = `{"service":"ledger","address":"10.0.0.1:80","zone":"a","state":"%s","slots":6,"born":%d}`
+const testTarget = `{"service":"ledger","address":"10.0.0.1:80","zone":"a","state":"%s","slots":6,"born":%d,"sequence":1}`
 
 // follow runs a follower of a fake store during the body of a test.
 func follow(t *testing.T, body func(store *fakeStore, conn *fakeConn, follower *Follower)) {
--- a/formation.go
+++ b/formation.go
@@ -109,7 +109,7 @@
 	for _, target := range view.Targets {
 		member := target.Membership
 		model, known := view.Engine.Model(member.Model)
-		if !known || member.Rank >= model.Size || member.isPreload() {
+		if !known || member.Epoch == 0 || member.Rank < 0 || member.Rank >= model.Size || member.isPreload() {
 			continue
 		}
 		assignment := newest[member.Replica]
--- a/formation_test.go
+++ b/formation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -615,3 +616,31 @@
 		t.Errorf("2 s after the member is listed again %d replicas are open, want 2", open)
 	}
 }
+
+// TestFormationIgnoresInvalidMemberships guards against a planner that panics on a target
+// with an epoch or a rank that no order has given.
+func TestFormationIgnoresInvalidMemberships(t *testing.T) {
+	tests := []struct {
+		name  string
+		epoch uint64
+		rank  int
+	}{
+		{"no epoch", 0, 1},
+		{"no epoch and rank", 0, 0},
+		{"a negative rank", 7, -3},
+		{"the lowest rank", 7, math.MinInt},
+		{"a rank past the size", 7, 6},
+		{"the highest rank", 7, math.MaxInt},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pool := newSimulatedPool(t, 1, 6)
+			for _, target := range pool.targets {
+				target.Membership = Membership{Replica: "g7", Epoch: test.epoch, Rank: test.rank, Model: "large", State: MemberReady}
+			}
+			if formation := NewFormation(pool.view(true), 0); len(formation.Assignments) > 0 {
+				t.Errorf("adopted %v, want no assignment", formation.Assignments)
+			}
+		})
+	}
+}
