Planner: a head's answer to a close counts for one epoch

A head that had joined again under a newer epoch refused an order to close with the older epoch; the refusal was kept by the head's id and counted as closed for every epoch, and the order's epoch was that of whichever member came first.

Findings are now kept by replica name and epoch, each epoch under which members are listed gets its own order to close, and a refusal ends a pending order to open only under the same epoch. Orders to close one head under two epochs are retried apart from each other.

The simulated pool of formation_test.go named closed heads by id; it names them by the replicas that the orders to join gave them, with the same effect.

--- a/control/headstate.go
+++ b/control/headstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
 )
@@ -65,6 +66,20 @@
 	return replicas
 }
 
+// closedAt returns when absent heads were found closed or failed. Findings about a head are
+// void once it is listed again. The caller holds the lock.
+func (planner *Planner) closedAt(targets map[string]greengageroute.Target) map[greengageroute.ReplicaKey]time.Time {
+	closedAt := map[greengageroute.ReplicaKey]time.Time{}
+	for key, head := range planner.absentHeads {
+		if _, listed := targets[head.id]; listed {
+			delete(planner.absentHeads, key)
+		} else if !head.closedAt.IsZero() {
+			closedAt[key] = head.closedAt
+		}
+	}
+	return closedAt
+}
+
 // recordResponse records a head's response to an order to open or close. A head
 // whose state refuses doesn't serve; a head that carries out the order is soon listed in
 // its new state.
@@ -76,7 +91,7 @@
 	switch {
 	case !known:
 	case errors.As(err, &refused):
-		if refused.TellsState() {
+		if refused.TellsState() && pending.key == order.Key() {
 			delete(planner.pendingOpens, order.Target.ID)
 		}
 	case err == nil:
@@ -86,32 +101,31 @@
 }
 
 // recordCloseResult records the result of an order to close. An unlisted head
-// counts as closed once it has carried out an immediate close, has refused the
+// counts as closed, under the epoch of the order alone, once it has carried out an immediate close, has refused the
 // order by its state, which it does if it doesn't serve, or has left orders unanswered
 // while no entry has received data from it either.
 func (planner *Planner) recordCloseResult(order greengageroute.TargetOrder, err error) {
 	var refused *greengageroute.OrderRefusedError
 	var heldBack *greengageroute.BackoffError
-	id, now := order.Target.ID, planner.Clock.Now()
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
+	head := planner.absentHeads[order.Key()]
+	head.id = order.Target.ID
 	switch {
 	case errors.As(err, &heldBack): // not sent
-	case err == nil && order.Immediate:
-		planner.unansweredOrders[id] = 0
-		planner.closedAt[id] = now
-	case errors.As(err, &refused) && refused.TellsState():
-		planner.closedAt[id] = now
-	case errors.As(err, &refused):
+	case err == nil && order.Immediate, errors.As(err, &refused) && refused.TellsState():
+		head.unansweredOrders, head.closedAt = 0, planner.Clock.Now()
+	case err == nil, errors.As(err, &refused):
 		// The head may serve, and is neither lost nor silent.
-		planner.unansweredOrders[id] = 0
+		head.unansweredOrders = 0
 	case !planner.Activity.Reaches(order.Target.DataCentre):
 		// The whole data centre is unreachable from here: the head may still serve there.
-		planner.unansweredOrders[id] = 0
+		head.unansweredOrders = 0
 	default:
-		planner.unansweredOrders[id]++
-		if planner.unansweredOrders[id] >= unansweredOrderLimit && !planner.Activity.Active(id, activityWindow) {
-			planner.closedAt[id] = now
+		head.unansweredOrders++
+		if head.unansweredOrders >= unansweredOrderLimit && !planner.Activity.Active(head.id, activityWindow) {
+			head.closedAt = planner.Clock.Now()
 		}
 	}
+	planner.absentHeads[order.Key()] = head
 }
--- a/control/planner.go
+++ b/control/planner.go
@@ -43,6 +43,9 @@
 	// leftTTL is how long a target is remembered to have left a replica; the list
 	// shows it long before.
 	leftTTL = time.Minute
+	// sentTTL is how long the last order to a target is remembered, longer than any retry
+	// interval.
+	sentTTL = time.Minute
 	// activityWindow is how recent a response to any entry must be to show that a
 	// target is alive.
 	activityWindow = 600 * time.Millisecond
@@ -115,12 +118,11 @@
 		formations map[string]*greengageroute.Formation
 
 		mu      sync.Mutex
-		sent    map[string]sentOrder // last order by target
+		sent    map[string]sentOrder // last order by sentKey
 		staging map[string]stagingModel
-		// closedAt is when an absent head was last found closed or failed, and
-		// unansweredOrders how many orders in a row it has not answered.
-		closedAt         map[string]time.Time
-		unansweredOrders map[string]int
+		// absentHeads holds what is known of heads that were ordered to close, until they
+		// are listed again.
+		absentHeads map[greengageroute.ReplicaKey]absentHead
 		// pendingOpens are heads that were ordered to open, until the list shows their
 		// state after the order.
 		pendingOpens map[string]pendingOpen
@@ -149,6 +151,13 @@
 		answered bool                         // the head responded to this order or a later one; until then it may open at any time
 	}
 
+	// absentHead is what the responses to orders tell of the head of a replica.
+	absentHead struct {
+		id               string
+		unansweredOrders int       // in a row
+		closedAt         time.Time // when it was last found closed or failed
+	}
+
 	// leftReplica is the replica that one run of a target has left.
 	leftReplica struct {
 		key            greengageroute.ReplicaKey
@@ -168,7 +177,7 @@
 		PlannerOptions: options, wake: make(chan struct{}, 1),
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staging: map[string]stagingModel{},
 		loggedStates: map[string]string{}, unknownHeads: map[string]greengageroute.Target{}, pendingOpens: map[string]pendingOpen{}, storedHeads: map[string]string{},
-		closedAt: map[string]time.Time{}, unansweredOrders: map[string]int{}, left: map[string]leftReplica{},
+		absentHeads: map[greengageroute.ReplicaKey]absentHead{}, left: map[string]leftReplica{},
 	}
 }
 
@@ -242,9 +251,6 @@
 	defer planner.mu.Unlock()
 	targets := map[string]greengageroute.Target{}
 	for _, target := range view.Pool(name) {
-		// Findings about a head during its absence are void once it is listed again.
-		delete(planner.closedAt, target.ID)
-		delete(planner.unansweredOrders, target.ID)
 		if staged, underway := planner.staging[target.ID]; underway && now.Before(staged.until) && !target.HasStaged(staged.model) {
 			target.Staging = staged.model
 		}
@@ -253,6 +259,7 @@
 		}
 		targets[target.ID] = target
 	}
+	closedAt := planner.closedAt(targets)
 	absent := maps.Clone(view.Absent)
 	for id, head := range planner.unknownHeads {
 		if _, known := absent[id]; !known {
@@ -261,7 +268,7 @@
 	}
 	return greengageroute.PoolView{
 		Pool: name, Engine: engine, Targets: targets, HasTraffic: planner.HasTraffic(), Now: now,
-		Absent: absent, ClosedAt: maps.Clone(planner.closedAt), PendingOpens: planner.pendingOpensIn(targets),
+		Absent: absent, ClosedAt: closedAt, PendingOpens: planner.pendingOpensIn(targets),
 		Left: planner.leftReplicasOf(targets),
 	}.Indexed()
 }
@@ -335,7 +342,8 @@
 	now := planner.Clock.Now()
 	text := fmt.Sprint(order)
 	planner.mu.Lock()
-	last := planner.sent[order.Target.ID]
+	key := sentKey(order)
+	last := planner.sent[key]
 	timeout, retryInterval := OrderTimeout, orderRetryInterval
 	if _, listed := view.Targets[order.Target.ID]; !listed {
 		timeout, retryInterval = absentOrderTimeout, absentRetryInterval
@@ -349,7 +357,11 @@
 		planner.mu.Unlock()
 		return
 	}
-	planner.sent[order.Target.ID] = sentOrder{text, now}
+	if order.Kind == greengageroute.OrderClose {
+		delete(planner.sent, order.Target.ID)
+		maps.DeleteFunc(planner.sent, func(_ string, last sentOrder) bool { return now.Sub(last.at) > sentTTL })
+	}
+	planner.sent[key] = sentOrder{text, now}
 	model, _ := view.Engine.Model(order.Model)
 	if order.Kind == greengageroute.OrderOpen {
 		planner.pendingOpens[order.Target.ID] = pendingOpen{
@@ -366,6 +378,15 @@
 	go planner.deliver(ctx, order, timeout)
 }
 
+// sentKey returns what an order is the last one of: a target has one of each replica whose
+// head it may be to close, and one other order.
+func sentKey(order greengageroute.TargetOrder) string {
+	if order.Kind == greengageroute.OrderClose {
+		return fmt.Sprint(order.Target.ID, " ", order.Replica, " ", order.Epoch)
+	}
+	return order.Target.ID
+}
+
 func (planner *Planner) deliver(ctx context.Context, order greengageroute.TargetOrder, timeout time.Duration) {
 	if !planner.Lease.Held().Holds(planner.Clock.Now(), OrderTimeout) {
 		return
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -45,7 +45,7 @@
 // also because it turned an order away without saying anything about its state.
 func TestAbsentHeadIsRecordedAsClosed(t *testing.T) {
 	head := greengageroute.Target{ID: "i-head", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1}
-	closing := greengageroute.TargetOrder{Kind: greengageroute.OrderClose, Target: head, Immediate: true}
+	closing := greengageroute.TargetOrder{Kind: greengageroute.OrderClose, Target: head, Replica: "r1", Epoch: 7, Immediate: true}
 	tests := []struct {
 		name      string
 		activity  fakeActivity
@@ -77,13 +77,77 @@
 				directory.Replace(nil, time.Time{})
 			}
 			view := planner.poolView("llm", nil, directory.View())
-			if _, closed := view.ClosedAt[head.ID]; closed != test.closed {
+			if _, closed := view.ClosedAt[closing.Key()]; closed != test.closed {
 				t.Errorf("head recorded as closed: %t, want %t", closed, test.closed)
 			}
 		})
 	}
 }
 
+// TestClosedHeadIsRecordedForOneEpoch guards against members that leave an open head because
+// it refused, carried out or did not answer an order to close with another epoch.
+func TestClosedHeadIsRecordedForOneEpoch(t *testing.T) {
+	head := greengageroute.Target{ID: "i-head", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1}
+	ordered, other := greengageroute.ReplicaKey{Name: "r1", Epoch: 6}, greengageroute.ReplicaKey{Name: "r1", Epoch: 7}
+	closing := greengageroute.TargetOrder{Kind: greengageroute.OrderClose, Target: head, Replica: ordered.Name, Epoch: ordered.Epoch, Immediate: true}
+	for _, test := range []struct {
+		name     string
+		response error
+	}{
+		{"refused", &greengageroute.OrderRefusedError{Status: 409}},
+		{"refused by another target at the address", &greengageroute.OrderRefusedError{Status: 421}},
+		{"accepted", nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			planner, directory := newTestPlanner(fakeActivity{})
+			planner.recordResult(closing, test.response)
+			closedAt := planner.poolView("llm", nil, directory.View()).ClosedAt
+			if _, closed := closedAt[ordered]; !closed {
+				t.Error("the head isn't recorded as closed under the epoch of the order")
+			}
+			if _, closed := closedAt[other]; closed {
+				t.Error("the head is recorded as closed under another epoch")
+			}
+		})
+	}
+}
+
+// TestRefusedCloseKeepsPendingOpen guards against members that leave a head that is about to
+// open, because it refused to close under an older epoch.
+func TestRefusedCloseKeepsPendingOpen(t *testing.T) {
+	head := greengageroute.Target{ID: "i-head", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1}
+	head.Membership = greengageroute.Membership{Replica: "r1", Epoch: 7, Model: "m", State: greengageroute.MemberReady}
+	planner, directory := newTestPlanner(fakeActivity{})
+	planner.send(context.Background(), greengageroute.TargetOrder{Kind: greengageroute.OrderOpen, Target: head, Replica: "r1", Epoch: 7}, greengageroute.PoolView{Engine: &greengageroute.Engine{}})
+	planner.recordResult(greengageroute.TargetOrder{Kind: greengageroute.OrderClose, Target: head, Replica: "r1", Epoch: 6}, &greengageroute.OrderRefusedError{Status: 409})
+	directory.Replace([]greengageroute.Target{head}, time.Time{})
+	if _, pending := planner.poolView("llm", nil, directory.View()).PendingOpens[head.ID]; !pending {
+		t.Error("the order to open is no longer pending")
+	}
+}
+
+// TestClosesOfOneHeadAreRetriedApart guards against orders to close one head under two epochs
+// that are sent again in every round, each as if the other had replaced it.
+func TestClosesOfOneHeadAreRetriedApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		planner, _ := newTestPlanner(fakeActivity{})
+		planner.Lease.held = greengageroute.HeldLease{Fence: 1, RenewedAt: time.Now(), Term: time.Hour}
+		head := greengageroute.Target{ID: "i-head", Pool: "llm", StartUnixMilli: 1}
+		view := greengageroute.PoolView{Engine: &greengageroute.Engine{}, Targets: map[string]greengageroute.Target{head.ID: head}}
+		for range 7 {
+			for _, epoch := range []uint64{6, 7} {
+				planner.send(context.Background(), greengageroute.TargetOrder{Kind: greengageroute.OrderClose, Target: head, Replica: "r1", Epoch: epoch}, view)
+			}
+			time.Sleep(planInterval)
+		}
+		synctest.Wait()
+		time.Sleep(time.Second)
+		if orders := planner.Counters.Get(CountOrders).String(); orders != "2" {
+			t.Errorf("%s orders were sent in 700 ms, want 2", orders)
+		}
+	})
+}
+
 // TestLostHeadIsGivenUpSoon guards against replicas whose head is lost, of all losses one
 // in four where replicas have four members, and whose other members wait over a second
 // before they may join again.
@@ -99,7 +163,7 @@
 			planner.send(context.Background(), closing, view)
 			time.Sleep(10 * time.Millisecond)
 			planner.mu.Lock()
-			_, closed = planner.closedAt[head.ID]
+			closed = !planner.absentHeads[closing.Key()].closedAt.IsZero()
 			planner.mu.Unlock()
 		}
 		if took := time.Since(started); took > 600*time.Millisecond {
--- a/formation.go
+++ b/formation.go
@@ -54,8 +54,8 @@
 		Now time.Time
 		// Absent holds targets that are no longer listed or were found unreachable.
 		Absent map[string]Target
-		// ClosedAt is when an absent head was last found closed or failed.
-		ClosedAt map[string]time.Time
+		// ClosedAt is when the absent head of a replica was last found closed or failed.
+		ClosedAt map[ReplicaKey]time.Time
 		// PendingOpens holds heads that were sent an order to open and may have
 		// opened, though the list doesn't show it yet.
 		PendingOpens map[string]ReplicaKey
--- a/formation_test.go
+++ b/formation_test.go
@@ -20,6 +20,7 @@
 		hasTraffic bool
 		orders     []TargetOrder          // orders carried out, for assertions
 		formed     map[string]Set[string] // members that have formed, by replica and epoch
+		heads      map[ReplicaKey]string  // as named by the orders to join
 	}
 
 	// simulatedTarget is one target with its true state.
@@ -43,7 +44,7 @@
 
 func newSimulatedPool(t *testing.T, domains, perDomain int) *simulatedPool {
 	pool := &simulatedPool{
-		t: t, engine: testEngine, targets: map[string]*simulatedTarget{}, now: time.Unix(1000, 0), formed: map[string]Set[string]{},
+		t: t, engine: testEngine, targets: map[string]*simulatedTarget{}, now: time.Unix(1000, 0), formed: map[string]Set[string]{}, heads: map[ReplicaKey]string{},
 	}
 	for domain := range domains {
 		for index := range perDomain {
@@ -60,18 +61,20 @@
 	pool.hasTraffic = hasTraffic
 	view := PoolView{
 		Pool: "llm", Engine: pool.engine, Targets: map[string]Target{}, Absent: map[string]Target{},
-		ClosedAt: map[string]time.Time{}, Now: pool.now, HasTraffic: hasTraffic,
+		ClosedAt: map[ReplicaKey]time.Time{}, Now: pool.now, HasTraffic: hasTraffic,
 	}
 	for id, target := range pool.targets {
 		if target.crashed || target.unlisted {
 			view.Absent[id] = target.Target
-			if target.crashed {
-				view.ClosedAt[id] = pool.now
-			}
 			continue
 		}
 		view.Targets[id] = target.Target
 	}
+	for key, id := range pool.heads {
+		if head, known := pool.targets[id]; known && head.crashed {
+			view.ClosedAt[key] = pool.now
+		}
+	}
 	return view
 }
 
@@ -134,6 +137,7 @@
 		}
 	}
 	target.joinEnd = pool.now.Add(joinTime)
+	pool.heads[ReplicaKey{order.Replica, order.Epoch}] = order.Members[0]
 	target.Membership = Membership{
 		Replica: order.Replica, Epoch: order.Epoch, Model: order.Model, State: MemberJoining,
 		Rank: slices.Index(order.Members, target.ID),
@@ -468,6 +472,41 @@
 	}
 }
 
+// Two members of a replica know its absent head under different epochs. Each epoch has its own
+// order to close, and only the member of the epoch that the head no longer has is released.
+func TestHeadIsClosedUnderEachEpoch(t *testing.T) {
+	pool, formation := newFormedPool(t, 6, 11)
+	assignment := formation.Assignments[0]
+	older, newer := ReplicaKey{assignment.Name, assignment.Epoch}, ReplicaKey{assignment.Name, assignment.Epoch + 1}
+	pool.targets[assignment.Members[0]].unlisted = true
+	for _, id := range assignment.Members[2:] {
+		pool.targets[id].Membership.Epoch++
+	}
+	formation.heads[newer] = assignment.Members[0]
+	formation.lastEpoch++
+	view := pool.view(true)
+	formation.Update(view)
+	closes := map[ReplicaKey]bool{}
+	for _, order := range formation.Orders(view) {
+		if order.Kind == OrderJoin && order.Target.Membership.Replica == assignment.Name {
+			t.Errorf("the order %v takes a member from a head that may be open", order)
+		}
+		if order.Kind == OrderClose {
+			closes[ReplicaKey{order.Replica, order.Epoch}] = true
+		}
+	}
+	if !closes[older] || !closes[newer] {
+		t.Errorf("the head is ordered to close under %v, want both epochs", closes)
+	}
+	view.ClosedAt[older] = pool.now
+	if member := pool.targets[assignment.Members[1]]; formation.constraintOf(member.Target, view).mustStay {
+		t.Error("the member of the closed epoch isn't released")
+	}
+	if member := pool.targets[assignment.Members[2]]; !formation.constraintOf(member.Target, view).mustStay {
+		t.Error("a member of the epoch that may be open is released")
+	}
+}
+
 // runRandomFaults runs a pool in which orders are lost or delayed, targets crash,
 // vanish from the list and turn slow, and new planners take over.
 func runRandomFaults(t *testing.T, seed uint64) {
--- a/formationorders.go
+++ b/formationorders.go
@@ -23,7 +23,7 @@
 // Targets that are already joining their replica get none.
 func (formation *Formation) Orders(view PoolView) []TargetOrder {
 	var orders []TargetOrder
-	closed := NewSet[string]()
+	closed := map[ReplicaKey]bool{}
 	for _, assignment := range formation.Assignments {
 		orders = append(orders, formation.ordersFor(assignment, view, closed)...)
 	}
@@ -31,7 +31,7 @@
 	return append(orders, formation.leaveAbandoned(view)...)
 }
 
-func (formation *Formation) ordersFor(assignment Assignment, view PoolView, closed Set[string]) []TargetOrder {
+func (formation *Formation) ordersFor(assignment Assignment, view PoolView, closed map[ReplicaKey]bool) []TargetOrder {
 	var joins, headJoins, closes []TargetOrder
 	formed, blocked := 0, false
 	for _, id := range assignment.Members {
@@ -47,7 +47,8 @@
 		}
 		constraint := formation.constraintOf(target, view)
 		blocked = blocked || constraint.mustStay
-		if constraint.mustClose && closed.Add(constraint.head.ID) {
+		if key := target.Membership.key(); constraint.mustClose && !closed[key] {
+			closed[key] = true
 			closes = append(closes, closeOrder(constraint.head, target.Membership, !view.complete(constraint.head)))
 		}
 		join := TargetOrder{
@@ -91,7 +92,7 @@
 		stays := belongs && head.Membership.State == MemberReady && target.ID != id && !view.hasLeft(head)
 		return constraint{mustStay: serving || stays, mustClose: open, head: head}
 	}
-	if closedAt, found := view.ClosedAt[id]; found && closedAt.After(target.ListedSince) {
+	if closedAt, found := view.ClosedAt[member.key()]; found && closedAt.After(target.ListedSince) {
 		return constraint{}
 	}
 	head, found := view.Absent[id]
@@ -147,7 +148,7 @@
 
 // closeAbandoned returns orders that close the open heads of replicas without an
 // assignment.
-func (formation *Formation) closeAbandoned(view PoolView, closed Set[string]) []TargetOrder {
+func (formation *Formation) closeAbandoned(view PoolView, closed map[ReplicaKey]bool) []TargetOrder {
 	assigned := map[ReplicaKey]bool{}
 	for _, assignment := range formation.Assignments {
 		assigned[ReplicaKey{assignment.Name, assignment.Epoch}] = true
@@ -155,7 +156,8 @@
 	var orders []TargetOrder
 	for _, target := range view.Targets {
 		member := target.Membership
-		if member.Rank == 0 && member.State == MemberOpen && !assigned[ReplicaKey{member.Replica, member.Epoch}] && closed.Add(target.ID) {
+		if member.Rank == 0 && member.State == MemberOpen && !assigned[member.key()] && !closed[member.key()] {
+			closed[member.key()] = true
 			orders = append(orders, closeOrder(target, member, !view.complete(target)))
 		}
 	}
--- a/target.go
+++ b/target.go
@@ -91,6 +91,8 @@
 	return member.Replica == replica && member.Epoch == epoch
 }
 
+func (member Membership) key() ReplicaKey { return ReplicaKey{member.Replica, member.Epoch} }
+
 // Formed reports whether the member has loaded the model and connected to the
 // other members.
 func (member Membership) Formed() bool {
--- a/targetorder.go
+++ b/targetorder.go
@@ -38,8 +38,12 @@
 	}
 )
 
+// Key returns the replica that the order names.
+func (order TargetOrder) Key() ReplicaKey { return ReplicaKey{order.Replica, order.Epoch} }
+
 // TellsState reports whether the status says that the target can't carry out the order in
-// its state, or isn't the one expected. Other refusals, as by a busy target, leave open what
+// its state, or isn't the one expected. That says nothing about a replica that the order
+// doesn't name. Other refusals, as by a busy target, leave open what
 // the state is.
 func (err *OrderRefusedError) TellsState() bool {
 	switch err.Status {
