Target list: a target whose row was overwritten has a heartbeat to write it again

What callers would see: a sound target whose row another writer overwrote counted as gone at once where the whole list was read with that row in it (after a truncated history, a restoration or a change of reader), so that its replica lost a member. Where the row came as a change, the target was used for good by a row that was gone.

Cause: rows that can't be decoded were left out of a read of the list, which drops what it lacks, and out of the changes, which keep what they don't name.

Evidence: TestOverwrittenRows failed before in all four cases: dropped before the next heartbeat with the list, listed after three missed heartbeats with the changes.

Why it works: an odd row says nothing about its target, least of all that it has ended. What is known stays for 2.5 s, the time that rows have to come back after an outage, and a heartbeat with its margin. A valid row ends the wait, a removed row drops the target at once, and a writer that overwrites the row again and again doesn't prolong it. Requests that run go on.

Cost: one map lookup an odd row. Sound targets pay nothing.

--- a/control/directory.go
+++ b/control/directory.go
@@ -113,10 +113,10 @@
 }
 
 // Replace applies a complete read of the list. Targets that are missing from it
-// are dropped at the given time.
-func (directory *Directory) Replace(targets []greengageroute.Target, dropAt time.Time) {
+// are dropped at the given time, except those whose rows are there but can't be decoded.
+func (directory *Directory) Replace(targets []greengageroute.Target, dropAt time.Time, undecodable ...string) {
 	directory.update(func() {
-		listed := greengageroute.Set[string]{}
+		listed := greengageroute.NewSet(undecodable...)
 		for _, target := range targets {
 			listed.Add(target.ID)
 			if directory.outweighs(target) {
@@ -148,6 +148,19 @@
 	})
 }
 
+// DropUnlessWritten drops listed targets at the given time unless they have written their
+// rows again by then.
+func (directory *Directory) DropUnlessWritten(ids []string, dropAt time.Time) {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	for _, id := range ids {
+		_, listed := directory.targets[id]
+		if _, scheduled := directory.dropAt[id]; listed && !scheduled {
+			directory.dropAt[id] = dropAt
+		}
+	}
+}
+
 // outweighs reports whether the target wrote what this entry knows of it, listed or not,
 // after the row that a restored store shows.
 func (directory *Directory) outweighs(copied greengageroute.Target) bool {
--- a/control/follower.go
+++ b/control/follower.go
@@ -36,6 +36,9 @@
 	// outageGrace is how long targets whose rows expired during an outage have to be
 	// listed again; the platform specifies about two seconds.
 	outageGrace = 2500 * time.Millisecond
+	// undecodableGrace is how long a target whose row was overwritten by another writer has
+	// to write it again: a heartbeat, with the same margin.
+	undecodableGrace = outageGrace
 )
 
 // Counters of the follower; docs/OPERATIONS.md lists them.
@@ -149,13 +152,15 @@
 	follower.run(ctx, feed{
 		table: platform.TargetTable, pollTimeout: listPollTimeout, batchDelay: follower.listDelay,
 		onSnapshot: func(rows platform.Rows) {
-			written, _ := follower.decodeTargets(rows)
-			follower.directory.Replace(written, follower.dropTime())
+			written, _, undecodable := follower.decodeTargets(rows)
+			follower.directory.Replace(written, follower.dropTime(), undecodable...)
+			follower.directory.DropUnlessWritten(undecodable, follower.clock.Now().Add(undecodableGrace))
 		},
 		onChanges: func(rows platform.Rows) {
 			if len(rows.Rows) > 0 {
-				written, removed := follower.decodeTargets(rows)
+				written, removed, undecodable := follower.decodeTargets(rows)
 				follower.directory.Apply(written, removed, follower.dropTime())
+				follower.directory.DropUnlessWritten(undecodable, follower.clock.Now().Add(undecodableGrace))
 			}
 		},
 		onConfirmed: func(time.Time) { follower.directory.Expire() },
@@ -293,7 +298,7 @@
 	}
 }
 
-func (follower *Follower) decodeTargets(rows platform.Rows) (written []greengageroute.Target, removed []string) {
+func (follower *Follower) decodeTargets(rows platform.Rows) (written []greengageroute.Target, removed, undecodable []string) {
 	for _, row := range rows.Rows {
 		if row.Deleted {
 			removed = append(removed, row.Key)
@@ -303,9 +308,10 @@
 		if err != nil {
 			follower.counters.Add(CountListRowsNotDecoded, 1)
 			follower.log.V(1).Info("list row not decoded; ignoring it", "row", row.Key, "cause", err.Error())
+			undecodable = append(undecodable, row.Key)
 			continue
 		}
 		written = append(written, target)
 	}
-	return written, removed
+	return written, removed, undecodable
 }
--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -261,3 +261,56 @@
 		}
 	})
 }
+
+// TestOverwrittenRows guards against a sound target that counts as gone at once because another
+// writer overwrote its row, and against one that is used for good by a row that is gone.
+func TestOverwrittenRows(t *testing.T) {
+	tests := []struct {
+		name     string
+		snapshot bool // the whole list is read with the odd row in it
+		odd      string
+	}{
+		{"of another type", false, `{"service":7}`},
+		{"of another type, read with the list", true, `{"service":7}`},
+		{"of the same group without an epoch", false, `{"service":"ledger","address":"10.0.0.1:80","zone":"a","state":"ready","slots":6,"born":7,"sequence":9,"group":{"name":"g","rank":0,"state":"open"}}`},
+		{"without a start", true, `{"service":"ledger","address":"10.0.0.1:80","zone":"a","state":"ready","slots":6,"sequence":9}`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			follow(t, func(store *fakeStore, _ *fakeConn, follower *Follower) {
+				check := func(when, id string, want bool) {
+					t.Helper()
+					if target, found := follower.directory.View().Target(id); found != want || found && target.StartUnixMilli != 7 {
+						t.Errorf("%s: target %s is listed: %v, with the start %d; want it listed: %v", when, id, found, target.StartUnixMilli, want)
+					}
+				}
+				for _, id := range []string{"overwritten", "gone", "removed"} {
+					store.put("servers", id, fmt.Sprintf(testTarget, "ready", 7))
+				}
+				time.Sleep(time.Second)
+				for _, id := range []string{"overwritten", "gone", "removed", "never-listed"} {
+					store.put("servers", id, test.odd)
+				}
+				if test.snapshot {
+					store.truncateHistory()
+				}
+				time.Sleep(1200 * time.Millisecond) // a heartbeat
+				check("before the next heartbeat", "overwritten", true)
+				check("before the next heartbeat", "gone", true)
+				check("before the next heartbeat", "never-listed", false)
+				store.put("servers", "overwritten", fmt.Sprintf(testTarget, "ready", 7))
+				store.remove("servers", "removed")
+				store.put("servers", "new", fmt.Sprintf(testTarget, "ready", 7))
+				time.Sleep(400 * time.Millisecond)
+				check("after its row was removed", "removed", false)
+				check("after the odd rows", "new", true)
+				for range 3 { // another writer overwrites the row again and again
+					store.put("servers", "gone", test.odd)
+					time.Sleep(time.Second)
+				}
+				check("after its heartbeats", "overwritten", true)
+				check("after three heartbeats that didn't come", "gone", false)
+			})
+		})
+	}
+}
