Streams: a silent target's stream goes on, beside a second attempt

Callers saw streams broken off in the middle although their target was sound and only silent for a moment.

Cause: no event for an iteration and 150 ms, and a member that probes of 110 ms didn't reach or whose row lapsed, ended the attempt. Where no other replica had room, the attempts or the retry budget were used up, or the second attempt failed, the caller's stream was broken off, long before its deadline. The same silence of an isolated entry's links did.

Suspicion and loss are two states now. A suspected attempt stays open; a second one starts beside it after the last event, within the attempts and the budget, and the first of them that brings the next event goes on. Only the end of the attempt's own connection, another start of a member, or a row of the head that shows it broken or in a later epoch ends an attempt. A silence no longer counts as a gap between events in the target's speed.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -152,6 +152,8 @@
 			Name: "chat", Host: "h", Prefix: "/chat/", Kind: greengageroute.Streaming, Timeout: 8 * time.Second, Attempts: 2, Resumable: true,
 			LatencyObjective: 250 * time.Millisecond, GapObjective: 200 * time.Millisecond, Pools: toPool("llm"),
 		},
+		{Name: "talk", Host: "h", Prefix: "/talk/", Kind: greengageroute.Streaming, Timeout: 8 * time.Second, Attempts: 2, Pools: toPool("llm")},
+		{Name: "feed", Host: "h", Prefix: "/feed/", Kind: greengageroute.Streaming, Timeout: 8 * time.Second, Attempts: 2, Resumable: true, Pools: toPool("ledger")},
 	}, map[string]greengageroute.Pool{"ledger": {Name: "ledger", HealthPath: "/health"}, "llm": {Name: "llm", Engine: testEngine}},
 		map[string]greengageroute.KeyOwner{"key": {Name: "counters"}}, greengageroute.CallerLimits{BodyBytes: 1000}, true)
 )
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -125,15 +125,17 @@
 		priority     int
 		arrived      time.Time
 		deadline     time.Time
-		attemptsSent int                         // attempts that reached a target
-		triedTargets string                      // IDs of the targets tried, for the log
-		limitWait    time.Duration               // until a target takes a request, if none took one at the last choice, by limits and backoffs
-		mayHaveRun   bool                        // a target may have run the request
-		forwarded    bool                        // another entry, which reaches no target, sent the request
-		cause        greengageroute.CrashCause   // stands for the request in the quarantine
-		partCauses   []greengageroute.CrashCause // stand for the parts of its prompt, but the last
-		headerSent   bool                        // status and header were sent to the caller
-		timing       timing
+		attemptsSent int // attempts that reached a target
+		// attemptsPending are those that may still turn out not to have reached one.
+		attemptsPending int
+		triedTargets    string                      // IDs of the targets tried, for the log
+		limitWait       time.Duration               // until a target takes a request, if none took one at the last choice, by limits and backoffs
+		mayHaveRun      bool                        // a target may have run the request
+		forwarded       bool                        // another entry, which reaches no target, sent the request
+		cause           greengageroute.CrashCause   // stands for the request in the quarantine
+		partCauses      []greengageroute.CrashCause // stand for the parts of its prompt, but the last
+		headerSent      bool                        // status and header were sent to the caller
+		timing          timing
 	}
 
 	// timing holds when a stream's events arrived, relative to the request's arrival.
@@ -163,6 +165,16 @@
 	CountRetries             = "repeats"
 	CountRetriesOverBudget   = "repeats-over-budget"
 	CountStreamsResumed      = "streams-resumed"
+	// CountStreamsSuspected counts attempts that were silent while their replica may have
+	// lost a member, CountReplicasLost those whose replica was found to have lost one.
+	CountStreamsSuspected = "streams-suspected"
+	CountReplicasLost     = "streams-lost-replica"
+	// CountHedgesSent counts attempts that were started beside suspected ones,
+	// CountHedgesWon those that brought the next event, and CountStreamsRecovered the
+	// suspected ones that did.
+	CountHedgesSent       = "stream-hedges-sent"
+	CountHedgesWon        = "stream-hedges-won"
+	CountStreamsRecovered = "streams-recovered"
 	// CountQuarantined counts requests refused because targets crashed while running
 	// them.
 	CountQuarantined = "requests-quarantined"
@@ -384,10 +396,11 @@
 // allowAttempt reports whether the request may be sent to another target. It
 // charges a retry to the pool's budget.
 func (exchange *exchange) allowAttempt() bool {
-	if exchange.attemptsSent == 0 {
+	attempts := exchange.attemptsSent + exchange.attemptsPending
+	if attempts == 0 {
 		return true
 	}
-	if exchange.attemptsSent >= exchange.route.Attempts {
+	if attempts >= exchange.route.Attempts {
 		return false
 	}
 	if !exchange.retryBudget().AllowRetry(time.Now(), exchange.service.Peers.LiveEntries()) {
--- a/edge/filters.go
+++ b/edge/filters.go
@@ -116,10 +116,10 @@
 	ctx, cancel := context.WithDeadline(ctx, exchange.deadline)
 	defer cancel()
 	switch {
-	case exchange.isolated():
-		return exchange.forwardToEntries(ctx)
 	case exchange.route.Kind == greengageroute.Streaming:
 		return exchange.stream(ctx)
+	case exchange.isolated():
+		return exchange.forwardToEntries(ctx)
 	default:
 		return exchange.call(ctx)
 	}
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -65,13 +65,13 @@
 	return true
 }
 
-// forwardToEntries sends the request to other entries, one after the other, until one has
+// forwardToEntries sends a call to other entries, one after the other, until one has
 // answered it, or may have had it run.
 func (exchange *exchange) forwardToEntries(ctx context.Context) error {
 	service := exchange.service
 	reason := "neither a target nor an entry that reaches one responds"
 	for index, address := range service.Peers.Helpers() {
-		if index == maxHelpersTried || exchange.mayHaveRun && !exchange.route.Retryable() && !exchange.route.Resumable {
+		if index == maxHelpersTried || exchange.mayHaveRun && !exchange.route.Retryable() {
 			break
 		}
 		service.Counters.Add(CountForwarded, 1)
@@ -103,7 +103,6 @@
 	// An idle connection may have been dropped without notice.
 	attempt.ToEntry, attempt.AtMostOnce, attempt.AttemptsSent = true, true, exchange.attemptsSent
 	service.Log.V(1).Info("request forwarded", "id", exchange.ID, "entry", address, "sent", exchange.attemptsSent, "after-event", exchange.LastEventID)
-	sentAt := time.Now()
 	answer, err := service.PeerSender.Do(ctx, exchange.Request, attempt)
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
@@ -123,18 +122,6 @@
 		return false, err
 	}
 	defer func() { answer.Close(complete) }()
-	if exchange.route.Kind == greengageroute.Streaming && answer.Status == http.StatusOK {
-		stream := &streamAttempt{
-			exchange: exchange, source: source{replica: greengageroute.Replica{Members: []greengageroute.Target{helper}}},
-			answer: answer, lastEvent: sentAt, sentAt: sentAt, unresponsiveAfter: time.Hour, unresponsiveTimer: &recheckTimer{}, fromEntry: true,
-		}
-		stream.unresponsiveTimer.start(stream.unresponsiveAfter, func() {})
-		defer stream.unresponsiveTimer.stop()
-		return stream.forwardEvents(ctx)
-	}
-	if exchange.headerSent {
-		return false, errors.New("the other entry could not resume the stream")
-	}
 	body, err := readAnswer(answer)
 	if err == nil && answer.EndsWithConnection {
 		err = errEndedByEntry
--- /dev/null
+++ b/edge/hedgedstream.go
@@ -0,0 +1,542 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/control"
+	"greengageroute.example/greengageroute/upstream"
+)
+
+const (
+	// silenceRecheck is the time until a silent attempt is checked again. Its replica's
+	// members are probed meanwhile.
+	silenceRecheck = 60 * time.Millisecond
+	// replicaSearchInterval is how often a replica for another attempt is looked for while
+	// the directory doesn't change: loads, limits and budgets do.
+	replicaSearchInterval = 250 * time.Millisecond
+)
+
+var (
+	// errAttemptsUsed is returned when the route allows no further attempt.
+	errAttemptsUsed = errors.New("all attempts that the route allows were made")
+	// errNoReplica is returned when no replica or target takes another attempt now.
+	errNoReplica = errors.New("no replica takes another attempt")
+	// errSearchNotDue is returned between two searches for a replica.
+	errSearchNotDue = errors.New("nothing has changed since the last search")
+	// errRepeatedEvent ends an attempt that doesn't go on after the last event.
+	errRepeatedEvent = errors.New("the target repeated an event")
+)
+
+type (
+	// hedgedStream is a stream that is forwarded from one attempt at a time. An attempt is
+	// suspected while it is silent and its replica may have lost a member. Then a second one
+	// starts beside it after the last event; the first of them that brings the next event
+	// goes on, and the other is cancelled. All methods run in the request's goroutine.
+	hedgedStream struct {
+		exchange     *exchange
+		attempts     []*streamAttempt // that haven't ended, cancelled ones included
+		messages     chan streamMessage
+		silence      chan struct{}
+		silenceTimer recheckTimer
+		tried        greengageroute.Set[string] // keys of the sources that may have run the request
+		unreachable  greengageroute.Set[string] // keys of those that it couldn't be sent to lately
+		starts       int                        // attempts since the last pause
+		helpersTried int
+		searchedView *control.View
+		searchedAt   time.Time
+		lastEvent    time.Time
+		reason       string // why the last attempt failed
+		retryAfter   time.Duration
+	}
+
+	// streamMessage tells what an attempt received: the head of its answer, an event or the
+	// end.
+	streamMessage struct {
+		attempt *streamAttempt
+		event   []byte // valid until the next message is received
+		ended   bool
+		rest    []byte // after the last event
+		err     error  // why the attempt ended; nil for a regular end
+	}
+)
+
+func newHedgedStream(exchange *exchange) *hedgedStream {
+	return &hedgedStream{
+		exchange: exchange, messages: make(chan streamMessage), silence: make(chan struct{}, 1),
+		tried: greengageroute.Set[string]{}, unreachable: greengageroute.Set[string]{},
+		reason: "no replica of the model is available", retryAfter: noReplicaRetryAfter, lastEvent: time.Now(),
+	}
+}
+
+// run forwards the stream until its end.
+func (stream *hedgedStream) run(ctx context.Context) error {
+	stream.silenceTimer.start(silenceRecheck, func() {
+		select {
+		case stream.silence <- struct{}{}:
+		default:
+		}
+	})
+	defer stream.silenceTimer.stop()
+	defer stream.stop()
+	for {
+		if err := stream.startNext(ctx); err != nil {
+			return stream.end(ctx, err)
+		}
+		select {
+		case message := <-stream.messages:
+			if complete, err := stream.receive(ctx, message); complete || err != nil {
+				return stream.end(ctx, err)
+			}
+		case <-stream.silence:
+			stream.checkSilence()
+		case <-ctx.Done():
+			stream.stop()
+			return stream.end(ctx, stream.exchange.timeoutError())
+		}
+	}
+}
+
+// end logs why a stream that has begun is broken off.
+func (stream *hedgedStream) end(ctx context.Context, err error) error {
+	exchange := stream.exchange
+	if err == nil || !exchange.headerSent || errors.Is(err, errCallerDisconnected) {
+		return err
+	}
+	exchange.service.Log.Info("stream broken off", "id", exchange.ID, "reason", stream.reason, "deadline-passed", ctx.Err() != nil,
+		"sent", exchange.attemptsSent, "attempts", exchange.route.Attempts, "targets", exchange.triedTargets, "after-event", exchange.LastEventID,
+		"silent-ms", time.Since(stream.lastEvent).Milliseconds())
+	return err
+}
+
+// stop cancels all attempts and waits for their ends.
+func (stream *hedgedStream) stop() {
+	for _, attempt := range stream.attempts {
+		attempt.abandon(nil)
+	}
+	for len(stream.attempts) > 0 {
+		switch message := <-stream.messages; {
+		case message.ended:
+			stream.recordEnd(message)
+			message.attempt.close(false)
+		case message.event == nil:
+			stream.recordAnswer(message.attempt)
+		}
+	}
+}
+
+// active returns the attempts that weren't cancelled.
+func (stream *hedgedStream) active() (active []*streamAttempt) {
+	for _, attempt := range stream.attempts {
+		if !attempt.cancelled {
+			active = append(active, attempt)
+		}
+	}
+	return active
+}
+
+// startNext starts an attempt if none runs, or if all that run are suspected and the stream
+// may be resumed. The error ends the request.
+func (stream *hedgedStream) startNext(ctx context.Context) error {
+	active := stream.active()
+	if slices.ContainsFunc(active, func(attempt *streamAttempt) bool { return attempt.suspicion == "" }) {
+		return nil
+	}
+	exchange := stream.exchange
+	hedges := len(active) > 0
+	switch {
+	case hedges && !exchange.route.Resumable:
+		return nil
+	case exchange.mayHaveRun && !exchange.route.Resumable:
+		return exchange.noAnswerError(http.StatusBadGateway, stream.reason, stream.retryAfter)
+	}
+	if hedges && !stream.searchDue() {
+		return nil
+	}
+	err := stream.startAttempt(ctx, hedges)
+	switch {
+	case err == nil:
+		stream.recordStart(active)
+		return nil
+	case hedges:
+		stream.pause()
+		return nil
+	case errors.Is(err, errNoReplica), errors.Is(err, errAttemptsUsed):
+		return exchange.noAnswerError(http.StatusBadGateway, stream.reason, stream.retryAfter)
+	default:
+		return err
+	}
+}
+
+// searchDue reports whether a replica should be looked for again after a search without
+// success.
+func (stream *hedgedStream) searchDue() bool {
+	view := stream.exchange.service.Directory.View()
+	return view != stream.searchedView || time.Since(stream.searchedAt) >= replicaSearchInterval
+}
+
+// pause lets targets that were unreachable be tried again at the next search.
+func (stream *hedgedStream) pause() {
+	stream.searchedView, stream.searchedAt = stream.exchange.service.Directory.View(), time.Now()
+	for key := range stream.unreachable {
+		delete(stream.tried, key)
+	}
+	clear(stream.unreachable)
+	stream.starts, stream.helpersTried = 0, 0
+	stream.silenceTimer.reset(silenceRecheck)
+}
+
+// recordStart records an attempt that was started beside suspected ones, or after the last
+// one ended.
+func (stream *hedgedStream) recordStart(suspected []*streamAttempt) {
+	exchange := stream.exchange
+	if len(suspected) > 0 {
+		exchange.service.Counters.Add(CountHedgesSent, 1)
+	} else if exchange.headerSent {
+		exchange.service.Counters.Add(CountStreamsResumed, 1)
+	}
+}
+
+// startAttempt starts an attempt at a replica, a single target or, for an isolated entry,
+// another entry. A hedge isn't sent to a replica that is silent itself.
+func (stream *hedgedStream) startAttempt(ctx context.Context, hedges bool) error {
+	exchange := stream.exchange
+	if sent := exchange.attemptsSent + exchange.attemptsPending; sent > 0 && sent >= exchange.route.Attempts {
+		return errAttemptsUsed
+	}
+	if exchange.isolated() {
+		return stream.startAtEntry(ctx)
+	}
+	if stream.starts >= maxTargetsTried {
+		return errNoReplica
+	}
+	source, found := exchange.pickSource(stream.tried)
+	switch {
+	case !found && exchange.limitWait > 0 && !exchange.headerSent && !hedges:
+		return exchange.limitError()
+	case !found, hedges && (source.engine == nil || source.unresponsive):
+		return errNoReplica
+	}
+	if wait := exchange.overloadRetryAfter(source); wait > 0 {
+		stream.reason, stream.retryAfter = "the replicas are at capacity", wait
+		return errNoReplica
+	}
+	if len(stream.tried) > 0 {
+		// Another target may have crashed since.
+		if err := exchange.quarantineError(); err != nil {
+			return err
+		}
+	}
+	if !exchange.allowAttempt() {
+		return errNoReplica
+	}
+	stream.tried.Add(source.key())
+	stream.start(ctx, newStreamAttempt(stream, source))
+	return nil
+}
+
+// startAtEntry starts an attempt that another entry forwards.
+func (stream *hedgedStream) startAtEntry(ctx context.Context) error {
+	exchange, service := stream.exchange, stream.exchange.service
+	helpers := service.Peers.Helpers()
+	if stream.helpersTried >= min(len(helpers), maxHelpersTried) {
+		stream.reason, stream.retryAfter = "neither a target nor an entry that reaches one responds", noHelperRetryAfter
+		return errNoReplica
+	}
+	address := helpers[stream.helpersTried]
+	stream.helpersTried++
+	service.Counters.Add(CountForwarded, 1)
+	service.Log.V(1).Info("request forwarded", "id", exchange.ID, "entry", address, "sent", exchange.attemptsSent, "after-event", exchange.LastEventID)
+	stream.start(ctx, newForwardedStreamAttempt(stream, address))
+	return nil
+}
+
+func (stream *hedgedStream) start(ctx context.Context, attempt *streamAttempt) {
+	stream.starts++
+	stream.attempts = append(stream.attempts, attempt)
+	stream.exchange.attemptsPending++
+	attempt.start(ctx)
+	stream.silenceTimer.reset(min(attempt.unresponsiveAfter, silenceRecheck))
+}
+
+// receive handles what an attempt received. It reports whether the stream is complete.
+func (stream *hedgedStream) receive(ctx context.Context, message streamMessage) (complete bool, err error) {
+	switch {
+	case message.ended:
+		return stream.receiveEnd(ctx, message)
+	case message.event == nil:
+		stream.recordAnswer(message.attempt)
+		return false, nil
+	case message.attempt.cancelled:
+		return false, nil
+	default:
+		return false, stream.forwardEvent(message.attempt, message.event)
+	}
+}
+
+// recordAnswer records the head of an attempt's answer.
+func (stream *hedgedStream) recordAnswer(attempt *streamAttempt) {
+	exchange, answer := stream.exchange, attempt.answer
+	attempt.recorded = true
+	exchange.attemptsPending--
+	if attempt.fromEntry {
+		exchange.triedTargets += attempt.head().ID + " "
+		if answer.ForwardedFrom.ID != "" {
+			exchange.service.recordLeaving(answer.ForwardedFrom)
+		}
+		if !attempt.isRefusedByEntry() {
+			exchange.attemptsSent++
+			exchange.mayHaveRun = true
+		}
+		return
+	}
+	exchange.recordSent(attempt.head())
+	exchange.mayHaveRun = exchange.mayHaveRun || !answer.NotRun
+	exchange.recordNotices(attempt.head(), answer.AnswerHead, attempt.sentAt)
+}
+
+// recordEnd removes an attempt that has ended, and records whether it reached its target.
+func (stream *hedgedStream) recordEnd(message streamMessage) {
+	attempt, exchange := message.attempt, stream.exchange
+	stream.attempts = slices.DeleteFunc(stream.attempts, func(other *streamAttempt) bool { return other == attempt })
+	if attempt.recorded {
+		return
+	}
+	attempt.recorded = true
+	exchange.attemptsPending--
+	var notSent *upstream.NotSentError
+	if errors.As(message.err, &notSent) {
+		stream.unreachable.Add(attempt.source.key())
+		return
+	}
+	if attempt.fromEntry {
+		exchange.attemptsSent++
+		exchange.triedTargets += attempt.head().ID + " "
+	} else {
+		exchange.recordSent(attempt.head())
+	}
+	exchange.mayHaveRun = true
+}
+
+// receiveEnd handles the end of an attempt. It reports whether the stream is complete.
+func (stream *hedgedStream) receiveEnd(ctx context.Context, message streamMessage) (complete bool, err error) {
+	attempt, exchange := message.attempt, stream.exchange
+	stream.recordEnd(message)
+	defer func() { attempt.close(complete) }()
+	if attempt.cancelled {
+		return false, nil
+	}
+	cause := message.err
+	switch {
+	case cause != nil:
+	case attempt.answer.Status != http.StatusOK:
+		complete, cause = stream.forwardFailure(ctx, message)
+	default:
+		complete, cause = stream.finish(ctx, message)
+	}
+	if complete {
+		return true, nil
+	}
+	if exchange.endedError(ctx, cause) != nil {
+		stream.stop()
+		return false, exchange.endedError(ctx, cause)
+	}
+	stream.recordFailure(ctx, attempt, cause)
+	var refusal *Refusal
+	if len(stream.active()) == 0 && !exchange.headerSent && errors.As(cause, &refusal) {
+		return false, exchange.noAnswerError(http.StatusBadGateway, refusal.Reason, refusal.RetryAfter)
+	}
+	return false, nil
+}
+
+// recordFailure records why an attempt failed, and has its target checked.
+func (stream *hedgedStream) recordFailure(ctx context.Context, attempt *streamAttempt, cause error) {
+	exchange := stream.exchange
+	var notSent *upstream.NotSentError
+	switch {
+	case errors.As(cause, &notSent):
+		stream.reason = "the replica is unreachable"
+	case errors.Is(cause, errNotRun):
+		stream.reason, stream.retryAfter = "the replicas are at capacity", minOverloadRetryAfter
+		return
+	default:
+		stream.reason = cause.Error()
+	}
+	if attempt.fromEntry {
+		return
+	}
+	switch {
+	case notSent != nil:
+		exchange.service.probeHead(attempt.head())
+		stream.checkLinks(ctx)
+	case attempt.answer == nil:
+		stream.checkLinks(ctx)
+		exchange.checkCrash(ctx, attempt.head(), attempt.sentAt, attempt.progress, cause)
+	case attempt.answer.Status == http.StatusOK:
+		exchange.checkCrash(ctx, attempt.head(), attempt.sentAt, attempt.progress, &upstream.AnswerLostError{Target: attempt.head().ID, Cause: cause})
+	}
+}
+
+// checkLinks checks this entry's links, in the background if an attempt runs whose events
+// would have to wait.
+func (stream *hedgedStream) checkLinks(ctx context.Context) {
+	if len(stream.active()) > 0 {
+		go stream.exchange.checkLinks(ctx)
+		return
+	}
+	stream.exchange.checkLinks(ctx)
+}
+
+// forwardFailure delivers a target's error answer, unless the request may be retried at
+// another target or another attempt runs.
+func (stream *hedgedStream) forwardFailure(ctx context.Context, message streamMessage) (complete bool, err error) {
+	attempt, exchange := message.attempt, stream.exchange
+	retryable := exchange.route.Resumable && (exchange.attemptsSent < exchange.route.Attempts || len(stream.active()) > 0)
+	switch {
+	case exchange.headerSent && attempt.fromEntry:
+		return false, errors.New("the other entry could not resume the stream")
+	case exchange.headerSent, !attempt.fromEntry && attempt.answer.Status >= http.StatusInternalServerError && retryable:
+		return false, errors.New("the target returned an error")
+	}
+	if err := stream.confirmEnd(ctx, attempt); err != nil {
+		return false, err
+	}
+	return true, exchange.deliver(attempt.answer, message.rest)
+}
+
+// finish handles the regular end of a stream.
+func (stream *hedgedStream) finish(ctx context.Context, message streamMessage) (complete bool, err error) {
+	attempt := message.attempt
+	if len(message.rest) > 0 && attempt.isEventStream() {
+		return false, errEndedWithinEvent
+	}
+	if len(message.rest) > 0 {
+		if err := stream.forwardEvent(attempt, message.rest); err != nil {
+			return false, err
+		}
+	}
+	if err := stream.confirmEnd(ctx, attempt); err != nil {
+		return false, err
+	}
+	stream.exchange.sendHeader(attempt.answer)
+	if !attempt.progress.IsSound() {
+		stream.exchange.recordSound()
+	}
+	return true, nil
+}
+
+// confirmEnd returns an error for an answer that may be cut off.
+func (stream *hedgedStream) confirmEnd(ctx context.Context, attempt *streamAttempt) error {
+	if !attempt.fromEntry {
+		return stream.exchange.confirmEnd(ctx, attempt.head(), attempt.answer)
+	}
+	if attempt.answer.EndsWithConnection {
+		return errEndedByEntry
+	}
+	return nil
+}
+
+// forwardEvent sends an attempt's event to the caller, and cancels the other attempts.
+func (stream *hedgedStream) forwardEvent(attempt *streamAttempt, event []byte) error {
+	exchange, now := stream.exchange, time.Now()
+	id, numbered := eventID(event)
+	if numbered && attempt.resumes && !isAfter(id, exchange.LastEventID) {
+		attempt.abandon(errRepeatedEvent)
+		stream.reason = errRepeatedEvent.Error()
+		return nil
+	}
+	attempt.recordProgress(now)
+	stream.settle(attempt, now)
+	stream.lastEvent = now
+	exchange.timing.recordEvent(now.Sub(exchange.arrived))
+	exchange.sendHeader(attempt.answer)
+	if _, err := exchange.writer.Write(event); err != nil {
+		return errCallerDisconnected
+	}
+	if err := http.NewResponseController(exchange.writer).Flush(); err != nil {
+		return errCallerDisconnected
+	}
+	if numbered {
+		exchange.LastEventID = id
+	}
+	return nil
+}
+
+// settle ends a hedge: the attempt that has brought the next event goes on alone.
+func (stream *hedgedStream) settle(winner *streamAttempt, now time.Time) {
+	others := slices.DeleteFunc(stream.active(), func(other *streamAttempt) bool { return other == winner })
+	for _, other := range others {
+		other.abandon(nil)
+	}
+	if winner.suspicion == "" && len(others) == 0 {
+		return
+	}
+	exchange := stream.exchange
+	outcome, counter := "the suspected attempt goes on", CountStreamsRecovered
+	if winner.suspicion == "" {
+		outcome, counter = "the hedge goes on", CountHedgesWon
+	}
+	exchange.service.Counters.Add(counter, 1)
+	if counter == CountHedgesWon && exchange.headerSent {
+		exchange.service.Counters.Add(CountStreamsResumed, 1)
+	}
+	exchange.service.Log.Info("suspicion settled", "id", exchange.ID, "outcome", outcome, "target", winner.head().ID, "cancelled", len(others),
+		"silent-ms", now.Sub(stream.lastEvent).Milliseconds(), "after-event", exchange.LastEventID)
+	winner.suspicion = ""
+}
+
+// checkSilence updates what is suspected of the attempts that have been silent for too long.
+func (stream *hedgedStream) checkSilence() {
+	next := time.Hour
+	for _, attempt := range stream.active() {
+		if silent := time.Since(attempt.lastEvent); silent < attempt.unresponsiveAfter {
+			next = min(next, attempt.unresponsiveAfter-silent)
+			continue
+		}
+		next = silenceRecheck
+		evidence, lost := attempt.assess()
+		if lost {
+			stream.recordLoss(attempt, evidence)
+			continue
+		}
+		if evidence != "" && attempt.suspicion == "" {
+			stream.recordSuspicion(attempt, evidence)
+		}
+		attempt.suspicion = evidence
+		attempt.requestProbe()
+	}
+	stream.silenceTimer.reset(next)
+}
+
+func (stream *hedgedStream) recordSuspicion(attempt *streamAttempt, evidence string) {
+	exchange := stream.exchange
+	exchange.service.Counters.Add(CountStreamsSuspected, 1)
+	exchange.service.Log.Info("stream's replica suspected", "id", exchange.ID, "evidence", evidence, "replica", attempt.source.replica.Name,
+		"epoch", attempt.source.replica.Epoch, "head", attempt.head().ID, "silent-ms", time.Since(attempt.lastEvent).Milliseconds(), "after-event", exchange.LastEventID)
+}
+
+// recordLoss ends an attempt at a replica that can't go on.
+func (stream *hedgedStream) recordLoss(attempt *streamAttempt, evidence string) {
+	exchange := stream.exchange
+	exchange.service.Counters.Add(CountReplicasLost, 1)
+	exchange.service.Log.Info("stream's replica lost", "id", exchange.ID, "evidence", evidence, "replica", attempt.source.replica.Name,
+		"epoch", attempt.source.replica.Epoch, "head", attempt.head().ID, "silent-ms", time.Since(attempt.lastEvent).Milliseconds(), "after-event", exchange.LastEventID)
+	stream.reason = errReplicaLost.Error()
+	exchange.mayHaveRun = true
+	attempt.abandon(errReplicaLost)
+}
+
+// isAfter reports whether an event's id is greater than the last one, if there is one.
+func isAfter(id, last string) bool {
+	lastNumber, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return true
+	}
+	number, err := strconv.ParseUint(id, 10, 64)
+	return err != nil || number > lastNumber
+}
