Config: one that can't be decoded is not confirmed by the next poll

What callers would see: after a config that an entry can't decode, keys that it revokes go on working for good, since each poll confirmed the previous config as the newest.

Why it works: the config in force counts as confirmed until the undecodable one came. The bound is that of an entry that has lost the store: 4.4 s later it refuses keyed requests with 503 and fails its health check, until a config comes that it can decode.

--- a/control/follower.go
+++ b/control/follower.go
@@ -76,6 +76,9 @@
 		confirmedAt atomic.Int64 // when the config was last known to be current, in Unix nanoseconds of the clock
 		// polledAt is when a poll last found it current, whatever other entries know.
 		polledAt atomic.Int64
+		// configUndecodable is set while the newest config can't be decoded: the one in force
+		// isn't current.
+		configUndecodable atomic.Bool
 
 		mu          sync.Mutex
 		failing     bool      // the last call failed
@@ -122,7 +125,9 @@
 		table: platform.ConfigTable, pollTimeout: configPollTimeout,
 		onSnapshot: follower.adoptConfig, onChanges: follower.adoptConfig,
 		onConfirmed: func(confirmedAt time.Time) {
-			follower.polledAt.Store(max(confirmedAt.UnixNano(), follower.polledAt.Load()))
+			if !follower.configUndecodable.Load() {
+				follower.polledAt.Store(max(confirmedAt.UnixNano(), follower.polledAt.Load()))
+			}
 		},
 		outdated: func() bool {
 			behind := follower.behindPeers()
@@ -283,6 +288,7 @@
 			continue
 		}
 		routes, err := platform.DecodeConfig(row.Value)
+		follower.configUndecodable.Store(err != nil)
 		if err != nil {
 			follower.counters.Add(CountConfigsNotDecoded, 1)
 			follower.log.Error(err, "config not decoded; the previous one stays in force", "row-version", row.Version)
--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -63,6 +63,32 @@
 	})
 }
 
+// TestUndecodableConfigIsNotConfirmed guards against revoked keys that go on working because
+// the config that revoked them can't be decoded here, and the one before counts as current.
+func TestUndecodableConfigIsNotConfirmed(t *testing.T) {
+	for _, config := range []string{`not a config`, `null`, `{}`, `{"version":null}`, `{"version":-9}`, `{"version":9,"tenants":7}`, `{"version":9,"routes":[{"timeout_ms":1e400}]}`} {
+		t.Run(config, func(t *testing.T) {
+			follow(t, func(store *fakeStore, _ *fakeConn, follower *Follower) {
+				store.put("op", "config", `{"version":5}`)
+				time.Sleep(time.Second)
+				store.put("op", "config", config)
+				time.Sleep(3 * configPollTimeout)
+				if version := follower.Routes().Version; version != 5 {
+					t.Errorf("version %d is in force, want 5", version)
+				}
+				if age := follower.Age(); age < 2*configPollTimeout {
+					t.Errorf("version 5 counts as confirmed %s ago, want before the config that can't be decoded", age)
+				}
+				store.put("op", "config", `{"version":11}`)
+				time.Sleep(configPollTimeout + 100*time.Millisecond)
+				if version, age := follower.Routes().Version, follower.Age(); version != 11 || age > configPollTimeout+100*time.Millisecond {
+					t.Errorf("version %d is in force, confirmed %s ago, want 11 and a fresh one", version, age)
+				}
+			})
+		})
+	}
+}
+
 func TestConfigSurvivesTruncatedHistory(t *testing.T) {
 	follow(t, func(store *fakeStore, _ *fakeConn, follower *Follower) {
 		store.put("op", "config", `{"version":5}`)
