Planner: a silent head keeps its members from other replicas

Two orders without response within 0.4 s made a head count as closed.

Silence now only makes a head suspected: its members may join again under their replica's own name, as fast as before, and no other. For another replica the planner needs a word (the order refused or an immediate close accepted, another start, a later epoch) or a bound: the head has certainly been without a member for stall_ms and a margin of 3 s, so that it has broken by its own clock. A member is told to leave for that only after 2 s of silence, and after the release has been stored for the next planner. Without spares, a replica whose members have been absent for under 2 s is left as it is.

--- a/control/heads.go
+++ b/control/heads.go
@@ -51,7 +51,8 @@
 // doesn't wait for the write, and retries one that fails: the row is only read once
 // another planner takes over. It writes them again if the store was restored from a copy.
 func (planner *Planner) storeHeads(ctx context.Context, view greengageroute.PoolView, formation *greengageroute.Formation) {
-	encoded, err := json.Marshal(formation.Heads(view))
+	heads := formation.Heads(view)
+	encoded, err := json.Marshal(heads)
 	if err != nil {
 		planner.Log.Error(err, "replica heads not encoded", "pool", view.Pool)
 		return
@@ -60,22 +61,54 @@
 	planner.mu.Lock()
 	if planner.headsWriteFailed || era != planner.storedHeadsEra {
 		clear(planner.storedHeads)
+		clear(planner.storedReleases)
 		planner.headsWriteFailed, planner.storedHeadsEra = false, era
 	}
-	planner.mu.Unlock()
-	if planner.storedHeads[view.Pool] == string(encoded) || now.Sub(planner.headsStoredAt) < headsWriteInterval {
+	if planner.headsWriting || planner.storedHeads[view.Pool] == string(encoded) || now.Sub(planner.headsStoredAt) < headsWriteInterval {
+		planner.mu.Unlock()
 		return
 	}
+	planner.headsWriting = true
+	planner.mu.Unlock()
 	planner.storedHeads[view.Pool], planner.headsStoredAt = string(encoded), now
+	releases := greengageroute.Set[string]{}
+	for _, head := range heads {
+		for _, member := range head.Released {
+			releases.Add(member.ID)
+		}
+	}
 	go func() {
 		_, err := planner.Lease.store.Commit(ctx, platform.Write{
 			Table: controlTable, Key: headsPrefix + view.Pool, Value: encoded, Unconditional: true,
 		})
+		planner.mu.Lock()
+		defer planner.mu.Unlock()
+		planner.headsWriting = false
 		if err != nil {
 			planner.Log.Info("replica heads not stored; trying again", "pool", view.Pool, "cause", err.Error())
-			planner.mu.Lock()
-			defer planner.mu.Unlock()
 			planner.headsWriteFailed = true
+			return
 		}
+		planner.storedReleases[view.Pool] = releases
 	}()
 }
+
+// maySend reports whether an order may be sent. A member is released only after the next
+// planner can know of it: the list then shows that it is in no replica, while its head may
+// still serve.
+func (planner *Planner) maySend(order greengageroute.TargetOrder, formation *greengageroute.Formation, pool string) bool {
+	if !formation.IsRelease(order) {
+		return true
+	}
+	planner.mu.Lock()
+	defer planner.mu.Unlock()
+	return planner.storedReleases[pool].Has(order.Target.ID)
+}
+
+// forgetAbsentHeads forgets what earlier orders told of absent heads: another planner may have
+// opened them since.
+func (planner *Planner) forgetAbsentHeads() {
+	planner.mu.Lock()
+	defer planner.mu.Unlock()
+	clear(planner.absentHeads)
+}
--- a/control/headstate.go
+++ b/control/headstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
@@ -32,20 +33,50 @@
 	case greengageroute.OrderClose:
 		planner.recordResponse(order, err)
 		planner.recordCloseResult(order, err)
-	case greengageroute.OrderJoin, greengageroute.OrderLeave:
+	case greengageroute.OrderJoin:
 		if err == nil {
-			planner.recordLeft(order.Target)
+			planner.recordLeft(order.Target, replicaKeyOf(order.Target))
+		}
+	case greengageroute.OrderLeave:
+		var refused *greengageroute.OrderRefusedError
+		if err == nil || errors.As(err, &refused) && refused.TellsState() {
+			planner.recordLeft(order.Target, order.Key())
 		}
 	}
 }
 
-// recordLeft records that a target has accepted an order by which it left the replica
-// that the list shows.
-func (planner *Planner) recordLeft(target greengageroute.Target) {
+func replicaKeyOf(target greengageroute.Target) greengageroute.ReplicaKey {
+	return greengageroute.ReplicaKey{Name: target.Membership.Replica, Epoch: target.Membership.Epoch}
+}
+
+// recordLeft records that a target has accepted an order by which it left a replica, or has
+// said that it isn't a member.
+func (planner *Planner) recordLeft(target greengageroute.Target, key greengageroute.ReplicaKey) {
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
-	key := greengageroute.ReplicaKey{Name: target.Membership.Replica, Epoch: target.Membership.Epoch}
-	planner.left[target.ID] = leftReplica{key: key, startUnixMilli: target.StartUnixMilli, at: planner.Clock.Now()}
+	left := leftReplica{key: key, startUnixMilli: target.StartUnixMilli, at: planner.Clock.Now()}
+	planner.left[target.ID] = left
+	if _, known := planner.lostMembers[key]; !known && key.Name != "" {
+		planner.lostMembers[key] = lostMember{id: target.ID, revision: target.Revision, leftReplica: left}
+	}
+}
+
+// memberLostAt returns since when replicas have been without one of their members. A member
+// that an order of before took back, as the list shows, hasn't been lost. The caller holds the
+// lock.
+func (planner *Planner) memberLostAt(targets map[string]greengageroute.Target) map[greengageroute.ReplicaKey]time.Time {
+	lostAt := map[greengageroute.ReplicaKey]time.Time{}
+	now := planner.Clock.Now()
+	for key, lost := range planner.lostMembers {
+		target, listed := targets[lost.id]
+		isBack := listed && target.StartUnixMilli == lost.startUnixMilli && lost.revision.Before(target.Revision) && target.Membership.BelongsTo(key.Name, key.Epoch)
+		if isBack || now.Sub(lost.at) > lostMemberTTL {
+			delete(planner.lostMembers, key)
+			continue
+		}
+		lostAt[key] = lost.at
+	}
+	return lostAt
 }
 
 // leftReplicasOf returns the targets that have left the replica that the list still
@@ -66,18 +97,37 @@
 	return replicas
 }
 
-// closedAt returns when absent heads were found closed or failed. Findings about a head are
-// void once it is listed again. The caller holds the lock.
-func (planner *Planner) closedAt(targets map[string]greengageroute.Target) map[greengageroute.ReplicaKey]time.Time {
-	closedAt := map[greengageroute.ReplicaKey]time.Time{}
+// absentHeadStates returns when absent heads said that they don't serve their replicas, and
+// which of the others are suspected. Findings about a head are void once it is listed again.
+// The caller holds the lock.
+func (planner *Planner) absentHeadStates(targets map[string]greengageroute.Target) (closedAt map[greengageroute.ReplicaKey]time.Time, suspected map[greengageroute.ReplicaKey]bool) {
+	closedAt, suspected = map[greengageroute.ReplicaKey]time.Time{}, map[greengageroute.ReplicaKey]bool{}
 	for key, head := range planner.absentHeads {
-		if _, listed := targets[head.id]; listed {
+		_, listed := targets[head.id]
+		switch {
+		case listed:
 			delete(planner.absentHeads, key)
-		} else if !head.closedAt.IsZero() {
+		case !head.closedAt.IsZero():
 			closedAt[key] = head.closedAt
+		case head.unansweredOrders >= unansweredOrderLimit && !planner.Activity.Active(head.id, activityWindow):
+			suspected[key] = true
+		}
+	}
+	return closedAt, suspected
+}
+
+// recordAbsent returns since when targets have been absent. The caller holds the lock.
+func (planner *Planner) recordAbsent(absent map[string]greengageroute.Target, now time.Time) map[string]time.Time {
+	maps.DeleteFunc(planner.absentSince, func(id string, _ time.Time) bool {
+		_, still := absent[id]
+		return !still
+	})
+	for id := range absent {
+		if _, known := planner.absentSince[id]; !known {
+			planner.absentSince[id] = now
 		}
 	}
-	return closedAt
+	return maps.Clone(planner.absentSince)
 }
 
 // recordResponse records a head's response to an order to open or close. A head
@@ -100,10 +150,10 @@
 	}
 }
 
-// recordCloseResult records the result of an order to close. An unlisted head
-// counts as closed, under the epoch of the order alone, once it has carried out an immediate close, has refused the
-// order by its state, which it does if it doesn't serve, or has left orders unanswered
-// while no entry has received data from it either.
+// recordCloseResult records the result of an order to close. An unlisted head is closed, under
+// the epoch of the order alone, once it has carried out an immediate close or has refused the
+// order by its state, which it does if it doesn't serve. It is suspected once it has left
+// orders unanswered while no entry has received data from it either.
 func (planner *Planner) recordCloseResult(order greengageroute.TargetOrder, err error) {
 	var refused *greengageroute.OrderRefusedError
 	var heldBack *greengageroute.BackoffError
@@ -123,9 +173,6 @@
 		head.unansweredOrders = 0
 	default:
 		head.unansweredOrders++
-		if head.unansweredOrders >= unansweredOrderLimit && !planner.Activity.Active(head.id, activityWindow) {
-			head.closedAt = planner.Clock.Now()
-		}
 	}
 	planner.absentHeads[order.Key()] = head
 }
--- a/control/planner.go
+++ b/control/planner.go
@@ -23,7 +23,7 @@
 	// again; the list shows changes within a few hundred milliseconds.
 	orderRetryInterval = 700 * time.Millisecond
 	// absentOrderTimeout and absentRetryInterval are the same for a head that is not
-	// listed or was found unreachable: its members wait until it counts as failed.
+	// listed or was found unreachable: its members wait until it is suspected.
 	absentOrderTimeout  = 200 * time.Millisecond
 	absentRetryInterval = 220 * time.Millisecond
 	// planInterval is how often the planner runs, in addition to every change of
@@ -37,9 +37,12 @@
 	stagingShare = 0.8
 	// poolLogInterval is the minimum interval between log lines on the state of pools.
 	poolLogInterval = 250 * time.Millisecond
-	// unansweredOrderLimit is how many orders in a row go unanswered before a head
-	// counts as failed.
+	// unansweredOrderLimit is how many orders in a row go unanswered before a head is
+	// suspected.
 	unansweredOrderLimit = 2
+	// lostMemberTTL is how long a replica is remembered to have lost a member, longer than
+	// its head may take to break.
+	lostMemberTTL = 10 * time.Minute
 	// leftTTL is how long a target is remembered to have left a replica; the list
 	// shows it long before.
 	leftTTL = time.Minute
@@ -98,9 +101,11 @@
 		// FormationDelay is how long the number of listed targets must stay the same
 		// before the first replicas are formed.
 		FormationDelay time.Duration
-		Clock          greengageroute.Clock
-		Counters       *expvar.Map
-		Log            logr.Logger
+		// StallTimeout is after which a head that has lost a member is broken.
+		StallTimeout time.Duration
+		Clock        greengageroute.Clock
+		Counters     *expvar.Map
+		Log          logr.Logger
 	}
 
 	// Planner forms the replicas of all pools with engines while this entry holds
@@ -126,17 +131,22 @@
 		// pendingOpens are heads that were ordered to open, until the list shows their
 		// state after the order.
 		pendingOpens map[string]pendingOpen
+		// lostMembers holds the first member that each replica is known to have lost.
+		lostMembers map[greengageroute.ReplicaKey]lostMember
+		absentSince map[string]time.Time
 		// left holds targets that accepted an order by which they left a replica,
 		// until the list shows it.
 		left map[string]leftReplica
 		// unknownHeads are heads that only an earlier planner has seen.
 		unknownHeads     map[string]greengageroute.Target
 		headsWriteFailed bool // storedHeads has to be written again
+		headsWriting     bool
 
 		storedHeads    map[string]string // heads as last written, by pool
 		storedHeadsEra uint64            // of the store, when they were written
 		headsStoredAt  time.Time
-		loadStarts     []time.Time // start times of the loads of the last second
+		storedReleases map[string]greengageroute.Set[string] // members named as released by the stored heads, by pool
+		loadStarts     []time.Time                           // start times of the loads of the last second
 	}
 
 	sentOrder struct {
@@ -155,7 +165,14 @@
 	absentHead struct {
 		id               string
 		unansweredOrders int       // in a row
-		closedAt         time.Time // when it was last found closed or failed
+		closedAt         time.Time // when it last said that it doesn't serve
+	}
+
+	// lostMember is a member that has left its replica, which is without it from then on.
+	lostMember struct {
+		leftReplica
+		id       string
+		revision greengageroute.StoreRevision // of the member's row before
 	}
 
 	// leftReplica is the replica that one run of a target has left.
@@ -177,7 +194,8 @@
 		PlannerOptions: options, wake: make(chan struct{}, 1),
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staging: map[string]stagingModel{},
 		loggedStates: map[string]string{}, unknownHeads: map[string]greengageroute.Target{}, pendingOpens: map[string]pendingOpen{}, storedHeads: map[string]string{},
-		absentHeads: map[greengageroute.ReplicaKey]absentHead{}, left: map[string]leftReplica{},
+		absentHeads: map[greengageroute.ReplicaKey]absentHead{}, lostMembers: map[greengageroute.ReplicaKey]lostMember{},
+		absentSince: map[string]time.Time{}, storedReleases: map[string]greengageroute.Set[string]{}, left: map[string]leftReplica{},
 	}
 }
 
@@ -237,6 +255,7 @@
 	if held.Fence != planner.fence {
 		planner.fence = held.Fence
 		clear(planner.formations)
+		planner.forgetAbsentHeads()
 	}
 	for name, pool := range routes.Pools {
 		if pool.Engine != nil && len(pool.Engine.Models) > 0 {
@@ -259,7 +278,7 @@
 		}
 		targets[target.ID] = target
 	}
-	closedAt := planner.closedAt(targets)
+	closedAt, suspected := planner.absentHeadStates(targets)
 	absent := maps.Clone(view.Absent)
 	for id, head := range planner.unknownHeads {
 		if _, known := absent[id]; !known {
@@ -268,7 +287,8 @@
 	}
 	return greengageroute.PoolView{
 		Pool: name, Engine: engine, Targets: targets, HasTraffic: planner.HasTraffic(), Now: now,
-		Absent: absent, ClosedAt: closedAt, PendingOpens: planner.pendingOpensIn(targets),
+		Absent: absent, AbsentSince: planner.recordAbsent(absent, now), ClosedAt: closedAt, SuspectedHeads: suspected,
+		MemberLostAt: planner.memberLostAt(targets), StallTimeout: planner.StallTimeout, PendingOpens: planner.pendingOpensIn(targets),
 		Left: planner.leftReplicasOf(targets),
 	}.Indexed()
 }
@@ -298,7 +318,9 @@
 	planner.storeHeads(ctx, view, formation)
 	orders := formation.Orders(view)
 	for _, order := range orders {
-		planner.send(ctx, order, view)
+		if planner.maySend(order, formation, view.Pool) {
+			planner.send(ctx, order, view)
+		}
 	}
 	planner.logPoolState(view, formation, len(orders))
 	for _, order := range slices.Concat(formation.StagingOrders(view, planner.spareLoadBudget(view)), formation.PreloadOrders(view)) {
@@ -346,7 +368,10 @@
 	last := planner.sent[key]
 	timeout, retryInterval := OrderTimeout, orderRetryInterval
 	if _, listed := view.Targets[order.Target.ID]; !listed {
-		timeout, retryInterval = absentOrderTimeout, absentRetryInterval
+		timeout = absentOrderTimeout
+		if planner.absentHeads[order.Key()].unansweredOrders < unansweredOrderLimit {
+			retryInterval = absentRetryInterval
+		}
 	}
 	if last.text == text && now.Sub(last.at) < retryInterval {
 		planner.mu.Unlock()
--- /dev/null
+++ b/control/release_test.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+)
+
+// TestReplicaHasLostMemberOnlyWithCertainty guards against members that join another replica
+// while their head stands still: it counts from a response by which a member isn't in it.
+func TestReplicaHasLostMemberOnlyWithCertainty(t *testing.T) {
+	key := greengageroute.ReplicaKey{Name: "r1", Epoch: 7}
+	member := greengageroute.Target{ID: "i-member", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1, Revision: greengageroute.StoreRevision{Version: 20}}
+	member.Membership = greengageroute.Membership{Replica: key.Name, Epoch: key.Epoch, Model: "m", Rank: 1, State: greengageroute.MemberReady}
+	newer, gone, restarted := member, member, member
+	newer.Revision.Version = 21
+	gone.Revision.Version, gone.Membership = 21, greengageroute.Membership{}
+	restarted.Revision.Version, restarted.StartUnixMilli = 21, 2
+	leave := greengageroute.TargetOrder{Kind: greengageroute.OrderLeave, Target: member, Replica: key.Name, Epoch: key.Epoch}
+	join := greengageroute.TargetOrder{Kind: greengageroute.OrderJoin, Target: member, Replica: "r1", Epoch: 8}
+	otherEpoch := leave
+	otherEpoch.Epoch = 6
+	tests := []struct {
+		name     string
+		order    greengageroute.TargetOrder
+		response error
+		listed   greengageroute.Target
+		lost     bool
+	}{
+		{"it left", leave, nil, member, true},
+		{"it left, and the list shows it", leave, nil, gone, true},
+		{"it wasn't a member", leave, &greengageroute.OrderRefusedError{Status: 409}, member, true},
+		{"it joined again under a newer epoch", join, nil, member, true},
+		{"it left a replica of another epoch", otherEpoch, nil, member, false},
+		{"no response", leave, errors.New("unanswered"), member, false},
+		{"it was busy", leave, &greengageroute.OrderRefusedError{Status: 503}, member, false},
+		{"the join was refused", join, &greengageroute.OrderRefusedError{Status: 412}, member, false},
+		{"it left, and an earlier order to join took it back", leave, nil, newer, false},
+		{"it left and restarted", leave, nil, restarted, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			planner, directory := newTestPlanner(fakeActivity{})
+			planner.recordResult(test.order, test.response)
+			directory.Replace([]greengageroute.Target{test.listed}, time.Time{})
+			if _, lost := planner.poolView("llm", nil, directory.View()).MemberLostAt[key]; lost != test.lost {
+				t.Errorf("the replica has lost a member: %t, want %t", lost, test.lost)
+			}
+		})
+	}
+}
+
+// TestReleaseIsStoredFirst guards against a next planner that takes a released member for free,
+// since this one ended before it had stored the release.
+func TestReleaseIsStoredFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		planner, directory := newTestPlanner(fakeActivity{})
+		engine := &greengageroute.Engine{Models: []greengageroute.EngineModel{{Name: "m", Size: 2, Share: 1}}}
+		target := func(id string, rank int) greengageroute.Target {
+			member := greengageroute.Membership{Replica: "r1", Epoch: 7, Model: "m", Rank: rank, State: greengageroute.MemberReady}
+			return greengageroute.Target{ID: id, Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1, Membership: member}
+		}
+		head := target("i-head", 0)
+		directory.Replace([]greengageroute.Target{head, target("i-member", 1)}, time.Time{})
+		formation := greengageroute.NewFormation(planner.poolView("llm", engine, directory.View()), 100)
+		formation.RestoreHeads([]greengageroute.ReplicaHead{{Replica: "r1", Epoch: 7, ID: head.ID}})
+		directory.MarkUnreachable(head.Instance())
+		planner.poolView("llm", engine, directory.View())
+		closing := greengageroute.TargetOrder{Kind: greengageroute.OrderClose, Target: head, Replica: "r1", Epoch: 7, Immediate: true}
+		for range unansweredOrderLimit {
+			planner.recordCloseResult(closing, errors.New("unanswered"))
+		}
+		time.Sleep(3 * time.Second)
+		view := planner.poolView("llm", engine, directory.View())
+		formation.Update(view)
+		var release greengageroute.TargetOrder
+		for _, order := range formation.Orders(view) {
+			if order.Kind == greengageroute.OrderLeave {
+				release = order
+			}
+		}
+		if release.Target.ID != "i-member" {
+			t.Fatalf("the orders have no release of the member: %v", formation.Orders(view))
+		}
+		if planner.maySend(release, formation, "llm") {
+			t.Error("the release is sent before it is stored")
+		}
+		planner.storeHeads(context.Background(), view, formation)
+		synctest.Wait()
+		if !planner.maySend(release, formation, "llm") {
+			t.Error("the release isn't sent once it is stored")
+		}
+		heads, err := planner.readHeads(context.Background(), "llm")
+		if err != nil || len(heads) != 1 || len(heads[0].Released) != 1 {
+			t.Errorf("the stored heads are %v, %v, want one with a released member", heads, err)
+		}
+	})
+}
--- a/formation.go
+++ b/formation.go
@@ -54,8 +54,18 @@
 		Now time.Time
 		// Absent holds targets that are no longer listed or were found unreachable.
 		Absent map[string]Target
-		// ClosedAt is when the absent head of a replica was last found closed or failed.
+		// AbsentSince is since when targets have been absent.
+		AbsentSince map[string]time.Time
+		// ClosedAt is when the absent head of a replica last said that it doesn't serve it.
 		ClosedAt map[ReplicaKey]time.Time
+		// SuspectedHeads are the replicas whose absent heads leave orders unanswered while
+		// no entry hears from them. They may be silent and go on.
+		SuspectedHeads map[ReplicaKey]bool
+		// MemberLostAt is when a replica was first known to be without one of its members.
+		MemberLostAt map[ReplicaKey]time.Time
+		// StallTimeout is after which a head that has lost a member is broken, by its own
+		// clock; 0 if unknown.
+		StallTimeout time.Duration
 		// PendingOpens holds heads that were sent an order to open and may have
 		// opened, though the list doesn't show it yet.
 		PendingOpens map[string]ReplicaKey
@@ -80,6 +90,15 @@
 		Address string `json:"address"`
 		// DataCentre is the head's data centre.
 		DataCentre string `json:"data-centre"`
+		// Released are members that were ordered to leave although the head may serve.
+		Released []ReleasedMember `json:"released,omitempty"`
+	}
+
+	// ReleasedMember is a member that was ordered to leave its replica, from one start of
+	// its process to the next.
+	ReleasedMember struct {
+		ID             string `json:"id"`
+		StartUnixMilli int64  `json:"start-unix-milli"`
 	}
 
 	// damagedAssignment is an assignment to be repaired, with the members that stay.
@@ -98,13 +117,14 @@
 		preloads    map[string]preload    // by target id
 		heads       map[ReplicaKey]string // heads of all replicas that targets may still be members of
 		assigned    Set[string]           // members of the assignments
+		releases    map[string]release    // by target id
 	}
 )
 
 // NewFormation returns a formation whose epochs start above the given one. It
 // adopts the replicas that the targets report.
 func NewFormation(view PoolView, epoch uint64) *Formation {
-	formation := &Formation{lastEpoch: epoch, lastName: epoch, preloads: map[string]preload{}, heads: map[ReplicaKey]string{}, assigned: Set[string]{}}
+	formation := &Formation{lastEpoch: epoch, lastName: epoch, preloads: map[string]preload{}, heads: map[ReplicaKey]string{}, assigned: Set[string]{}, releases: map[string]release{}}
 	newest := map[string]Assignment{}
 	for _, target := range view.Targets {
 		member := target.Membership
@@ -161,6 +181,7 @@
 // members of. They are stored for the next planner, which needs them.
 func (formation *Formation) Heads(view PoolView) []ReplicaHead {
 	var heads []ReplicaHead
+	formation.dropReleases(view)
 	referenced := formation.referencedReplicas(view)
 	for key, id := range formation.heads {
 		head, listed := view.Targets[id]
@@ -168,7 +189,7 @@
 			head = view.Absent[id]
 		}
 		if referenced[key] {
-			heads = append(heads, ReplicaHead{Replica: key.Name, Epoch: key.Epoch, ID: id, Address: head.Address, DataCentre: head.DataCentre})
+			heads = append(heads, ReplicaHead{Replica: key.Name, Epoch: key.Epoch, ID: id, Address: head.Address, DataCentre: head.DataCentre, Released: formation.releasedFrom(key)})
 		} else {
 			delete(formation.heads, key)
 		}
@@ -185,9 +206,12 @@
 	}
 	for _, targets := range []map[string]Target{view.Targets, view.Absent} {
 		for _, target := range targets {
-			referenced[ReplicaKey{target.Membership.Replica, target.Membership.Epoch}] = true
+			referenced[target.Membership.key()] = true
 		}
 	}
+	for _, released := range formation.releases {
+		referenced[released.member.key()] = true
+	}
 	return referenced
 }
 
@@ -195,6 +219,25 @@
 func (formation *Formation) RestoreHeads(heads []ReplicaHead) {
 	for _, head := range heads {
 		formation.heads[ReplicaKey{head.Replica, head.Epoch}] = head.ID
+		formation.restoreHead(head)
+		for _, released := range head.Released {
+			formation.releases[released.ID] = release{
+				startUnixMilli: released.StartUnixMilli, member: Membership{Replica: head.Replica, Epoch: head.Epoch, Rank: releasedRank},
+			}
+		}
+	}
+}
+
+// restoreHead names the head of a replica that was adopted without it. It may have served.
+func (formation *Formation) restoreHead(head ReplicaHead) {
+	if formation.assigned.Has(head.ID) {
+		return
+	}
+	for i, assignment := range formation.Assignments {
+		if assignment.Name == head.Replica && assignment.Epoch == head.Epoch && assignment.Members[0] == "" {
+			formation.Assignments[i].Members[0], formation.Assignments[i].Opened = head.ID, true
+			formation.assigned.Add(head.ID)
+		}
 	}
 }
 
@@ -232,7 +275,7 @@
 	for _, name := range names {
 		shortfall := underserved.Size + reserveSize(sizes[name], targets[underserved.Name]) - len(formation.free(view, name, nil))
 		needed := (shortfall + overserved.Size - 1) / overserved.Size
-		if needed > 0 && needed <= formation.replicaCount(name, overserved.Name) && (best == "" || needed < fewest) {
+		if needed > 0 && needed <= formation.replicaCount(view, name, overserved.Name) && (best == "" || needed < fewest) {
 			best, fewest = name, needed
 		}
 	}
@@ -242,7 +285,7 @@
 	}
 	dissolved := 0
 	formation.unassign(func(assignment Assignment) bool {
-		if dissolved == fewest || assignment.Domain != best || assignment.Model != overserved.Name {
+		if dissolved == fewest || assignment.Domain != best || assignment.Model != overserved.Name || !view.headListed(assignment) {
 			return false
 		}
 		dissolved++
@@ -251,11 +294,17 @@
 	return true
 }
 
-// replicaCount returns how many replicas of the model a domain has.
-func (formation *Formation) replicaCount(domain, model string) int {
+func (view PoolView) headListed(assignment Assignment) bool {
+	_, listed := view.Targets[assignment.Members[0]]
+	return listed
+}
+
+// replicaCount returns how many replicas of the model a domain has. Those with absent heads,
+// which hold their members, are left out.
+func (formation *Formation) replicaCount(view PoolView, domain, model string) int {
 	count := 0
 	for _, assignment := range formation.Assignments {
-		if assignment.Domain == domain && assignment.Model == model {
+		if assignment.Domain == domain && assignment.Model == model && view.headListed(assignment) {
 			count++
 		}
 	}
@@ -307,13 +356,13 @@
 	}
 }
 
-// free returns the targets of a domain that are neither assigned nor reserved,
-// sorted by id.
+// free returns the targets of a domain that are neither assigned, nor reserved, nor held by
+// an absent head, sorted by id.
 func (formation *Formation) free(view PoolView, domain string, reserved Set[string]) []Target {
 	var free []Target
 	if targets := view.Indexed().domains[domain]; targets != nil {
 		for _, target := range targets.ready {
-			if !formation.assigned.Has(target.ID) && !reserved.Has(target.ID) {
+			if !formation.assigned.Has(target.ID) && !reserved.Has(target.ID) && !formation.isHeld(*target, view) {
 				free = append(free, *target)
 			}
 		}
@@ -369,7 +418,9 @@
 	var changed []Assignment
 	if len(formation.Assignments) == 0 && !view.HasTraffic {
 		for _, placement := range PlanPlacements(view) {
-			changed = append(changed, formation.form(view, placement.Model, placement.Domain))
+			if len(formation.free(view, placement.Domain, nil)) >= placement.Model.Size {
+				changed = append(changed, formation.form(view, placement.Model, placement.Domain))
+			}
 		}
 	}
 	for _, maxCost := range []int{joinCostStaged, joinCostLoading} {
--- a/formationorders.go
+++ b/formationorders.go
@@ -1,16 +1,12 @@
 package greengageroute
 
-import "time"
-
-// headListingGrace is how long a member waits for its head to be listed again. Live
-// targets are listed again within two seconds after an outage.
-const headListingGrace = 2500 * time.Millisecond
-
 // constraint says whether a target has to stay in its present replica for now.
 type constraint struct {
-	mustStay  bool
-	mustClose bool // the head has to be sent an order to close
-	head      Target
+	mustStay    bool
+	mustClose   bool // the head has to be sent an order to close
+	mustRelease bool // one of the members has to leave, so that the head breaks
+	head        Target
+	member      Membership // of the target
 }
 
 // leavesFirst reports whether other members wait for the target, the head of their
@@ -28,11 +24,12 @@
 		orders = append(orders, formation.ordersFor(assignment, view, closed)...)
 	}
 	orders = append(orders, formation.closeAbandoned(view, closed)...)
+	orders = append(orders, formation.freeAbandoned(view, closed)...)
 	return append(orders, formation.leaveAbandoned(view)...)
 }
 
 func (formation *Formation) ordersFor(assignment Assignment, view PoolView, closed map[ReplicaKey]bool) []TargetOrder {
-	var joins, headJoins, closes []TargetOrder
+	var joins, headJoins, frees []TargetOrder
 	formed, blocked := 0, false
 	for _, id := range assignment.Members {
 		target, found := view.Targets[id]
@@ -45,12 +42,9 @@
 			}
 			continue
 		}
-		constraint := formation.constraintOf(target, view)
+		constraint := formation.constraintOf(target, assignment.Name, view)
 		blocked = blocked || constraint.mustStay
-		if key := target.Membership.key(); constraint.mustClose && !closed[key] {
-			closed[key] = true
-			closes = append(closes, closeOrder(constraint.head, target.Membership, !view.complete(constraint.head)))
-		}
+		frees = append(frees, formation.freeingOrders(target, constraint, view, closed)...)
 		join := TargetOrder{
 			Kind: OrderJoin, Target: target, Replica: assignment.Name, Epoch: assignment.Epoch,
 			Model: assignment.Model, Members: assignment.Members,
@@ -61,7 +55,7 @@
 		}
 	}
 	if blocked {
-		return append(closes, headJoins...)
+		return append(frees, headJoins...)
 	}
 	if len(joins) > 0 {
 		return joins
@@ -73,33 +67,42 @@
 	return nil
 }
 
-// constraintOf returns whether a target has to stay in its replica for now, because
-// the replica's head serves or isn't known to have stopped serving. A closed head leaves
-// its replica first: as long as it is ready there, a delayed order may open it again.
-func (formation *Formation) constraintOf(target Target, view PoolView) constraint {
-	member := target.Membership
+// freeingOrders returns the orders that end the target's constraint, unless they have been
+// returned for another member of its replica.
+func (formation *Formation) freeingOrders(target Target, constraint constraint, view PoolView, closed map[ReplicaKey]bool) []TargetOrder {
+	key := constraint.member.key()
+	if !constraint.mustClose && !constraint.mustRelease || closed[key] {
+		return nil
+	}
+	closed[key] = true
+	var orders []TargetOrder
+	if constraint.mustClose {
+		orders = append(orders, closeOrder(constraint.head, constraint.member, !view.complete(constraint.head)))
+	}
+	if constraint.mustRelease {
+		orders = append(orders, formation.releaseOrder(target, constraint.member))
+	}
+	return orders
+}
+
+// constraintOf returns whether a target has to stay in its replica for now instead of joining
+// the named one, because the replica's head serves or isn't known to have stopped serving. A
+// closed head leaves its replica first: as long as it is ready there, a delayed order may open
+// it again.
+func (formation *Formation) constraintOf(target Target, replica string, view PoolView) constraint {
+	member := formation.membershipOf(target)
 	if member.Replica == "" {
 		return constraint{}
 	}
-	id, known := formation.headOf(member, view)
-	if !known {
-		return constraint{mustStay: view.Now.Sub(target.ListedSince) < headListingGrace}
-	}
-	if head, listed := view.Targets[id]; listed {
+	id, known := formation.headOf(target, member, view)
+	if head, listed := view.Targets[id]; known && listed {
 		belongs := head.Membership.BelongsTo(member.Replica, member.Epoch)
 		open := belongs && (head.Membership.State == MemberOpen || head.Membership.State == MemberReady && view.openPending(head))
 		serving := open || belongs && head.Membership.State == MemberClosing
 		stays := belongs && head.Membership.State == MemberReady && target.ID != id && !view.hasLeft(head)
-		return constraint{mustStay: serving || stays, mustClose: open, head: head}
+		return constraint{mustStay: serving || stays, mustClose: open, head: head, member: member}
 	}
-	if closedAt, found := view.ClosedAt[member.key()]; found && closedAt.After(target.ListedSince) {
-		return constraint{}
-	}
-	head, found := view.Absent[id]
-	if !found {
-		return constraint{mustStay: view.Now.Sub(target.ListedSince) < headListingGrace}
-	}
-	return constraint{mustStay: true, mustClose: true, head: head}
+	return formation.absentConstraintOf(target, member, replica, view)
 }
 
 // openPending reports whether the head was sent an order to open and may have
@@ -116,8 +119,11 @@
 	return left && target.Membership.BelongsTo(key.Name, key.Epoch)
 }
 
-// headOf returns the head of the replica that a membership names.
-func (formation *Formation) headOf(member Membership, view PoolView) (string, bool) {
+// headOf returns the head of the replica that a target's membership names.
+func (formation *Formation) headOf(target Target, member Membership, view PoolView) (string, bool) {
+	if member.Rank == 0 {
+		return target.ID, true
+	}
 	if id, known := formation.heads[ReplicaKey{member.Replica, member.Epoch}]; known {
 		return id, true
 	}
--- /dev/null
+++ b/formationrelease_test.go
@@ -0,0 +1,170 @@
+package greengageroute
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// newSilentHeadPool returns a pool and its first large replica, whose head doesn't respond.
+func newSilentHeadPool(t *testing.T) (*simulatedPool, *Formation, Assignment) {
+	pool, formation := newFormedPool(t, 1, 9) // one of each model, no spare
+	index := slices.IndexFunc(formation.Assignments, func(assignment Assignment) bool { return assignment.Model == "large" })
+	assignment := formation.Assignments[index]
+	pool.targets[assignment.Members[0]].unlisted = true
+	return pool, formation, assignment
+}
+
+// A head that may be silent for a moment keeps its members from other replicas until it says
+// that it doesn't serve, has joined again, or must be broken. Under the replica's own name they
+// may join again as soon as it is suspected.
+func TestSilentHeadKeepsItsMembers(t *testing.T) {
+	tests := []struct {
+		name                string
+		change              func(view *PoolView, key ReplicaKey, head string)
+		ownFreed, otherFree bool
+	}{
+		{"it is absent", func(*PoolView, ReplicaKey, string) {}, false, false},
+		{"it is suspected", func(view *PoolView, key ReplicaKey, _ string) { view.SuspectedHeads[key] = true }, true, false},
+		{"it closed", func(view *PoolView, key ReplicaKey, _ string) { view.ClosedAt[key] = view.Now }, true, true},
+		{"it closed under another epoch", func(view *PoolView, key ReplicaKey, _ string) {
+			view.ClosedAt[ReplicaKey{key.Name, key.Epoch - 1}] = view.Now
+		}, false, false},
+		{"it joined again later", func(view *PoolView, _ ReplicaKey, head string) {
+			target := view.Absent[head]
+			target.Membership.Epoch++
+			view.Absent[head] = target
+		}, true, true},
+		{"it restarted and is listed", func(view *PoolView, _ ReplicaKey, head string) {
+			target := view.Absent[head]
+			delete(view.Absent, head)
+			target.StartUnixMilli, target.Membership = target.StartUnixMilli+1, Membership{}
+			view.Targets[head] = target
+		}, true, true},
+		{"a member left a moment ago", func(view *PoolView, key ReplicaKey, _ string) {
+			view.MemberLostAt[key] = view.Now.Add(-view.StallTimeout)
+		}, false, false},
+		{"a member left so long ago that it is broken", func(view *PoolView, key ReplicaKey, _ string) {
+			view.MemberLostAt[key] = view.Now.Add(-view.StallTimeout - stallMargin)
+		}, true, true},
+		{"a member left long ago, and it is unknown when heads break", func(view *PoolView, key ReplicaKey, _ string) {
+			view.MemberLostAt[key] = view.Now.Add(-time.Hour)
+			view.StallTimeout = 0
+		}, false, false},
+		{"it is forgotten", func(view *PoolView, _ ReplicaKey, head string) { delete(view.Absent, head) }, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pool, formation, assignment := newSilentHeadPool(t)
+			view := pool.view(true)
+			test.change(&view, ReplicaKey{assignment.Name, assignment.Epoch}, assignment.Members[0])
+			member := view.Targets[assignment.Members[1]]
+			if free := !formation.constraintOf(member, assignment.Name, view).mustStay; free != test.ownFreed {
+				t.Errorf("may join again under the own name: %t, want %t", free, test.ownFreed)
+			}
+			if free := !formation.constraintOf(member, "other", view).mustStay; free != test.otherFree {
+				t.Errorf("may join another replica: %t, want %t", free, test.otherFree)
+			}
+		})
+	}
+}
+
+// A head or another member falls silent for a moment, and no spare is at hand. The replica gets
+// no order, so that it serves as soon as the member goes on.
+func TestSilentMemberWithoutSparesStays(t *testing.T) {
+	for _, rank := range []int{0, 3} {
+		pool, formation := newFormedPool(t, 1, 9)
+		index := slices.IndexFunc(formation.Assignments, func(assignment Assignment) bool { return assignment.Model == "large" })
+		silent := pool.targets[formation.Assignments[index].Members[rank]]
+		silent.unlisted, silent.absentSince = true, pool.now
+		pool.run(formation, silenceTolerance-100*time.Millisecond, true)
+		if len(pool.orders) > 0 {
+			t.Errorf("rank %d: while a member is silent the orders are %v, want none", rank, pool.orders)
+		}
+		silent.unlisted, silent.ListedSince = false, pool.now
+		pool.run(formation, time.Second, true)
+		if serving := pool.openByModel(); len(pool.orders) > 0 || serving["large"] != 1 || serving["small"] != 1 {
+			t.Errorf("rank %d: after the silence the orders are %v, and the open replicas %v", rank, pool.orders, serving)
+		}
+	}
+}
+
+// Two replicas lose their heads, which never answer again. A member of each is told to leave,
+// and the members make one replica only when the head that they leave must be broken.
+func TestMembersOfLostHeadsAreReleased(t *testing.T) {
+	pool, formation := newSmallModelPool(t, 7)
+	delete(pool.targets, formation.free(pool.view(false), "d0", nil)[0].ID)
+	pool.orders, pool.orderedAt = nil, nil
+	heads := map[string]string{}
+	for _, assignment := range formation.Assignments {
+		head := pool.targets[assignment.Members[0]]
+		head.crashed, head.absentSince = true, pool.now
+		heads[assignment.Name] = head.ID
+	}
+	started := pool.now
+	pool.run(formation, silenceTolerance+6*time.Second+stallMargin+3*time.Second, true)
+	left := map[string]time.Time{}
+	for i, order := range pool.orders {
+		at, member := pool.orderedAt[i], order.Target.Membership
+		_, known := left[member.Replica]
+		switch {
+		case order.Kind == OrderLeave && !known:
+			left[order.Replica] = at
+			if at.Sub(started) < silenceTolerance {
+				t.Errorf("a member was told to leave after %s, want at least %s", at.Sub(started), silenceTolerance)
+			}
+		case order.Kind == OrderJoin && heads[member.Replica] != "" && order.Replica != member.Replica:
+			if !known || at.Sub(left[member.Replica]) < 6*time.Second+stallMargin {
+				t.Errorf("%s joined another replica at %s; of its own one a member left at %s", order.Target.ID, at.Sub(started), left[member.Replica].Sub(started))
+			}
+		}
+	}
+	if open := pool.openByModel()["small"]; open != 1 {
+		t.Errorf("%d replicas are open at the end, want 1", open)
+	}
+}
+
+// Where a replica with a silent head and one with a live head have lost members, the members of
+// the second complete the first: its own members may join again under their name.
+func TestReplicaWithLiveHeadIsTheDonor(t *testing.T) {
+	for _, silent := range []int{0, 1} {
+		pool, formation := newSmallModelPool(t, 7)
+		delete(pool.targets, formation.free(pool.view(false), "d0", nil)[0].ID)
+		recipient, donor := formation.Assignments[silent], formation.Assignments[1-silent]
+		pool.targets[recipient.Members[0]].crashed = true
+		pool.targets[donor.Members[1]].crashed = true
+		pool.run(formation, 3*time.Second, true)
+		if open := pool.openByModel()["small"]; open != 1 {
+			t.Errorf("%d replicas are open 3 s after the losses, want 1", open)
+		}
+		if !slices.ContainsFunc(formation.Assignments, func(assignment Assignment) bool { return assignment.Name == recipient.Name }) {
+			t.Errorf("replica %s, whose head is silent, was dissolved: %v", recipient.Name, formation.Assignments)
+		}
+	}
+}
+
+// The next planner knows which members were released: the list shows them in no replica while
+// their head may serve.
+func TestNextPlannerKnowsReleasedMembers(t *testing.T) {
+	pool, formation, assignment := newSilentHeadPool(t)
+	key := ReplicaKey{assignment.Name, assignment.Epoch}
+	view := pool.view(true)
+	member := pool.targets[assignment.Members[1]]
+	formation.releaseOrder(member.Target, member.Membership)
+	heads := formation.Heads(view)
+	member.Membership = Membership{}
+	view = pool.view(true)
+	next := NewFormation(view, 2_000_000)
+	next.RestoreHeads(heads)
+	if !next.isHeld(member.Target, view) {
+		t.Error("the next planner takes a released member for free")
+	}
+	view.MemberLostAt[key] = view.Now.Add(-view.StallTimeout - stallMargin)
+	if next.isHeld(member.Target, view) {
+		t.Error("a released member is held although its head must be broken")
+	}
+	member.StartUnixMilli++
+	if next.isHeld(member.Target, pool.view(true)) {
+		t.Error("a released member is held although it has restarted")
+	}
+}
--- a/formationrepair.go
+++ b/formationrepair.go
@@ -35,6 +35,14 @@
 		}
 		return false
 	})
+	damaged = slices.DeleteFunc(damaged, func(assignment damagedAssignment) bool {
+		if view.mayReturn(assignment) {
+			formation.assign(assignment.Assignment)
+			assignment.release(reserved)
+			return true
+		}
+		return false
+	})
 	damaged = formation.merge(damaged, reserved, fill)
 	for _, assignment := range damaged {
 		switch {
@@ -101,24 +109,53 @@
 
 // merge dissolves damaged replicas to complete others of the same model and domain
 // with their members, and returns the replicas that are still damaged. Those with
-// the most missing members are dissolved first.
+// the most missing members are dissolved first, unless their heads are absent and hold them.
 func (formation *Formation) merge(damaged []damagedAssignment, reserved Set[string], fill func(damagedAssignment, int) bool) []damagedAssignment {
-	for donor := len(damaged) - 1; donor > 0; donor-- {
-		for recipient := range donor {
-			if damaged[recipient].Model != damaged[donor].Model || damaged[recipient].Domain != damaged[donor].Domain {
+	for last := len(damaged) - 1; last > 0; last-- {
+		for first := range last {
+			if damaged[first].Model != damaged[last].Model || damaged[first].Domain != damaged[last].Domain {
 				continue
 			}
-			damaged[donor].release(reserved)
-			if fill(damaged[recipient], joinCostStaged) {
-				damaged = slices.Delete(damaged, donor, donor+1)
-				return formation.merge(slices.Delete(damaged, recipient, recipient+1), reserved, fill)
+			if mergeInto(damaged[first], damaged[last], reserved, fill) || mergeInto(damaged[last], damaged[first], reserved, fill) {
+				damaged = slices.Delete(damaged, last, last+1)
+				return formation.merge(slices.Delete(damaged, first, first+1), reserved, fill)
 			}
-			damaged[donor].reserve(reserved)
 		}
 	}
 	return damaged
 }
 
+// mergeInto completes the recipient with members of the donor. It reports whether they were
+// enough.
+func mergeInto(recipient, donor damagedAssignment, reserved Set[string], fill func(damagedAssignment, int) bool) bool {
+	donor.release(reserved)
+	if fill(recipient, joinCostStaged) {
+		return true
+	}
+	donor.reserve(reserved)
+	return false
+}
+
+// mayReturn reports whether a replica that served lacks only members that have been absent for
+// no longer than a target that works may be silent.
+func (view PoolView) mayReturn(damaged damagedAssignment) bool {
+	if !damaged.Opened || len(damaged.loading) > 0 {
+		return false
+	}
+	silent := false
+	for _, id := range damaged.Members {
+		target, found := view.Targets[id]
+		switch {
+		case found && target.Membership.BelongsTo(damaged.Name, damaged.Epoch) && target.Membership.Formed() && target.State != TargetLeaving:
+		case !found && view.Now.Sub(view.AbsentSince[id]) < silenceTolerance:
+			silent = true
+		default:
+			return false
+		}
+	}
+	return silent
+}
+
 // reassign puts a damaged assignment back with its spares as new members, under a
 // new epoch.
 func (formation *Formation) reassign(damaged damagedAssignment, spares []string) Assignment {
--- a/formationspares.go
+++ b/formationspares.go
@@ -50,7 +50,7 @@
 		_, known := view.Engine.Model(staged)
 		return known
 	})
-	if index < 0 || target.Staging != "" || target.Membership.Model == target.Staged[index] || formation.constraintOf(target, view).mustStay {
+	if index < 0 || target.Staging != "" || target.Membership.Model == target.Staged[index] || formation.constraintOf(target, preloadPrefix, view).mustStay {
 		return TargetOrder{}, false
 	}
 	model := target.Staged[index]
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -138,7 +138,8 @@
 	entry.planner = control.NewPlanner(control.PlannerOptions{
 		Lease: entry.lease, OrderSender: backoffFilter, Activity: entry.node, Directory: entry.directory, Routes: entry.follower.Routes,
 		HasTraffic: entry.systemHasTraffic, Confirm: entry.prober.Confirm, Isolated: entry.prober.Isolated, Eligible: entry.mayPlan, FormationDelay: deployment.Bounds.HeartbeatInterval,
-		Clock: clock, Counters: entry.counters, Log: entry.log,
+		StallTimeout: deployment.Bounds.StallTimeout,
+		Clock:        clock, Counters: entry.counters, Log: entry.log,
 	})
 	entry.service = edge.New(edge.Dependencies{
 		Entry: deployment.Name, DataCentre: deployment.DataCentre, Bounds: deployment.Bounds, Config: entry.follower, Directory: entry.directory,
