Soak: a calm mode, in which only sound targets fall silent

TestCalmSoak injects only what a sound deployment goes through, in overlapping series: targets that are silent for 0.2 to 2 s (heads, other members, plain targets, all of a domain, all at once), odd rows of another writer that come and go, config changes and revoked keys, SIGHUP, planned stops of entries (with -earlier-build=PATH also replaced by another build), and restorations of the store. Half of the callers stay with one entry and use their connection until it ends. Every request has to get its whole answer or a truthful refusal; excused are a passed deadline, requests that a stopping entry hasn't read, and those that their target still works on at the end of the grace. No member of a group may be moved to another group of several members, since all targets are sound. An entry must not end by itself.

--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -42,6 +42,7 @@
 		proxies       *entryProxies // nil: connections are direct
 		logPath       string
 		settingsPath  string
+		binary        string // another build of the program; empty for the present one
 		cmd           *exec.Cmd
 		exited        chan struct{}
 	}
@@ -183,7 +184,11 @@
 	if err != nil {
 		deployment.t.Fatal(err)
 	}
-	entry.cmd, entry.exited = exec.Command(filepath.Join(binDirectory, "greengageroute"), "entry"), make(chan struct{})
+	binary := entry.binary
+	if binary == "" {
+		binary = filepath.Join(binDirectory, "greengageroute")
+	}
+	entry.cmd, entry.exited = exec.Command(binary, "entry"), make(chan struct{})
 	entry.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+entry.settingsPath)
 	entry.cmd.Stdout, entry.cmd.Stderr = logFile, logFile
 	if err := entry.cmd.Start(); err != nil {
@@ -207,10 +212,10 @@
 	return sendRequest(http.DefaultClient, entry, method, path, id, key)
 }
 
-func sendRequest(client *http.Client, entry *entryProcess, method, path, id, key string) (int, string) {
+func newCallerRequest(entry *entryProcess, method, path, id, key string) (*http.Request, error) {
 	request, err := http.NewRequest(method, "http://"+entry.callerAddress+path, strings.NewReader(id))
 	if err != nil {
-		return 0, err.Error()
+		return nil, err
 	}
 	request.Host = "h"
 	for name, value := range map[string]string{
@@ -219,6 +224,14 @@
 	} {
 		request.Header.Set(name, value)
 	}
+	return request, nil
+}
+
+func sendRequest(client *http.Client, entry *entryProcess, method, path, id, key string) (int, string) {
+	request, err := newCallerRequest(entry, method, path, id, key)
+	if err != nil {
+		return 0, err.Error()
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, err.Error()
