Stops: no request is passed on and cut at the end of the grace period

Cause: whatever was read after SIGTERM was passed on, whatever time was left, with the caller's whole deadline, and cut when the process ended. A body that comes slowly, a retry at half the deadline, and a grace period of a second bring it about: with 1 s the process ended 0.3 s before its time, before the last sixth of the grace period.

Now an entry that stops refuses a request that is expected to run beyond its end, before it is sent to a target; once connections are no longer accepted, one whose deadline is later than the end.

The server's Shutdown also counted connections without a request as busy for five seconds, so that the process lived on with nothing to do, and dropped a request that came on one of them, read, without an answer. Unused connections are now closed by an expired read.

The change of edge_test.go has the fixture also serve forwarded requests.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -210,7 +210,9 @@
 			panic(cause)
 		}
 	}()
-	fixture.service.ServeHTTP(recorder, request)
+	if !fixture.service.ServeForwarded(recorder, request) {
+		fixture.service.ServeHTTP(recorder, request)
+	}
 	return recorder, false
 }
 
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -103,11 +103,13 @@
 	// Service is the HTTP handler for the callers' requests.
 	Service struct {
 		Dependencies
-		tracker            *Tracker
-		quarantine         *greengageroute.Quarantine
-		bounds             atomic.Pointer[greengageroute.Bounds]
-		keepAlivesDisabled atomic.Bool
-		hasTraffic         atomic.Bool
+		tracker    *Tracker
+		quarantine *greengageroute.Quarantine
+		bounds     atomic.Pointer[greengageroute.Bounds]
+		hasTraffic atomic.Bool
+		stop       atomic.Pointer[stopSchedule] // nil until the entry stops
+		running    context.Context              // ends when running requests are ended
+		endRunning context.CancelFunc
 
 		mu      sync.Mutex
 		budgets map[string]*greengageroute.RetryBudget // by pool
@@ -199,6 +201,8 @@
 	// crash targets, CountCausesReleased those that are no longer refused.
 	CountCausesQuarantined = "crash-causes-quarantined"
 	CountCausesReleased    = "crash-causes-released"
+	// CountRefusedInStop counts requests refused because the entry would end before them.
+	CountRefusedInStop = "requests-refused-in-stop"
 	// CountCrashReports counts requests of this entry during which a target crashed.
 	CountCrashReports = "target-crashes-reported"
 )
@@ -206,6 +210,7 @@
 // New returns a service that uses the given dependencies.
 func New(dependencies Dependencies) *Service {
 	service := &Service{Dependencies: dependencies, tracker: NewTracker(), budgets: map[string]*greengageroute.RetryBudget{}}
+	service.running, service.endRunning = context.WithCancel(context.Background())
 	service.quarantine = greengageroute.NewQuarantine(service.logQuarantine)
 	service.SetBounds(dependencies.Bounds)
 	return service
@@ -231,9 +236,6 @@
 	return stats.Running > 0 && time.Since(stats.LastActivity) < activityWindow
 }
 
-// DisableKeepAlives adds "Connection: close" to all following answers.
-func (service *Service) DisableKeepAlives() { service.keepAlivesDisabled.Store(true) }
-
 // ConfigFresh reports whether keys may be checked against the config: it was
 // confirmed so recently that a key revoked since is still within its revocation
 // time.
@@ -251,11 +253,11 @@
 	exchange.service, exchange.arrived, exchange.routes = service, time.Now(), service.Config.Routes()
 	service.Counters.Add(CountRequests, 1)
 	service.hasTraffic.Store(true)
-	if service.keepAlivesDisabled.Load() || !service.ConfigFresh() {
+	if service.stop.Load() != nil || !service.ConfigFresh() {
 		writer.Header().Set("Connection", "close")
 	}
 	ctx := httpRequest.Context()
-	for _, step := range []filter{matchRoute, authenticate, readBody, checkQuarantine, forward} {
+	for _, step := range []filter{matchRoute, authenticate, readBody, checkQuarantine, checkStop, forward} {
 		if err := step(ctx, exchange); err != nil {
 			exchange.fail(err)
 			return
--- a/edge/filters.go
+++ b/edge/filters.go
@@ -89,11 +89,15 @@
 		return nil
 	}
 	limit := exchange.routes.Limits.BodyBytes
+	undo := exchange.interruptReading()
+	defer undo()
 	body, err := io.ReadAll(http.MaxBytesReader(exchange.writer, exchange.httpRequest.Body, limit))
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
 		return refuse(http.StatusRequestEntityTooLarge, "the request body is too long", "send a shorter body")
+	case err != nil && exchange.service.running.Err() != nil:
+		return unavailable(stoppingReason, stopRetryAfter)
 	case isDisconnect(err):
 		return errCallerDisconnected
 	case err != nil:
@@ -115,6 +119,8 @@
 func forward(ctx context.Context, exchange *exchange) error {
 	ctx, cancel := context.WithDeadline(ctx, exchange.deadline)
 	defer cancel()
+	ctx, release := exchange.service.endWithEntry(ctx)
+	defer release()
 	switch {
 	case exchange.route.Kind == greengageroute.Streaming:
 		return exchange.stream(ctx)
--- a/edge/latency.go
+++ b/edge/latency.go
@@ -49,6 +49,28 @@
 	routeHistogram.total += duration
 }
 
+// Quantile returns the time within which the given share of a route's answers came, rounded
+// up to the bound of a bucket. It isn't known without answers, or beyond the last bound.
+func (histograms *LatencyHistograms) Quantile(route string, share float64) (within time.Duration, known bool) {
+	histograms.mu.Lock()
+	defer histograms.mu.Unlock()
+	routeHistogram := histograms.routes[route]
+	if routeHistogram == nil {
+		return 0, false
+	}
+	total, sum := int64(0), int64(0)
+	for _, count := range routeHistogram.counts {
+		total += count
+	}
+	for index, bound := range latencyBounds {
+		sum += routeHistogram.counts[index]
+		if float64(sum) >= share*float64(total) {
+			return time.Duration(bound) * time.Millisecond, true
+		}
+	}
+	return 0, false
+}
+
 // Write prints the histograms as text, one bucket a line.
 func (histograms *LatencyHistograms) Write(writer io.Writer) {
 	histograms.mu.Lock()
--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -61,7 +60,8 @@
 	facts := append(exchange.logValues(), "cause", err.Error())
 	var refusal *Refusal
 	switch {
-	case exchange.httpRequest.Context().Err() != nil || errors.Is(err, errCallerDisconnected):
+	case errors.Is(err, errCallerDisconnected) || exchange.httpRequest.Context().Err() != nil && service.running.Err() == nil:
+		// A stop that interrupts the reading of a body ends the context too.
 		service.Counters.Add(CountCallersDisconnected, 1)
 		service.Log.V(1).Info("caller disconnected", facts...)
 		panic(http.ErrAbortHandler) // closes the connection without an answer
@@ -89,7 +89,7 @@
 	if err != nil {
 		return
 	}
-	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+	if tcp, isTCP := conn.(interface{ SetLinger(sec int) error }); isTCP {
 		// Without it the connection is closed without a reset, as it would be otherwise.
 		_ = tcp.SetLinger(0)
 	}
--- a/integration/calmsoak_test.go
+++ b/integration/calmsoak_test.go
@@ -27,9 +27,9 @@
 	// lateRequest is the time after SIGTERM up to which a request may be cut at the end of
 	// the grace, while its target still works on it.
 	lateRequest = 3 * time.Second
-	// lossSlack is the time within which an entry has to close a connection whose request
+	// closeSlack is the time within which an entry has to close a connection whose request
 	// it doesn't pass on.
-	lossSlack = time.Second
+	closeSlack = time.Second
 )
 
 type (
@@ -362,7 +362,7 @@
 		if stop.entry != result.entry || stop.signalledAt.After(result.endedAt) || !stop.end.IsZero() && stop.end.Before(result.sentAt) {
 			continue
 		}
-		if result.status == 0 && result.headStatus == 0 && runs == 0 && took < lossSlack {
+		if result.status == 0 && result.headStatus == 0 && runs == 0 && took < closeSlack {
 			return "" // refused, or closed before the request was read
 		}
 		if result.sentAt.Before(stop.signalledAt.Add(lateRequest)) && result.endedAt.After(stop.signalledAt.Add(stopGrace*5/6)) {
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -32,6 +32,7 @@
 		entries      []*entryProcess
 		requestCount int
 		proxies      *proxySet // nil: connections are direct
+		grace        time.Duration
 	}
 
 	// entryProcess is an entry, its addresses and its files.
@@ -56,7 +57,7 @@
 
 // newEmptyDeployment starts a store without targets or entries.
 func newEmptyDeployment(t *testing.T) *deployment {
-	deployment := &deployment{t: t, store: standin.NewStore(), peers: standin.NewPeers()}
+	deployment := &deployment{t: t, store: standin.NewStore(), peers: standin.NewPeers(), grace: 8 * time.Second}
 	server := httptest.NewServer(deployment.store.Handler())
 	t.Cleanup(server.Close)
 	deployment.storeAddress = strings.TrimPrefix(server.URL, "http://")
@@ -157,14 +158,14 @@
 heartbeat_ms=300
 bounds.stable_window_ms=3000
 bounds.drain_ms=2000
-bounds.grace_period_s=8
+bounds.grace_period_s=%g
 bounds.revoke_ms=5000
 bounds.retry_budget_ratio=0.2
 bounds.budget_window_s=10
 bounds.extra_retries=282
 bounds.stall_ms=6000
 platform.address=%s
-`, name, dataCentre, listenAddress, entry.readyAddress, port, port, storeAddress))
+`, name, dataCentre, listenAddress, entry.readyAddress, port, port, deployment.grace.Seconds(), storeAddress))
 	entry.settingsPath = settingsPath
 	deployment.startProcess(entry)
 	deployment.t.Cleanup(func() {
--- /dev/null
+++ b/serve/connections_test.go
@@ -0,0 +1,116 @@
+package serve
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const testRequest = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok"
+
+// trackedServer serves requests that take the given time, and counts them.
+func trackedServer(t *testing.T, work time.Duration, handled *atomic.Int64) *connTracker {
+	tracker, err := listenTCP("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := newServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		handled.Add(1)
+		_, _ = io.Copy(io.Discard, request.Body) // a cut body ends the request's context
+		select {
+		case <-time.After(work):
+			_, _ = io.WriteString(writer, "done")
+		case <-request.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	server.ConnState = tracker.connState
+	go func() { _ = server.Serve(tracker) }() // returns an error when the listener is closed
+	t.Cleanup(func() { server.Close() })
+	return tracker
+}
+
+func dial(t *testing.T, tracker *connTracker) (net.Conn, *bufio.Reader) {
+	conn, err := net.Dial("tcp4", tracker.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second)) // a failure shows in the exchange
+	return conn, bufio.NewReader(conn)
+}
+
+// exchange sends a request and reports whether a whole answer came.
+func exchange(conn net.Conn, reader *bufio.Reader) bool {
+	if _, err := io.WriteString(conn, testRequest); err != nil {
+		return false
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return false
+	}
+	body, err := io.ReadAll(response.Body)
+	return err == nil && string(body) == "done"
+}
+
+// TestStopEndsOnlyUnusedConnections guards against entries that wait for connections without a
+// request until the end of their grace period, and against answers that are cut meanwhile.
+func TestStopEndsOnlyUnusedConnections(t *testing.T) {
+	var handled atomic.Int64
+	tracker := trackedServer(t, 500*time.Millisecond, &handled)
+	unused, unusedReader := dial(t, tracker)
+	kept, keptReader := dial(t, tracker)
+	if !exchange(kept, keptReader) {
+		t.Fatal("no answer before the stop")
+	}
+	busy, busyReader := dial(t, tracker)
+	answered := make(chan bool)
+	go func() { answered <- exchange(busy, busyReader) }()
+	for handled.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	done := tracker.stop()
+	for name, reader := range map[string]*bufio.Reader{"unused": unusedReader, "kept": keptReader} {
+		if _, err := reader.ReadByte(); err != io.EOF {
+			t.Errorf("the %s connection ends with %v, want EOF", name, err)
+		}
+	}
+	_ = unused.Close()
+	if !<-answered {
+		t.Error("the running request was not answered")
+	}
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Error("the connections have not ended")
+	}
+}
+
+// TestStopAnswersWhatItHasRead guards against requests that a server reads as it closes its
+// idle connections, begins to handle and cuts off.
+func TestStopAnswersWhatItHasRead(t *testing.T) {
+	for range 20 {
+		var handled, answered atomic.Int64
+		tracker := trackedServer(t, 5*time.Millisecond, &handled)
+		var callers sync.WaitGroup
+		for range 40 {
+			conn, reader := dial(t, tracker)
+			callers.Go(func() {
+				for exchange(conn, reader) {
+					answered.Add(1)
+				}
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
+		<-tracker.stop()
+		callers.Wait()
+		if handled.Load() != answered.Load() {
+			t.Errorf("%d requests were handled, %d answered", handled.Load(), answered.Load())
+		}
+	}
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -57,8 +57,11 @@
 	// listenerCloseDelay is how long new connections are accepted after SIGTERM: the
 	// load balancer removes an entry after two failed health checks, a second apart.
 	listenerCloseDelay = 2500 * time.Millisecond
-	// exitMargin is how long before SIGKILL a graceful shutdown is aborted.
-	exitMargin = 300 * time.Millisecond
+	// maxExitMargin is how long before SIGKILL running requests are ended, and half of it
+	// how long before the process ends at the latest. With short grace periods it is the
+	// given part of them.
+	maxExitMargin  = 300 * time.Millisecond
+	exitMarginPart = 8
 	// headerTimeout and idleTimeout exceed the operator's limits for callers, so that
 	// no caller within these limits is disconnected.
 	headerTimeout  = 10 * time.Second
@@ -103,9 +106,11 @@
 
 		settingsDigest atomic.Value // string: of the settings in force
 		settingsSince  atomic.Int64 // when they came into force, in Unix seconds of the time of day
+		grace          atomic.Int64 // time.Duration between SIGTERM and SIGKILL
 
-		callerListener, readyListener, peerListener net.Listener
-		metricsAddress                              string
+		callerListener, peerListener *connTracker
+		readyListener                net.Listener
+		metricsAddress               string
 	}
 )
 
@@ -145,10 +150,10 @@
 		Entry: deployment.Name, DataCentre: deployment.DataCentre, Bounds: deployment.Bounds, Config: entry.follower, Directory: entry.directory,
 		Peers: entry.node, Prober: entry.prober, Sender: entry.upstream, PeerSender: entry.peerUpstream, Counters: entry.counters, Latencies: entry.latencies, Log: entry.log, MayTryQuarantined: entry.holdsLease,
 	})
-	if entry.callerListener, err = net.Listen("tcp4", deployment.CallerAddress); err != nil {
+	if entry.callerListener, err = listenTCP(deployment.CallerAddress); err != nil {
 		return nil, trace.Wrap(err, "listening for callers on %s", deployment.CallerAddress)
 	}
-	if entry.peerListener, err = net.Listen("tcp4", entry.node.Address()); err != nil {
+	if entry.peerListener, err = listenTCP(entry.node.Address()); err != nil {
 		return nil, trace.Wrap(err, "listening for other entries on %s", entry.node.Address())
 	}
 	entry.readyListener, err = net.Listen("tcp4", deployment.ReadyAddress)
@@ -206,8 +211,10 @@
 		loops.Go(func() { loop(background) })
 	}
 	callerServer := newServer(entry.service)
+	callerServer.ConnState = entry.callerListener.connState
 	readyServer := newServer(http.HandlerFunc(entry.handleReady))
 	peerServer := newServer(entry.peerHandler())
+	peerServer.ConnState = entry.peerListener.connState
 	serveErrors := make(chan error, 3)
 	go func() { serveErrors <- callerServer.Serve(entry.callerListener) }()
 	go func() { serveErrors <- readyServer.Serve(entry.readyListener) }()
@@ -217,17 +224,20 @@
 		return trace.Wrap(err, "serving HTTP")
 	case <-ctx.Done():
 	}
-	err := entry.shutDown(callerServer, peerServer)
+	entry.shutDown()
+	callerServer.Close()
+	peerServer.Close()
 	stop()
 	loops.Wait()
 	entry.log.Info("entry stopped", "name", entry.deployment.Name)
-	return err
+	return nil
 }
 
 // adoptSettings records which settings are in force.
 func (entry *Entry) adoptSettings(deployment greengageroute.Deployment) {
 	entry.settingsDigest.Store(deployment.Digest)
 	entry.settingsSince.Store(time.Now().Unix())
+	entry.grace.Store(int64(deployment.Bounds.TerminationGrace))
 }
 
 // Reload applies changed settings: the bounds and the memory limit. Addresses stay
@@ -268,25 +278,28 @@
 	})
 }
 
-func (entry *Entry) shutDown(callerServer, peerServer *http.Server) error {
+// shutDown returns when no request runs any more, or shortly before the end of the grace
+// period.
+func (entry *Entry) shutDown() {
+	grace := time.Duration(entry.grace.Load())
+	exitMargin := min(maxExitMargin, grace/exitMarginPart)
 	start := time.Now()
+	acceptUntil, end := start.Add(min(listenerCloseDelay, grace/3)), start.Add(grace-exitMargin)
 	entry.log.Info("entry stops", "name", entry.deployment.Name)
 	entry.stopping.Store(true)
-	entry.service.DisableKeepAlives()
+	entry.service.Stop(acceptUntil, end)
 	entry.node.Leave()
-	time.Sleep(min(listenerCloseDelay, entry.deployment.Bounds.TerminationGrace/3))
-	remaining := entry.deployment.Bounds.TerminationGrace - exitMargin - time.Since(start)
-	ctx, cancel := context.WithTimeout(context.Background(), remaining)
-	defer cancel()
-	err := callerServer.Shutdown(ctx)
-	if err == nil {
-		err = peerServer.Shutdown(ctx)
-	}
-	if errors.Is(err, context.DeadlineExceeded) {
-		entry.log.Info("requests still running at the end of the termination grace period")
-		return nil
+	time.Sleep(time.Until(acceptUntil))
+	timeout := time.After(time.Until(end.Add(exitMargin / 2)))
+	callersDone, peersDone := entry.callerListener.stop(), entry.peerListener.stop()
+	for _, done := range []<-chan struct{}{callersDone, peersDone} {
+		select {
+		case <-done:
+		case <-timeout:
+			entry.log.Info("connections still open at the end of the termination grace period")
+			return
+		}
 	}
-	return trace.Wrap(err, "shutting down the server for callers")
 }
 
 // handleReady handles the load balancer's health check.
