--- a/edge/hedgedstream.go
+++ b/edge/hedgedstream.go
@@ -50,6 +50,7 @@
 		helpersTried int
 		searchedView *control.View
 		searchedAt   time.Time
+		waitingSince time.Time // nothing runs and the stream has begun; zero otherwise
 		lastEvent    time.Time
 		reason       string // why the last attempt failed
 		retryAfter   time.Duration
@@ -110,10 +111,18 @@
 	}
 	exchange.service.Log.Info("stream broken off", "id", exchange.ID, "reason", stream.reason, "deadline-passed", ctx.Err() != nil,
 		"sent", exchange.attemptsSent, "attempts", exchange.route.Attempts, "targets", exchange.triedTargets, "after-event", exchange.LastEventID,
-		"silent-ms", time.Since(stream.lastEvent).Milliseconds())
+		"silent-ms", time.Since(stream.lastEvent).Milliseconds(), "waited-ms", stream.waited().Milliseconds())
 	return err
 }
 
+// waited returns how long the stream has been waiting for a replica.
+func (stream *hedgedStream) waited() time.Duration {
+	if stream.waitingSince.IsZero() {
+		return 0
+	}
+	return time.Since(stream.waitingSince)
+}
+
 // stop cancels all attempts and waits for their ends.
 func (stream *hedgedStream) stop() {
 	for _, attempt := range stream.attempts {
@@ -155,7 +164,7 @@
 	case exchange.mayHaveRun && !exchange.route.Resumable:
 		return exchange.noAnswerError(http.StatusBadGateway, stream.reason, stream.retryAfter)
 	}
-	if hedges && !stream.searchDue() {
+	if (hedges || !stream.waitingSince.IsZero()) && !stream.searchDue() {
 		return nil
 	}
 	err := stream.startAttempt(ctx, hedges)
@@ -166,6 +175,10 @@
 	case hedges:
 		stream.pause()
 		return nil
+	case stream.mayWait(err):
+		stream.recordWait(err)
+		stream.pause()
+		return nil
 	case errors.Is(err, errNoReplica), errors.Is(err, errAttemptsUsed):
 		return exchange.noAnswerError(http.StatusBadGateway, stream.reason, stream.retryAfter)
 	default:
@@ -191,6 +204,24 @@
 	stream.silenceTimer.reset(silenceRecheck)
 }
 
+// mayWait reports whether a stream for which nothing runs waits for a replica. One that
+// hasn't begun is refused at once.
+func (stream *hedgedStream) mayWait(err error) bool {
+	exchange := stream.exchange
+	return exchange.headerSent && exchange.route.Resumable && !errors.Is(err, errAttemptsUsed) && exchange.quarantineError() == nil
+}
+
+func (stream *hedgedStream) recordWait(err error) {
+	if !stream.waitingSince.IsZero() {
+		return
+	}
+	exchange := stream.exchange
+	stream.waitingSince = time.Now()
+	exchange.service.Counters.Add(CountStreamsAwaiting, 1)
+	exchange.service.Log.Info("stream waits for a replica", "id", exchange.ID, "reason", stream.reason, "obstacle", err.Error(), "after-event", exchange.LastEventID,
+		"silent-ms", time.Since(stream.lastEvent).Milliseconds(), "sent", exchange.attemptsSent)
+}
+
 // recordStart records an attempt that was started beside suspected ones, or after the last
 // one ended.
 func (stream *hedgedStream) recordStart(suspected []*streamAttempt) {
@@ -452,7 +483,7 @@
 	}
 	attempt.recordProgress(now)
 	stream.settle(attempt, now)
-	stream.lastEvent = now
+	stream.lastEvent, stream.waitingSince = now, time.Time{}
 	exchange.timing.recordEvent(now.Sub(exchange.arrived))
 	exchange.sendHeader(attempt.answer)
 	if _, err := exchange.writer.Write(event); err != nil {
@@ -510,6 +541,9 @@
 		attempt.suspicion = evidence
 		attempt.requestProbe()
 	}
+	if !stream.waitingSince.IsZero() {
+		next = silenceRecheck
+	}
 	stream.silenceTimer.reset(next)
 }
 
--- a/edge/hedgedstream_test.go
+++ b/edge/hedgedstream_test.go
@@ -418,3 +418,52 @@
 		}
 	})
 }
+
+// TestBegunStreamsWaitForAReplica guards against a begun stream that is broken off because no
+// replica is open at that moment, and against requests that wait although nothing has begun.
+func TestBegunStreamsWaitForAReplica(t *testing.T) {
+	tests := []struct {
+		name    string
+		first   step
+		opens   bool
+		aborted bool
+		status  int
+		took    time.Duration
+	}{
+		{"a replica opens", aborts(events(1, 2)), true, false, 200, 1500 * time.Millisecond},
+		{"no replica opens", aborts(events(1, 2)), false, true, 200, 8 * time.Second},
+		{"nothing has begun", resets, true, false, 502, 0},
+		{"nothing was sent", unreachable, true, false, 503, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fixture := newFixture(nil)
+				fixture.script = script{func(ctx context.Context, attempt greengageroute.Attempt) (*upstream.Answer, error) {
+					for _, id := range []string{"llm-a", "llm-b", "llm-c"} {
+						target, _ := fixture.service.Directory.View().Target(id)
+						fixture.service.Directory.MarkUnreachable(target.Instance())
+					}
+					return test.first(ctx, attempt)
+				}, answers(200, events(3, 5))}
+				if test.opens {
+					time.AfterFunc(1500*time.Millisecond, func() {
+						fixture.service.Directory.Apply([]greengageroute.Target{{ID: "llm-d", Pool: "llm", State: greengageroute.TargetReady, Membership: greengageroute.Membership{
+							Replica: "rd", Epoch: 2, Model: "m", State: greengageroute.MemberOpen,
+						}}}, nil, time.Time{})
+					})
+				}
+				began := time.Now()
+				recorder, aborted := fixture.serve(newRequest("POST", "/chat/x"))
+				took := time.Since(began)
+				if aborted != test.aborted || recorder.Code != test.status || took < test.took || took > test.took+replicaSearchInterval {
+					t.Errorf("got status %d after %s, aborted: %t; want %d after %s", recorder.Code, took, aborted, test.status, test.took)
+				}
+				if test.opens && test.status == 200 && recorder.Body.String() != events(1, 5) {
+					t.Errorf("got body %q, want events 1 to 5", recorder.Body)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
