Calls: a silent target's call goes on, beside a second attempt

Callers of idempotent calls got 502, 504 or a second target's error although their target was sound and would have answered within the deadline.

Cause: after half of the time left, the attempt was given up and its connection closed, to leave time for a second one. Where that one was silent too, refused, failed or couldn't be sent, nothing was left.

The first attempt now stays open beside the second; the first whole answer is delivered and the other attempt is cancelled. An error answer that comes first is kept until the other attempt has ended. A call that may run once only has one attempt, as before. Requests of an isolated entry take the same way, so that a call whose links fell silent is hedged through another entry.

--- a/edge/call.go
+++ b/edge/call.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,53 +21,6 @@
 	maxAnswerBytes = 8 << 20
 )
 
-// call sends a request to a plain service. The whole answer is buffered before
-// delivery, so that the request can be retried if the answer is cut off.
-func (exchange *exchange) call(ctx context.Context) error {
-	tried := greengageroute.Set[string]{}
-	reason := "no target of the service is ready"
-	for range maxTargetsTried {
-		if len(tried) > 0 {
-			if exchange.isolated() {
-				return exchange.forwardToEntries(ctx)
-			}
-			// Another target may have crashed since.
-			if err := exchange.quarantineError(); err != nil {
-				return err
-			}
-		}
-		target, found := exchange.pickTarget(tried)
-		if !found && exchange.limitWait > 0 {
-			return exchange.limitError()
-		}
-		if !found || !exchange.allowAttempt() {
-			break
-		}
-		tried.Add(target.ID)
-		answer, body, err := exchange.attemptCall(ctx, target)
-		var notSent *upstream.NotSentError
-		switch {
-		case ctx.Err() != nil:
-			return exchange.timeoutError()
-		case errors.As(err, &notSent):
-			reason = "the targets are unreachable"
-			continue
-		case err != nil:
-			reason = "the target sent no complete answer"
-		case answer.NotRun:
-			reason = "the targets are at capacity"
-		case answer.Status >= http.StatusInternalServerError && exchange.canRetryElsewhere(tried):
-			reason = "the target returned an error"
-		default:
-			return exchange.deliver(answer, body)
-		}
-		if exchange.mayHaveRun && !exchange.route.Retryable() {
-			break
-		}
-	}
-	return exchange.noAnswerError(http.StatusBadGateway, reason, busyRetryAfter)
-}
-
 // canRetryElsewhere reports whether the request may be retried at another target.
 func (exchange *exchange) canRetryElsewhere(tried greengageroute.Set[string]) bool {
 	if !exchange.route.Retryable() || exchange.attemptsSent >= exchange.route.Attempts {
@@ -79,52 +30,6 @@
 	return found
 }
 
-// attemptCall makes one attempt and reads the whole answer.
-func (exchange *exchange) attemptCall(ctx context.Context, target greengageroute.Target) (answer *upstream.Answer, body []byte, err error) {
-	service := exchange.service
-	if exchange.route.Retryable() && exchange.attemptsSent+1 < exchange.route.Attempts {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Until(exchange.deadline)/2)
-		defer cancel()
-	}
-	began := time.Now()
-	silenceTimer := time.AfterFunc(silentCallCheck, service.checkSilence)
-	defer silenceTimer.Stop()
-	done := service.tracker.Begin(target.ID, 0)
-	defer func() {
-		done()
-		service.tracker.RecordAnswer(target.ID, time.Since(began), err != nil || answer.NotRun || answer.Status >= http.StatusInternalServerError)
-	}()
-	answer, err = service.Sender.Do(ctx, exchange.Request, exchange.newAttempt(target))
-	var notSent *upstream.NotSentError
-	if errors.As(err, &notSent) {
-		exchange.checkLinks(ctx)
-		return nil, nil, err
-	}
-	exchange.recordSent(target)
-	exchange.mayHaveRun = exchange.mayHaveRun || err != nil || !answer.NotRun
-	if err != nil {
-		exchange.checkLinks(ctx)
-		exchange.checkCrash(ctx, target, began, greengageroute.AnswerProgress{}, err)
-		return nil, nil, err
-	}
-	exchange.recordNotices(target, answer.AnswerHead, began)
-	body, err = readAnswer(answer)
-	answer.Close(err == nil)
-	if answer.NotRun {
-		return answer, body, err
-	}
-	if err == nil {
-		err = exchange.confirmEnd(ctx, target, answer)
-	}
-	if err != nil {
-		exchange.checkCrash(ctx, target, began, greengageroute.AnswerProgress{}, &upstream.AnswerLostError{Target: target.ID, Cause: err})
-		return nil, nil, err
-	}
-	exchange.recordSound()
-	return answer, body, nil
-}
-
 // readAnswer reads the body of an answer that is delivered as a whole.
 func readAnswer(answer *upstream.Answer) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -177,6 +177,8 @@
 	CountHedgesSent       = "stream-hedges-sent"
 	CountHedgesWon        = "stream-hedges-won"
 	CountStreamsRecovered = "streams-recovered"
+	// CountCallHedges counts attempts of calls that were started beside silent ones.
+	CountCallHedges = "call-hedges-sent"
 	// CountStreamsAwaiting counts streams that had begun and found no replica to go on at.
 	CountStreamsAwaiting = "streams-awaiting-replica"
 	// CountQuarantined counts requests refused because targets crashed while running
--- a/edge/filters.go
+++ b/edge/filters.go
@@ -121,12 +121,8 @@
 	defer cancel()
 	ctx, release := exchange.service.endWithEntry(ctx)
 	defer release()
-	switch {
-	case exchange.route.Kind == greengageroute.Streaming:
+	if exchange.route.Kind == greengageroute.Streaming {
 		return exchange.stream(ctx)
-	case exchange.isolated():
-		return exchange.forwardToEntries(ctx)
-	default:
-		return exchange.call(ctx)
 	}
+	return exchange.call(ctx)
 }
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -65,71 +65,29 @@
 	return true
 }
 
-// forwardToEntries sends a call to other entries, one after the other, until one has
-// answered it, or may have had it run.
-func (exchange *exchange) forwardToEntries(ctx context.Context) error {
+// nextHelper returns the address of the next entry to forward the request to, if there is one.
+func (exchange *exchange) nextHelper(tried int) (address string, found bool) {
 	service := exchange.service
-	reason := "neither a target nor an entry that reaches one responds"
-	for index, address := range service.Peers.Helpers() {
-		if index == maxHelpersTried || exchange.mayHaveRun && !exchange.route.Retryable() {
-			break
-		}
-		service.Counters.Add(CountForwarded, 1)
-		complete, err := exchange.forwardToEntry(ctx, address)
-		if complete {
-			return nil
-		}
-		if ended := exchange.endedError(ctx, err); ended != nil {
-			return ended
-		}
-		var notSent *upstream.NotSentError
-		var refusal *Refusal
-		switch {
-		case errors.As(err, &refusal):
-			return exchange.noAnswerError(http.StatusBadGateway, refusal.Reason, refusal.RetryAfter)
-		case errors.As(err, &notSent), errors.Is(err, errIsolatedHelper), errors.Is(err, errCannotForward):
-		default:
-			reason = err.Error()
-		}
+	helpers := service.Peers.Helpers()
+	if tried >= min(len(helpers), maxHelpersTried) {
+		return "", false
 	}
-	return exchange.noAnswerError(http.StatusBadGateway, reason, noHelperRetryAfter)
+	service.Counters.Add(CountForwarded, 1)
+	service.Log.V(1).Info("request forwarded", "id", exchange.ID, "entry", helpers[tried], "sent", exchange.attemptsSent, "after-event", exchange.LastEventID)
+	return helpers[tried], true
 }
 
-// forwardToEntry sends the request to another entry. It returns whether the complete answer
-// was delivered, and a *Refusal if the entry refused the request.
-func (exchange *exchange) forwardToEntry(ctx context.Context, address string) (complete bool, err error) {
-	service, helper := exchange.service, greengageroute.Target{ID: address, Address: address}
+// newForwardedAttempt returns an attempt through another entry.
+func (exchange *exchange) newForwardedAttempt(helper greengageroute.Target) greengageroute.Attempt {
 	attempt := exchange.newAttempt(helper)
 	// An idle connection may have been dropped without notice.
-	attempt.ToEntry, attempt.AtMostOnce, attempt.AttemptsSent = true, true, exchange.attemptsSent
-	service.Log.V(1).Info("request forwarded", "id", exchange.ID, "entry", address, "sent", exchange.attemptsSent, "after-event", exchange.LastEventID)
-	answer, err := service.PeerSender.Do(ctx, exchange.Request, attempt)
-	var notSent *upstream.NotSentError
-	if errors.As(err, &notSent) {
-		return false, err
-	}
-	exchange.triedTargets += address + " "
-	if err == nil && answer.ForwardedFrom.ID != "" {
-		service.recordLeaving(answer.ForwardedFrom)
-	}
-	if err == nil && !answer.Signed && (answer.NotRun || answer.ID == "") {
-		answer.Close(false)
-		return false, helperRefusal(answer)
-	}
-	exchange.attemptsSent++
-	exchange.mayHaveRun = true
-	if err != nil {
-		return false, err
-	}
-	defer func() { answer.Close(complete) }()
-	body, err := readAnswer(answer)
-	if err == nil && answer.EndsWithConnection {
-		err = errEndedByEntry
-	}
-	if err != nil {
-		return false, err
-	}
-	return true, exchange.deliver(answer, body)
+	attempt.ToEntry, attempt.AtMostOnce, attempt.AttemptsSent = true, true, exchange.attemptsSent+exchange.attemptsPending
+	return attempt
+}
+
+// isRefusedByEntry reports whether another entry refused the request without having it run.
+func isRefusedByEntry(answer *upstream.Answer) bool {
+	return !answer.Signed && (answer.NotRun || answer.ID == "")
 }
 
 // helperRefusal returns the error for a request that another entry refused without having
--- /dev/null
+++ b/edge/hedgedcall.go
@@ -0,0 +1,301 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/upstream"
+)
+
+// errNoTarget is returned when no further attempt can be made.
+var errNoTarget = errors.New("no target takes another attempt")
+
+type (
+	// hedgedCall is a request to a plain service. The whole answer is buffered before
+	// delivery, so that an idempotent call can be retried if it is cut off. One whose target
+	// is silent for half of the time left gets a second attempt beside the first; the first
+	// whole answer is delivered. All methods run in the request's goroutine.
+	hedgedCall struct {
+		exchange     *exchange
+		attempts     []*callAttempt // that haven't ended, cancelled ones included
+		results      chan callResult
+		hedgeTimer   *time.Timer
+		hedgeDue     bool
+		tried        greengageroute.Set[string] // ids of targets
+		starts       int
+		helpersTried int
+		failure      *callResult // an error answer, while another attempt ran
+		reason       string      // why the last attempt failed
+		retryAfter   time.Duration
+	}
+)
+
+// call sends a request to a plain service.
+func (exchange *exchange) call(ctx context.Context) error {
+	call := &hedgedCall{
+		exchange: exchange, results: make(chan callResult), hedgeTimer: time.NewTimer(time.Hour), tried: greengageroute.Set[string]{},
+		reason: "no target of the service is ready", retryAfter: busyRetryAfter,
+	}
+	return call.run(ctx)
+}
+
+// run makes attempts until an answer is delivered or the call has failed.
+func (call *hedgedCall) run(ctx context.Context) error {
+	defer call.hedgeTimer.Stop()
+	defer call.stop()
+	for {
+		if err := call.startNext(ctx); errors.Is(err, errNoTarget) {
+			return call.fail()
+		} else if err != nil {
+			return err
+		}
+		select {
+		case result := <-call.results:
+			if done, err := call.receive(ctx, result); done || err != nil {
+				return err
+			}
+		case <-call.hedgeTimer.C:
+			call.hedgeDue = true
+		case <-ctx.Done():
+			call.stop()
+			return call.exchange.timeoutError()
+		}
+	}
+}
+
+// stop cancels all attempts and waits for their ends.
+func (call *hedgedCall) stop() {
+	for _, attempt := range call.attempts {
+		attempt.abandon()
+	}
+	for len(call.attempts) > 0 {
+		call.recordEnd(<-call.results)
+	}
+}
+
+// startNext starts an attempt if none runs, or beside an idempotent call's that has been
+// silent for long. The error ends the request.
+func (call *hedgedCall) startNext(ctx context.Context) error {
+	exchange := call.exchange
+	hedges := len(call.attempts) > 0
+	switch {
+	case hedges && (!call.hedgeDue || !exchange.route.Retryable()):
+		return nil
+	case !hedges && exchange.mayHaveRun && !exchange.route.Retryable():
+		return errNoTarget
+	}
+	call.hedgeDue = false
+	err := call.startAttempt(ctx, hedges)
+	if !hedges {
+		return err
+	}
+	if err == nil {
+		exchange.service.Counters.Add(CountCallHedges, 1)
+		exchange.service.Log.V(1).Info("call's target is silent; a second attempt was started", "id", exchange.ID, "silent-ms", time.Since(call.attempts[0].sentAt).Milliseconds())
+	}
+	return nil // the attempt that runs may be answered
+}
+
+// fail ends a call that no further attempt is made for: an error answer that came while
+// another attempt ran is delivered.
+func (call *hedgedCall) fail() error {
+	if call.failure != nil {
+		return call.exchange.deliver(call.failure.answer, call.failure.body)
+	}
+	return call.exchange.noAnswerError(http.StatusBadGateway, call.reason, call.retryAfter)
+}
+
+// startAttempt starts an attempt at a target or, for an isolated entry, through another one.
+func (call *hedgedCall) startAttempt(ctx context.Context, hedges bool) error {
+	exchange := call.exchange
+	if hedges && exchange.attemptsSent+exchange.attemptsPending >= exchange.route.Attempts {
+		return errAttemptsUsed
+	}
+	if exchange.isolated() {
+		return call.startAtEntry(ctx)
+	}
+	if call.starts >= maxTargetsTried {
+		return errNoTarget
+	}
+	if len(call.tried) > 0 {
+		// Another target may have crashed since.
+		if err := exchange.quarantineError(); err != nil {
+			return err
+		}
+	}
+	target, found := exchange.pickTarget(call.tried)
+	switch {
+	case !found && exchange.limitWait > 0 && !hedges:
+		return exchange.limitError()
+	case !found, !exchange.allowAttempt():
+		return errNoTarget
+	}
+	call.tried.Add(target.ID)
+	call.start(ctx, newCallAttempt(call, target))
+	return nil
+}
+
+// startAtEntry starts an attempt that another entry forwards.
+func (call *hedgedCall) startAtEntry(ctx context.Context) error {
+	address, found := call.exchange.nextHelper(call.helpersTried)
+	if !found {
+		call.reason, call.retryAfter = "neither a target nor an entry that reaches one responds", noHelperRetryAfter
+		return errNoTarget
+	}
+	call.helpersTried++
+	call.start(ctx, newForwardedCallAttempt(call, address))
+	return nil
+}
+
+func (call *hedgedCall) start(ctx context.Context, attempt *callAttempt) {
+	exchange := call.exchange
+	call.starts++
+	for _, silent := range call.attempts {
+		silent.hedged = true
+	}
+	call.attempts = append(call.attempts, attempt)
+	exchange.attemptsPending++
+	attempt.start(ctx)
+	if exchange.attemptsSent+exchange.attemptsPending < exchange.route.Attempts {
+		call.hedgeTimer.Reset(time.Until(exchange.deadline) / 2)
+	}
+}
+
+// recordEnd removes an attempt that has ended, and records whether it reached its target.
+func (call *hedgedCall) recordEnd(result callResult) {
+	attempt, exchange := result.attempt, call.exchange
+	call.attempts = slices.DeleteFunc(call.attempts, func(other *callAttempt) bool { return other == attempt })
+	attempt.cancel()
+	exchange.attemptsPending--
+	result.recordLatency()
+	var notSent *upstream.NotSentError
+	if errors.As(result.err, &notSent) {
+		return
+	}
+	if !attempt.fromEntry {
+		exchange.recordSent(attempt.target)
+		exchange.mayHaveRun = exchange.mayHaveRun || result.answer == nil || !result.answer.NotRun
+		if result.answer != nil {
+			exchange.recordNotices(attempt.target, result.answer.AnswerHead, attempt.sentAt)
+		}
+		return
+	}
+	exchange.triedTargets += attempt.target.ID + " "
+	if result.answer != nil && result.answer.ForwardedFrom.ID != "" {
+		exchange.service.recordLeaving(result.answer.ForwardedFrom)
+	}
+	if result.answer == nil || !result.isRefusedByEntry() {
+		exchange.attemptsSent++
+		exchange.mayHaveRun = true
+	}
+}
+
+// receive handles the end of an attempt. It reports whether an answer was delivered.
+func (call *hedgedCall) receive(ctx context.Context, result callResult) (delivered bool, err error) {
+	call.recordEnd(result)
+	exchange := call.exchange
+	switch {
+	case ctx.Err() != nil:
+		call.stop()
+		return false, exchange.timeoutError()
+	case result.attempt.fromEntry:
+		return call.receiveFromEntry(result)
+	}
+	err = call.checkEnd(ctx, result)
+	var notSent *upstream.NotSentError
+	switch {
+	case ctx.Err() != nil:
+		call.stop()
+		return false, exchange.timeoutError()
+	case errors.As(err, &notSent):
+		call.reason = "the targets are unreachable"
+	case err != nil:
+		call.reason = "the target sent no complete answer"
+	case result.answer.NotRun:
+		call.reason = "the targets are at capacity"
+	case result.answer.Status >= http.StatusInternalServerError && call.mayBeAnsweredElsewhere():
+		call.reason = "the target returned an error"
+		if len(call.attempts) > 0 {
+			call.failure = &result
+		}
+	default:
+		return true, call.deliver(result)
+	}
+	return false, nil
+}
+
+// deliver sends an answer to the caller. The other attempts are cancelled before.
+func (call *hedgedCall) deliver(result callResult) error {
+	for _, attempt := range call.attempts {
+		attempt.abandon()
+	}
+	return call.exchange.deliver(result.answer, result.body)
+}
+
+// checkEnd returns an error for an answer that isn't whole, and has its target checked.
+func (call *hedgedCall) checkEnd(ctx context.Context, result callResult) error {
+	exchange, attempt := call.exchange, result.attempt
+	var notSent *upstream.NotSentError
+	if result.answer == nil {
+		call.checkLinks(ctx)
+		if !errors.As(result.err, &notSent) {
+			exchange.checkCrash(ctx, attempt.target, attempt.sentAt, greengageroute.AnswerProgress{}, result.err)
+		}
+		return result.err
+	}
+	if result.answer.NotRun {
+		return result.err
+	}
+	err := result.err
+	if err == nil {
+		err = exchange.confirmEnd(ctx, attempt.target, result.answer)
+	}
+	if err != nil {
+		exchange.checkCrash(ctx, attempt.target, attempt.sentAt, greengageroute.AnswerProgress{}, &upstream.AnswerLostError{Target: attempt.target.ID, Cause: err})
+		return err
+	}
+	exchange.recordSound()
+	return nil
+}
+
+// checkLinks checks this entry's links, in the background if another attempt may be answered
+// meanwhile.
+func (call *hedgedCall) checkLinks(ctx context.Context) {
+	if len(call.attempts) > 0 {
+		go call.exchange.checkLinks(ctx)
+		return
+	}
+	call.exchange.checkLinks(ctx)
+}
+
+// mayBeAnsweredElsewhere reports whether another attempt runs, or may be made at another
+// target.
+func (call *hedgedCall) mayBeAnsweredElsewhere() bool {
+	return len(call.attempts) > 0 || call.exchange.canRetryElsewhere(call.tried)
+}
+
+// receiveFromEntry handles what another entry answered.
+func (call *hedgedCall) receiveFromEntry(result callResult) (delivered bool, err error) {
+	var notSent *upstream.NotSentError
+	var refusal *Refusal
+	switch {
+	case errors.As(result.err, &notSent):
+		return false, nil
+	case result.answer != nil && result.isRefusedByEntry():
+		if errors.As(helperRefusal(result.answer), &refusal) && len(call.attempts) == 0 {
+			return false, call.exchange.noAnswerError(http.StatusBadGateway, refusal.Reason, refusal.RetryAfter)
+		}
+		return false, nil
+	case result.err != nil:
+		call.reason = result.err.Error()
+	case result.answer.EndsWithConnection:
+		call.reason = errEndedByEntry.Error()
+	default:
+		return true, call.deliver(result)
+	}
+	return false, nil
+}
--- a/edge/hedgedstream.go
+++ b/edge/hedgedstream.go
@@ -273,16 +273,12 @@
 
 // startAtEntry starts an attempt that another entry forwards.
 func (stream *hedgedStream) startAtEntry(ctx context.Context) error {
-	exchange, service := stream.exchange, stream.exchange.service
-	helpers := service.Peers.Helpers()
-	if stream.helpersTried >= min(len(helpers), maxHelpersTried) {
+	address, found := stream.exchange.nextHelper(stream.helpersTried)
+	if !found {
 		stream.reason, stream.retryAfter = "neither a target nor an entry that reaches one responds", noHelperRetryAfter
 		return errNoReplica
 	}
-	address := helpers[stream.helpersTried]
 	stream.helpersTried++
-	service.Counters.Add(CountForwarded, 1)
-	service.Log.V(1).Info("request forwarded", "id", exchange.ID, "entry", address, "sent", exchange.attemptsSent, "after-event", exchange.LastEventID)
 	stream.start(ctx, newForwardedStreamAttempt(stream, address))
 	return nil
 }
--- a/edge/streamattempt.go
+++ b/edge/streamattempt.go
@@ -68,9 +68,7 @@
 func newForwardedStreamAttempt(stream *hedgedStream, address string) *streamAttempt {
 	exchange, now := stream.exchange, time.Now()
 	helper := greengageroute.Target{ID: address, Address: address}
-	attempt := exchange.newAttempt(helper)
-	// An idle connection may have been dropped without notice.
-	attempt.ToEntry, attempt.AtMostOnce, attempt.AttemptsSent = true, true, exchange.attemptsSent+exchange.attemptsPending
+	attempt := exchange.newForwardedAttempt(helper)
 	return &streamAttempt{
 		stream: stream, source: source{replica: greengageroute.Replica{Members: []greengageroute.Target{helper}}}, sender: exchange.service.PeerSender,
 		request: exchange.Request, attempt: attempt, done: func() {}, lastEvent: now, sentAt: now,
@@ -146,7 +144,7 @@
 
 // isRefusedByEntry reports whether another entry refused the request without having it run.
 func (attempt *streamAttempt) isRefusedByEntry() bool {
-	return attempt.fromEntry && !attempt.answer.Signed && (attempt.answer.NotRun || attempt.answer.ID == "")
+	return attempt.fromEntry && isRefusedByEntry(attempt.answer)
 }
 
 // isEventStream reports whether the target's answer consists of events, as it does
