SIGHUP ends no process during its stop or its start

Callers saw: the connections of a stopping entry end at once, with all requests that run, if its settings change meanwhile (SIGHUP after SIGTERM): LOST around planned work.

Cause: the goroutine that follows the settings ended with the process's context at SIGTERM and unregistered SIGHUP, whose default then ends the process. The same held before it was registered, while the entry opened its sockets, and always for the product's own interface, which reads its settings only once.

Now SIGHUP is registered first and until the process has ended.

Evidence: TestUsersPlatformSignalsDuringStop/hangup failed before: the process ended with "signal: hangup" 0.3 s after SIGTERM, with a call, a read and a stream cut; it passes now. A second SIGTERM was harmless before. Not tested: SIGHUP as the process starts.

--- a/cmd/greengageroute/entry.go
+++ b/cmd/greengageroute/entry.go
@@ -29,8 +29,11 @@
 		Use: "entry --settings FILE", Short: "Run an entry", Long: entryUsage, Args: cobra.NoArgs,
 		Example: "  greengageroute entry --settings /etc/greengageroute/entry.yaml",
 		RunE: func(command *cobra.Command, _ []string) error {
+			// From the start until the process has ended: SIGHUP would end it otherwise.
+			hangup := make(chan os.Signal, 1)
+			signal.Notify(hangup, syscall.SIGHUP)
 			if path := os.Getenv(platform.SettingsVariable); path != "" && !command.Flags().Changed("settings") {
-				return runOnPlatform(command.Context(), path, metricsPort)
+				return runOnPlatform(command.Context(), path, metricsPort, hangup)
 			}
 			settings, err := greengageroute.ReadSettings(settingsFile)
 			if err != nil {
@@ -49,8 +52,8 @@
 }
 
 // runOnPlatform runs an entry on the users' platform, with the settings file that
-// the platform provides.
-func runOnPlatform(ctx context.Context, path, metricsAddress string) error {
+// the platform provides. It reads the file again when hangup receives.
+func runOnPlatform(ctx context.Context, path, metricsAddress string, hangup <-chan os.Signal) error {
 	deployment, err := platform.ReadDeployment(path)
 	if err != nil {
 		return err
@@ -62,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	go followSettings(ctx, path, instance)
+	go followSettings(ctx, path, instance, hangup)
 	return instance.Run(ctx)
 }
 
@@ -72,10 +75,7 @@
 
 // followSettings reloads the entry's settings on SIGHUP and when the file changes.
 // Invalid settings are reported and the previous ones stay in force.
-func followSettings(ctx context.Context, path string, entry *serve.Entry) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+func followSettings(ctx context.Context, path string, entry *serve.Entry, hangup <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastModified := modTime(path)
--- a/integration/stops_test.go
+++ b/integration/stops_test.go
@@ -231,3 +231,37 @@
 	}
 	callers.Wait()
 }
+
+// Guards against stopping entries that a SIGHUP, or a second SIGTERM, ends at once with the
+// requests that they run.
+func TestUsersPlatformSignalsDuringStop(t *testing.T) {
+	for _, signal := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		t.Run(signal.String(), func(t *testing.T) {
+			t.Parallel()
+			deployment := newDeployment(t, 4, 2)
+			deployment.requireStream(deployment.entries[0])
+			stopping := &stopping{deployment: deployment, entry: deployment.entries[0], signalled: time.Now().Add(500 * time.Millisecond), grace: deployment.grace}
+			var callers sync.WaitGroup
+			for index, path := range []string{"/post/x", "/get/x", "/chat/x"} {
+				callers.Go(func() {
+					result := stopping.run(stopCall{path: path, openAt: -200 * time.Millisecond, work: 2 * time.Second}, fmt.Sprint("running-", index))
+					if stopping.check(result); result.status != http.StatusOK {
+						t.Errorf("not answered: %+v", result)
+					}
+				})
+			}
+			time.Sleep(time.Until(stopping.signalled))
+			process := stopping.entry.cmd.Process
+			_ = process.Signal(syscall.SIGTERM)
+			for range 3 {
+				time.Sleep(300 * time.Millisecond)
+				_ = process.Signal(signal)
+			}
+			callers.Wait()
+			<-stopping.entry.exited
+			if code := stopping.entry.cmd.ProcessState.ExitCode(); code != 0 {
+				t.Errorf("the entry ended with %s", stopping.entry.cmd.ProcessState)
+			}
+		})
+	}
+}
