Mesh: peers go on sending to an entry that is leaving

Since all messages of a leaving entry say so, its peers no longer counted it as live and sent to it every 3 s only. Without their messages it would count itself as the only entry after 1.5 s, and use the retry budget of all for the requests that it still ends.

Now they go on sending to a leaving entry that responds. Not covered: followers of a relay that leaves, which learn of its leaving when it falls silent, as before.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -224,6 +224,49 @@
 	waitUntil(t, "the entry helps again", func() bool { return helpers() == "1 2" })
 }
 
+// TestLeavingEntryIsToldAsLeaving guards against requests that are forwarded to an entry during
+// its stop, and against a stopping entry that takes itself for the only one and uses the retry
+// budget of all.
+func TestLeavingEntryIsToldAsLeaving(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	entries := make([]*testEntry, 3)
+	for i := range entries {
+		node, err := Listen(fmt.Sprint("entry-", i), "a", "127.0.0.1:0", 0.3, greengageroute.RuntimeClock{}, func() {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		entries[i] = &testEntry{Node: node}
+	}
+	for i, entry := range entries {
+		for j, other := range entries {
+			if i != j {
+				entry.AddPeer(other.self.From, "a", other.Address(), 0.3)
+			}
+		}
+		go entry.Run(ctx, entry, entry)
+	}
+	waitUntil(t, "all entries know each other", func() bool {
+		return entries[0].LiveEntries() == 3 && entries[1].LiveEntries() == 3 && entries[2].LiveEntries() == 3
+	})
+	entries[2].Leave()
+	waitUntil(t, "the entry no longer helps", func() bool { return !slices.Contains(entries[0].Helpers(), entries[2].Address()) })
+	entries[0].mu.Lock()
+	entries[0].loads = []Load{{Target: "i-1", Running: 7}}
+	entries[0].mu.Unlock()
+	for deadline := time.Now().Add(2 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if slices.Contains(entries[0].Helpers(), entries[2].Address()) {
+			t.Fatal("the leaving entry counts as a helper again")
+		}
+	}
+	if live := entries[2].LiveEntries(); live != 3 {
+		t.Errorf("the leaving entry counts %d live entries, want 3", live)
+	}
+	if running := entries[2].Node.Loads()["i-1"].Running; running != 7 {
+		t.Errorf("the leaving entry knows of %d requests of the others, want 7", running)
+	}
+}
+
 // TestLoadsBeyondOneDatagram guards against entries of a large fleet that choose
 // replicas without knowing their load: 45 heads fitted into a relay's announcement, and
 // the others were left out.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -89,6 +89,7 @@
 
 		mu            sync.Mutex
 		sequence      uint64
+		leaving       bool // this entry is stopping
 		peers         map[string]*peer
 		reportedLoads []Load // as last sent to the relays
 		// reportedLimits are the limits as last sent to the relays.
@@ -191,7 +192,7 @@
 // Leave notifies the peers, now and with all later messages, that this entry is stopping.
 func (node *Node) Leave() {
 	node.mu.Lock()
-	node.self.Leaving = true
+	node.leaving = true
 	node.mu.Unlock()
 	node.sendMessages()
 }
@@ -406,13 +407,19 @@
 }
 
 func (other *peer) isLive(now time.Time) bool {
-	return !other.receivedAt.IsZero() && now.Sub(other.receivedAt) < liveTimeout && !other.own.Leaving
+	return other.responds(now) && !other.own.Leaving
+}
+
+// responds reports whether a message of the peer, which may be stopping, came recently.
+func (other *peer) responds(now time.Time) bool {
+	return !other.receivedAt.IsZero() && now.Sub(other.receivedAt) < liveTimeout
 }
 
 func (node *Node) sendMessages() {
 	now := node.clock.Now()
 	node.mu.Lock()
 	message, source := node.self, node.source
+	message.Leaving = node.leaving
 	node.mu.Unlock()
 	message.Loads, message.Lease, message.HasTraffic = source.Loads(), source.Lease(), source.HasTraffic()
 	message.ReadsStore = source.ReadsStore()
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -137,11 +137,12 @@
 }
 
 // reachableAddresses returns the addresses of the wanted peers as markContacted does.
-// It leaves out peers that don't respond, except that it retries each of them every
-// unresponsiveSendInterval.
+// It includes stopping peers, which serve on. It leaves out peers that don't respond, except
+// that it retries each of them every unresponsiveSendInterval.
 func (node *Node) reachableAddresses(now time.Time, wanted func(*peer) bool) []netip.AddrPort {
 	return node.markContacted(now, func(other *peer) bool {
-		return wanted(other) && (other.mayBeLive(now) || now.Sub(other.sentAt) > unresponsiveSendInterval)
+		serves := other.mayBeLive(now) || other.own.Leaving && other.responds(now)
+		return wanted(other) && (serves || now.Sub(other.sentAt) > unresponsiveSendInterval)
 	})
 }
 
