--- a/integration/calmsoak_test.go
+++ b/integration/calmsoak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -17,8 +16,6 @@
 	"greengageroute.example/greengageroute/platform/standin"
 )
 
-var earlierBuild = flag.String("earlier-build", "", "program of another build, which replaces entries in the calm soak")
-
 // Bounds of the calm soak, in part from the entries' settings.
 const (
 	maxSilence     = 2 * time.Second
@@ -259,13 +256,13 @@
 	index := len(calm.stops)
 	calm.stops = append(calm.stops, entryStop{entry: entry, signalledAt: time.Now()})
 	calm.mu.Unlock()
-	if *earlierBuild != "" && entry.binary == "" {
-		entry.binary = *earlierBuild
+	if *earlierBuild != "" && entry.program == "" {
+		entry.program = *earlierBuild
 	} else {
-		entry.binary = ""
+		entry.program = ""
 	}
 	calm.requireRunning(entry)
-	calm.logFault("%s is stopped and replaced by build %q", entry.name, entry.binary)
+	calm.logFault("%s is stopped and replaced by build %q", entry.name, entry.program)
 	calm.restart(entry, syscall.SIGTERM)
 	for !isReady(entry) {
 		time.Sleep(pollInterval)
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -33,6 +34,7 @@
 		requestCount int
 		proxies      *proxySet // nil: connections are direct
 		grace        time.Duration
+		program      string // path of the entries' program; empty: this build
 	}
 
 	// entryProcess is an entry, its addresses and its files.
@@ -43,7 +45,7 @@
 		proxies       *entryProxies // nil: connections are direct
 		logPath       string
 		settingsPath  string
-		binary        string // another build of the program; empty for the present one
+		program       string // empty: this build
 		cmd           *exec.Cmd
 		exited        chan struct{}
 	}
@@ -137,7 +139,7 @@
 	_, port, _ := strings.Cut(peerAddress, ":")
 	entry := &entryProcess{
 		name: name, callerAddress: freeTCP(deployment.t), readyAddress: freeTCP(deployment.t),
-		logPath: filepath.Join(deployment.t.TempDir(), name+".log"),
+		logPath: filepath.Join(deployment.t.TempDir(), name+".log"), program: deployment.program,
 	}
 	listenAddress, storeAddress := entry.callerAddress, deployment.storeAddress
 	if deployment.proxies != nil {
@@ -185,11 +187,8 @@
 	if err != nil {
 		deployment.t.Fatal(err)
 	}
-	binary := entry.binary
-	if binary == "" {
-		binary = filepath.Join(binDirectory, "greengageroute")
-	}
-	entry.cmd, entry.exited = exec.Command(binary, "entry"), make(chan struct{})
+	program := cmp.Or(entry.program, filepath.Join(binDirectory, "greengageroute"))
+	entry.cmd, entry.exited = exec.Command(program, "entry"), make(chan struct{})
 	entry.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+entry.settingsPath)
 	entry.cmd.Stdout, entry.cmd.Stderr = logFile, logFile
 	if err := entry.cmd.Start(); err != nil {
