Soak: targets fall silent, and odd rows come and go, in the mixed soak too

TestSoak now has its targets fall silent for 0.2 to 2 s and writes odd rows to their list, on their own beside the other faults, as the calm soak does. The seeds of soakRegressions run without them, as they were found. The checks are the same.

--- a/integration/calmsoak_test.go
+++ b/integration/calmsoak_test.go
@@ -1,7 +1,6 @@
 package integration
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -18,7 +17,6 @@
 
 // Bounds of the calm soak, in part from the entries' settings.
 const (
-	maxSilence     = 2 * time.Second
 	callerDeadline = 6 * time.Second
 	stopGrace      = 8 * time.Second
 	// lateRequest is the time after SIGTERM up to which a request may be cut at the end of
@@ -35,11 +33,9 @@
 	// Every request has to get its whole answer or a truthful refusal.
 	calmSoak struct {
 		*soak
-		stopping   map[*entryProcess]bool
-		stops      []entryStop
-		results    []calmResult
-		quietUntil map[*standin.Target]time.Time // no other silence before
-		oddRows    int
+		stopping map[*entryProcess]bool
+		stops    []entryStop
+		results  []calmResult
 	}
 
 	// calmResult is a request and its result.
@@ -71,7 +67,7 @@
 	deployment.startTargetsAndEntries(7, *soakEntries)
 	calm := &calmSoak{
 		soak:     &soak{deployment: deployment, random: rand.New(rand.NewPCG(seed, 6)), startedAt: time.Now()},
-		stopping: map[*entryProcess]bool{}, quietUntil: map[*standin.Target]time.Time{},
+		stopping: map[*entryProcess]bool{},
 	}
 	calm.targets = deployment.modelTargets
 	calm.store.Put("op", "config", platformConfig(4, "key-1", "key-2"))
@@ -81,67 +77,6 @@
 	return calm
 }
 
-func (calm *calmSoak) heads() []*standin.Target {
-	return slices.DeleteFunc(slices.Clone(calm.targets), func(target *standin.Target) bool {
-		_, _, state := target.Place()
-		return state != "open"
-	})
-}
-
-// silence has targets fall silent for a time, each only some time after its last silence.
-func (calm *calmSoak) silence(kind string, duration time.Duration, targets ...*standin.Target) {
-	calm.mu.Lock()
-	targets = slices.DeleteFunc(slices.Clone(targets), func(target *standin.Target) bool {
-		return time.Now().Before(calm.quietUntil[target])
-	})
-	for _, target := range targets {
-		calm.quietUntil[target] = time.Now().Add(duration + 500*time.Millisecond)
-	}
-	calm.mu.Unlock()
-	var ids []string
-	for _, target := range targets {
-		target.FallSilent(duration)
-		ids = append(ids, target.ID)
-	}
-	if len(ids) > 0 {
-		calm.logFault("%s silent for %s: %s", kind, duration, strings.Join(ids, " "))
-	}
-}
-
-// silenceTargets has targets fall silent, in overlapping series, until the deadline.
-func (calm *calmSoak) silenceTargets(random *rand.Rand, deadline time.Time) {
-	randomDuration := func() time.Duration {
-		return 200*time.Millisecond + time.Duration(random.Int64N(int64(maxSilence-200*time.Millisecond)))
-	}
-	for time.Now().Before(deadline) {
-		heads, target := calm.heads(), calm.targets[random.IntN(len(calm.targets))]
-		switch random.IntN(8) {
-		case 0, 1:
-			if len(heads) > 0 {
-				calm.silence("head", randomDuration(), heads[random.IntN(len(heads))])
-			}
-		case 2:
-			calm.silence("member", randomDuration(), target)
-		case 3:
-			calm.silence("plain target", randomDuration(), calm.plainTargets[random.IntN(len(calm.plainTargets))])
-		case 4:
-			calm.silence("domain", randomDuration(), slices.DeleteFunc(slices.Clone(calm.targets), func(other *standin.Target) bool {
-				return other.Domain != target.Domain
-			})...)
-		case 5:
-			calm.silence("all", randomDuration(), slices.Concat(calm.targets, calm.plainTargets)...)
-		case 6:
-			calm.silence("heads", randomDuration(), heads...)
-		default:
-			for range 5 {
-				calm.silence("series", randomDuration(), calm.targets[random.IntN(len(calm.targets))])
-				time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
-			}
-		}
-		time.Sleep(time.Duration(100+random.IntN(1200)) * time.Millisecond)
-	}
-}
-
 // change makes a random planned change, beside the silences.
 func (calm *calmSoak) change(pending *sync.WaitGroup, copied standin.Copy) {
 	entry := calm.entries[calm.random.IntN(len(calm.entries))]
@@ -153,7 +88,7 @@
 		calm.logFault("a route is added")
 		calm.addRoute()
 	case 3, 4:
-		calm.addOddRow(pending)
+		calm.addOddRow(calm.random, pending)
 	case 5:
 		calm.logFault("%s gets SIGHUP", entry.name)
 		_ = entry.cmd.Process.Signal(syscall.SIGHUP)
@@ -182,68 +117,6 @@
 	calm.store.Put("op", "config", config)
 }
 
-// addOddRow writes a row of another writer to the list of targets, and removes it later.
-func (calm *calmSoak) addOddRow(pending *sync.WaitGroup) {
-	target := calm.targets[calm.random.IntN(len(calm.targets))]
-	name, epoch, _ := target.Place()
-	rows := oddRows(target.Domain, name, epoch)
-	odd := rows[calm.random.IntN(len(rows))]
-	calm.oddRows++
-	key := fmt.Sprint("i-odd-", calm.oddRows)
-	duration := time.Duration(200+calm.random.IntN(3000)) * time.Millisecond
-	calm.logFault("the list has a row %s with %s for %s", key, odd.name, duration)
-	calm.store.PutBytes("servers", key, odd.value)
-	pending.Go(func() {
-		time.Sleep(duration)
-		calm.store.Remove("servers", key)
-	})
-}
-
-type oddRow struct {
-	name  string
-	value []byte
-}
-
-// oddRows returns rows that name no target to use. The group is one that exists.
-func oddRows(domain, group string, epoch uint64) []oddRow {
-	member := func(name string, value any) map[string]any {
-		member := map[string]any{"name": group, "epoch": epoch, "rank": 0, "state": "open"}
-		member[name] = value
-		return member
-	}
-	encode := func(name string, value any) []byte {
-		row := map[string]any{
-			"service": "llm", "address": "127.0.0.1:1", "zone": "a", "slots": 6, "state": "ready", "sequence": 1, "born": time.Now().UnixMilli(),
-			"domain": domain, "staged": []string{"m"}, "models": []any{map[string]any{"name": "m", "version": 1}},
-			"group": member("rank", 1),
-		}
-		row[name] = value
-		encoded, err := json.Marshal(row)
-		if err != nil {
-			panic(err)
-		}
-		return encoded
-	}
-	without := member("rank", 1)
-	delete(without, "epoch")
-	return []oddRow{
-		{"deep nesting", encode("extra", json.RawMessage(strings.Repeat("[", 6000)+strings.Repeat("]", 6000)))},
-		{"deep nesting of a group", encode("group", json.RawMessage(strings.Repeat(`{"name":`, 6000)+"1"+strings.Repeat("}", 6000)))},
-		{"a number too large", encode("sequence", json.RawMessage("1e400"))},
-		{"an epoch too large", encode("group", member("epoch", json.RawMessage("18446744073709551616")))},
-		{"a start time too large", encode("born", json.RawMessage("99999999999999999999"))},
-		{"a port out of range", encode("address", "127.0.0.1:99999")},
-		{"a negative port", encode("address", "127.0.0.1:-1")},
-		{"no address", encode("address", "nowhere")},
-		{"no epoch", encode("group", without)},
-		{"a negative rank", encode("group", member("rank", -3))},
-		{"a rank of another type", encode("group", member("rank", "first"))},
-		{"an unknown state", encode("state", "resting")},
-		{"a group that exists, and an odd start time", encode("born", "soon")},
-		{"bytes that can't be read", []byte("\xff{")},
-	}
-}
-
 // replace stops an entry and starts it again, also as another build. The last entry that
 // runs isn't stopped.
 func (calm *calmSoak) replace(entry *entryProcess) {
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -40,6 +40,7 @@
 		faultLog    []string
 		lastNumber  int // of added targets and changed configs
 		succeeded   int
+		quietUntil  map[*standin.Target]time.Time // no other silence before
 	}
 
 	// soakRequest is a request and its result.
@@ -363,6 +364,8 @@
 				callers.Go(func() { soak.runCaller(name, random, deadline) })
 			}
 			if !slices.Contains(soakRegressions, seed) { // found without these faults
+				callers.Go(func() { soak.silenceTargets(rand.New(rand.NewPCG(seed, 50)), deadline) })
+				callers.Go(func() { soak.addOddRows(rand.New(rand.NewPCG(seed, 60)), deadline) })
 				callers.Go(func() { soak.restoreStore(rand.New(rand.NewPCG(seed, 30)), deadline) })
 				callers.Go(func() { soak.troubleTargets(rand.New(rand.NewPCG(seed, 40)), deadline) })
 			}
