Streams: a second attempt goes only to a replica that responds

Callers saw streams broken off where all heads were silent for 2 s: the second attempt went to a head that was silent too, and no attempt was left once the planner had the first head end its runs.

A second attempt beside a suspected one now goes to a replica whose head any entry has heard from within 150 ms, or that has just responded to a probe. The result counts for 200 ms and for all streams of the entry. Nothing is taken from the retry budget before.

--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -105,6 +105,7 @@
 		Dependencies
 		tracker    *Tracker
 		quarantine *greengageroute.Quarantine
+		checks     *replicaChecks
 		bounds     atomic.Pointer[greengageroute.Bounds]
 		hasTraffic atomic.Bool
 		stop       atomic.Pointer[stopSchedule] // nil until the entry stops
@@ -216,6 +217,7 @@
 	service := &Service{Dependencies: dependencies, tracker: NewTracker(), budgets: map[string]*greengageroute.RetryBudget{}}
 	service.running, service.endRunning = context.WithCancel(context.Background())
 	service.quarantine = greengageroute.NewQuarantine(service.logQuarantine)
+	service.checks = newReplicaChecks(func(head greengageroute.Target) bool { return service.Prober.StillServes(head) })
 	service.SetBounds(dependencies.Bounds)
 	return service
 }
--- a/edge/hedgedstream.go
+++ b/edge/hedgedstream.go
@@ -27,8 +27,8 @@
 	errAttemptsUsed = errors.New("all attempts that the route allows were made")
 	// errNoReplica is returned when no replica or target takes another attempt now.
 	errNoReplica = errors.New("no replica takes another attempt")
-	// errSearchNotDue is returned between two searches for a replica.
-	errSearchNotDue = errors.New("nothing has changed since the last search")
+	// errUnconfirmed is returned while it is checked whether a replica serves.
+	errUnconfirmed = errors.New("the replica hasn't responded yet")
 	// errRepeatedEvent ends an attempt that doesn't go on after the last event.
 	errRepeatedEvent = errors.New("the target repeated an event")
 )
@@ -46,7 +46,10 @@
 		silenceTimer recheckTimer
 		tried        greengageroute.Set[string] // keys of the sources that may have run the request
 		unreachable  greengageroute.Set[string] // keys of those that it couldn't be sent to lately
-		starts       int                        // attempts since the last pause
+		confirmed    string                     // key of the replica that a hedge may be sent to
+		checking     bool
+		checked      chan checkedReplica
+		starts       int // attempts since the last pause
 		helpersTried int
 		searchedView *control.View
 		searchedAt   time.Time
@@ -56,6 +59,12 @@
 		retryAfter   time.Duration
 	}
 
+	// checkedReplica tells whether a replica serves.
+	checkedReplica struct {
+		key    string
+		serves bool
+	}
+
 	// streamMessage tells what an attempt received: the head of its answer, an event or the
 	// end.
 	streamMessage struct {
@@ -69,7 +78,7 @@
 
 func newHedgedStream(exchange *exchange) *hedgedStream {
 	return &hedgedStream{
-		exchange: exchange, messages: make(chan streamMessage), silence: make(chan struct{}, 1),
+		exchange: exchange, messages: make(chan streamMessage), silence: make(chan struct{}, 1), checked: make(chan checkedReplica, 1),
 		tried: greengageroute.Set[string]{}, unreachable: greengageroute.Set[string]{},
 		reason: "no replica of the model is available", retryAfter: noReplicaRetryAfter, lastEvent: time.Now(),
 	}
@@ -94,6 +103,8 @@
 			if complete, err := stream.receive(ctx, message); complete || err != nil {
 				return stream.end(ctx, err)
 			}
+		case checked := <-stream.checked:
+			stream.recordCheck(checked)
 		case <-stream.silence:
 			stream.checkSilence()
 		case <-ctx.Done():
@@ -172,6 +183,8 @@
 	case err == nil:
 		stream.recordStart(active)
 		return nil
+	case errors.Is(err, errUnconfirmed):
+		return nil
 	case hedges:
 		stream.pause()
 		return nil
@@ -263,6 +276,9 @@
 			return err
 		}
 	}
+	if hedges && !stream.confirm(source) {
+		return errUnconfirmed
+	}
 	if !exchange.allowAttempt() {
 		return errNoReplica
 	}
@@ -271,6 +287,32 @@
 	return nil
 }
 
+// confirm reports whether a replica is known to serve. If not, it has that checked: a hedge at
+// one that is silent too would use up an attempt.
+func (stream *hedgedStream) confirm(source source) bool {
+	service, head, key := stream.exchange.service, source.replica.Head(), source.key()
+	if stream.confirmed == key || service.Peers.Active(head.ID, activityWindow) {
+		stream.confirmed = ""
+		return true
+	}
+	if !stream.checking {
+		stream.checking = true
+		go func() { stream.checked <- checkedReplica{key, service.checks.check(head)} }()
+	}
+	return false
+}
+
+// recordCheck records whether a replica serves, and has one looked for again.
+func (stream *hedgedStream) recordCheck(checked checkedReplica) {
+	stream.checking, stream.searchedView = false, nil
+	if checked.serves {
+		stream.confirmed = checked.key
+		return
+	}
+	stream.tried.Add(checked.key)
+	stream.unreachable.Add(checked.key)
+}
+
 // startAtEntry starts an attempt that another entry forwards.
 func (stream *hedgedStream) startAtEntry(ctx context.Context) error {
 	address, found := stream.exchange.nextHelper(stream.helpersTried)
