Planner: a repair waits for requests that may go on

What callers saw: streams cut in the middle as sound targets went on after 0.6 to 1 s. A member that failed two probes had the planner close its head with an abort, or give the members of a silent head to a new epoch, while streams waited there.

A replica whose missing members have been absent for under 2 s is left as it is while entries report requests in progress at its head. Once these have moved, or were reset, the repair goes on at once, so that a true loss costs little more.

TestRepairWaitsForRequestsThatMayGoOn fails without the wait.

--- a/control/planner.go
+++ b/control/planner.go
@@ -72,6 +72,8 @@
 		// Active reports whether any entry has received a response from a target
 		// within the given time.
 		Active(target string, within time.Duration) bool
+		// Busy returns the targets at which any entry has requests in progress.
+		Busy() greengageroute.Set[string]
 		// Reaches reports whether messages from entries of a data centre arrive.
 		Reaches(dataCentre string) bool
 	}
@@ -266,6 +268,10 @@
 
 func (planner *Planner) poolView(name string, engine *greengageroute.Engine, view *View) greengageroute.PoolView {
 	now, slow := planner.Clock.Now(), planner.Directory.Slow()
+	var busy greengageroute.Set[string]
+	if len(view.Absent) > 0 {
+		busy = planner.Activity.Busy()
+	}
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
 	targets := map[string]greengageroute.Target{}
@@ -287,7 +293,7 @@
 	}
 	return greengageroute.PoolView{
 		Pool: name, Engine: engine, Targets: targets, HasTraffic: planner.HasTraffic(), Now: now,
-		Absent: absent, AbsentSince: planner.recordAbsent(absent, now), ClosedAt: closedAt, SuspectedHeads: suspected,
+		Absent: absent, AbsentSince: planner.recordAbsent(absent, now), ClosedAt: closedAt, SuspectedHeads: suspected, Busy: busy,
 		MemberLostAt: planner.memberLostAt(targets), StallTimeout: planner.StallTimeout, PendingOpens: planner.pendingOpensIn(targets),
 		Left: planner.leftReplicasOf(targets),
 	}.Indexed()
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -28,6 +28,8 @@
 
 func (activity fakeActivity) Active(string, time.Duration) bool { return activity.active }
 
+func (fakeActivity) Busy() greengageroute.Set[string] { return nil }
+
 func (activity fakeActivity) Reaches(string) bool { return !activity.cutOff }
 
 func newTestPlanner(activity fakeActivity) (*Planner, *Directory) {
--- a/formation.go
+++ b/formation.go
@@ -56,6 +56,9 @@
 		Absent map[string]Target
 		// AbsentSince is since when targets have been absent.
 		AbsentSince map[string]time.Time
+		// Busy holds targets at which entries have requests in progress. It is only known
+		// while targets are absent.
+		Busy Set[string]
 		// ClosedAt is when the absent head of a replica last said that it doesn't serve it.
 		ClosedAt map[ReplicaKey]time.Time
 		// SuspectedHeads are the replicas whose absent heads leave orders unanswered while
--- a/formationrelease_test.go
+++ b/formationrelease_test.go
@@ -168,3 +168,31 @@
 		t.Error("a released member is held although it has restarted")
 	}
 }
+
+// A member is silent for a moment, a spare is at hand, and requests wait at the head. They are
+// cut if the replica is repaired before they have moved or the member goes on.
+func TestRepairWaitsForRequestsThatMayGoOn(t *testing.T) {
+	pool, formation := newFormedPool(t, 6, 11)
+	pool.run(formation, 3*time.Second, true)
+	assignment := formation.Assignments[0]
+	silent := pool.targets[assignment.Members[1]]
+	silent.unlisted, silent.absentSince = true, pool.now
+	view := pool.view(true)
+	view.Busy = NewSet(assignment.Members[0])
+	if changed := formation.Update(view); len(changed) > 0 || len(formation.Orders(view)) > 0 {
+		t.Errorf("while requests wait %v were changed and the orders are %v, want none", changed, formation.Orders(view))
+	}
+	view.Busy = nil
+	if changed := formation.Update(view); len(changed) != 1 {
+		t.Errorf("once the requests have moved %v were changed, want the replica", changed)
+	}
+	pool, formation = newFormedPool(t, 6, 11)
+	pool.run(formation, 3*time.Second, true)
+	silent = pool.targets[formation.Assignments[0].Members[1]]
+	silent.unlisted, silent.absentSince = true, pool.now.Add(-silenceTolerance)
+	view = pool.view(true)
+	view.Busy = NewSet(formation.Assignments[0].Members[0])
+	if changed := formation.Update(view); len(changed) != 1 {
+		t.Errorf("after a silence of %s %v were changed, want the replica", silenceTolerance, changed)
+	}
+}
--- a/formationrepair.go
+++ b/formationrepair.go
@@ -9,7 +9,8 @@
 // domain: by targets with staged weights if there are enough, if need be after
 // dissolving other replicas of the model that are damaged or wait for a member to
 // load, and else by targets that have to load. A replica that only has leaving or slow
-// members keeps running until staged targets can replace these.
+// members keeps running until staged targets can replace these. One whose missing members may
+// return is left as it is while requests wait there for them, or if no staged targets are free.
 func (formation *Formation) repair(view PoolView) []Assignment {
 	damaged := append(formation.takeDamaged(view), formation.takeWaiting(view)...)
 	slices.SortStableFunc(damaged, func(a, b damagedAssignment) int { return cmp.Compare(a.missing(), b.missing()) })
@@ -27,21 +28,22 @@
 		assignment.release(reserved) // its members are assigned or free now
 		return true
 	}
-	damaged = slices.DeleteFunc(damaged, func(assignment damagedAssignment) bool { return fill(assignment, joinCostStaged) })
-	damaged = slices.DeleteFunc(damaged, func(assignment damagedAssignment) bool {
-		if view.allFormed(assignment.Assignment) {
-			formation.assign(assignment.Assignment)
-			return true
-		}
-		return false
+	leave := func(when func(damagedAssignment) bool) {
+		damaged = slices.DeleteFunc(damaged, func(assignment damagedAssignment) bool {
+			if when(assignment) {
+				formation.assign(assignment.Assignment)
+				assignment.release(reserved)
+				return true
+			}
+			return false
+		})
+	}
+	leave(func(assignment damagedAssignment) bool {
+		return view.mayReturn(assignment) && view.Busy.Has(assignment.Members[0])
 	})
-	damaged = slices.DeleteFunc(damaged, func(assignment damagedAssignment) bool {
-		if view.mayReturn(assignment) {
-			formation.assign(assignment.Assignment)
-			assignment.release(reserved)
-			return true
-		}
-		return false
+	damaged = slices.DeleteFunc(damaged, func(assignment damagedAssignment) bool { return fill(assignment, joinCostStaged) })
+	leave(func(assignment damagedAssignment) bool {
+		return view.allFormed(assignment.Assignment) || view.mayReturn(assignment)
 	})
 	damaged = formation.merge(damaged, reserved, fill)
 	for _, assignment := range damaged {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -400,6 +400,25 @@
 	return false
 }
 
+// Busy returns the targets at which this or another entry has requests in progress.
+func (node *Node) Busy() greengageroute.Set[string] {
+	now := node.clock.Now()
+	busy := greengageroute.Set[string]{}
+	for _, load := range node.source.Loads() {
+		busy.Add(load.Target)
+	}
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	for _, other := range node.peers {
+		if now.Sub(other.receivedAt) < freshness {
+			for _, load := range slices.Concat(other.own.Loads, other.summary.Loads) {
+				busy.Add(load.Target)
+			}
+		}
+	}
+	return busy
+}
+
 func activeWithin(loads []Load, target string, within time.Duration) bool {
 	return slices.ContainsFunc(loads, func(load Load) bool {
 		return load.Target == target && time.Duration(load.IdleMillis)*time.Millisecond < within
