Prober: a silent target that goes on is used again at once

What callers saw: after a silence of 1 s a sound target got no requests for 4 more seconds. Without spares its replica was dissolved meanwhile.

A failed probe hid the target for 5 s at all entries. The entry that found it, and the planner's, now probe it every 250 ms; once it responds under the same start time the mark ends at all entries, by a new field of their messages which earlier builds skip. The log and the counters tell targets for which another process answered from silent ones.

TestSilentTargetIsUsedAgain fails on the code before (the target stays hidden). TestUsersPlatformSilentTargetsGoOn has its three cases without spares now; before, the replicas didn't come back within 40 s.

Tests changed: TestFailedLinksAreNotFailedTargets counts probes of the links; it now begins to count once lost targets are no longer probed for, with the same limit of none. probeTarget has a third result in two tests.

--- a/control/directory.go
+++ b/control/directory.go
@@ -16,6 +16,9 @@
 	// unreachableTTL is how long an unreachable target is left out although it is
 	// listed: the list drops it after three heartbeats.
 	unreachableTTL = 5 * time.Second
+	// respondedTTL is how long other entries may repeat that a target is unreachable which
+	// responds again.
+	respondedTTL = 1500 * time.Millisecond
 	// unlistedGrace is how long a member that is no longer listed, but responds, may
 	// stay in its replica: partitions from the store alone last about ten seconds.
 	unlistedGrace = 12 * time.Second
@@ -49,6 +52,7 @@
 		unlisted      map[string]datedTarget
 		outdated      map[string]datedTarget // as rows of a restored store show them, which don't count yet
 		unreachable   map[mesh.TargetInstance]time.Time
+		responded     map[mesh.TargetInstance]time.Time // when targets that were found unreachable responded again
 		slow          map[mesh.TargetInstance]time.Time
 		leaving       map[mesh.TargetInstance]time.Time // when they were last listed, or said so
 		routes        *greengageroute.RouteTable
@@ -74,7 +78,7 @@
 	directory := &Directory{
 		clock: clock, targets: map[string]greengageroute.Target{}, dropAt: map[string]time.Time{},
 		absent: map[string]datedTarget{}, unlisted: map[string]datedTarget{}, outdated: map[string]datedTarget{},
-		unreachable: map[mesh.TargetInstance]time.Time{}, slow: map[mesh.TargetInstance]time.Time{}, leaving: map[mesh.TargetInstance]time.Time{}, watchers: map[uint64]func(){},
+		unreachable: map[mesh.TargetInstance]time.Time{}, responded: map[mesh.TargetInstance]time.Time{}, slow: map[mesh.TargetInstance]time.Time{}, leaving: map[mesh.TargetInstance]time.Time{}, watchers: map[uint64]func(){},
 		touched: greengageroute.Set[string]{}, memberships: map[replicaID]map[string]*greengageroute.Target{}, open: map[replicaID]greengageroute.Replica{},
 	}
 	directory.view.Store(&View{})
@@ -238,6 +242,50 @@
 	return added
 }
 
+// MarkResponding ends the marks of targets that were found unreachable and respond again. It
+// returns those that were marked.
+func (directory *Directory) MarkResponding(instances ...mesh.TargetInstance) []mesh.TargetInstance {
+	now := directory.clock.Now()
+	directory.mu.Lock()
+	var marked []mesh.TargetInstance
+	maps.DeleteFunc(directory.responded, func(_ mesh.TargetInstance, at time.Time) bool { return now.Sub(at) > respondedTTL })
+	for _, instance := range instances {
+		directory.responded[instance] = now
+		if _, known := directory.unreachable[instance]; known {
+			marked = append(marked, instance)
+		}
+	}
+	directory.mu.Unlock()
+	if len(marked) == 0 {
+		return nil
+	}
+	directory.update(func() {
+		for _, instance := range marked {
+			delete(directory.unreachable, instance)
+			directory.touched.Add(instance.ID)
+		}
+	})
+	return marked
+}
+
+// RespondedLately reports whether a target responded again so lately that other entries may
+// still repeat that it is unreachable.
+func (directory *Directory) RespondedLately(instance mesh.TargetInstance) bool {
+	now := directory.clock.Now()
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	at, known := directory.responded[instance]
+	return known && now.Sub(at) <= respondedTTL
+}
+
+// IsUnreachable reports whether a target is marked as unreachable.
+func (directory *Directory) IsUnreachable(instance mesh.TargetInstance) bool {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	_, marked := directory.unreachable[instance]
+	return marked
+}
+
 // MarkLeaving marks targets that say that they are leaving, until their processes end. It
 // returns those that were not marked before.
 func (directory *Directory) MarkLeaving(instances ...mesh.TargetInstance) []mesh.TargetInstance {
--- a/control/prober.go
+++ b/control/prober.go
@@ -42,6 +42,9 @@
 	minTargetsIsolated = 5
 	// isolationCheckInterval is how often an isolated entry tries its links again.
 	isolationCheckInterval = 150 * time.Millisecond
+	// responseInterval is how often a target that this entry found unreachable is probed
+	// until it responds or its mark ends.
+	responseInterval = 250 * time.Millisecond
 	// confirmInterval is how often a target that may have failed is probed.
 	confirmInterval = time.Second
 )
@@ -50,8 +53,12 @@
 const (
 	CountProbes             = "probes"
 	CountTargetsUnreachable = "targets-found-dead"
-	CountTargetsSlow        = "targets-found-slow"
-	CountFalseAlarms        = "silent-replicas-found-whole"
+	// CountTargetsRestarted counts those of them that another process answered for, and
+	// CountTargetsResponding those that responded again.
+	CountTargetsRestarted  = "targets-found-restarted"
+	CountTargetsResponding = "targets-responding-again"
+	CountTargetsSlow       = "targets-found-slow"
+	CountFalseAlarms       = "silent-replicas-found-whole"
 	// CountIsolations counts how often this entry lost its links to most targets, and
 	// CountFailuresInDoubt the targets that were not taken for failed because of that.
 	CountIsolations      = "isolations"
@@ -67,9 +74,16 @@
 	// Notifier sends findings to the other entries.
 	Notifier interface {
 		ReportUnreachable(unreachable ...mesh.TargetInstance)
+		ReportResponding(responding ...mesh.TargetInstance)
 		ReportSlow(slow ...mesh.TargetInstance)
 	}
 
+	// failedProbe is a target that didn't respond, or for which another process answered.
+	failedProbe struct {
+		target   greengageroute.Target
+		answered bool
+	}
+
 	// Prober probes the members of unresponsive replicas and reports those that are
 	// unreachable or slow to the other entries.
 	Prober struct {
@@ -136,13 +150,13 @@
 	if !prober.membersCurrent(replica) {
 		return
 	}
-	failed := make(chan mesh.TargetInstance, len(replica.Members))
+	failed := make(chan failedProbe, len(replica.Members))
 	var probes sync.WaitGroup
 	for _, member := range replica.Members {
 		probes.Go(func() {
-			report, alive := prober.probeTarget(member)
+			report, alive, answered := prober.probeTarget(member)
 			if !alive {
-				failed <- member.Instance()
+				failed <- failedProbe{member, answered}
 			} else if report.Slowdown >= slowdownLimit {
 				prober.reportSlow(member, report.Slowdown)
 			}
@@ -150,23 +164,60 @@
 	}
 	probes.Wait()
 	close(failed)
-	var unreachable []mesh.TargetInstance
-	for instance := range failed {
-		unreachable = append(unreachable, instance)
-	}
-	if len(unreachable) == 0 {
+	if len(failed) == 0 {
 		prober.counters.Add(CountFalseAlarms, 1)
 		prober.log.Info("unresponsive replica is healthy; all members answered a probe", "replica", replica.Name, "epoch", replica.Epoch)
 		return
 	}
 	if !prober.LinksWork() {
-		prober.counters.Add(CountFailuresInDoubt, int64(len(unreachable)))
+		prober.counters.Add(CountFailuresInDoubt, int64(len(failed)))
 		return
 	}
-	for _, instance := range prober.directory.MarkUnreachable(unreachable...) {
-		prober.counters.Add(CountTargetsUnreachable, 1)
-		prober.log.Info("target unreachable or restarted", "target", instance.ID, "born", instance.StartUnixMilli, "replica", replica.Name, "epoch", replica.Epoch)
-		prober.notifier.ReportUnreachable(instance)
+	for probe := range failed {
+		if prober.markUnreachable(probe) {
+			prober.notifier.ReportUnreachable(probe.target.Instance())
+		}
+	}
+}
+
+// markUnreachable marks a target that a probe found unreachable or restarted. It reports
+// whether the target wasn't marked before.
+func (prober *Prober) markUnreachable(probe failedProbe) bool {
+	target := probe.target
+	if len(prober.directory.MarkUnreachable(target.Instance())) == 0 {
+		return false
+	}
+	prober.counters.Add(CountTargetsUnreachable, 1)
+	if probe.answered {
+		prober.counters.Add(CountTargetsRestarted, 1)
+	} else {
+		go prober.awaitResponse(target)
+	}
+	prober.log.Info("target unreachable or restarted", "target", target.ID, "born", target.StartUnixMilli, "restarted", probe.answered,
+		"replica", target.Membership.Replica, "epoch", target.Membership.Epoch)
+	return true
+}
+
+// awaitResponse probes a target that doesn't respond until it does, and tells the other entries
+// then, or until its mark has ended.
+func (prober *Prober) awaitResponse(target greengageroute.Target) {
+	instance, started := target.Instance(), prober.clock.Now()
+	for prober.clock.Now().Sub(started) < unreachableTTL {
+		time.Sleep(responseInterval)
+		if !prober.directory.IsUnreachable(instance) {
+			return
+		}
+		prober.counters.Add(CountProbes, 1)
+		report, err := prober.reporter.Report(context.Background(), target, probeTimeout)
+		if err != nil || report.StartUnixMilli != 0 && report.StartUnixMilli != target.StartUnixMilli {
+			continue
+		}
+		if len(prober.directory.MarkResponding(instance)) > 0 {
+			prober.counters.Add(CountTargetsResponding, 1)
+			prober.log.Info("target responds again", "target", target.ID, "after", prober.clock.Now().Sub(started).String())
+			prober.notifier.ReportResponding(instance)
+		}
+		return
 	}
 }
 
@@ -180,19 +231,19 @@
 	}
 }
 
-// probeTarget returns a member's report and whether the member is alive. A refusal
-// by another target at the same address doesn't count as a response.
-func (prober *Prober) probeTarget(member greengageroute.Target) (greengageroute.TargetReport, bool) {
+// probeTarget returns a member's report, whether the member is alive, and whether anything
+// answered. A refusal by another target at the same address doesn't count as alive.
+func (prober *Prober) probeTarget(member greengageroute.Target) (report greengageroute.TargetReport, alive, answered bool) {
 	for range probeAttempts {
 		started := prober.clock.Now()
-		report, alive, answered := prober.hedgedProbe(member)
+		report, alive, answered = prober.hedgedProbe(member)
 		// If the timers of this entry fired late, it may have read the responses late
 		// too: probe again.
 		if answered || prober.clock.Now().Sub(started) < 2*(probeHedgeDelay+probeTimeout) {
-			return report, alive
+			return report, alive, answered
 		}
 	}
-	return greengageroute.TargetReport{}, false
+	return greengageroute.TargetReport{}, false, false
 }
 
 // hedgedProbe probes a member on two connections, the second shortly after the first.
@@ -250,17 +301,15 @@
 			continue
 		}
 		go func() {
-			if _, alive := prober.probeTarget(target); alive {
+			_, alive, answered := prober.probeTarget(target)
+			if alive {
 				return
 			}
 			if !prober.LinksWork() {
 				prober.counters.Add(CountFailuresInDoubt, 1)
 				return
 			}
-			if len(prober.directory.MarkUnreachable(instance)) > 0 {
-				prober.counters.Add(CountTargetsUnreachable, 1)
-				prober.log.Info("target unreachable or restarted", "target", instance.ID, "born", instance.StartUnixMilli, "replica", target.Membership.Replica, "epoch", target.Membership.Epoch)
-			}
+			prober.markUnreachable(failedProbe{target, answered})
 		}()
 	}
 }
@@ -284,7 +333,7 @@
 // the time of its start, and serves its replica: one that has lost a member, or was told to
 // abort its requests, doesn't.
 func (prober *Prober) StillServes(head greengageroute.Target) bool {
-	report, alive := prober.probeTarget(head)
+	report, alive, _ := prober.probeTarget(head)
 	if !alive || report.StartUnixMilli == 0 || report.StartUnixMilli != head.StartUnixMilli {
 		return false
 	}
--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -44,9 +44,13 @@
 	return greengageroute.TargetReport{StartUnixMilli: step.startUnixMilli, Membership: step.membership}, step.err
 }
 
-type fakeNotifier struct{ slow []mesh.TargetInstance }
+type fakeNotifier struct{ slow, responding []mesh.TargetInstance }
 
 func (*fakeNotifier) ReportUnreachable(...mesh.TargetInstance) {}
+func (notifier *fakeNotifier) ReportResponding(responding ...mesh.TargetInstance) {
+	notifier.responding = append(notifier.responding, responding...)
+}
+
 func (notifier *fakeNotifier) ReportSlow(slow ...mesh.TargetInstance) {
 	notifier.slow = append(notifier.slow, slow...)
 }
@@ -77,7 +81,7 @@
 				prober := NewProber("a", &scriptedReporter{script: test.script}, NewDirectory(greengageroute.RuntimeClock{}), &fakeNotifier{},
 					greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
 				started := time.Now()
-				_, alive := prober.probeTarget(greengageroute.Target{ID: "i-1", StartUnixMilli: 7})
+				_, alive, _ := prober.probeTarget(greengageroute.Target{ID: "i-1", StartUnixMilli: 7})
 				if took := time.Since(started); alive != test.alive || took > test.within {
 					t.Errorf("alive: %t after %s, want %t within %s", alive, took, test.alive, test.within)
 				}
@@ -138,6 +142,7 @@
 				if found := len(directory.View().Absent); found != test.found || prober.Isolated() != test.isolated {
 					t.Errorf("%d targets found unreachable, isolated: %v, want %d and %v", found, prober.Isolated(), test.found, test.isolated)
 				}
+				time.Sleep(unreachableTTL) // the targets found unreachable are probed until then
 				ctx, cancel := context.WithCancel(context.Background())
 				go prober.RunLinkChecks(ctx)
 				probes := reporter.probes.Load()
@@ -206,3 +211,46 @@
 		})
 	}
 }
+
+// TestSilentTargetIsUsedAgain guards against targets that get no requests for seconds after a
+// short silence, and against marks that end although nobody or another process responds.
+func TestSilentTargetIsUsedAgain(t *testing.T) {
+	tests := []struct {
+		name     string
+		after    scriptedReport // the probes after the first ones
+		responds bool
+	}{
+		{"it goes on", scriptedReport{startUnixMilli: 7}, true},
+		{"it stays silent", scriptedReport{noReply: true}, false},
+		{"another target has its address", scriptedReport{err: &greengageroute.OrderRefusedError{Status: 421}}, false},
+		{"it has restarted", scriptedReport{startUnixMilli: 8}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				directory, notifier := NewDirectory(greengageroute.RuntimeClock{}), &fakeNotifier{}
+				target := greengageroute.Target{ID: "i-1", Pool: "llm", StartUnixMilli: 7, State: greengageroute.TargetReady}
+				directory.Replace([]greengageroute.Target{target}, time.Time{})
+				reporter := &scriptedReporter{script: []scriptedReport{{noReply: true}, {noReply: true}, {noReply: true}, test.after}}
+				prober := NewProber("a", reporter, directory, notifier, greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
+				prober.ProbeReplica(greengageroute.Replica{Name: "r", Epoch: 1, Members: []greengageroute.Target{target}})
+				time.Sleep(300 * time.Millisecond)
+				if _, listed := directory.View().Target(target.ID); listed {
+					t.Fatal("the silent target isn't hidden")
+				}
+				time.Sleep(3 * responseInterval)
+				synctest.Wait()
+				_, listed := directory.View().Target(target.ID)
+				if listed != test.responds || len(notifier.responding) > 0 != test.responds {
+					t.Errorf("used again: %t, other entries know: %t, want %t", listed, len(notifier.responding) > 0, test.responds)
+				}
+				if test.responds && !directory.RespondedLately(target.Instance()) {
+					t.Error("late reports of other entries would hide the target again")
+				}
+				time.Sleep(time.Minute) // lets open probes end
+				directory.Expire()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/integration/groupsilence_test.go
+++ b/integration/groupsilence_test.go
@@ -146,8 +146,11 @@
 		duration time.Duration
 	}{
 		{"a head for 1 s, a spare", true, 0, 1, time.Second},
+		{"a head for 1 s, no spare", false, 0, 1, time.Second},
 		{"another member for 1 s, a spare", true, 1, 1, time.Second},
+		{"another member for 1 s, no spare", false, 1, 1, time.Second},
 		{"both heads for 1 s, a spare", true, 0, 2, time.Second},
+		{"both heads for 1.8 s, no spare", false, 0, 2, 1800 * time.Millisecond},
 		{"another member of both groups for 0.6 s, a spare", true, 2, 2, 600 * time.Millisecond},
 	}
 	for _, test := range tests {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -26,6 +26,7 @@
 	lease                LeaseUpdate
 	slow                 []TargetInstance
 	leaving              []TargetInstance
+	responding           []TargetInstance
 	leaseUpdates         []LeaseUpdate
 	readsStore, isolated atomic.Bool
 	refused              []greengageroute.QuarantineVerdict
@@ -55,6 +56,12 @@
 	entry.unreachable = append(entry.unreachable, unreachable...)
 }
 
+func (entry *testEntry) TargetsResponding(_ string, responding []TargetInstance) {
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	entry.responding = append(entry.responding, responding...)
+}
+
 func (entry *testEntry) TargetsSlow(_ string, slow []TargetInstance) {
 	entry.mu.Lock()
 	defer entry.mu.Unlock()
@@ -429,6 +436,14 @@
 		}
 		return true
 	})
+	entries[39].ReportResponding(TargetInstance{ID: "i-9", StartUnixMilli: 4})
+	waitUntil(t, "the target that responds again is known to all", func() bool {
+		return !slices.ContainsFunc(entries[:39], func(entry *testEntry) bool {
+			entry.mu.Lock()
+			defer entry.mu.Unlock()
+			return len(entry.responding) == 0
+		})
+	})
 	want := []string{entries[1].Address(), entries[3].Address()}
 	if readers, rank := entries[39].Readers(); !reflect.DeepEqual(readers, want) || rank < 2 {
 		t.Errorf("entry 39 has rank %d and asks %v, want rank 2 or more and %v", rank, readers, want)
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -77,6 +77,8 @@
 		Isolated bool `cbor:"25,keyasint,omitempty"`
 		// TargetsLeaving are targets that say that they are leaving.
 		TargetsLeaving []TargetInstance `cbor:"26,keyasint,omitempty"`
+		// Responding are targets that were found unreachable and respond again.
+		Responding []TargetInstance `cbor:"27,keyasint,omitempty"`
 	}
 
 	// LoadRange is the range of target ids whose loads a message has: from the first,
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -70,6 +70,8 @@
 	// Sink handles the updates that come from other entries.
 	Sink interface {
 		TargetsUnreachable(from string, unreachable []TargetInstance)
+		// TargetsResponding receives targets that respond again.
+		TargetsResponding(from string, responding []TargetInstance)
 		TargetsSlow(from string, slow []TargetInstance)
 		TargetsLeaving(from string, leaving []TargetInstance)
 		CrashesReported(from string, crashes []greengageroute.CrashReport)
@@ -97,6 +99,7 @@
 		limitsReportedAt time.Time
 		peerAddedAt      time.Time // when a peer from the store's list was last added
 		unreachable      []timestamped[TargetInstance]
+		responding       []timestamped[TargetInstance]
 		slow             []timestamped[TargetInstance]
 		targetsLeaving   []timestamped[TargetInstance]
 		crashes          []timestamped[greengageroute.CrashReport]
@@ -215,9 +218,26 @@
 
 // ReportUnreachable notifies the peers at once of targets that were found unreachable.
 func (node *Node) ReportUnreachable(unreachable ...TargetInstance) {
+	node.mu.Lock()
+	withdraw(&node.responding, unreachable)
+	node.mu.Unlock()
 	report(node, &node.unreachable, unreachable)
 }
 
+// ReportResponding notifies the peers at once of targets that were found unreachable and
+// respond again.
+func (node *Node) ReportResponding(responding ...TargetInstance) {
+	node.mu.Lock()
+	withdraw(&node.unreachable, responding)
+	node.mu.Unlock()
+	report(node, &node.responding, responding)
+}
+
+// withdraw removes targets from the updates, as a newer one says the opposite.
+func withdraw(updates *[]timestamped[TargetInstance], instances []TargetInstance) {
+	*updates = slices.DeleteFunc(*updates, func(update timestamped[TargetInstance]) bool { return slices.Contains(instances, update.value) })
+}
+
 // ReportSlow notifies the peers at once of targets that reported themselves as slow.
 func (node *Node) ReportSlow(slow ...TargetInstance) { report(node, &node.slow, slow) }
 
@@ -449,6 +469,7 @@
 	node.sequence++
 	message.Sequence = node.sequence
 	node.unreachable, message.Unreachable = currentUpdates(node.unreachable, now, node.sequence, maxUpdates)
+	node.responding, message.Responding = currentUpdates(node.responding, now, node.sequence, maxUpdates)
 	node.slow, message.Slow = currentUpdates(node.slow, now, node.sequence, maxUpdates)
 	node.targetsLeaving, message.TargetsLeaving = currentUpdates(node.targetsLeaving, now, node.sequence, maxUpdates)
 	node.crashes, message.Crashes = currentUpdates(node.crashes, now, node.sequence, maxCrashUpdates)
@@ -551,6 +572,9 @@
 	if len(message.Unreachable) > 0 {
 		node.sink.TargetsUnreachable(message.From, message.Unreachable)
 	}
+	if len(message.Responding) > 0 {
+		node.sink.TargetsResponding(message.From, message.Responding)
+	}
 	if len(message.Slow) > 0 {
 		node.sink.TargetsSlow(message.From, message.Slow)
 	}
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -48,6 +48,9 @@
 	// type keeps it apart from the key of the same target as an unreachable one.
 	slowUpdate TargetInstance
 
+	// respondingUpdate is the key of a target that responds again.
+	respondingUpdate TargetInstance
+
 	// leavingUpdate is the key of a leaving target among the forwarded updates.
 	leavingUpdate TargetInstance
 
@@ -248,12 +251,28 @@
 		return
 	}
 	forwardNew(node, &node.unreachable, message.Unreachable, func(target TargetInstance) any { return target }, now)
+	forwardNew(node, &node.responding, message.Responding, func(target TargetInstance) any { return respondingUpdate(target) }, now)
+	for _, target := range message.Responding {
+		withdraw(&node.unreachable, []TargetInstance{target})
+		node.forgetSoon(target, now)
+	}
+	for _, target := range message.Unreachable {
+		node.forgetSoon(respondingUpdate(target), now)
+	}
 	forwardNew(node, &node.slow, message.Slow, func(target TargetInstance) any { return slowUpdate(target) }, now)
 	forwardNew(node, &node.targetsLeaving, message.TargetsLeaving, func(target TargetInstance) any { return leavingUpdate(target) }, now)
 	forwardNew(node, &node.crashes, message.Crashes, func(crash greengageroute.CrashReport) any { return newCrashUpdate(crash) }, now)
 	forwardNew(node, &node.sound, message.Sound, func(cause greengageroute.CrashCause) any { return cause }, now)
 }
 
+// forgetSoon has an update forwarded again once its repetitions have ended, as one that says
+// the opposite came after it.
+func (node *Node) forgetSoon(update any, now time.Time) {
+	if at, known := node.forwarded[update]; known && now.Sub(at) < forwardedTTL-updateRepeatTime {
+		node.forwarded[update] = now.Add(updateRepeatTime - forwardedTTL)
+	}
+}
+
 // forwardNew adds the new ones of received updates to the relay's own. The key tells an update
 // from those of all kinds.
 func forwardNew[T any](node *Node, updates *[]timestamped[T], received []T, key func(T) any, now time.Time) {
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -218,13 +218,18 @@
 	view := entry.directory.View()
 	inactive := slices.DeleteFunc(slices.Clone(reported), func(instance mesh.TargetInstance) bool {
 		target, listed := view.Target(instance.ID)
-		return !listed || target.StartUnixMilli != instance.StartUnixMilli || entry.service.HasRecentActivity(target)
+		return !listed || target.StartUnixMilli != instance.StartUnixMilli || entry.service.HasRecentActivity(target) || entry.directory.RespondedLately(instance)
 	})
 	if len(inactive) > 0 {
 		entry.directory.MarkUnreachable(inactive...)
 	}
 }
 
+// TargetsResponding implements mesh.Sink.
+func (entry *Entry) TargetsResponding(_ string, responding []mesh.TargetInstance) {
+	entry.directory.MarkResponding(responding...)
+}
+
 // TargetsSlow implements mesh.Sink.
 func (entry *Entry) TargetsSlow(_ string, slow []mesh.TargetInstance) {
 	if len(entry.directory.MarkSlow(slow...)) > 0 {
