Prober: rows of services that the config doesn't name say nothing about links

What callers would see: with rows of unknown services among the targets', whose addresses don't respond, an entry may take itself for cut off from the targets: it passes its requests to other entries, gives up the planner's lease and finds no target failed.

Cause: the sample that decides it was drawn from all rows of the list.

Evidence: TestRowsOfUnknownServicesDontIsolate (10 targets, 180 such rows) failed before, three times of three.

Why it works: a row of an unknown service names no target to use, and so says nothing about the links to those that are used. Without a config all rows are sampled, as before.

--- a/control/directory.go
+++ b/control/directory.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,6 +89,22 @@
 // View returns the current view.
 func (directory *Directory) View() *View { return directory.view.Load() }
 
+// Serving returns the view's targets whose services the config names; all of them while
+// no config is known. Rows of other services say nothing about this entry's links.
+func (directory *Directory) Serving() []greengageroute.Target {
+	directory.mu.Lock()
+	routes := directory.routes
+	directory.mu.Unlock()
+	targets := directory.View().All()
+	if routes == nil {
+		return targets
+	}
+	return slices.DeleteFunc(targets, func(target greengageroute.Target) bool {
+		_, named := routes.Pools[target.Pool]
+		return !named
+	})
+}
+
 // Watch calls changed after each change of the directory until stop is called.
 // changed must not block.
 func (directory *Directory) Watch(changed func()) (stop func()) {
--- a/control/prober.go
+++ b/control/prober.go
@@ -380,7 +380,7 @@
 // sample returns some targets at random, of this data centre and of others. It returns none
 // if there are too few to conclude anything from.
 func (prober *Prober) sample() (local, remote []greengageroute.Target) {
-	targets := prober.directory.View().All()
+	targets := prober.directory.Serving()
 	if len(targets) < minTargetsIsolated {
 		return nil, nil
 	}
--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -162,6 +162,35 @@
 	}
 }
 
+// TestRowsOfUnknownServicesDontIsolate guards against an entry that gives its requests and its
+// lease away because rows of services that the config doesn't name don't respond.
+func TestRowsOfUnknownServicesDontIsolate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		directory := NewDirectory(greengageroute.RuntimeClock{})
+		directory.SetRoutes(greengageroute.NewRouteTable(1, nil, map[string]greengageroute.Pool{"ledger": {Name: "ledger"}}, nil, greengageroute.CallerLimits{}, false))
+		var targets []greengageroute.Target
+		for i := range 10 {
+			targets = append(targets, greengageroute.Target{ID: fmt.Sprint("a-", i), Pool: "ledger", DataCentre: "a", StartUnixMilli: 1, State: greengageroute.TargetReady})
+			for _, dataCentre := range []string{"a", "c"} {
+				for j := range 9 {
+					targets = append(targets, greengageroute.Target{ID: fmt.Sprint("other-", dataCentre, i, j), Pool: "other", DataCentre: dataCentre, StartUnixMilli: 1, State: greengageroute.TargetReady})
+				}
+			}
+		}
+		directory.Replace(targets, time.Time{})
+		failed := []string{"a-0"}
+		for _, target := range targets {
+			if target.Pool == "other" {
+				failed = append(failed, target.ID)
+			}
+		}
+		prober := NewProber("a", &linkReporter{dataCentres: []string{"a"}, failed: failed}, directory, &fakeNotifier{}, greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
+		if !prober.LinksWork() {
+			t.Error("the entry is isolated, want its links to work as the targets of the config's services respond")
+		}
+	})
+}
+
 // except returns the ids of all targets but one.
 func except(id string) (ids []string) {
 	for i := range 10 {
