Lease: released at SIGTERM, and taken at once

Seen: after a planned stop of the planner's entry nobody repaired replicas for some two seconds, or longer while it finished its requests and held the lease.

Cause: the lease was released last, shortly before SIGKILL; and the others read its row only once the holder's updates had been missing for a term and the longest order, so that a release saved them nothing. (They tell that the row isn't worth a read while the holder is heard.)

Now planning ends at SIGTERM. The orders under way end first; they are no longer cancelled, so that the next planner doesn't meet one that is late. The updates then name the lease without a holder, and the others read the row.

In the test of the lease, contenders now hear of releases as well.

--- a/control/lease.go
+++ b/control/lease.go
@@ -58,6 +58,9 @@
 		era        uint64    // of the store, by its last response; 0 while unknown
 		restored   bool      // the store has been restored since this process started
 		maxFence   uint64    // highest fence heard of
+		// released is the row with which this entry released the lease, until it takes it
+		// again.
+		released greengageroute.LeaseRow
 	}
 )
 
@@ -89,18 +92,19 @@
 	return lease.held
 }
 
-// PeerUpdate returns the update for the other entries: the lease if this entry
-// holds it, else empty.
+// PeerUpdate returns the update for the other entries: the lease if this entry holds it or
+// was the last one to release it, else empty. A released one has no holder.
 func (lease *Lease) PeerUpdate() mesh.LeaseUpdate {
 	lease.mu.Lock()
 	defer lease.mu.Unlock()
-	if !lease.held.Holds(lease.clock.Now(), 0) {
-		return mesh.LeaseUpdate{}
+	row := lease.released
+	if lease.held.Holds(lease.clock.Now(), 0) {
+		row = lease.row
 	}
-	return mesh.LeaseUpdate{Holder: lease.row.Holder, Fence: lease.row.Fence, Renewals: lease.row.Renewals, Era: lease.row.Era}
+	return mesh.LeaseUpdate{Holder: row.Holder, Fence: row.Fence, Renewals: row.Renewals, Era: row.Era}
 }
 
-// ReceiveUpdate records an update of the holder that reports a renewal.
+// ReceiveUpdate records an update of the holder that reports a renewal or the release.
 func (lease *Lease) ReceiveUpdate(update mesh.LeaseUpdate) {
 	lease.mu.Lock()
 	defer lease.mu.Unlock()
@@ -248,7 +252,7 @@
 		lease.log.Info("lease taken", "fence", next.Fence)
 	}
 	lease.row, lease.revision, lease.rowCurrent, lease.maxFence = next, revision, true, max(lease.maxFence, next.Fence)
-	lease.held = greengageroute.HeldLease{Fence: next.Fence, RenewedAt: started, Term: leaseTerm}
+	lease.held, lease.released = greengageroute.HeldLease{Fence: next.Fence, RenewedAt: started, Term: leaseTerm}, greengageroute.LeaseRow{}
 	return nil
 }
 
@@ -267,8 +271,8 @@
 	lease.held, lease.rowCurrent = greengageroute.HeldLease{}, false
 }
 
-// Release clears the holder in the row, so that another entry can take the lease
-// at once.
+// Release clears the holder in the row, so that another entry can take the lease at once. The
+// following updates tell the others to read the row.
 func (lease *Lease) Release(ctx context.Context) error {
 	lease.mu.Lock()
 	held := lease.held.Holds(lease.clock.Now(), 0) && lease.rowCurrent
@@ -279,10 +283,16 @@
 		return nil
 	}
 	next.Holder = ""
+	next.Renewals++
 	value, err := json.Marshal(next)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	_, err = lease.store.Commit(ctx, platform.Write{Table: controlTable, Key: leaseKey, Value: value, ExpectedVersion: version})
-	return trace.Wrap(err, "releasing the lease")
+	if _, err = lease.store.Commit(ctx, platform.Write{Table: controlTable, Key: leaseKey, Value: value, ExpectedVersion: version}); err != nil {
+		return trace.Wrap(err, "releasing the lease")
+	}
+	lease.mu.Lock()
+	defer lease.mu.Unlock()
+	lease.released = next
+	return nil
 }
--- a/control/lease_test.go
+++ b/control/lease_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,7 +42,7 @@
 			// The next step retries a failed one.
 			_ = contender.lease.Step(context.Background(), OrderTimeout)
 		}()
-		if update := contender.lease.PeerUpdate(); update.Holder != "" && !contender.muted {
+		if update := contender.lease.PeerUpdate(); update.Fence > 0 && !contender.muted {
 			for _, other := range contenders {
 				if other != contender {
 					other.lease.ReceiveUpdate(update)
@@ -107,6 +108,37 @@
 	}
 }
 
+// TestReleasedLeaseIsTakenAtOnce guards against replicas that nobody repairs after a planned stop
+// of the holder, until the lease that it released has expired.
+func TestReleasedLeaseIsTakenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		contenders := newContenders(3)
+		for range 30 {
+			step(contenders)
+		}
+		first := holders(contenders)
+		if len(first) != 1 {
+			t.Fatalf("after 3 s contenders %v hold the lease, want one", first)
+		}
+		released := contenders[first[0]]
+		if err := released.lease.Release(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		others := slices.Delete(slices.Clone(contenders), first[0], first[0]+1)
+		started := time.Now()
+		for len(holders(others)) == 0 && time.Since(started) < 10*time.Second {
+			for _, other := range others {
+				other.lease.ReceiveUpdate(released.lease.PeerUpdate())
+			}
+			step(others)
+		}
+		if took := time.Since(started); took > leaseReadInterval+2*planInterval {
+			t.Errorf("the lease moved after %s", took)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // TestLeaseHasOneHolder checks that store outages, lost responses, delays and
 // undelivered updates in random order never lead to two holders at a time.
 func TestLeaseHasOneHolder(t *testing.T) {
--- a/control/planner.go
+++ b/control/planner.go
@@ -115,8 +115,9 @@
 	Planner struct {
 		PlannerOptions
 		wake           chan struct{}
-		targetCount    int       // listed targets at the last check before the first replicas
-		countChangedAt time.Time // when targetCount last changed
+		sending        sync.WaitGroup // orders under way
+		targetCount    int            // listed targets at the last check before the first replicas
+		countChangedAt time.Time      // when targetCount last changed
 
 		loggedStates map[string]string // the last state logged, by pool
 		loggedAt     time.Time
@@ -230,8 +231,9 @@
 	}
 }
 
-// release gives the lease up if this entry holds it.
+// release gives the lease up if this entry holds it, once the orders under way have ended.
 func (planner *Planner) release(ctx context.Context) {
+	planner.sending.Wait()
 	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
 	defer cancel()
 	if err := planner.Lease.Release(ctx); err != nil {
@@ -406,7 +408,7 @@
 		planner.loadStarts = append(planner.loadStarts, now)
 	}
 	planner.mu.Unlock()
-	go planner.deliver(ctx, order, timeout)
+	planner.sending.Go(func() { planner.deliver(context.WithoutCancel(ctx), order, timeout) })
 }
 
 // sentKey returns what an order is the last one of: a target has one of each replica whose
--- a/integration/stops_test.go
+++ b/integration/stops_test.go
@@ -267,3 +267,38 @@
 		})
 	}
 }
+
+// leaseHolder returns the holder in the row of the planner's lease.
+func (deployment *deployment) leaseHolder() string {
+	var rows struct{ Rows []struct{ Value []byte } }
+	getJSON(deployment.t, "http://"+deployment.storeAddress+"/rows-get?table=control&from=planner&target=planner0", &rows)
+	if len(rows.Rows) == 0 {
+		return ""
+	}
+	holder, _, _ := strings.Cut(decodeJSON[struct{ Holder string }](deployment.t, rows.Rows[0].Value).Holder, "#")
+	return holder
+}
+
+// Guards against replicas that nobody repairs while an entry that holds the planner's lease
+// finishes its requests and releases the lease at the end of its grace period or not at all.
+func TestUsersPlatformStopReleasesLease(t *testing.T) {
+	const takeover = 2 * time.Second
+	deployment := newDeployment(t, 4, 2)
+	deployment.requireStream(deployment.entries[0])
+	holder := deployment.entries[0]
+	if deployment.leaseHolder() == deployment.entries[1].name {
+		holder = deployment.entries[1]
+	}
+	stopping := &stopping{deployment: deployment, entry: holder, signalled: time.Now().Add(500 * time.Millisecond), grace: deployment.grace}
+	var callers sync.WaitGroup
+	callers.Go(func() {
+		stopping.check(stopping.run(stopCall{path: "/post/x", openAt: -200 * time.Millisecond, work: 5 * time.Second}, "running"))
+	})
+	time.Sleep(time.Until(stopping.signalled))
+	_ = holder.cmd.Process.Signal(syscall.SIGTERM)
+	eventually(t, takeover, "the other entry holds the lease", func() bool {
+		found := deployment.leaseHolder()
+		return found != "" && found != holder.name
+	})
+	callers.Wait()
+}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -117,7 +117,8 @@
 	// TargetInstance is a target from one start to the next.
 	TargetInstance = greengageroute.TargetInstance
 
-	// LeaseUpdate is the planner's lease as the sender last wrote it.
+	// LeaseUpdate is the planner's lease as the sender last wrote it. It has no holder once it
+	// was released.
 	LeaseUpdate struct {
 		Holder   string `cbor:"1,keyasint,omitempty"`
 		Fence    uint64 `cbor:"2,keyasint,omitempty"`
@@ -131,6 +132,11 @@
 	return greengageroute.LeaseRow{Holder: update.Holder, Fence: update.Fence, Renewals: update.Renewals, Era: update.Era}
 }
 
+// isNewer reports whether an update is later than another one.
+func (update LeaseUpdate) isNewer(than LeaseUpdate) bool {
+	return update.Fence > than.Fence || update.Fence == than.Fence && update.Renewals > than.Renewals
+}
+
 // senderState returns the part of a message that is about its sender: a summary
 // loses the fields that cover other entries.
 func (message Message) senderState(isSummary bool) Message {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -53,7 +53,8 @@
 		Loads() []Load
 		// Limits returns the limits of targets that the entry knows, with its own requests.
 		Limits() []TargetLimit
-		// Lease returns the planner's lease if this entry holds it, else a zero update.
+		// Lease returns the planner's lease if this entry holds it or has released it, else
+		// a zero update.
 		Lease() LeaseUpdate
 		// HasTraffic reports whether this entry has received requests.
 		HasTraffic() bool
@@ -566,7 +567,7 @@
 	}
 	node.forwardUpdates(message)
 	node.mu.Unlock()
-	if message.Lease.Holder != "" {
+	if message.Lease.Fence > 0 {
 		node.sink.LeaseUpdated(message.Lease)
 	}
 	if len(message.Unreachable) > 0 {
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -99,7 +99,7 @@
 		return messages
 	}
 	summary := message
-	if summary.Lease.Holder == "" {
+	if node.newestLease.isNewer(summary.Lease) {
 		summary.Lease = node.newestLease
 	}
 	summary.HasTraffic = summary.HasTraffic || node.anyPeerHasTraffic()
@@ -243,8 +243,8 @@
 // forwardUpdates keeps the newest lease of the received messages. On a relay it also
 // adds new updates of targets and crashes to the relay's own messages.
 func (node *Node) forwardUpdates(message Message) {
-	if lease := message.Lease; lease.Fence > node.newestLease.Fence || lease.Fence == node.newestLease.Fence && lease.Renewals > node.newestLease.Renewals {
-		node.newestLease = lease
+	if message.Lease.isNewer(node.newestLease) {
+		node.newestLease = message.Lease
 	}
 	now := node.clock.Now()
 	if node.isFullMesh() || node.rank(now) >= relaysPerDataCentre {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -191,8 +191,8 @@
 }
 
 // Run serves until the context ends, then shuts down gracefully: it fails the health
-// check, accepts connections until the load balancer has noticed, finishes the
-// requests that were received, and releases the lease.
+// check, releases the planner's lease, accepts connections until the load balancer has noticed
+// and finishes the requests that were received.
 func (entry *Entry) Run(ctx context.Context) error {
 	stopLogging := make(chan struct{})
 	var logWriter sync.WaitGroup
@@ -204,8 +204,11 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var loops sync.WaitGroup
+	planning, stopPlanning := context.WithCancel(background)
+	defer stopPlanning()
+	loops.Go(func() { entry.planner.Run(planning) })
 	for _, loop := range []func(context.Context){
-		entry.afterRegistration(entry.follower.RunConfig), entry.afterRegistration(entry.follower.RunList), entry.planner.Run, entry.register, entry.keepVerdicts, entry.sweep, entry.serveMetrics, entry.prober.RunLinkChecks,
+		entry.afterRegistration(entry.follower.RunConfig), entry.afterRegistration(entry.follower.RunList), entry.register, entry.keepVerdicts, entry.sweep, entry.serveMetrics, entry.prober.RunLinkChecks,
 		func(ctx context.Context) { entry.node.Run(ctx, entry, entry) },
 	} {
 		loops.Go(func() { loop(background) })
@@ -224,6 +227,7 @@
 		return trace.Wrap(err, "serving HTTP")
 	case <-ctx.Done():
 	}
+	stopPlanning()
 	entry.shutDown()
 	callerServer.Close()
 	peerServer.Close()
