Soak: requests that last, in the calm mode

One in six requests of the calm soak takes up to 2.5 s, so that planned stops, changes of the config and silences come during it, also late in the grace of a stop; a silent target answers after its silence.

--- a/integration/calmsoak_test.go
+++ b/integration/calmsoak_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -42,7 +43,8 @@
 	calmResult struct {
 		soakRequest
 		entry      *entryProcess
-		headStatus int // status of a response that isn't whole; 0 if there is none
+		work       time.Duration // of a plain target
+		headStatus int           // status of a response that isn't whole; 0 if there is none
 		endedAt    time.Time
 		problem    string
 	}
@@ -179,6 +181,9 @@
 			id: fmt.Sprintf("c%d-%d", name, sequence), path: [...]string{"/chat/x", "/chat/x", "/post/x", "/get/x"}[random.IntN(4)],
 			key: [...]string{"key-1", "key-1", "key-2"}[random.IntN(3)], sentAt: time.Now(),
 		}}
+		if random.IntN(6) == 0 {
+			result.work = time.Duration(random.IntN(2500)) * time.Millisecond
+		}
 		result.send(client)
 		calm.mu.Lock()
 		calm.results = append(calm.results, result)
@@ -196,6 +201,7 @@
 		result.problem = err.Error()
 		return
 	}
+	request.Header.Set(standin.HeaderWork, strconv.FormatInt(result.work.Milliseconds(), 10))
 	response, err := client.Do(request)
 	if err != nil {
 		result.problem = err.Error()
