Quarantine: a target that is silent hasn't crashed

Sound requests could be suspected of crashing targets, and refused: an answer that isn't received within a second after a refusal without id counted as lost like one whose connection is reset, and a suspended VM accepts no connection within 110 ms either.

A lost answer whose connection was only silent is no longer checked for a crash. TestSilenceIsNoCrash reported two crashes before, none now.

--- a/edge/hedgedcall_test.go
+++ b/edge/hedgedcall_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -98,3 +99,23 @@
 		})
 	}
 }
+
+// TestSilenceIsNoCrash guards against requests that are refused because targets were silent
+// while they had them, for longer than an answer is awaited on a connection.
+func TestSilenceIsNoCrash(t *testing.T) {
+	isSilent := func(_ context.Context, attempt greengageroute.Attempt) (*upstream.Answer, error) {
+		return nil, &upstream.AnswerLostError{Target: attempt.Target.ID, Cause: os.ErrDeadlineExceeded}
+	}
+	for _, path := range []string{"/get/x", "/post/x", "/chat/x"} {
+		synctest.Test(t, func(t *testing.T) {
+			fixture := newFixture(script{isSilent, isSilent})
+			fixture.targetsAccept = false
+			fixture.serve(newRequest("POST", path))
+			time.Sleep(time.Second)
+			synctest.Wait()
+			if len(fixture.crashes) > 0 {
+				t.Errorf("%s: %d crashes were reported, want none", path, len(fixture.crashes))
+			}
+		})
+	}
+}
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -49,8 +50,8 @@
 // the result only if the request is suspected already.
 func (exchange *exchange) checkCrash(ctx context.Context, target greengageroute.Target, sentAt time.Time, progress greengageroute.AnswerProgress, cause error) {
 	var lost *upstream.AnswerLostError
-	if !errors.As(cause, &lost) || ctx.Err() != nil {
-		return
+	if !errors.As(cause, &lost) || ctx.Err() != nil || errors.Is(cause, os.ErrDeadlineExceeded) {
+		return // a target that is silent hasn't crashed
 	}
 	service, lostAt := exchange.service, time.Now()
 	checked := make(chan struct{})
