Calls: a silent target may confirm its answer until the deadline

Callers of calls that may run once got 502 instead of their target's whole answer: it came with neither a length nor chunks, and the target was silent for over 300 ms as it ended.

The target now has until the deadline to answer the health check on a connection that it accepted before the request; a process that has ended closes it at once. Requests that can be sent again still wait for 300 ms.

TestKeptConnectionOfASilentProcess failed before: not confirmed after 0.3 s of a silence of 0.6 s. It passes, as does TestSilenceAfterAnUnframedAnswer (1 run each).

--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -9,6 +9,10 @@
 	"greengageroute.example/greengageroute/upstream"
 )
 
+// confirmTimeout is how long a target has to confirm the end of an answer if the request can
+// be sent again. Otherwise it has until the deadline.
+const confirmTimeout = 300 * time.Millisecond
+
 // errEndUnconfirmed is returned for an answer that only its connection's end delimits and
 // whose target did not confirm that it is complete.
 var errEndUnconfirmed = errors.New("the answer has neither a length nor chunks, and its target may have crashed")
@@ -22,13 +26,18 @@
 	if !answer.EndsWithConnection {
 		return nil
 	}
-	service := exchange.service
+	service, requestCtx := exchange.service, ctx
 	service.Counters.Add(CountUnframedAnswers, 1)
 	confirmed := false
 	switch {
 	case exchange.pool.Engine != nil:
 		confirmed = service.Prober.StillServes(target)
 	case exchange.pool.HealthPath != "" && service.Backoff(target).Remaining(target.StartUnixMilli, time.Now()) == 0:
+		if exchange.route.Retryable() || exchange.route.Resumable {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, confirmTimeout)
+			defer cancel()
+		}
 		var head greengageroute.AnswerHead
 		head, confirmed = service.Sender.ServesKeptConnection(ctx, target, exchange.pool.HealthPath, answer.SentAt)
 		exchange.recordAvailability(target, head) // not all health checks name the limit
@@ -39,6 +48,6 @@
 		return nil
 	}
 	service.Counters.Add(CountEndsUnconfirmed, 1)
-	exchange.checkLinks(ctx)
+	exchange.checkLinks(requestCtx)
 	return errEndUnconfirmed
 }
--- a/edge/hedgedcall_test.go
+++ b/edge/hedgedcall_test.go
@@ -119,3 +119,45 @@
 		})
 	}
 }
+
+// lateConfirmations is the sender of a fixture whose targets confirm the ends of their answers
+// after a silence.
+type lateConfirmations struct {
+	*fixture
+	silence time.Duration
+}
+
+func (sender *lateConfirmations) ServesKeptConnection(ctx context.Context, _ greengageroute.Target, _ string, _ time.Time) (greengageroute.AnswerHead, bool) {
+	select {
+	case <-time.After(sender.silence):
+		return greengageroute.AnswerHead{}, true
+	case <-ctx.Done():
+		return greengageroute.AnswerHead{}, false
+	}
+}
+
+// TestSilenceAfterAnUnframedAnswer guards against the whole answer of a call that ran once, and
+// can't be sent again, that is replaced by an error because its target was silent at its end.
+func TestSilenceAfterAnUnframedAnswer(t *testing.T) {
+	tests := []struct {
+		path   string
+		status int
+		body   string
+		took   time.Duration
+	}{
+		{"/post/x", 200, "whole", 600 * time.Millisecond},
+		{"/get/x", 200, "second", confirmTimeout},
+	}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			fixture := newFixture(script{unframed("whole"), answers(200, "second")})
+			fixture.service.Sender = &lateConfirmations{fixture, 600 * time.Millisecond}
+			began := time.Now()
+			recorder, _ := fixture.serve(newRequest("GET", test.path))
+			if took := time.Since(began); recorder.Code != test.status || recorder.Body.String() != test.body || took != test.took {
+				t.Errorf("%s: got %d %q after %s, want %d %q after %s", test.path, recorder.Code, recorder.Body, took, test.status, test.body, test.took)
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -53,8 +53,6 @@
 	// unframedTTL is how long after an answer without length and chunks the targets of its
 	// pool are expected to send such answers again.
 	unframedTTL = time.Minute
-	// keptConnectionTimeout is how long a target has to respond on a kept connection.
-	keptConnectionTimeout = 300 * time.Millisecond
 )
 
 type (
--- a/upstream/keptconnection.go
+++ b/upstream/keptconnection.go
@@ -10,13 +10,14 @@
 	greengageroute "greengageroute.example/greengageroute"
 )
 
+// defaultCheckTimeout is the timeout that a target is told if the context has none.
+const defaultCheckTimeout = time.Second
+
 // ServesKeptConnection reports whether a target answers a health check on a connection
 // that was opened before the given time. A process that ends closes all its connections,
 // so the one that answers is the one that was running then. It returns the answer's head,
-// which is zero if there is none.
+// which is zero if there is none. The context bounds how long a silent target is waited for.
 func (client *Client) ServesKeptConnection(ctx context.Context, target greengageroute.Target, healthPath string, openedBefore time.Time) (greengageroute.AnswerHead, bool) {
-	ctx, cancel := context.WithTimeout(ctx, keptConnectionTimeout)
-	defer cancel()
 	key := poolKey(target)
 	for conn := client.popOpenedBefore(key, openedBefore); conn != nil; conn = client.popOpenedBefore(key, openedBefore) {
 		if !conn.usable() {
@@ -24,7 +25,7 @@
 			continue
 		}
 		request := greengageroute.Request{Method: http.MethodGet, URI: healthPath, Host: target.Address, Header: http.Header{}}
-		answer, err := client.exchange(ctx, conn, key, request, greengageroute.Attempt{Target: target, Remaining: keptConnectionTimeout})
+		answer, err := client.exchange(ctx, conn, key, request, greengageroute.Attempt{Target: target, Remaining: remaining(ctx)})
 		if err != nil && ctx.Err() != nil {
 			break // the others are as silent
 		}
@@ -39,6 +40,15 @@
 	return greengageroute.AnswerHead{}, false
 }
 
+// remaining returns the time until a context's deadline, or defaultCheckTimeout without one.
+func remaining(ctx context.Context) time.Duration {
+	deadline, found := ctx.Deadline()
+	if !found {
+		return defaultCheckTimeout
+	}
+	return time.Until(deadline)
+}
+
 func (client *Client) popOpenedBefore(key string, openedBefore time.Time) *conn {
 	client.mu.Lock()
 	defer client.mu.Unlock()
--- a/upstream/keptconnection_test.go
+++ b/upstream/keptconnection_test.go
@@ -21,6 +21,7 @@
 	listener net.Listener
 	conns    chan net.Conn
 	checks   atomic.Int64
+	silence  atomic.Int64 // before each response to a health check, in nanoseconds
 }
 
 func startProcess(t *testing.T, id, address string) *process {
@@ -52,6 +53,7 @@
 			return
 		case request.URL.Path == "/health":
 			process.checks.Add(1)
+			time.Sleep(time.Duration(process.silence.Load()))
 			_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Greengageroute-Instance-Id: "+process.id+"\r\nContent-Length: 0\r\n\r\n")
 		case request.Method == http.MethodGet:
 			reply(conn, request.Header.Get(platform.HeaderAttemptID), "own")
@@ -79,6 +81,25 @@
 	return greengageroute.Target{ID: process.id, Address: process.listener.Addr().String()}
 }
 
+// TestKeptConnectionOfASilentProcess guards against a whole answer that isn't delivered because
+// its target was silent for a moment at its end.
+func TestKeptConnectionOfASilentProcess(t *testing.T) {
+	process := startProcess(t, "i-1", "127.0.0.1:0")
+	target, client := process.target(), NewClient(func() {})
+	sendUnframed(t, client, target, true)
+	sentAt := sendUnframed(t, client, target, true)
+	process.silence.Store(int64(600 * time.Millisecond))
+	if _, confirmed := client.ServesKeptConnection(t.Context(), target, "/health", sentAt); !confirmed {
+		t.Error("a process that goes on after a silence isn't taken for the one that answered")
+	}
+	sentAt = sendUnframed(t, client, target, true)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, confirmed := client.ServesKeptConnection(ctx, target, "/health", sentAt); confirmed {
+		t.Error("confirmed beyond the context's deadline")
+	}
+}
+
 // TestKeptConnectionTellsTheProcess guards against a crashed target that counts as running
 // because another process accepts connections at its address.
 func TestKeptConnectionTellsTheProcess(t *testing.T) {
