Planner: a member that joined again waits for its former head

A member joined the next epoch of its replica while the head was silent, and 0.6 s later another replica while that head still stood still with the epoch of before.

Members that join again under suspicion are recorded like those that are told to leave, and stored with the heads: for another replica they need the same word or bound of the former head. Members of heads that respond aren't concerned.

TestMemberThatJoinedAgainWaitsForItsFormerHead fails without the record.

--- a/formation.go
+++ b/formation.go
@@ -93,12 +93,13 @@
 		Address string `json:"address"`
 		// DataCentre is the head's data centre.
 		DataCentre string `json:"data-centre"`
-		// Released are members that were ordered to leave although the head may serve.
+		// Released are members that were told to leave or to join again under a newer epoch
+		// although the head may serve.
 		Released []ReleasedMember `json:"released,omitempty"`
 	}
 
-	// ReleasedMember is a member that was ordered to leave its replica, from one start of
-	// its process to the next.
+	// ReleasedMember is a member that left its replica although the head may serve, from one
+	// start of its process to the next.
 	ReleasedMember struct {
 		ID             string `json:"id"`
 		StartUnixMilli int64  `json:"start-unix-milli"`
@@ -120,14 +121,14 @@
 		preloads    map[string]preload    // by target id
 		heads       map[ReplicaKey]string // heads of all replicas that targets may still be members of
 		assigned    Set[string]           // members of the assignments
-		releases    map[string]release    // by target id
+		releases    map[string][]release  // by target id
 	}
 )
 
 // NewFormation returns a formation whose epochs start above the given one. It
 // adopts the replicas that the targets report.
 func NewFormation(view PoolView, epoch uint64) *Formation {
-	formation := &Formation{lastEpoch: epoch, lastName: epoch, preloads: map[string]preload{}, heads: map[ReplicaKey]string{}, assigned: Set[string]{}, releases: map[string]release{}}
+	formation := &Formation{lastEpoch: epoch, lastName: epoch, preloads: map[string]preload{}, heads: map[ReplicaKey]string{}, assigned: Set[string]{}, releases: map[string][]release{}}
 	newest := map[string]Assignment{}
 	for _, target := range view.Targets {
 		member := target.Membership
@@ -212,8 +213,10 @@
 			referenced[target.Membership.key()] = true
 		}
 	}
-	for _, released := range formation.releases {
-		referenced[released.member.key()] = true
+	for _, releases := range formation.releases {
+		for _, released := range releases {
+			referenced[released.member.key()] = true
+		}
 	}
 	return referenced
 }
@@ -224,9 +227,7 @@
 		formation.heads[ReplicaKey{head.Replica, head.Epoch}] = head.ID
 		formation.restoreHead(head)
 		for _, released := range head.Released {
-			formation.releases[released.ID] = release{
-				startUnixMilli: released.StartUnixMilli, member: Membership{Replica: head.Replica, Epoch: head.Epoch, Rank: releasedRank},
-			}
+			formation.recordRelease(released.ID, released.StartUnixMilli, Membership{Replica: head.Replica, Epoch: head.Epoch, Rank: releasedRank})
 		}
 	}
 }
--- a/formationorders.go
+++ b/formationorders.go
@@ -58,6 +58,7 @@
 		return append(frees, headJoins...)
 	}
 	if len(joins) > 0 {
+		formation.recordMoves(joins, view)
 		return joins
 	}
 	head := view.Targets[assignment.Members[0]]
@@ -85,15 +86,32 @@
 	return orders
 }
 
-// constraintOf returns whether a target has to stay in its replica for now instead of joining
-// the named one, because the replica's head serves or isn't known to have stopped serving. A
-// closed head leaves its replica first: as long as it is ready there, a delayed order may open
-// it again.
+// constraintOf returns whether a target has to stay in its present replica for now instead of
+// joining the named one, because the head of a replica that it is or was a member of serves, or
+// isn't known to have stopped serving.
 func (formation *Formation) constraintOf(target Target, replica string, view PoolView) constraint {
-	member := formation.membershipOf(target)
-	if member.Replica == "" {
+	if member := target.Membership; member.Replica != "" {
+		if found := formation.memberConstraintOf(target, member, replica, view); found.mustStay || len(formation.releases[target.ID]) == 0 {
+			return found
+		}
+	}
+	for _, released := range formation.releases[target.ID] {
+		if released.startUnixMilli != target.StartUnixMilli || released.member.Replica == replica {
+			continue
+		}
+		if found := formation.memberConstraintOf(target, released.member, replica, view); found.mustStay {
+			return found
+		}
+	}
+	if target.Membership.Replica == "" {
 		return constraint{}
 	}
+	return formation.memberConstraintOf(target, target.Membership, replica, view)
+}
+
+// memberConstraintOf is constraintOf for one membership. A closed head leaves its replica first:
+// as long as it is ready there, a delayed order may open it again.
+func (formation *Formation) memberConstraintOf(target Target, member Membership, replica string, view PoolView) constraint {
 	id, known := formation.headOf(target, member, view)
 	if head, listed := view.Targets[id]; known && listed {
 		belongs := head.Membership.BelongsTo(member.Replica, member.Epoch)
--- a/formationrelease.go
+++ b/formationrelease.go
@@ -21,7 +21,7 @@
 	releasedRank = 1
 )
 
-// release is an order to a member to leave its replica although the head may serve.
+// release is an order by which a member leaves its replica although the head may serve.
 type release struct {
 	startUnixMilli int64
 	member         Membership
@@ -72,52 +72,64 @@
 	return lost && view.StallTimeout > 0 && view.Now.Sub(lostAt) >= view.StallTimeout+stallMargin
 }
 
-// isHeld reports whether a target has to stay in its replica because of an absent head.
+// isHeld reports whether a target has to stay in its replica because of an absent head, or
+// because of the head of a replica that it left although that may serve.
 func (formation *Formation) isHeld(target Target, view PoolView) bool {
-	member := formation.membershipOf(target)
-	if member.Replica == "" || member.Rank == 0 {
-		return false
-	}
-	if id, known := formation.headOf(target, member, view); known {
-		if _, listed := view.Targets[id]; listed {
-			return false
+	if member := target.Membership; member.Replica != "" && member.Rank > 0 {
+		id, known := formation.headOf(target, member, view)
+		if _, listed := view.Targets[id]; !(known && listed) && formation.absentConstraintOf(target, member, "", view).mustStay {
+			return true
 		}
 	}
-	return formation.absentConstraintOf(target, member, "", view).mustStay
-}
-
-// membershipOf returns a target's membership. A released member counts as one, as long as
-// its replica's head may serve, until it joins another replica or restarts.
-func (formation *Formation) membershipOf(target Target) Membership {
-	released, found := formation.releases[target.ID]
-	if target.Membership.Replica == "" && found && released.startUnixMilli == target.StartUnixMilli {
-		return released.member
-	}
-	return target.Membership
+	return len(formation.releases[target.ID]) > 0 && formation.constraintOf(target, "", view).mustStay
 }
 
 // releaseOrder returns an order to a member to leave its replica.
 func (formation *Formation) releaseOrder(target Target, member Membership) TargetOrder {
-	formation.releases[target.ID] = release{startUnixMilli: target.StartUnixMilli, member: member}
+	formation.recordRelease(target.ID, target.StartUnixMilli, member)
 	return TargetOrder{Kind: OrderLeave, Target: target, Replica: member.Replica, Epoch: member.Epoch}
 }
 
+// recordMoves records the targets that are ordered to join again under their replica's name
+// although its head may serve under the epoch of before.
+func (formation *Formation) recordMoves(joins []TargetOrder, view PoolView) {
+	for _, join := range joins {
+		member := join.Target.Membership
+		if member.Replica == join.Replica && member.Rank > 0 && formation.memberConstraintOf(join.Target, member, "", view).mustStay {
+			formation.recordRelease(join.Target.ID, join.Target.StartUnixMilli, member)
+		}
+	}
+}
+
+func (formation *Formation) recordRelease(id string, startUnixMilli int64, member Membership) {
+	known := slices.ContainsFunc(formation.releases[id], func(released release) bool {
+		return released.startUnixMilli == startUnixMilli && released.member.key() == member.key()
+	})
+	if !known {
+		formation.releases[id] = append(formation.releases[id], release{startUnixMilli: startUnixMilli, member: member})
+	}
+}
+
 // IsRelease reports whether an order has a member leave a replica whose head may serve.
 func (formation *Formation) IsRelease(order TargetOrder) bool {
-	released, found := formation.releases[order.Target.ID]
-	return order.Kind == OrderLeave && found && released.member.key() == order.Key()
+	return order.Kind == OrderLeave && slices.ContainsFunc(formation.releases[order.Target.ID], func(released release) bool {
+		return released.member.key() == order.Key()
+	})
 }
 
-// dropReleases forgets the releases of targets that have joined another replica since, or
-// have ended.
+// dropReleases forgets the releases of targets that have ended, and those from replicas whose
+// heads no longer serve.
 func (formation *Formation) dropReleases(view PoolView) {
-	for id, released := range formation.releases {
+	for id, releases := range formation.releases {
 		target, listed := view.Targets[id]
 		if !listed {
 			target, listed = view.Absent[id]
 		}
-		member := target.Membership
-		if !listed || target.StartUnixMilli != released.startUnixMilli || member.Replica != "" && member.key() != released.member.key() {
+		kept := slices.DeleteFunc(releases, func(released release) bool {
+			return !listed || target.StartUnixMilli != released.startUnixMilli || !formation.memberConstraintOf(target, released.member, "", view).mustStay
+		})
+		formation.releases[id] = kept
+		if len(kept) == 0 {
 			delete(formation.releases, id)
 		}
 	}
@@ -125,9 +137,11 @@
 
 // releasedFrom returns the members that were ordered to leave a replica, sorted by id.
 func (formation *Formation) releasedFrom(key ReplicaKey) (members []ReleasedMember) {
-	for id, released := range formation.releases {
-		if released.member.key() == key {
-			members = append(members, ReleasedMember{ID: id, StartUnixMilli: released.startUnixMilli})
+	for id, releases := range formation.releases {
+		for _, released := range releases {
+			if released.member.key() == key {
+				members = append(members, ReleasedMember{ID: id, StartUnixMilli: released.startUnixMilli})
+			}
 		}
 	}
 	slices.SortFunc(members, func(a, b ReleasedMember) int { return cmp.Compare(a.ID, b.ID) })
--- a/formationrelease_test.go
+++ b/formationrelease_test.go
@@ -196,3 +196,33 @@
 		t.Errorf("after a silence of %s %v were changed, want the replica", silenceTolerance, changed)
 	}
 }
+
+// A member joins again under its replica's name while the head is silent, and is needed by
+// another replica soon after. The head of before still stands still (calm soak, seed 3).
+func TestMemberThatJoinedAgainWaitsForItsFormerHead(t *testing.T) {
+	pool, formation := newFormedPool(t, 6, 11)
+	pool.run(formation, 3*time.Second, true)
+	assignment := formation.Assignments[0]
+	former := ReplicaKey{assignment.Name, assignment.Epoch}
+	head := pool.targets[assignment.Members[0]]
+	head.crashed = true
+	pool.run(formation, time.Second, true)
+	member := pool.targets[assignment.Members[1]]
+	if member.Membership.Replica != former.Name || member.Membership.Epoch == former.Epoch {
+		t.Fatalf("the member hasn't joined again: %+v", member.Membership)
+	}
+	newHead := pool.targets[pool.heads[member.Membership.key()]]
+	newHead.Membership = Membership{} // it doesn't hold its members either
+	if !formation.constraintOf(member.Target, "other", pool.view(true)).mustStay {
+		t.Error("the member may join another replica while its former head may stand still")
+	}
+	next := NewFormation(pool.view(true), 2_000_000)
+	next.RestoreHeads(formation.Heads(pool.view(true)))
+	if !slices.ContainsFunc(next.releases[member.ID], func(released release) bool { return released.member.key() == former }) {
+		t.Error("the next planner doesn't know that the member has a former head")
+	}
+	pool.now = pool.now.Add(6*time.Second + stallMargin)
+	if formation.constraintOf(member.Target, "other", pool.view(true)).mustStay {
+		t.Error("the member has to stay although its former head must be broken")
+	}
+}
