Planner: findings about a replica hold for its pool alone

What could be seen: two groups with one VM (TWO) in deployments with several pools. Every planner begins the names and epochs of each pool at the same number, so the first replicas of two pools are both r2z60x of epoch 5000001. What the responses to orders told of one, that its head closed, is silent or has lost a member, was taken for a finding about the other as well: a refused close of the one freed the members of the other, if its head was absent. And a silent replica wasn't probed for 0.7 s if that of the other pool just was.

Findings and the times of probes have the pool in their keys now. Epochs that differ between pools were weighed: the names and epochs in use, and those that a planner of an earlier build goes on to give out, would stay as they are. Nothing that is stored or sent changes.

--- a/control/headstate.go
+++ b/control/headstate.go
@@ -45,6 +45,12 @@
 	}
 }
 
+// replicaIDOfOrder returns the replica that an order is about. Planners name the replicas of
+// each pool alike.
+func replicaIDOfOrder(order greengageroute.TargetOrder) replicaID {
+	return replicaID{order.Target.Pool, order.Key()}
+}
+
 func replicaKeyOf(target greengageroute.Target) greengageroute.ReplicaKey {
 	return greengageroute.ReplicaKey{Name: target.Membership.Replica, Epoch: target.Membership.Epoch}
 }
@@ -56,22 +62,27 @@
 	defer planner.mu.Unlock()
 	left := leftReplica{key: key, startUnixMilli: target.StartUnixMilli, at: planner.Clock.Now()}
 	planner.left[target.ID] = left
-	if _, known := planner.lostMembers[key]; !known && key.Name != "" {
-		planner.lostMembers[key] = lostMember{id: target.ID, revision: target.Revision, leftReplica: left}
+	id := replicaID{target.Pool, key}
+	if _, known := planner.lostMembers[id]; !known && key.Name != "" {
+		planner.lostMembers[id] = lostMember{id: target.ID, revision: target.Revision, leftReplica: left}
 	}
 }
 
-// memberLostAt returns since when replicas have been without one of their members. A member
+// memberLostAt returns since when replicas of a pool have been without one of their members. A member
 // that an order of before took back, as the list shows, hasn't been lost. The caller holds the
 // lock.
-func (planner *Planner) memberLostAt(targets map[string]greengageroute.Target) map[greengageroute.ReplicaKey]time.Time {
+func (planner *Planner) memberLostAt(pool string, targets map[string]greengageroute.Target) map[greengageroute.ReplicaKey]time.Time {
 	lostAt := map[greengageroute.ReplicaKey]time.Time{}
 	now := planner.Clock.Now()
-	for key, lost := range planner.lostMembers {
+	for id, lost := range planner.lostMembers {
+		if id.pool != pool {
+			continue
+		}
+		key := id.ReplicaKey
 		target, listed := targets[lost.id]
 		isBack := listed && target.StartUnixMilli == lost.startUnixMilli && lost.revision.Before(target.Revision) && target.Membership.BelongsTo(key.Name, key.Epoch)
 		if isBack || now.Sub(lost.at) > lostMemberTTL {
-			delete(planner.lostMembers, key)
+			delete(planner.lostMembers, id)
 			continue
 		}
 		lostAt[key] = lost.at
@@ -97,20 +108,23 @@
 	return replicas
 }
 
-// absentHeadStates returns when absent heads said that they don't serve their replicas, and
+// absentHeadStates returns when absent heads of a pool said that they don't serve their replicas, and
 // which of the others are suspected. Findings about a head are void once it is listed again.
 // The caller holds the lock.
-func (planner *Planner) absentHeadStates(targets map[string]greengageroute.Target) (closedAt map[greengageroute.ReplicaKey]time.Time, suspected map[greengageroute.ReplicaKey]bool) {
+func (planner *Planner) absentHeadStates(pool string, targets map[string]greengageroute.Target) (closedAt map[greengageroute.ReplicaKey]time.Time, suspected map[greengageroute.ReplicaKey]bool) {
 	closedAt, suspected = map[greengageroute.ReplicaKey]time.Time{}, map[greengageroute.ReplicaKey]bool{}
-	for key, head := range planner.absentHeads {
+	for id, head := range planner.absentHeads {
+		if id.pool != pool {
+			continue
+		}
 		_, listed := targets[head.id]
 		switch {
 		case listed:
-			delete(planner.absentHeads, key)
+			delete(planner.absentHeads, id)
 		case !head.closedAt.IsZero():
-			closedAt[key] = head.closedAt
+			closedAt[id.ReplicaKey] = head.closedAt
 		case head.unansweredOrders >= unansweredOrderLimit && !planner.Activity.Active(head.id, activityWindow):
-			suspected[key] = true
+			suspected[id.ReplicaKey] = true
 		}
 	}
 	return closedAt, suspected
@@ -159,7 +173,8 @@
 	var heldBack *greengageroute.BackoffError
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
-	head := planner.absentHeads[order.Key()]
+	id := replicaIDOfOrder(order)
+	head := planner.absentHeads[id]
 	head.id = order.Target.ID
 	switch {
 	case errors.As(err, &heldBack): // not sent
@@ -174,5 +189,5 @@
 	default:
 		head.unansweredOrders++
 	}
-	planner.absentHeads[order.Key()] = head
+	planner.absentHeads[id] = head
 }
--- a/control/planner.go
+++ b/control/planner.go
@@ -130,12 +130,12 @@
 		staging map[string]stagingModel
 		// absentHeads holds what is known of heads that were ordered to close, until they
 		// are listed again.
-		absentHeads map[greengageroute.ReplicaKey]absentHead
+		absentHeads map[replicaID]absentHead
 		// pendingOpens are heads that were ordered to open, until the list shows their
 		// state after the order.
 		pendingOpens map[string]pendingOpen
 		// lostMembers holds the first member that each replica is known to have lost.
-		lostMembers map[greengageroute.ReplicaKey]lostMember
+		lostMembers map[replicaID]lostMember
 		absentSince map[string]time.Time
 		// left holds targets that accepted an order by which they left a replica,
 		// until the list shows it.
@@ -197,7 +197,7 @@
 		PlannerOptions: options, wake: make(chan struct{}, 1),
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staging: map[string]stagingModel{},
 		loggedStates: map[string]string{}, unknownHeads: map[string]greengageroute.Target{}, pendingOpens: map[string]pendingOpen{}, storedHeads: map[string]string{},
-		absentHeads: map[greengageroute.ReplicaKey]absentHead{}, lostMembers: map[greengageroute.ReplicaKey]lostMember{},
+		absentHeads: map[replicaID]absentHead{}, lostMembers: map[replicaID]lostMember{},
 		absentSince: map[string]time.Time{}, storedReleases: map[string]greengageroute.Set[string]{}, left: map[string]leftReplica{},
 	}
 }
@@ -286,7 +286,7 @@
 		}
 		targets[target.ID] = target
 	}
-	closedAt, suspected := planner.absentHeadStates(targets)
+	closedAt, suspected := planner.absentHeadStates(name, targets)
 	absent := maps.Clone(view.Absent)
 	for id, head := range planner.unknownHeads {
 		if _, known := absent[id]; !known {
@@ -296,7 +296,7 @@
 	return greengageroute.PoolView{
 		Pool: name, Engine: engine, Targets: targets, HasTraffic: planner.HasTraffic(), Now: now,
 		Absent: absent, AbsentSince: planner.recordAbsent(absent, now), ClosedAt: closedAt, SuspectedHeads: suspected, Busy: busy,
-		MemberLostAt: planner.memberLostAt(targets), StallTimeout: planner.StallTimeout, PendingOpens: planner.pendingOpensIn(targets),
+		MemberLostAt: planner.memberLostAt(name, targets), StallTimeout: planner.StallTimeout, PendingOpens: planner.pendingOpensIn(targets),
 		Left: planner.leftReplicasOf(targets),
 	}.Indexed()
 }
@@ -377,7 +377,7 @@
 	timeout, retryInterval := OrderTimeout, orderRetryInterval
 	if _, listed := view.Targets[order.Target.ID]; !listed {
 		timeout = absentOrderTimeout
-		if planner.absentHeads[order.Key()].unansweredOrders < unansweredOrderLimit {
+		if planner.absentHeads[replicaIDOfOrder(order)].unansweredOrders < unansweredOrderLimit {
 			retryInterval = absentRetryInterval
 		}
 	}
--- a/control/prober.go
+++ b/control/prober.go
@@ -99,7 +99,7 @@
 		linkCheck sync.Mutex // held while targets are probed to check the links
 
 		mu          sync.Mutex
-		probedAt    map[greengageroute.ReplicaKey]time.Time
+		probedAt    map[replicaID]time.Time
 		confirmedAt map[mesh.TargetInstance]time.Time
 	}
 )
@@ -109,17 +109,17 @@
 	return &Prober{
 		dataCentre: dataCentre, reporter: reporter, directory: directory, notifier: notifier, clock: clock, counters: counters, log: log,
 		links:    &greengageroute.LinkState{},
-		probedAt: map[greengageroute.ReplicaKey]time.Time{}, confirmedAt: map[mesh.TargetInstance]time.Time{},
+		probedAt: map[replicaID]time.Time{}, confirmedAt: map[mesh.TargetInstance]time.Time{},
 	}
 }
 
 // ProbeReplica probes the members of an unresponsive replica in the background,
 // unless they were probed within probeInterval.
 func (prober *Prober) ProbeReplica(replica greengageroute.Replica) {
-	now := prober.clock.Now()
+	now, id := prober.clock.Now(), replicaID{replica.Pool, replica.Key()}
 	prober.mu.Lock()
 	defer prober.mu.Unlock()
-	if since, known := prober.probedAt[replica.Key()]; known && now.Sub(since) < probeInterval {
+	if since, known := prober.probedAt[id]; known && now.Sub(since) < probeInterval {
 		return
 	}
 	for key, since := range prober.probedAt {
@@ -127,7 +127,7 @@
 			delete(prober.probedAt, key)
 		}
 	}
-	prober.probedAt[replica.Key()] = now
+	prober.probedAt[id] = now
 	go prober.probeMembers(replica)
 }
 
