Planner: a head that is listed again is no longer an unknown one

What could be seen: members taken from a head at its first short silence. The heads that a planner read at its start, as it hadn't seen them listed, counted as absent from then on, also while they were listed. A later silence then counted as one of minutes, past every bound that it should have had first; and the map grew with each change of the planner.

Such a head is forgotten once it is listed, and all of them when the lease changes hands, as the formations are.

TestUnknownHeadIsForgottenOnceListed failed before: the listed head counted as absent, its silence as 1m1s old at once, and both heads were remembered.

--- a/control/heads.go
+++ b/control/heads.go
@@ -105,10 +105,11 @@
 	return planner.storedReleases[pool].Has(order.Target.ID)
 }
 
-// forgetAbsentHeads forgets what earlier orders told of absent heads: another planner may have
-// opened them since.
+// forgetAbsentHeads forgets what earlier orders told of absent heads, since another planner may
+// have opened them, and the heads that the formations of before were restored with.
 func (planner *Planner) forgetAbsentHeads() {
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
 	clear(planner.absentHeads)
+	clear(planner.unknownHeads)
 }
--- a/control/planner.go
+++ b/control/planner.go
@@ -140,7 +140,7 @@
 		// left holds targets that accepted an order by which they left a replica,
 		// until the list shows it.
 		left map[string]leftReplica
-		// unknownHeads are heads that only an earlier planner has seen.
+		// unknownHeads are heads that only an earlier planner has seen, until they are listed.
 		unknownHeads     map[string]greengageroute.Target
 		headsWriteFailed bool // storedHeads has to be written again
 		headsWriting     bool
@@ -288,6 +288,10 @@
 	}
 	closedAt, suspected := planner.absentHeadStates(name, targets)
 	absent := maps.Clone(view.Absent)
+	maps.DeleteFunc(planner.unknownHeads, func(id string, _ greengageroute.Target) bool {
+		_, listed := view.Target(id)
+		return listed
+	})
 	for id, head := range planner.unknownHeads {
 		if _, known := absent[id]; !known {
 			absent[id] = head
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -288,3 +288,37 @@
 		})
 	}
 }
+
+// TestUnknownHeadIsForgottenOnceListed guards against a silence that counts as old at once, since
+// the head was once known from an earlier planner alone, and against a map that grows.
+func TestUnknownHeadIsForgottenOnceListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		planner, directory := newTestPlanner(fakeActivity{})
+		head := greengageroute.Target{ID: "i-head", Pool: "llm", Address: "a", State: greengageroute.TargetReady, StartUnixMilli: 1}
+		absentFor := func() (time.Duration, bool) {
+			view := planner.poolView("llm", nil, directory.View())
+			since, absent := view.AbsentSince[head.ID]
+			return view.Now.Sub(since), absent
+		}
+		directory.Replace([]greengageroute.Target{{ID: "i-other", Pool: "llm"}}, time.Time{})
+		planner.recordUnknownHeads([]greengageroute.ReplicaHead{{Replica: "r1", Epoch: 7, ID: head.ID, Address: "a"}, {Replica: "r2", Epoch: 7, ID: "i-lost", Address: "b"}},
+			planner.poolView("llm", nil, directory.View()))
+		if _, absent := absentFor(); !absent {
+			t.Error("the head that isn't listed doesn't count as absent")
+		}
+		time.Sleep(time.Second)
+		directory.Replace([]greengageroute.Target{head}, time.Time{})
+		if _, absent := absentFor(); absent {
+			t.Error("the listed head counts as absent")
+		}
+		time.Sleep(time.Minute)
+		directory.MarkUnreachable(head.Instance())
+		if since, absent := absentFor(); !absent || since > 0 {
+			t.Errorf("the head that has just fallen silent counts as absent: %t, for %s", absent, since)
+		}
+		planner.forgetAbsentHeads()
+		if len(planner.unknownHeads) > 0 {
+			t.Errorf("%d heads of an earlier formation are remembered, want none", len(planner.unknownHeads))
+		}
+	})
+}
