Marks: a silent target stays marked as long as it is silent

What could be seen: requests sent to a dark target that is still listed, as it reaches the store or the store is lost, by every entry once in 5 s; and a planner for which its absence began anew each time.

Cause: the mark of an unreachable target ended after 5 s whatever the target did, and so did the probes of the entry that found it.

That entry, and the planner's, probe on, after 5 s each 900 ms, as long as the target is listed, and renew the mark every 4.25 s, here and by a report at the others. Relays forget a report 2.5 s after its last repetition instead of 5 s, as they wouldn't forward the renewed one. An entry probes at most 128 targets so, and sends at most 125 of these probes a second.

TestSilentTargetStaysSuspected failed before (the mark had ended after 4.9 s), and TestRelayForwardsRenewedReports. Measured by the first: at most 100 probes and 16 reports a minute for a target that stays silent.

Tests changed: silent targets are probed without end now, so the list drops them at the end of two tests. TestFailedLinksAreNotFailedTargets counts the probes of targets other than the two silent members, in the same 3 s with the same limit of none, before the first mark is renewed.

--- /dev/null
+++ b/control/awaitresponse_test.go
@@ -0,0 +1,109 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	greengageroute "greengageroute.example/greengageroute"
+)
+
+type (
+	// silentReporter responds for all targets, or for none while it is silent.
+	silentReporter struct {
+		silent         atomic.Bool
+		startUnixMilli atomic.Int64
+		probes         atomic.Int64
+	}
+
+	responseFixture struct {
+		reporter  *silentReporter
+		notifier  *fakeNotifier
+		directory *Directory
+		prober    *Prober
+	}
+)
+
+func (reporter *silentReporter) Report(_ context.Context, _ greengageroute.Target, timeout time.Duration) (greengageroute.TargetReport, error) {
+	reporter.probes.Add(1)
+	if reporter.silent.Load() {
+		time.Sleep(timeout)
+		return greengageroute.TargetReport{}, errors.New("no response")
+	}
+	return greengageroute.TargetReport{StartUnixMilli: reporter.startUnixMilli.Load()}, nil
+}
+
+// responseMember returns a member of the replica r1, as its row of a version shows it.
+func responseMember(id string, rank int, version uint64) greengageroute.Target {
+	state := greengageroute.MemberReady
+	if rank == 0 {
+		state = greengageroute.MemberOpen
+	}
+	return greengageroute.Target{
+		ID: id, Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1, Revision: greengageroute.StoreRevision{Version: version},
+		Membership: greengageroute.Membership{Replica: "r1", Epoch: 7, Model: "small", Rank: rank, State: state},
+	}
+}
+
+// newResponseFixture lists a replica of two members that both respond.
+func newResponseFixture() *responseFixture {
+	fixture := &responseFixture{reporter: &silentReporter{}, notifier: &fakeNotifier{}, directory: NewDirectory(greengageroute.RuntimeClock{})}
+	fixture.reporter.startUnixMilli.Store(1)
+	fixture.directory.SetRoutes(viewRoutes)
+	fixture.directory.Replace([]greengageroute.Target{responseMember("i-head", 0, 1), responseMember("i-member", 1, 1)}, time.Time{})
+	fixture.prober = NewProber("a", fixture.reporter, fixture.directory, fixture.notifier, greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
+	return fixture
+}
+
+// fallSilent has the targets fall silent and the entry notice it.
+func (fixture *responseFixture) fallSilent() {
+	replica := fixture.directory.View().Replicas("llm", "small")[0]
+	fixture.reporter.silent.Store(true)
+	fixture.prober.ProbeReplica(replica)
+	time.Sleep(300 * time.Millisecond)
+}
+
+func (fixture *responseFixture) isOpen() bool {
+	return len(fixture.directory.View().Replicas("llm", "small")) > 0
+}
+
+// end has the list drop the targets, so that no probe is left.
+func (fixture *responseFixture) end() {
+	fixture.reporter.silent.Store(false)
+	fixture.directory.Replace(nil, time.Time{})
+	time.Sleep(2 * unreachableTTL)
+}
+
+// TestSilentTargetStaysSuspected guards against a mark that expires while its target is still
+// silent, and costs requests again. A row that the target writes, cut off from the entries but
+// not from the store, changes nothing.
+func TestSilentTargetStaysSuspected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newResponseFixture()
+		fixture.fallSilent()
+		before := fixture.reporter.probes.Load()
+		for step := range 600 {
+			if step%10 == 0 {
+				row := uint64(2 + step)
+				fixture.directory.Apply([]greengageroute.Target{responseMember("i-head", 0, row), responseMember("i-member", 1, row)}, nil, time.Time{})
+			}
+			fixture.directory.Expire()
+			if fixture.isOpen() || len(fixture.directory.View().Absent) != 2 {
+				t.Fatalf("after %s the silent targets aren't suspected", time.Duration(step)*100*time.Millisecond)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if probes := fixture.reporter.probes.Load() - before; probes > 200 {
+			t.Errorf("%d probes of two silent targets in a minute, want at most 200", probes)
+		}
+		if reports := len(fixture.notifier.reportedUnreachable()); reports < 2*12 || reports > 2*16 {
+			t.Errorf("the others are told %d times in a minute of two silent targets, want one to two times per target and %s", reports, unreachableTTL)
+		}
+		fixture.end()
+	})
+}
--- a/control/directory.go
+++ b/control/directory.go
@@ -259,6 +259,26 @@
 	return added
 }
 
+// RenewUnreachable renews the marks of targets that are still unreachable, as long as they are
+// listed. It returns those that it renewed.
+func (directory *Directory) RenewUnreachable(instances ...mesh.TargetInstance) (renewed []mesh.TargetInstance) {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	for _, instance := range instances {
+		if _, marked := directory.unreachable[instance]; marked && directory.lists(instance) {
+			directory.unreachable[instance] = directory.clock.Now()
+			renewed = append(renewed, instance)
+		}
+	}
+	return renewed
+}
+
+// lists reports whether a target is listed with the same start time. The caller holds the lock.
+func (directory *Directory) lists(instance mesh.TargetInstance) bool {
+	target, listed := directory.targets[instance.ID]
+	return listed && target.StartUnixMilli == instance.StartUnixMilli
+}
+
 // MarkResponding ends the marks of targets that were found unreachable and respond again. It
 // returns those that were marked.
 func (directory *Directory) MarkResponding(instances ...mesh.TargetInstance) []mesh.TargetInstance {
@@ -295,12 +315,13 @@
 	return known && now.Sub(at) <= respondedTTL
 }
 
-// IsUnreachable reports whether a target is marked as unreachable.
-func (directory *Directory) IsUnreachable(instance mesh.TargetInstance) bool {
+// UnreachableSince returns when a target was marked as unreachable, or its mark renewed, and
+// whether it is marked.
+func (directory *Directory) UnreachableSince(instance mesh.TargetInstance) (time.Time, bool) {
 	directory.mu.Lock()
 	defer directory.mu.Unlock()
-	_, marked := directory.unreachable[instance]
-	return marked
+	since, marked := directory.unreachable[instance]
+	return since, marked && directory.clock.Now().Sub(since) <= unreachableTTL
 }
 
 // MarkLeaving marks targets that say that they are leaving, until their processes end. It
--- a/control/prober.go
+++ b/control/prober.go
@@ -42,9 +42,19 @@
 	minTargetsIsolated = 5
 	// isolationCheckInterval is how often an isolated entry tries its links again.
 	isolationCheckInterval = 150 * time.Millisecond
-	// responseInterval is how often a target that this entry found unreachable is probed
-	// until it responds or its mark ends.
-	responseInterval = 250 * time.Millisecond
+	// responseInterval is how often a target that this entry found unreachable is probed at
+	// first, until it responds or its mark ends, and slowResponseInterval after
+	// fastResponseTime.
+	responseInterval     = 250 * time.Millisecond
+	slowResponseInterval = 900 * time.Millisecond
+	fastResponseTime     = 5 * time.Second
+	// responseSpacing is the mean time between two such probes, of whichever targets, and
+	// maxAwaited how many targets are probed so. The marks of others expire.
+	responseSpacing = 8 * time.Millisecond
+	maxAwaited      = 128
+	// renewAfter is the age at which the mark of a target is renewed that is still
+	// unreachable: before it expires at the other entries.
+	renewAfter = unreachableTTL - 750*time.Millisecond
 	// confirmInterval is how often a target that may have failed is probed.
 	confirmInterval = time.Second
 )
@@ -101,6 +111,7 @@
 		mu          sync.Mutex
 		probedAt    map[replicaID]time.Time
 		confirmedAt map[mesh.TargetInstance]time.Time
+		awaited     map[mesh.TargetInstance]bool // unreachable targets that are probed until they respond
 	}
 )
 
@@ -109,7 +120,7 @@
 	return &Prober{
 		dataCentre: dataCentre, reporter: reporter, directory: directory, notifier: notifier, clock: clock, counters: counters, log: log,
 		links:    &greengageroute.LinkState{},
-		probedAt: map[replicaID]time.Time{}, confirmedAt: map[mesh.TargetInstance]time.Time{},
+		probedAt: map[replicaID]time.Time{}, confirmedAt: map[mesh.TargetInstance]time.Time{}, awaited: map[mesh.TargetInstance]bool{},
 	}
 }
 
@@ -191,36 +202,13 @@
 	if probe.answered {
 		prober.counters.Add(CountTargetsRestarted, 1)
 	} else {
-		go prober.awaitResponse(target)
+		prober.awaitResponse(target)
 	}
 	prober.log.Info("target unreachable or restarted", "target", target.ID, "born", target.StartUnixMilli, "restarted", probe.answered,
 		"replica", target.Membership.Replica, "epoch", target.Membership.Epoch)
 	return true
 }
 
-// awaitResponse probes a target that doesn't respond until it does, and tells the other entries
-// then, or until its mark has ended.
-func (prober *Prober) awaitResponse(target greengageroute.Target) {
-	instance, started := target.Instance(), prober.clock.Now()
-	for prober.clock.Now().Sub(started) < unreachableTTL {
-		time.Sleep(responseInterval)
-		if !prober.directory.IsUnreachable(instance) {
-			return
-		}
-		prober.counters.Add(CountProbes, 1)
-		report, err := prober.reporter.Report(context.Background(), target, probeTimeout)
-		if err != nil || report.StartUnixMilli != 0 && report.StartUnixMilli != target.StartUnixMilli {
-			continue
-		}
-		if len(prober.directory.MarkResponding(instance)) > 0 {
-			prober.counters.Add(CountTargetsResponding, 1)
-			prober.log.Info("target responds again", "target", target.ID, "after", prober.clock.Now().Sub(started).String())
-			prober.notifier.ReportResponding(instance)
-		}
-		return
-	}
-}
-
 // reportSlow marks a member as slow, so that the planner looks for a replacement.
 func (prober *Prober) reportSlow(member greengageroute.Target, slowdown float64) {
 	instance := member.Instance()
--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -44,13 +45,35 @@
 	return greengageroute.TargetReport{StartUnixMilli: step.startUnixMilli, Membership: step.membership}, step.err
 }
 
-type fakeNotifier struct{ slow, responding []mesh.TargetInstance }
+type fakeNotifier struct {
+	mu                            sync.Mutex
+	unreachable, responding, slow []mesh.TargetInstance
+}
+
+func (notifier *fakeNotifier) ReportUnreachable(unreachable ...mesh.TargetInstance) {
+	notifier.mu.Lock()
+	defer notifier.mu.Unlock()
+	notifier.unreachable = append(notifier.unreachable, unreachable...)
+}
 
-func (*fakeNotifier) ReportUnreachable(...mesh.TargetInstance) {}
 func (notifier *fakeNotifier) ReportResponding(responding ...mesh.TargetInstance) {
+	notifier.mu.Lock()
+	defer notifier.mu.Unlock()
 	notifier.responding = append(notifier.responding, responding...)
 }
 
+func (notifier *fakeNotifier) reportedUnreachable() []mesh.TargetInstance {
+	notifier.mu.Lock()
+	defer notifier.mu.Unlock()
+	return slices.Clone(notifier.unreachable)
+}
+
+func (notifier *fakeNotifier) reportedResponding() []mesh.TargetInstance {
+	notifier.mu.Lock()
+	defer notifier.mu.Unlock()
+	return slices.Clone(notifier.responding)
+}
+
 func (notifier *fakeNotifier) ReportSlow(slow ...mesh.TargetInstance) {
 	notifier.slow = append(notifier.slow, slow...)
 }
@@ -95,11 +118,14 @@
 type linkReporter struct {
 	dataCentres []string
 	failed      []string
-	probes      atomic.Int64
+	members     []string     // of the silent replica, which are probed until they respond
+	probes      atomic.Int64 // of other targets
 }
 
 func (reporter *linkReporter) Report(_ context.Context, target greengageroute.Target, timeout time.Duration) (greengageroute.TargetReport, error) {
-	reporter.probes.Add(1)
+	if !slices.Contains(reporter.members, target.ID) {
+		reporter.probes.Add(1)
+	}
 	if slices.Contains(reporter.dataCentres, target.DataCentre) && !slices.Contains(reporter.failed, target.ID) {
 		return greengageroute.TargetReport{StartUnixMilli: 1}, nil
 	}
@@ -135,14 +161,13 @@
 					}
 				}
 				directory.Replace(targets, time.Time{})
-				reporter := &linkReporter{dataCentres: test.responding, failed: test.failed}
+				reporter := &linkReporter{dataCentres: test.responding, failed: test.failed, members: []string{"a-0", "a-1"}}
 				prober := NewProber("a", reporter, directory, &fakeNotifier{}, greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
 				prober.ProbeReplica(replica)
-				time.Sleep(2 * time.Second)
+				time.Sleep(time.Second)
 				if found := len(directory.View().Absent); found != test.found || prober.Isolated() != test.isolated {
 					t.Errorf("%d targets found unreachable, isolated: %v, want %d and %v", found, prober.Isolated(), test.found, test.isolated)
 				}
-				time.Sleep(unreachableTTL) // the targets found unreachable are probed until then
 				ctx, cancel := context.WithCancel(context.Background())
 				go prober.RunLinkChecks(ctx)
 				probes := reporter.probes.Load()
@@ -156,7 +181,7 @@
 					t.Error("the entry is isolated from no targets")
 				}
 				cancel()
-				time.Sleep(time.Second) // lets the loop end
+				time.Sleep(2 * unreachableTTL) // lets the loops end
 			})
 		})
 	}
@@ -270,12 +295,13 @@
 				time.Sleep(3 * responseInterval)
 				synctest.Wait()
 				_, listed := directory.View().Target(target.ID)
-				if listed != test.responds || len(notifier.responding) > 0 != test.responds {
-					t.Errorf("used again: %t, other entries know: %t, want %t", listed, len(notifier.responding) > 0, test.responds)
+				if listed != test.responds || len(notifier.reportedResponding()) > 0 != test.responds {
+					t.Errorf("used again: %t, other entries know: %t, want %t", listed, len(notifier.reportedResponding()) > 0, test.responds)
 				}
 				if test.responds && !directory.RespondedLately(target.Instance()) {
 					t.Error("late reports of other entries would hide the target again")
 				}
+				directory.Replace(nil, time.Time{})
 				time.Sleep(time.Minute) // lets open probes end
 				directory.Expire()
 				time.Sleep(time.Minute)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -614,3 +614,21 @@
 		return len(readers) == 1 && readers[0] == entries[1].Address()
 	})
 }
+
+// TestRelayForwardsRenewedReports guards against entries behind relays that aren't told that a
+// target is still unreachable, and against reports that relays send each other forever.
+func TestRelayForwardsRenewedReports(t *testing.T) {
+	node, now := &Node{forwarded: map[any]time.Time{}}, time.Now()
+	target := TargetInstance{ID: "i-9", StartUnixMilli: 4}
+	if !node.isNew(target, now) {
+		t.Error("the first report isn't forwarded")
+	}
+	for elapsed := time.Duration(0); elapsed < 3*updateRepeatTime/2; elapsed += relaySendInterval {
+		if node.isNew(target, now.Add(elapsed)) {
+			t.Fatalf("a repetition is forwarded after %s", elapsed)
+		}
+	}
+	if !node.isNew(target, now.Add(4250*time.Millisecond)) {
+		t.Error("the renewed report isn't forwarded")
+	}
+}
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -23,9 +23,9 @@
 	// relayTakeoverTimeout is how long the second relay waits without a message from
 	// the first before it takes over.
 	relayTakeoverTimeout = 250 * time.Millisecond
-	// forwardedTTL is how long a relay remembers an update that it has forwarded, so
-	// as not to forward it again.
-	forwardedTTL = 5 * time.Second
+	// forwardedTTL is how long after its last repetition a relay remembers an update that it
+	// has forwarded, so as not to forward it again: less than until it is renewed.
+	forwardedTTL = 2500 * time.Millisecond
 )
 
 // Kinds of outgoing messages.
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -215,6 +215,7 @@
 		entry.prober.Confirm(reported)
 		return
 	}
+	entry.directory.RenewUnreachable(reported...)
 	view := entry.directory.View()
 	inactive := slices.DeleteFunc(slices.Clone(reported), func(instance mesh.TargetInstance) bool {
 		target, listed := view.Target(instance.ID)
