Lease: a row that no entry has written ends no planning

What callers would see: once the row of the planner's lease was overwritten with something that can't be decoded, no entry ever took the lease again: lost members were no longer replaced. A row of "null" or "{}" read as a released lease.

Cause: a row that couldn't be decoded was an error of each read. What could be decoded was believed, with any fence.

Evidence: TestOverwrittenLeaseIsHeldAgain failed before in 14 of its 28 cases (nobody holds the lease three terms later); all pass now, with and without updates between the entries.

Why it works: a fence is at least 1 and below 2^32, whose epochs targets take. Any other row says nothing about the holder: a holder within its term writes its own again, and the others wait a term and the longest order from the last time that the row changed, as they do for a row of a restored store. Updates of peers with such a fence are left out.

--- a/control/lease.go
+++ b/control/lease.go
@@ -28,6 +28,10 @@
 	// leaseReadInterval is how often the row is read while no updates of its holder
 	// arrive.
 	leaseReadInterval = 300 * time.Millisecond
+	// maxFence is above any fence that entries give; its epochs are ones that targets take.
+	maxFence = 1 << 32
+	// overwrittenHolder stands for the holder in a row that no entry has written.
+	overwrittenHolder = "?"
 )
 
 type (
@@ -110,6 +114,9 @@
 	defer lease.mu.Unlock()
 	now := lease.clock.Now()
 	row := update.Row()
+	if row.Fence > maxFence {
+		return
+	}
 	lease.maxFence = max(lease.maxFence, row.Fence)
 	if row.Fence > lease.observed.Row.Fence || row.Fence == lease.observed.Row.Fence && row.Renewals > lease.observed.Row.Renewals {
 		lease.observed = greengageroute.ObservedLease{Row: row, UnchangedSince: now}
@@ -155,10 +162,7 @@
 	if err != nil {
 		return trace.Wrap(err, "reading the lease")
 	}
-	row, version, err := findLease(rows)
-	if err != nil {
-		return err
-	}
+	row, version := findLease(rows)
 	lease.mu.Lock()
 	if err := lease.recordEra(rows.Era); err != nil {
 		lease.mu.Unlock()
@@ -209,14 +213,20 @@
 	return nil
 }
 
-func findLease(rows platform.Rows) (row greengageroute.LeaseRow, version uint64, err error) {
+// findLease returns the lease's row and its version, 0 if there is none. A row that no entry
+// has written says nothing about the holder, who writes it again within its term; after
+// that, others may. It counts as changed whenever it is overwritten.
+func findLease(rows platform.Rows) (row greengageroute.LeaseRow, version uint64) {
 	for _, found := range rows.Rows {
-		if found.Key == leaseKey {
-			err := json.Unmarshal(found.Value, &row)
-			return row, found.Version, trace.Wrap(err, "decoding the lease")
+		if found.Key != leaseKey {
+			continue
+		}
+		if err := json.Unmarshal(found.Value, &row); err != nil || row.Fence == 0 || row.Fence > maxFence {
+			row = greengageroute.LeaseRow{Holder: overwrittenHolder, Renewals: found.Version}
 		}
+		return row, found.Version
 	}
-	return row, 0, nil
+	return row, 0
 }
 
 // write writes the row if it still has the revision. Another entry may have written it in
--- a/control/lease_test.go
+++ b/control/lease_test.go
@@ -286,3 +286,61 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestOverwrittenLeaseIsHeldAgain guards against planners that stop for good, and against two
+// at a time, because another writer overwrote the row of their lease.
+func TestOverwrittenLeaseIsHeldAgain(t *testing.T) {
+	for _, odd := range []string{
+		"\xff\x00", "", "null", "7", "[]", "{}", `{"holder":7}`, `{"holder":"x/1","fence":-1}`, `{"holder":"x/1","fence":1e400}`, `{"holder":"x/1"}`,
+		`{"holder":"x/1","fence":18446744073709551615}`, `{"holder":"x/1","fence":18446744073709551615,"renewals":18446744073709551615}`,
+		`{"holder":"x/1","fence":3,"era":18446744073709551615}`, `{"holder":"","fence":18446744073709551615}`,
+	} {
+		for _, muted := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, updates lost: %v", odd, muted), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { testOverwrittenLease(t, odd, muted) })
+			})
+		}
+	}
+}
+
+func testOverwrittenLease(t *testing.T, odd string, muted bool) {
+	contenders := newContenders(3)
+	for _, contender := range contenders {
+		contender.muted = muted
+	}
+	held := func() (index int, fence uint64) {
+		step(contenders)
+		found := holders(contenders)
+		if len(found) > 1 {
+			t.Fatalf("contenders %v hold the lease at the same time", found)
+		}
+		if len(found) == 0 {
+			return -1, 0
+		}
+		return found[0], contenders[found[0]].lease.Held().Fence
+	}
+	for range 30 {
+		held()
+	}
+	first, fence := held()
+	if first < 0 {
+		t.Fatal("nobody holds the lease")
+	}
+	for range 3 {
+		contenders[first].conn.put("control", "planner", odd)
+		later, laterFence := -1, uint64(0)
+		for started := time.Now(); time.Since(started) < 3*(leaseTerm+OrderTimeout); {
+			if index, current := held(); index >= 0 {
+				later, laterFence = index, current
+			}
+		}
+		if later < 0 || !contenders[later].lease.Held().Holds(time.Now(), 0) {
+			t.Fatalf("nobody holds the lease three terms after the row was overwritten")
+		}
+		if laterFence < fence || later != first && laterFence == fence || laterFence > fence+1000 {
+			t.Fatalf("contender %d holds the lease with fence %d, after contender %d with %d", later, laterFence, first, fence)
+		}
+		first, fence = later, laterFence
+	}
+	time.Sleep(10 * time.Second)
+}
