Planner: stored heads that can't be decoded are outwaited

What callers would see: once the row of a pool's heads was overwritten with something that can't be decoded, no entry that took the lease planned the pool again.

Evidence: TestOverwrittenHeadsAreOutwaited failed before in all seven cases: the row is an error for good.

Why it works: the row tells which members were released from heads that may serve, so an odd one isn't taken for an empty one at once. The bound is the one after which such a head is broken by its own clock: the stall timeout and its margin, from when the planner first read this version of the row. Then no row of heads is needed.

--- a/control/heads.go
+++ b/control/heads.go
@@ -20,22 +20,49 @@
 	headsWriteInterval = 250 * time.Millisecond
 )
 
-// readHeads returns the heads that the previous planner stored.
+// oddHeads is a row of heads that no planner has written.
+type oddHeads struct {
+	version uint64
+	since   time.Time // when it was first read
+}
+
+// readHeads returns the heads that the previous planner stored. If they can't be decoded, it
+// returns an error until every head whose members a planner released by then is broken, and
+// no heads later.
 func (planner *Planner) readHeads(ctx context.Context, pool string) ([]greengageroute.ReplicaHead, error) {
 	rows, err := planner.Lease.store.Read(ctx, controlTable)
 	if err != nil {
 		return nil, err
 	}
 	for _, row := range rows.Rows {
-		if row.Key == headsPrefix+pool {
-			var heads []greengageroute.ReplicaHead
-			err := json.Unmarshal(row.Value, &heads)
-			return heads, trace.Wrap(err, "decoding the heads of pool %q", pool)
+		if row.Key != headsPrefix+pool {
+			continue
+		}
+		var heads []greengageroute.ReplicaHead
+		err := json.Unmarshal(row.Value, &heads)
+		if err == nil {
+			return heads, nil
+		}
+		if !planner.outlastsStall(pool, row.Version) {
+			return nil, trace.Wrap(err, "decoding the heads of pool %q", pool)
 		}
+		planner.Log.Error(err, "stored replica heads ignored: the row can't be decoded", "pool", pool)
 	}
 	return nil, nil
 }
 
+// outlastsStall reports whether a row that can't be decoded has stood for longer than heads
+// without one of their members go on.
+func (planner *Planner) outlastsStall(pool string, version uint64) bool {
+	now := planner.Clock.Now()
+	odd, known := planner.oddHeads[pool]
+	if !known || odd.version != version {
+		odd = oddHeads{version, now}
+		planner.oddHeads[pool] = odd
+	}
+	return planner.StallTimeout > 0 && now.Sub(odd.since) > greengageroute.TimeToBreak(planner.StallTimeout)
+}
+
 // recordUnknownHeads keeps the addresses of heads that this entry hasn't seen listed.
 func (planner *Planner) recordUnknownHeads(heads []greengageroute.ReplicaHead, view greengageroute.PoolView) {
 	planner.mu.Lock()
--- a/control/planner.go
+++ b/control/planner.go
@@ -142,7 +142,8 @@
 		left map[string]leftReplica
 		// unknownHeads are heads that only an earlier planner has seen, until they are listed.
 		unknownHeads     map[string]greengageroute.Target
-		headsWriteFailed bool // storedHeads has to be written again
+		oddHeads         map[string]oddHeads // stored heads that can't be decoded, by pool
+		headsWriteFailed bool                // storedHeads has to be written again
 		headsWriting     bool
 
 		storedHeads    map[string]string // heads as last written, by pool
@@ -196,7 +197,7 @@
 	return &Planner{
 		PlannerOptions: options, wake: make(chan struct{}, 1),
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staging: map[string]stagingModel{},
-		loggedStates: map[string]string{}, unknownHeads: map[string]greengageroute.Target{}, pendingOpens: map[string]pendingOpen{}, storedHeads: map[string]string{},
+		loggedStates: map[string]string{}, unknownHeads: map[string]greengageroute.Target{}, oddHeads: map[string]oddHeads{}, pendingOpens: map[string]pendingOpen{}, storedHeads: map[string]string{},
 		absentHeads: map[replicaID]absentHead{}, lostMembers: map[replicaID]lostMember{},
 		absentSince: map[string]time.Time{}, storedReleases: map[string]greengageroute.Set[string]{}, left: map[string]leftReplica{},
 	}
--- a/control/release_test.go
+++ b/control/release_test.go
@@ -100,3 +100,40 @@
 		}
 	})
 }
+
+// TestOverwrittenHeadsAreOutwaited guards against planning that stops for good because the row
+// of heads was overwritten, and against members that a next planner takes for free although
+// the head from which they were released may serve.
+func TestOverwrittenHeadsAreOutwaited(t *testing.T) {
+	for _, odd := range []string{"", "\xff", "7", "{}", `[7]`, `[{"replica":"r1","epoch":-1}]`, `[{"replica":"r1","epoch":7,"id":"i-head","released":7}]`} {
+		t.Run(odd, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				planner, _ := newTestPlanner(fakeActivity{})
+				planner.StallTimeout = 6 * time.Second
+				store := planner.Lease.store.(*fakeConn)
+				read := func() ([]greengageroute.ReplicaHead, error) { return planner.readHeads(context.Background(), "llm") }
+				store.put("control", "heads-llm", odd)
+				if heads, err := read(); err == nil {
+					t.Errorf("read %v at once, want an error", heads)
+				}
+				time.Sleep(5 * time.Second)
+				store.put("control", "heads-llm", odd)
+				if heads, err := read(); err == nil {
+					t.Errorf("read %v after the row was overwritten again, want an error", heads)
+				}
+				time.Sleep(greengageroute.TimeToBreak(planner.StallTimeout) - time.Second)
+				if heads, err := read(); err == nil {
+					t.Errorf("read %v while a head may serve without a member, want an error", heads)
+				}
+				time.Sleep(2 * time.Second)
+				if heads, err := read(); err != nil || len(heads) > 0 {
+					t.Errorf("read %v with error %v once such heads are broken, want none", heads, err)
+				}
+				store.put("control", "heads-llm", `[{"replica":"r1","epoch":7,"id":"i-head"}]`)
+				if heads, err := read(); err != nil || len(heads) != 1 {
+					t.Errorf("read %v with error %v, want the head that was stored again", heads, err)
+				}
+			})
+		})
+	}
+}
--- a/formationrelease.go
+++ b/formationrelease.go
@@ -69,9 +69,12 @@
 // if it still runs, is broken.
 func (view PoolView) hasBroken(key ReplicaKey) bool {
 	lostAt, lost := view.MemberLostAt[key]
-	return lost && view.StallTimeout > 0 && view.Now.Sub(lostAt) >= view.StallTimeout+stallMargin
+	return lost && view.StallTimeout > 0 && view.Now.Sub(lostAt) >= TimeToBreak(view.StallTimeout)
 }
 
+// TimeToBreak returns how long after it has lost a member a head is broken for certain.
+func TimeToBreak(stallTimeout time.Duration) time.Duration { return stallTimeout + stallMargin }
+
 // isHeld reports whether a target has to stay in its replica because of an absent head, or
 // because of the head of a replica that it left although that may serve.
 func (formation *Formation) isHeld(target Target, view PoolView) bool {
