Prober: a test waits for the probes that it started

TestRowsOfUnknownServicesDontIsolate failed in three of seven runs of the package, without a failed check: a sample is decided by the first data centre that responds, and the probes of the other one still slept as the test's bubble ended ("blocked goroutines remain"). The test waits a second of the bubble's time for them, as its neighbours do.

--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -213,6 +213,7 @@
 		if !prober.LinksWork() {
 			t.Error("the entry is isolated, want its links to work as the targets of the config's services respond")
 		}
+		time.Sleep(time.Second) // lets the other probes end
 	})
 }
 
