Entry: a stop waits for chats that other entries forwarded

Callers of the product's own interface saw: an answer that an entry of another data centre served for theirs was cut in the planned stop of that entry, and not resumed.

Cause: the stop waited for the HTTP server's requests alone; those that came over QUIC ended with the process.

Now they are waited for, up to the stop timeout, and an entry that stops takes no more of them: the forwarding entry tries the next one.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -66,6 +66,7 @@
 		listener       net.Listener
 		server         *http.Server
 		stopping       atomic.Bool
+		forwards       runningForwards
 		ready          atomic.Bool
 		lifetime       context.Context // ends when Run does
 		cancelLifetime context.CancelFunc
@@ -130,8 +131,8 @@
 }
 
 // Run serves until the context ends, then stops gracefully: it fails the load
-// balancer's health check, accepts no new connections after the grace period,
-// finishes running requests, leaves the membership and releases the lease.
+// balancer's health check, takes no more requests from other entries, accepts no new
+// connections after the grace period, finishes running requests, leaves the membership and releases the lease.
 func (entry *Entry) Run(ctx context.Context) error {
 	background, stop := entry.lifetime, entry.cancelLifetime
 	defer stop()
@@ -157,10 +158,16 @@
 func (entry *Entry) shutDown(ctx context.Context) error {
 	entry.log.Info("entry stopping", "name", entry.settings.Name)
 	entry.stopping.Store(true)
+	forwardsFinished := entry.forwards.stop()
 	time.Sleep(entry.settings.StopGrace)
 	ctx, cancel := context.WithTimeout(ctx, entry.settings.StopTimeout)
 	defer cancel()
 	err := entry.server.Shutdown(ctx)
+	select {
+	case <-forwardsFinished:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
 	leaveCtx, cancelLeave := context.WithTimeout(context.WithoutCancel(ctx), peerTimeout)
 	defer cancelLeave()
 	entry.members.Leave(leaveCtx)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net/http"
+	"sync"
 
 	"github.com/gravitational/trace"
 	"greengageroute.example/greengageroute/caller"
@@ -13,6 +15,37 @@
 // maxForwardAttempts bounds the entries to which one request is forwarded in turn.
 const maxForwardAttempts = 3
 
+// runningForwards counts the running requests that other entries forwarded.
+type runningForwards struct {
+	mu      sync.Mutex
+	stopped bool
+	running sync.WaitGroup
+}
+
+// begin counts a request until done is called. It returns an error once the entry stops.
+func (forwards *runningForwards) begin() (done func(), err error) {
+	forwards.mu.Lock()
+	defer forwards.mu.Unlock()
+	if forwards.stopped {
+		return nil, &caller.Refusal{Status: http.StatusServiceUnavailable, Code: "stopping", Message: "the entry is stopping; send the request to another entry"}
+	}
+	forwards.running.Add(1)
+	return forwards.running.Done, nil
+}
+
+// stop refuses further requests. The returned channel is closed when none runs.
+func (forwards *runningForwards) stop() <-chan struct{} {
+	forwards.mu.Lock()
+	forwards.stopped = true
+	forwards.mu.Unlock()
+	finished := make(chan struct{})
+	go func() {
+		forwards.running.Wait()
+		close(finished)
+	}()
+	return finished
+}
+
 // LiveEntries implements caller.State.
 func (entry *Entry) LiveEntries() int { return len(entry.members.LiveInDataCentre()) }
 
@@ -44,6 +77,13 @@
 
 // Forward implements peer.Handler.
 func (entry *Entry) Forward(ctx context.Context, request peer.Forward, writeHeader func(peer.ForwardHeader) error, body io.Writer) {
+	done, err := entry.forwards.begin()
+	if err != nil {
+		status, refusal := caller.EncodeRefusal(err)
+		_ = writeHeader(peer.ForwardHeader{Status: status, Refusal: refusal}) // if this fails, the forwarding entry sees a truncated stream
+		return
+	}
+	defer done()
 	result, response, err := entry.callerService.AnswerForwarded(ctx, request.Workspace, request.Body, request.LastEventID)
 	if err != nil {
 		status, refusal := caller.EncodeRefusal(err)
