Tests: entries of two builds forward requests to each other

An entry without a link to its targets runs one build, the two that help it the other; after the time in which the fleet adapts every request gets a whole answer or a true refusal, nine of ten an answer, and no group moves.

--- a/integration/builds_test.go
+++ b/integration/builds_test.go
@@ -4,7 +4,9 @@
 	"flag"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -183,3 +185,50 @@
 		})
 	}
 }
+
+// Guards against callers of an entry without a link to its targets who are refused, or whose
+// answers are cut, because the entries that help it run another build.
+func TestUsersPlatformTwoBuildsForward(t *testing.T) {
+	if *earlierBuild == "" {
+		t.Skip("needs an earlier build; see -earlier-build")
+	}
+	for _, test := range []struct{ name, isolated, helpers string }{
+		{"the earlier build is helped", *earlierBuild, ""},
+		{"the earlier build helps", "", *earlierBuild},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			builds := &buildsTest{deployment: newEmptyDeployment(t), inRotation: make([]atomic.Bool, 3)}
+			links := &targetLinks{t: t, store: builds.store.Handler(), proxies: map[string]*tcpProxy{}}
+			view := httptest.NewServer(links)
+			t.Cleanup(view.Close)
+			direct := builds.storeAddress
+			builds.storeAddress, builds.program = strings.TrimPrefix(view.URL, "http://"), test.isolated
+			builds.entries = append(builds.entries, builds.startEntryIn("b", "entry-0"))
+			builds.storeAddress, builds.program = direct, test.helpers
+			builds.startTargetsAndEntries(7, 2)
+			for _, entry := range builds.entries {
+				builds.requireStream(entry)
+			}
+			before := builds.memberships()
+			builds.inRotation[0].Store(true) // callers use the entry without targets alone
+			links.apply(func(proxy *tcpProxy) { proxy.setBlocked(true) })
+			run := func(firstCaller int, span time.Duration) {
+				stop := make(chan struct{})
+				var callers sync.WaitGroup
+				for number := range 6 {
+					callers.Go(func() { builds.runCaller(firstCaller+number, stop) })
+				}
+				time.Sleep(span)
+				close(stop)
+				callers.Wait()
+			}
+			run(0, adaptTime)
+			builds.results = nil
+			run(6, 4*time.Second)
+			builds.check()
+			if after := builds.memberships(); !slices.Equal(before, after) {
+				t.Errorf("groups were moved:\n%v\nbefore:\n%v", after, before)
+			}
+		})
+	}
+}
