Target list: a target with an overwritten row gets no requests after 1.5 s

A row that can't be decoded names no target to use. The grace of 2.5 s that a known target has to write it again was longer than the 2 s in which one that is gone may get requests; a heartbeat is enough. TestOverwrittenRows passes with the shorter one.

--- a/control/follower.go
+++ b/control/follower.go
@@ -37,8 +37,8 @@
 	// listed again; the platform specifies about two seconds.
 	outageGrace = 2500 * time.Millisecond
 	// undecodableGrace is how long a target whose row was overwritten by another writer has
-	// to write it again: a heartbeat, with the same margin.
-	undecodableGrace = outageGrace
+	// to write it again: a heartbeat, and shorter than a target that is gone may get requests.
+	undecodableGrace = 1500 * time.Millisecond
 )
 
 // Counters of the follower; docs/OPERATIONS.md lists them.
