Streams: only a later start of a member ends its replica's streams

A silent stream of a sound target was given up for good if a row with an earlier start of a member was listed: one of a restored store, or of another writer.

An earlier start is a suspicion now. TestLossEndsAttempts failed before: the attempt was ended within a second.

--- a/edge/hedgedstream_test.go
+++ b/edge/hedgedstream_test.go
@@ -273,6 +273,10 @@
 			head.StartUnixMilli++
 			return head
 		}, true},
+		{"an older row shows an earlier start", func(head greengageroute.Target) greengageroute.Target {
+			head.StartUnixMilli--
+			return head
+		}, false},
 		{"the head is broken", func(head greengageroute.Target) greengageroute.Target {
 			head.Membership.State = greengageroute.MemberBroken
 			return head
--- a/edge/streamattempt.go
+++ b/edge/streamattempt.go
@@ -155,7 +155,7 @@
 }
 
 // assess returns why the replica of a silent attempt may have lost a member, and whether it
-// can't go on: a member has restarted, or the head's newer row shows it broken or in a later
+// can't go on: a member is listed with a later start, or the head's newer row shows it broken or in a later
 // replica. That a member isn't listed or doesn't respond proves nothing.
 func (attempt *streamAttempt) assess() (evidence string, lost bool) {
 	if attempt.source.engine == nil {
@@ -169,9 +169,13 @@
 			evidence = "member " + member.ID + " is unreachable or not listed"
 			continue
 		}
-		if listed.StartUnixMilli != member.StartUnixMilli {
+		if listed.StartUnixMilli > member.StartUnixMilli {
 			return "member " + member.ID + " has restarted", true
 		}
+		if listed.StartUnixMilli != member.StartUnixMilli {
+			evidence = "an older row of member " + member.ID + " is listed"
+			continue
+		}
 		shown := listed.Membership
 		if rank == 0 && shown.Epoch > replica.Epoch {
 			return "the head joined epoch " + strconv.FormatUint(shown.Epoch, 10), true
