Marks: the planner probes what it was only told of

What could be seen: a replica without requests for 5 s, or longer as its mark is renewed, although its members responded to all but the entry that had found them unreachable; and for 5 s after a short silence if that entry ended meanwhile. Only the finder probed on: the holder of the planner's lease did so for targets that it had found silent itself, and kept to itself that a reported one responded to it.

It probes all marked targets until they respond now, also those of which it was told before it held the lease. If a reported target responds to it, it tells the others. Cost: the probes of one more entry per silent target.

TestPlannerProbesWhatItWasToldOf failed before: the target that responds stayed marked, and the others were told nothing.

--- a/control/awaitresponse_test.go
+++ b/control/awaitresponse_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/mesh"
 )
 
 type (
@@ -107,3 +108,25 @@
 		fixture.end()
 	})
 }
+
+// TestPlannerProbesWhatItWasToldOf guards against a planner that took over and keeps a target
+// out of its replica, since the entry that found it unreachable has ended; and against a report
+// that stands although the target responds to the planner.
+func TestPlannerProbesWhatItWasToldOf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newResponseFixture()
+		head := mesh.TargetInstance{ID: "i-head", StartUnixMilli: 1}
+		fixture.directory.MarkUnreachable(head)
+		fixture.prober.Confirm(nil)
+		time.Sleep(2 * responseInterval)
+		if !fixture.isOpen() {
+			t.Error("the target counts as unreachable although it responds")
+		}
+		fixture.prober.ConfirmReports([]mesh.TargetInstance{{ID: "i-member", StartUnixMilli: 1}})
+		time.Sleep(responseInterval)
+		if told := fixture.notifier.reportedResponding(); len(told) != 2 || told[1].ID != "i-member" {
+			t.Errorf("the others are told that %v respond, want both members", told)
+		}
+		fixture.end()
+	})
+}
--- a/control/directory.go
+++ b/control/directory.go
@@ -315,6 +315,18 @@
 	return known && now.Sub(at) <= respondedTTL
 }
 
+// Unreachable returns the listed targets that are marked as unreachable.
+func (directory *Directory) Unreachable() (targets []greengageroute.Target) {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	for instance := range directory.unreachable {
+		if directory.lists(instance) {
+			targets = append(targets, directory.targets[instance.ID])
+		}
+	}
+	return targets
+}
+
 // UnreachableSince returns when a target was marked as unreachable, or its mark renewed, and
 // whether it is marked.
 func (directory *Directory) UnreachableSince(instance mesh.TargetInstance) (time.Time, bool) {
--- a/control/prober.go
+++ b/control/prober.go
@@ -269,11 +269,24 @@
 	return greengageroute.TargetReport{}, false, false
 }
 
-// Confirm probes targets that another entry found unreachable, or that are no longer
-// listed, and marks those that don't respond here either.
-func (prober *Prober) Confirm(reported []mesh.TargetInstance) {
+// Confirm probes members that are no longer listed and marks those that don't respond. It also
+// probes marked targets until they respond, as this entry may only have been told of them.
+func (prober *Prober) Confirm(unlisted []mesh.TargetInstance) {
+	for _, target := range prober.directory.Unreachable() {
+		prober.awaitResponse(target)
+	}
+	prober.confirm(unlisted, func(mesh.TargetInstance) {})
+}
+
+// ConfirmReports probes targets that another entry found unreachable. It marks those that don't
+// respond here either, and tells the other entries of those that do.
+func (prober *Prober) ConfirmReports(reported []mesh.TargetInstance) {
+	prober.confirm(reported, func(instance mesh.TargetInstance) { prober.notifier.ReportResponding(instance) })
+}
+
+func (prober *Prober) confirm(instances []mesh.TargetInstance, responds func(mesh.TargetInstance)) {
 	now := prober.clock.Now()
-	for _, instance := range reported {
+	for _, instance := range instances {
 		prober.mu.Lock()
 		since, known := prober.confirmedAt[instance]
 		if !known || now.Sub(since) >= confirmInterval {
@@ -289,8 +302,11 @@
 			continue
 		}
 		go func() {
-			_, alive, answered := prober.probeTarget(target)
+			report, alive, answered := prober.probeTarget(target)
 			if alive {
+				if report.StartUnixMilli == instance.StartUnixMilli {
+					responds(instance)
+				}
 				return
 			}
 			if !prober.LinksWork() {
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -212,7 +212,7 @@
 // unreachable without a probe, unless it was active here recently.
 func (entry *Entry) TargetsUnreachable(_ string, reported []mesh.TargetInstance) {
 	if entry.holdsLease() {
-		entry.prober.Confirm(reported)
+		entry.prober.ConfirmReports(reported)
 		return
 	}
 	entry.directory.RenewUnreachable(reported...)
