Marks: a silent member that is cut off from the store returns too

What could be seen: a replica that gets no requests after a short silence of a member whose row has lapsed, as it is cut off from the store or was silent for longer than its row lasts. Members that are no longer listed stay in their replica for 12 s as long as they respond, but the mark as unreachable took them out for good.

The end of the mark takes such a member back, within the same 12 s from the lapse of its row.

TestUnlistedMemberReturns failed before: no requests after the silence.

--- a/control/awaitresponse_test.go
+++ b/control/awaitresponse_test.go
@@ -130,3 +130,22 @@
 		fixture.end()
 	})
 }
+
+// TestUnlistedMemberReturns guards against a member that is left out for good because it was
+// silent while it was also cut off from the store.
+func TestUnlistedMemberReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newResponseFixture()
+		fixture.directory.Apply(nil, []string{"i-member"}, time.Time{})
+		if !fixture.isOpen() {
+			t.Fatal("the replica gets no requests although its member only lost the store")
+		}
+		fixture.fallSilent()
+		fixture.reporter.silent.Store(false)
+		time.Sleep(2 * responseInterval)
+		if !fixture.isOpen() {
+			t.Error("the replica gets no requests after the silence")
+		}
+		fixture.end()
+	})
+}
--- a/control/directory.go
+++ b/control/directory.go
@@ -233,14 +233,20 @@
 	if target, found := directory.targets[id]; found {
 		removed := datedTarget{target, directory.clock.Now()}
 		directory.absent[id] = removed
-		if target.State == greengageroute.TargetReady && target.Membership.Rank > 0 && target.Membership.Formed() {
-			directory.unlisted[id] = removed
-		}
+		directory.keepUnlisted(removed)
 	}
 	delete(directory.targets, id)
 	delete(directory.dropAt, id)
 }
 
+// keepUnlisted keeps a target that is no longer listed if it is a member of a formed replica.
+func (directory *Directory) keepUnlisted(removed datedTarget) {
+	target := removed.target
+	if target.State == greengageroute.TargetReady && target.Membership.Rank > 0 && target.Membership.Formed() {
+		directory.unlisted[target.ID] = removed
+	}
+}
+
 // MarkUnreachable marks targets that were found unreachable. It returns those that
 // were not marked before.
 func (directory *Directory) MarkUnreachable(instances ...mesh.TargetInstance) []mesh.TargetInstance {
@@ -300,6 +306,9 @@
 		for _, instance := range marked {
 			delete(directory.unreachable, instance)
 			directory.touched.Add(instance.ID)
+			if removed, found := directory.absent[instance.ID]; found && removed.target.Instance() == instance && now.Sub(removed.since) <= unlistedGrace {
+				directory.keepUnlisted(removed)
+			}
 		}
 	})
 	return marked
