Marks: an entry goes by its own probes of a silent target

What could be seen: with the link between an entry and a target down, the entry sent requests there again as soon as any other entry said that the target responds; each found it silent, and the entry told all others that it is.

An entry that probes a target itself keeps the mark until it responds here, whatever the others say, and doesn't report it again if it responds to one of them. The word of others ends the marks that came by word. Requests of an entry that can't reach a replica go to others, as before.

TestOwnProbesOutweighWordOfOthers failed before: the target that doesn't respond to the entry was used again.

--- a/control/awaitresponse.go
+++ b/control/awaitresponse.go
@@ -14,10 +14,10 @@
 	instance := target.Instance()
 	prober.mu.Lock()
 	defer prober.mu.Unlock()
-	if len(prober.awaited) >= maxAwaited || prober.awaited[instance] {
+	if _, underway := prober.awaited[instance]; underway || len(prober.awaited) >= maxAwaited {
 		return
 	}
-	prober.awaited[instance] = true
+	prober.awaited[instance] = false
 	go func() {
 		prober.probeUntilResponse(target)
 		prober.mu.Lock()
@@ -64,11 +64,34 @@
 	return max(delay, time.Duration(len(prober.awaited))*responseSpacing)
 }
 
-// renewMark renews the mark of a target before it expires, and tells the other entries.
+// renewMark renews the mark of a target before it expires, and tells the other entries unless
+// one of them says that the target responds: then only this entry's link has failed.
 func (prober *Prober) renewMark(instance mesh.TargetInstance) {
 	since, marked := prober.directory.UnreachableSince(instance)
 	if !marked || prober.clock.Now().Sub(since) < renewAfter || !prober.LinksWork() {
 		return
 	}
-	prober.notifier.ReportUnreachable(prober.directory.RenewUnreachable(instance)...)
+	renewed := prober.directory.RenewUnreachable(instance)
+	prober.mu.Lock()
+	respondsToOther := prober.awaited[instance]
+	prober.mu.Unlock()
+	if !respondsToOther {
+		prober.notifier.ReportUnreachable(renewed...)
+	}
+}
+
+// RecordResponding records that targets respond to another entry. One that this entry probes
+// itself stays marked until it responds here.
+func (prober *Prober) RecordResponding(responding []mesh.TargetInstance) {
+	var told []mesh.TargetInstance
+	prober.mu.Lock()
+	for _, instance := range responding {
+		if _, underway := prober.awaited[instance]; underway {
+			prober.awaited[instance] = true
+		} else {
+			told = append(told, instance)
+		}
+	}
+	prober.mu.Unlock()
+	prober.directory.MarkResponding(told...)
 }
--- a/control/awaitresponse_test.go
+++ b/control/awaitresponse_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -149,3 +150,29 @@
 		fixture.end()
 	})
 }
+
+// TestOwnProbesOutweighWordOfOthers guards against an entry that sends requests to a target that
+// responds to other entries alone, and against one that tells the others again of such a target.
+func TestOwnProbesOutweighWordOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newResponseFixture()
+		head := mesh.TargetInstance{ID: "i-head", StartUnixMilli: 1}
+		fixture.directory.MarkUnreachable(head)
+		fixture.prober.RecordResponding([]mesh.TargetInstance{head})
+		if !fixture.isOpen() {
+			t.Error("the target gets no requests although another entry has heard it")
+		}
+		fixture.fallSilent()
+		fixture.prober.RecordResponding([]mesh.TargetInstance{head})
+		if _, used := fixture.directory.View().Target(head.ID); used {
+			t.Error("the target gets requests although it doesn't respond to this entry")
+		}
+		told := len(fixture.notifier.reportedUnreachable())
+		time.Sleep(3 * unreachableTTL)
+		reports := fixture.notifier.reportedUnreachable()[told:]
+		if slices.Contains(reports, head) || len(reports) < 2 {
+			t.Errorf("the others are told again of %v, want the other member alone", reports)
+		}
+		fixture.end()
+	})
+}
--- a/control/prober.go
+++ b/control/prober.go
@@ -111,7 +111,9 @@
 		mu          sync.Mutex
 		probedAt    map[replicaID]time.Time
 		confirmedAt map[mesh.TargetInstance]time.Time
-		awaited     map[mesh.TargetInstance]bool // unreachable targets that are probed until they respond
+		// awaited are unreachable targets that are probed until they respond, and whether another
+		// entry says that they do.
+		awaited map[mesh.TargetInstance]bool
 	}
 )
 
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -228,7 +228,7 @@
 
 // TargetsResponding implements mesh.Sink.
 func (entry *Entry) TargetsResponding(_ string, responding []mesh.TargetInstance) {
-	entry.directory.MarkResponding(responding...)
+	entry.prober.RecordResponding(responding)
 }
 
 // TargetsSlow implements mesh.Sink.
