Planner: a head that refuses to open once more may be open

A head that had opened, while the list still showed it as closed, refused the repeated order with 409. That ended the pending order, and the head was given to another replica.

Once a head has said that it opens, its refusal of a repetition tells nothing; the list or an order to close does. TestRepeatedOpenStaysPending fails without it.

--- a/control/headstate.go
+++ b/control/headstate.go
@@ -155,11 +155,14 @@
 	switch {
 	case !known:
 	case errors.As(err, &refused):
-		if refused.TellsState() && pending.key == order.Key() {
+		// A head that has opened may refuse to open again.
+		opened := order.Kind == greengageroute.OrderOpen && pending.accepted
+		if refused.TellsState() && pending.key == order.Key() && !opened {
 			delete(planner.pendingOpens, order.Target.ID)
 		}
 	case err == nil:
 		pending.answered = true
+		pending.accepted = pending.accepted || order.Kind == greengageroute.OrderOpen
 		planner.pendingOpens[order.Target.ID] = pending
 	}
 }
--- a/control/planner.go
+++ b/control/planner.go
@@ -163,6 +163,7 @@
 		key      greengageroute.ReplicaKey
 		revision greengageroute.StoreRevision // of the head's row when the order was sent
 		answered bool                         // the head responded to this order or a later one; until then it may open at any time
+		accepted bool                         // the head said that it opens; it may refuse a repetition
 	}
 
 	// absentHead is what the responses to orders tell of the head of a replica.
@@ -402,8 +403,9 @@
 	planner.sent[key] = sentOrder{text, now}
 	model, _ := view.Engine.Model(order.Model)
 	if order.Kind == greengageroute.OrderOpen {
+		earlier := planner.pendingOpens[order.Target.ID]
 		planner.pendingOpens[order.Target.ID] = pendingOpen{
-			key: greengageroute.ReplicaKey{Name: order.Replica, Epoch: order.Epoch}, revision: order.Target.Revision,
+			key: order.Key(), revision: order.Target.Revision, accepted: earlier.accepted && earlier.key == order.Key(),
 		}
 	}
 	if order.Kind == greengageroute.OrderStage {
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -250,6 +250,26 @@
 	}
 }
 
+// TestRepeatedOpenStaysPending guards against members that leave a head which has opened,
+// because it refused to open once more before the list showed it as open.
+func TestRepeatedOpenStaysPending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		head := greengageroute.Target{ID: "i-head", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1}
+		head.Membership = greengageroute.Membership{Replica: "r1", Epoch: 7, Model: "m", State: greengageroute.MemberReady}
+		planner, directory := newTestPlanner(fakeActivity{})
+		open := greengageroute.TargetOrder{Kind: greengageroute.OrderOpen, Target: head, Replica: "r1", Epoch: 7}
+		for _, response := range []error{nil, &greengageroute.OrderRefusedError{Status: 409}} {
+			planner.send(context.Background(), open, greengageroute.PoolView{Engine: &greengageroute.Engine{}})
+			planner.recordResult(open, response)
+			time.Sleep(orderRetryInterval)
+		}
+		directory.Replace([]greengageroute.Target{head}, time.Time{})
+		if _, pending := planner.poolView("llm", nil, directory.View()).PendingOpens[head.ID]; !pending {
+			t.Error("the order to open is no longer pending")
+		}
+	})
+}
+
 // TestLoadStartsStayWithinTheStoresRate guards against overloading the weights'
 // store when many targets without weights join at once, as after the loss of whole
 // fabric domains.
