Tests: time from the end of a silence to the first answer

TestSuspicionEndsWithResponse: the probes end silences of 0.3, 1 and 20 s within two intervals of theirs.

--- a/control/awaitresponse_test.go
+++ b/control/awaitresponse_test.go
@@ -176,3 +176,33 @@
 		fixture.end()
 	})
 }
+
+// TestSuspicionEndsWithResponse guards against a replica without requests for seconds after a
+// short silence: the entry that noticed it didn't ask again.
+func TestSuspicionEndsWithResponse(t *testing.T) {
+	for _, silence := range []time.Duration{300 * time.Millisecond, time.Second, 20 * time.Second} {
+		t.Run(silence.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fixture := newResponseFixture()
+				fixture.fallSilent()
+				if fixture.isOpen() {
+					t.Fatal("the silent replica gets requests")
+				}
+				time.Sleep(silence)
+				fixture.reporter.silent.Store(false)
+				within := 2 * responseInterval
+				if silence > fastResponseTime {
+					within = slowResponseInterval + 2*probeTimeout
+				}
+				time.Sleep(within)
+				if !fixture.isOpen() {
+					t.Errorf("the replica gets no requests %s after the silence", within)
+				}
+				if told := len(fixture.notifier.reportedResponding()); told != 2 {
+					t.Errorf("the other entries are told of %d targets that respond again, want 2", told)
+				}
+				fixture.end()
+			})
+		})
+	}
+}
