Streams: a second attempt's error doesn't replace a silent target's stream

Callers got a second target's 404 or 400 although the first target, which was only silent, would have sent the stream; with two failures they got 502 instead of the target's error.

An error answer that comes while another attempt runs is kept, and delivered if nothing else comes. TestErrorsOfHedges failed before in 3 of its 5 cases: 404 for 200, 502 for 500, the second's 404 for the first's 400.

--- a/edge/hedgedstream.go
+++ b/edge/hedgedstream.go
@@ -29,6 +29,8 @@
 	errNoReplica = errors.New("no replica takes another attempt")
 	// errUnconfirmed is returned while it is checked whether a replica serves.
 	errUnconfirmed = errors.New("the replica hasn't responded yet")
+	// errTargetFailed is returned for an error answer that isn't delivered.
+	errTargetFailed = errors.New("the target returned an error")
 	// errRepeatedEvent ends an attempt that doesn't go on after the last event.
 	errRepeatedEvent = errors.New("the target repeated an event")
 )
@@ -55,7 +57,8 @@
 		searchedAt   time.Time
 		waitingSince time.Time // nothing runs and the stream has begun; zero otherwise
 		lastEvent    time.Time
-		reason       string // why the last attempt failed
+		failure      *streamMessage // an error answer, while another attempt ran
+		reason       string         // why the last attempt failed
 		retryAfter   time.Duration
 	}
 
@@ -95,7 +98,9 @@
 	defer stream.silenceTimer.stop()
 	defer stream.stop()
 	for {
-		if err := stream.startNext(ctx); err != nil {
+		if err := stream.startNext(ctx); errors.Is(err, errNoReplica) || errors.Is(err, errAttemptsUsed) {
+			return stream.end(ctx, stream.fail())
+		} else if err != nil {
 			return stream.end(ctx, err)
 		}
 		select {
@@ -173,7 +178,7 @@
 	case hedges && !exchange.route.Resumable:
 		return nil
 	case exchange.mayHaveRun && !exchange.route.Resumable:
-		return exchange.noAnswerError(http.StatusBadGateway, stream.reason, stream.retryAfter)
+		return errAttemptsUsed
 	}
 	if (hedges || !stream.waitingSince.IsZero()) && !stream.searchDue() {
 		return nil
@@ -192,13 +197,21 @@
 		stream.recordWait(err)
 		stream.pause()
 		return nil
-	case errors.Is(err, errNoReplica), errors.Is(err, errAttemptsUsed):
-		return exchange.noAnswerError(http.StatusBadGateway, stream.reason, stream.retryAfter)
 	default:
 		return err
 	}
 }
 
+// fail ends a stream that no further attempt is made for. An error answer that came while
+// another attempt ran is delivered.
+func (stream *hedgedStream) fail() error {
+	exchange := stream.exchange
+	if stream.failure != nil && !exchange.headerSent {
+		return exchange.deliver(stream.failure.attempt.answer, stream.failure.rest)
+	}
+	return exchange.noAnswerError(http.StatusBadGateway, stream.reason, stream.retryAfter)
+}
+
 // searchDue reports whether a replica should be looked for again after a search without
 // success.
 func (stream *hedgedStream) searchDue() bool {
@@ -462,15 +475,20 @@
 }
 
 // forwardFailure delivers a target's error answer, unless the request may be retried at
-// another target or another attempt runs.
+// another target. While another attempt runs, the answer is kept.
 func (stream *hedgedStream) forwardFailure(ctx context.Context, message streamMessage) (complete bool, err error) {
 	attempt, exchange := message.attempt, stream.exchange
-	retryable := exchange.route.Resumable && (exchange.attemptsSent < exchange.route.Attempts || len(stream.active()) > 0)
+	retryable := exchange.route.Resumable && exchange.attemptsSent+exchange.attemptsPending < exchange.route.Attempts
 	switch {
 	case exchange.headerSent && attempt.fromEntry:
 		return false, errors.New("the other entry could not resume the stream")
 	case exchange.headerSent, !attempt.fromEntry && attempt.answer.Status >= http.StatusInternalServerError && retryable:
-		return false, errors.New("the target returned an error")
+		return false, errTargetFailed
+	case len(stream.active()) > 0:
+		if !attempt.answer.EndsWithConnection {
+			stream.failure = &message
+		}
+		return false, errTargetFailed
 	}
 	if err := stream.confirmEnd(ctx, attempt); err != nil {
 		return false, err
--- a/edge/hedgedstream_test.go
+++ b/edge/hedgedstream_test.go
@@ -560,3 +560,34 @@
 		}
 	})
 }
+
+// TestErrorsOfHedges guards against an error answer of a second attempt that replaces a stream
+// whose target is only silent, and one that is lost although nothing else comes.
+func TestErrorsOfHedges(t *testing.T) {
+	tests := []struct {
+		name   string
+		first  step
+		second step
+		status int
+		body   string
+	}{
+		{"not found, and the first goes on", after(2*time.Second, answers(200, events(1, 5))), answers(404, "not here"), 200, events(1, 5)},
+		{"failed, and the first goes on", after(2*time.Second, answers(200, events(1, 5))), answers(500, "failed"), 200, events(1, 5)},
+		{"not found, and the first resets", after(2*time.Second, resets), answers(404, "not here"), 404, "not here"},
+		{"failed, and the first resets", after(2*time.Second, resets), answers(500, "failed"), 500, "failed"},
+		{"both fail", after(2*time.Second, answers(400, "first")), answers(404, "second"), 400, "first"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fixture := newServingFixture(script{test.first, test.second})
+				suspect(fixture)
+				recorder, aborted := fixture.serve(newRequest("POST", "/chat/x"))
+				if aborted || recorder.Code != test.status || recorder.Body.String() != test.body || len(fixture.attempts) != 2 {
+					t.Errorf("got %d %q after %d attempts, aborted: %t; want %d %q after 2", recorder.Code, recorder.Body, len(fixture.attempts), aborted, test.status, test.body)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
