Planner: an absent head leaves its replica instead of closing

An absent head is told to leave: from then on no order of before can open it. Both orders end its running requests at once. A member told to leave for the bound is now the same one in each round.

--- a/control/headstate.go
+++ b/control/headstate.go
@@ -42,6 +42,9 @@
 		if err == nil || errors.As(err, &refused) && refused.TellsState() {
 			planner.recordLeft(order.Target, order.Key())
 		}
+		if _, listed := planner.Directory.View().Target(order.Target.ID); !listed {
+			planner.recordCloseResult(order, err)
+		}
 	}
 }
 
@@ -167,9 +170,9 @@
 	}
 }
 
-// recordCloseResult records the result of an order to close. An unlisted head is closed, under
-// the epoch of the order alone, once it has carried out an immediate close or has refused the
-// order by its state, which it does if it doesn't serve. It is suspected once it has left
+// recordCloseResult records the result of an order to close, or to an absent head to leave. An
+// unlisted head is closed, under the epoch of the order alone, once it has left or carried out an
+// immediate close, or has refused the order by its state, which it does if it doesn't serve. It is suspected once it has left
 // orders unanswered while no entry has received data from it either.
 func (planner *Planner) recordCloseResult(order greengageroute.TargetOrder, err error) {
 	var refused *greengageroute.OrderRefusedError
@@ -181,7 +184,7 @@
 	head.id = order.Target.ID
 	switch {
 	case errors.As(err, &heldBack): // not sent
-	case err == nil && order.Immediate, errors.As(err, &refused) && refused.TellsState():
+	case err == nil && (order.Immediate || order.Kind == greengageroute.OrderLeave), errors.As(err, &refused) && refused.TellsState():
 		head.unansweredOrders, head.closedAt = 0, planner.Clock.Now()
 	case err == nil, errors.As(err, &refused):
 		// The head may serve, and is neither lost nor silent.
--- a/control/planner.go
+++ b/control/planner.go
@@ -396,7 +396,7 @@
 		planner.mu.Unlock()
 		return
 	}
-	if order.Kind == greengageroute.OrderClose {
+	if key != order.Target.ID {
 		delete(planner.sent, order.Target.ID)
 		maps.DeleteFunc(planner.sent, func(_ string, last sentOrder) bool { return now.Sub(last.at) > sentTTL })
 	}
@@ -418,10 +418,10 @@
 	planner.sending.Go(func() { planner.deliver(context.WithoutCancel(ctx), order, timeout) })
 }
 
-// sentKey returns what an order is the last one of: a target has one of each replica whose
-// head it may be to close, and one other order.
+// sentKey returns what an order is the last one of: a target has one to close or leave for each
+// replica that it may belong to, and one other order.
 func sentKey(order greengageroute.TargetOrder) string {
-	if order.Kind == greengageroute.OrderClose {
+	if order.Kind == greengageroute.OrderClose || order.Kind == greengageroute.OrderLeave {
 		return fmt.Sprint(order.Target.ID, " ", order.Replica, " ", order.Epoch)
 	}
 	return order.Target.ID
--- a/formationorders.go
+++ b/formationorders.go
@@ -77,8 +77,11 @@
 	}
 	closed[key] = true
 	var orders []TargetOrder
-	if constraint.mustClose {
+	if _, listed := view.Targets[constraint.head.ID]; constraint.mustClose && listed {
 		orders = append(orders, closeOrder(constraint.head, constraint.member, !view.complete(constraint.head)))
+	} else if constraint.mustClose {
+		// A head that only closed might be opened by an order of before, unseen.
+		orders = append(orders, TargetOrder{Kind: OrderLeave, Target: constraint.head, Replica: key.Name, Epoch: key.Epoch})
 	}
 	if constraint.mustRelease {
 		orders = append(orders, formation.releaseOrder(target, constraint.member))
--- a/formationrelease.go
+++ b/formationrelease.go
@@ -153,12 +153,17 @@
 
 // freeAbandoned returns orders that free the targets without an assignment from absent heads.
 func (formation *Formation) freeAbandoned(view PoolView, closed map[ReplicaKey]bool) []TargetOrder {
-	var orders []TargetOrder
+	var held []Target
 	for id, target := range view.Targets {
 		if !formation.assigned.Has(id) && target.State == TargetReady && !target.Unlisted && formation.isHeld(target, view) {
-			constraint := formation.constraintOf(target, "", view)
-			orders = append(orders, formation.freeingOrders(target, constraint, view, closed)...)
+			held = append(held, target)
 		}
 	}
+	// The same member of a replica is told to leave in each round.
+	slices.SortFunc(held, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	var orders []TargetOrder
+	for _, target := range held {
+		orders = append(orders, formation.freeingOrders(target, formation.constraintOf(target, "", view), view, closed)...)
+	}
 	return orders
 }
--- a/formationrelease_test.go
+++ b/formationrelease_test.go
@@ -108,6 +108,7 @@
 		at, member := pool.orderedAt[i], order.Target.Membership
 		_, known := left[member.Replica]
 		switch {
+		case order.Kind == OrderLeave && order.Target.ID == heads[order.Replica]:
 		case order.Kind == OrderLeave && !known:
 			left[order.Replica] = at
 			if at.Sub(started) < silenceTolerance {
