--- a/integration/recovery_test.go
+++ b/integration/recovery_test.go
@@ -125,10 +125,10 @@
 	}
 	time.Sleep(time.Second)
 	head := serving()[0]
-	name, _, _ := head.Place()
+	name, epoch, _ := head.Place()
 	member := deployment.modelTargets[slices.IndexFunc(deployment.modelTargets, func(other *standin.Target) bool {
-		group, _, _ := other.Place()
-		return other != head && group == name
+		group, otherEpoch, _ := other.Place()
+		return other != head && group == name && otherEpoch == epoch
 	})]
 	crashedAt := time.Now()
 	crash(head, member)
