Planner: a new planner knows the members that are silent as it begins

Cause: a planner adopts the replicas that listed targets report. The place of an absent member stayed empty, and an empty place isn't a member that may return, so that the replica was repaired at once.

Now absent targets whose last row names the same replica and epoch take the empty places. TestNewPlannerWaitsForSilentMembers failed before (the head was closed).

--- a/formation.go
+++ b/formation.go
@@ -153,6 +153,7 @@
 		}
 		newest[member.Replica] = assignment
 	}
+	formation.nameAbsentMembers(view, newest)
 	for _, assignment := range newest {
 		formation.assign(assignment)
 	}
@@ -160,6 +161,25 @@
 	return formation
 }
 
+// nameAbsentMembers adds the absent members of the replicas that the listed targets report.
+// They may be silent and go on.
+func (formation *Formation) nameAbsentMembers(view PoolView, replicas map[string]Assignment) {
+	for id, target := range view.Absent {
+		member := target.Membership
+		assignment, found := replicas[member.Replica]
+		_, listed := view.Targets[id]
+		if !found || listed || assignment.Epoch != member.Epoch || member.Rank < 0 || member.Rank >= len(assignment.Members) || assignment.Members[member.Rank] != "" {
+			continue
+		}
+		assignment.Members[member.Rank] = id
+		if member.Rank == 0 {
+			formation.heads[member.key()] = id
+			assignment.Opened = member.State == MemberOpen
+		}
+		replicas[member.Replica] = assignment
+	}
+}
+
 // assign adds an assignment.
 func (formation *Formation) assign(assignment Assignment) {
 	formation.Assignments = append(formation.Assignments, assignment)
--- a/formationrelease_test.go
+++ b/formationrelease_test.go
@@ -227,3 +227,28 @@
 		t.Error("the member has to stay although its former head must be broken")
 	}
 }
+
+// TestNewPlannerWaitsForSilentMembers guards against streams that are cut because a planner that
+// takes over while a member is silent doesn't know the member, and repairs its replica at once.
+func TestNewPlannerWaitsForSilentMembers(t *testing.T) {
+	for rank, name := range []string{"the head", "another member"} {
+		t.Run(name, func(t *testing.T) {
+			pool, formation := newFormedPool(t, 6, 11)
+			pool.run(formation, 3*time.Second, true)
+			assignment := formation.Assignments[0]
+			silent := pool.targets[assignment.Members[rank]]
+			silent.unlisted, silent.absentSince = true, pool.now
+			view := pool.view(true)
+			view.Busy = NewSet(assignment.Members[0])
+			successor := NewFormation(view, 1_000_000)
+			successor.RestoreHeads(formation.Heads(view))
+			if changed, orders := successor.Update(view), successor.Orders(view); len(changed) > 0 || len(orders) > 0 {
+				t.Errorf("while requests wait %v were changed and the orders are %v, want none", changed, orders)
+			}
+			silent.unlisted = false
+			if changed := successor.Update(pool.view(true)); len(changed) > 0 {
+				t.Errorf("once the member has gone on %v were changed, want none", changed)
+			}
+		})
+	}
+}
