Planner: an open replica that returns as a whole is adopted

Now an open head whose members are all listed and free is assigned, unless this planner has had its replica assigned before, and so has dissolved it. TestNewPlannerAdoptsReplicasThatReturn failed before (an order to close the head).

--- a/formation.go
+++ b/formation.go
@@ -121,6 +121,7 @@
 		preloads    map[string]preload    // by target id
 		heads       map[ReplicaKey]string // heads of all replicas that targets may still be members of
 		assigned    Set[string]           // members of the assignments
+		names       Set[string]           // of all replicas that were ever assigned here
 		releases    map[string][]release  // by target id
 	}
 )
@@ -128,7 +129,7 @@
 // NewFormation returns a formation whose epochs start above the given one. It
 // adopts the replicas that the targets report.
 func NewFormation(view PoolView, epoch uint64) *Formation {
-	formation := &Formation{lastEpoch: epoch, lastName: epoch, preloads: map[string]preload{}, heads: map[ReplicaKey]string{}, assigned: Set[string]{}, releases: map[string][]release{}}
+	formation := &Formation{lastEpoch: epoch, lastName: epoch, preloads: map[string]preload{}, heads: map[ReplicaKey]string{}, assigned: Set[string]{}, names: Set[string]{}, releases: map[string][]release{}}
 	newest := map[string]Assignment{}
 	for _, target := range view.Targets {
 		member := target.Membership
@@ -180,9 +181,43 @@
 	}
 }
 
+// adoptReturned assigns open replicas that this formation doesn't know, whose members are all
+// listed: they were silent as it began. Those that it has dissolved are left to be closed.
+func (formation *Formation) adoptReturned(view PoolView) {
+	for id, head := range view.Targets {
+		member := head.Membership
+		if member.Rank != 0 || member.State != MemberOpen || member.isPreload() || formation.assigned.Has(id) || formation.names.Has(member.Replica) {
+			continue
+		}
+		if assignment, whole := formation.wholeReplica(view, head); whole {
+			formation.assign(assignment)
+			formation.recordHead(assignment)
+		}
+	}
+}
+
+// wholeReplica returns the assignment for a head's replica. It reports false if a member isn't
+// listed, hasn't formed or is assigned.
+func (formation *Formation) wholeReplica(view PoolView, head Target) (Assignment, bool) {
+	member := head.Membership
+	model, known := view.Engine.Model(member.Model)
+	assignment := Assignment{
+		Name: member.Replica, Epoch: member.Epoch, Model: member.Model, Domain: head.Domain,
+		Members: make([]string, model.Size), Opened: true,
+	}
+	for id, target := range view.Targets {
+		rank := target.Membership.Rank
+		if target.Membership.key() == member.key() && target.Membership.Formed() && !formation.assigned.Has(id) && rank >= 0 && rank < model.Size {
+			assignment.Members[rank] = id
+		}
+	}
+	return assignment, known && !slices.Contains(assignment.Members, "")
+}
+
 // assign adds an assignment.
 func (formation *Formation) assign(assignment Assignment) {
 	formation.Assignments = append(formation.Assignments, assignment)
+	formation.names.Add(assignment.Name)
 	for _, id := range assignment.Members {
 		formation.assigned.Add(id)
 	}
@@ -270,6 +305,7 @@
 // few. It returns the assignments that changed.
 func (formation *Formation) Update(view PoolView) []Assignment {
 	view = view.Indexed()
+	formation.adoptReturned(view)
 	formation.recordOpened(view)
 	changed := formation.repair(view)
 	changed = append(changed, formation.grow(view)...)
--- a/formationrelease_test.go
+++ b/formationrelease_test.go
@@ -252,3 +252,28 @@
 		})
 	}
 }
+
+// TestNewPlannerAdoptsReplicasThatReturn guards against open replicas that are closed at once
+// because all their members were silent as a planner took over.
+func TestNewPlannerAdoptsReplicasThatReturn(t *testing.T) {
+	pool, formation := newFormedPool(t, 6, 11)
+	pool.run(formation, 3*time.Second, true)
+	assignment := formation.Assignments[0]
+	for _, id := range assignment.Members {
+		pool.targets[id].unlisted, pool.targets[id].absentSince = true, pool.now
+	}
+	view := pool.view(true)
+	successor := NewFormation(view, 1_000_000)
+	successor.RestoreHeads(formation.Heads(view))
+	successor.Update(view)
+	for _, id := range assignment.Members {
+		pool.targets[id].unlisted = false
+	}
+	view = pool.view(true)
+	successor.Update(view)
+	for _, order := range successor.Orders(view) {
+		if slices.Contains(assignment.Members, order.Target.ID) {
+			t.Errorf("the order %v goes to a member of a whole replica, want none", order)
+		}
+	}
+}
