Retries: what reaches no target isn't charged, and isn't tried again all the time

One silent stream of 7 s beside unreachable heads dialled them 46 times and charged 46 retries to the budget that all streams share, so that others could find none left; an isolated entry asked other entries as often, whatever Retry-After they sent.

A retry that was not sent is returned to the budget, and counts as a repeat only once it was sent. A stream tries a replica again that couldn't be reached after 0.25 s, then after twice that each time, up to 2 s, and other entries likewise, but not sooner than they ask for.

TestHedgesThatReachNobody failed before with 46 connections in each of its three cases; now there are 14 at most, and the budget is unused.

--- a/balance_test.go
+++ b/balance_test.go
@@ -185,6 +185,30 @@
 	}
 }
 
+// TestReturnedRetriesAreAllowedAgain guards against a retry budget that is used up by retries
+// that reached no target, and against one that grows by them.
+func TestReturnedRetriesAreAllowedAgain(t *testing.T) {
+	budget, now := NewRetryBudget(Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 10}), time.Unix(1000, 0)
+	use := func() (allowed int) {
+		for budget.AllowRetry(now, 1) {
+			allowed++
+		}
+		return allowed
+	}
+	all := use()
+	budget.ReturnRetry(now)
+	now = now.Add(time.Second)
+	budget.ReturnRetry(now) // of an earlier part of the window
+	if again := use(); again != 2 || all == 0 {
+		t.Errorf("%d retries, then %d more were allowed, want 2 more", all, again)
+	}
+	now = now.Add(20 * time.Second)
+	budget.ReturnRetry(now)
+	if later := use(); later != all {
+		t.Errorf("%d retries were allowed after the window, want %d", later, all)
+	}
+}
+
 // With many entries and few replicas, an entry sends so few requests to each
 // replica that its connections time out, unless it prefers replicas that it has
 // an idle connection to.
--- a/edge/callattempt.go
+++ b/edge/callattempt.go
@@ -21,6 +21,7 @@
 		sentAt    time.Time
 		fromEntry bool // another entry forwards the call
 		cancelled bool // by this entry; its answer doesn't count
+		charged   bool // to the retry budget
 		hedged    bool // another attempt was started since it was silent
 	}
 
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -415,13 +415,19 @@
 		exchange.service.Counters.Add(CountRetriesOverBudget, 1)
 		return false
 	}
-	exchange.service.Counters.Add(CountRetries, 1)
 	return true
 }
 
+// returnAttempt takes back what allowAttempt charged for an attempt that reached no target.
+func (exchange *exchange) returnAttempt() {
+	exchange.retryBudget().ReturnRetry(time.Now())
+}
+
 func (exchange *exchange) recordSent(target greengageroute.Target) {
 	if exchange.attemptsSent == 0 {
 		exchange.retryBudget().RecordRequest(time.Now())
+	} else {
+		exchange.service.Counters.Add(CountRetries, 1)
 	}
 	exchange.attemptsSent++
 	exchange.triedTargets += target.ID + " "
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -65,18 +65,27 @@
 	return true
 }
 
-// nextHelper returns the address of the next entry to forward the request to, if there is one.
-func (exchange *exchange) nextHelper(tried int) (address string, found bool) {
-	service := exchange.service
-	helpers := service.Peers.Helpers()
+// helper returns the address of an entry to forward the request to, if there is one after so
+// many.
+func (exchange *exchange) helper(tried int) (address string, found bool) {
+	helpers := exchange.service.Peers.Helpers()
 	if tried >= min(len(helpers), maxHelpersTried) {
 		return "", false
 	}
-	service.Counters.Add(CountForwarded, 1)
-	service.Log.V(1).Info("request forwarded", "id", exchange.ID, "entry", helpers[tried], "sent", exchange.attemptsSent, "after-event", exchange.LastEventID)
 	return helpers[tried], true
 }
 
+// nextHelper returns the address of the next entry to forward the request to, if there is one.
+func (exchange *exchange) nextHelper(tried int) (address string, found bool) {
+	address, found = exchange.helper(tried)
+	if found {
+		service := exchange.service
+		service.Counters.Add(CountForwarded, 1)
+		service.Log.V(1).Info("request forwarded", "id", exchange.ID, "entry", address, "sent", exchange.attemptsSent, "after-event", exchange.LastEventID)
+	}
+	return address, found
+}
+
 // newForwardedAttempt returns an attempt through another entry.
 func (exchange *exchange) newForwardedAttempt(helper greengageroute.Target) greengageroute.Attempt {
 	attempt := exchange.newAttempt(helper)
--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -135,7 +135,9 @@
 		return errNoTarget
 	}
 	call.tried.Add(target.ID)
-	call.start(ctx, newCallAttempt(call, target))
+	attempt := newCallAttempt(call, target)
+	attempt.charged = exchange.attemptsSent+exchange.attemptsPending > 0
+	call.start(ctx, attempt)
 	return nil
 }
 
@@ -174,6 +176,9 @@
 	result.recordLatency()
 	var notSent *upstream.NotSentError
 	if errors.As(result.err, &notSent) {
+		if attempt.charged {
+			exchange.returnAttempt()
+		}
 		return
 	}
 	if !attempt.fromEntry {
--- a/edge/hedgedstream.go
+++ b/edge/hedgedstream.go
@@ -47,12 +47,14 @@
 		silence      chan struct{}
 		silenceTimer recheckTimer
 		tried        greengageroute.Set[string] // keys of the sources that may have run the request
-		unreachable  greengageroute.Set[string] // keys of those that it couldn't be sent to lately
+		unreachable  map[string]sourceBackoff   // by key of those that it couldn't be sent to
 		confirmed    string                     // key of the replica that a hedge may be sent to
 		checking     bool
 		checked      chan checkedReplica
 		starts       int // attempts since the last pause
 		helpersTried int
+		helpers      sourceBackoff // after all of them were tried
+		helpersAsked time.Duration // the longest time that they asked for
 		searchedView *control.View
 		searchedAt   time.Time
 		waitingSince time.Time // nothing runs and the stream has begun; zero otherwise
@@ -82,7 +84,7 @@
 func newHedgedStream(exchange *exchange) *hedgedStream {
 	return &hedgedStream{
 		exchange: exchange, messages: make(chan streamMessage), silence: make(chan struct{}, 1), checked: make(chan checkedReplica, 1),
-		tried: greengageroute.Set[string]{}, unreachable: greengageroute.Set[string]{},
+		tried: greengageroute.Set[string]{}, unreachable: map[string]sourceBackoff{},
 		reason: "no replica of the model is available", retryAfter: noReplicaRetryAfter, lastEvent: time.Now(),
 	}
 }
@@ -219,14 +221,19 @@
 	return view != stream.searchedView || time.Since(stream.searchedAt) >= replicaSearchInterval
 }
 
-// pause lets targets that were unreachable be tried again at the next search.
+// pause lets targets that were unreachable be tried again once their backoffs have ended.
 func (stream *hedgedStream) pause() {
-	stream.searchedView, stream.searchedAt = stream.exchange.service.Directory.View(), time.Now()
-	for key := range stream.unreachable {
-		delete(stream.tried, key)
+	now := time.Now()
+	stream.searchedView, stream.searchedAt = stream.exchange.service.Directory.View(), now
+	for key, backoff := range stream.unreachable {
+		if !backoff.Holds(now) {
+			delete(stream.tried, key)
+		}
+	}
+	if !stream.helpers.Holds(now) {
+		stream.helpersTried = 0
 	}
-	clear(stream.unreachable)
-	stream.starts, stream.helpersTried = 0, 0
+	stream.starts = 0
 	stream.silenceTimer.reset(silenceRecheck)
 }
 
@@ -296,7 +303,9 @@
 		return errNoReplica
 	}
 	stream.tried.Add(source.key())
-	stream.start(ctx, newStreamAttempt(stream, source))
+	attempt := newStreamAttempt(stream, source)
+	attempt.charged = exchange.attemptsSent+exchange.attemptsPending > 0
+	stream.start(ctx, attempt)
 	return nil
 }
 
@@ -323,7 +332,8 @@
 		return
 	}
 	stream.tried.Add(checked.key)
-	stream.unreachable.Add(checked.key)
+	// A check costs little, since all streams share it.
+	stream.unreachable[checked.key] = sourceBackoff{}.WithFailure(time.Now(), 0)
 }
 
 // startAtEntry starts an attempt that another entry forwards.
@@ -334,6 +344,9 @@
 		return errNoReplica
 	}
 	stream.helpersTried++
+	if _, more := stream.exchange.helper(stream.helpersTried); !more {
+		stream.helpers, stream.helpersAsked = stream.helpers.WithFailure(time.Now(), stream.helpersAsked), 0
+	}
 	stream.start(ctx, newForwardedStreamAttempt(stream, address))
 	return nil
 }
@@ -393,7 +406,13 @@
 	exchange.attemptsPending--
 	var notSent *upstream.NotSentError
 	if errors.As(message.err, &notSent) {
-		stream.unreachable.Add(attempt.source.key())
+		if attempt.charged {
+			exchange.returnAttempt()
+		}
+		if !attempt.fromEntry {
+			key := attempt.source.key()
+			stream.unreachable[key] = stream.unreachable[key].WithFailure(time.Now(), 0)
+		}
 		return
 	}
 	if attempt.fromEntry {
@@ -430,12 +449,24 @@
 	}
 	stream.recordFailure(ctx, attempt, cause)
 	var refusal *Refusal
+	if errors.As(cause, &refusal) {
+		stream.recordHelperRefusal(refusal.RetryAfter)
+	}
 	if len(stream.active()) == 0 && !exchange.headerSent && errors.As(cause, &refusal) {
 		return false, exchange.noAnswerError(http.StatusBadGateway, refusal.Reason, refusal.RetryAfter)
 	}
 	return false, nil
 }
 
+// recordHelperRefusal keeps the other entries from being asked again sooner than one of them
+// asked for.
+func (stream *hedgedStream) recordHelperRefusal(retryAfter time.Duration) {
+	stream.helpersAsked = max(stream.helpersAsked, retryAfter)
+	if until := time.Now().Add(retryAfter); until.After(stream.helpers.until) {
+		stream.helpers.until = until
+	}
+}
+
 // recordFailure records why an attempt failed, and has its target checked.
 func (stream *hedgedStream) recordFailure(ctx context.Context, attempt *streamAttempt, cause error) {
 	exchange := stream.exchange
--- a/edge/hedgedstream_test.go
+++ b/edge/hedgedstream_test.go
@@ -591,3 +591,51 @@
 		})
 	}
 }
+
+// TestHedgesThatReachNobody guards against a silent stream that uses up the retry budget of
+// all without sending anything, or dials unreachable heads and asks other entries all the
+// time.
+func TestHedgesThatReachNobody(t *testing.T) {
+	tests := []struct {
+		name     string
+		step     step
+		isolated bool
+	}{
+		{"the other heads can't be reached", unreachable, false},
+		{"no other entry can be reached", unreachable, true},
+		{"the other entries refuse", refusedBy(http.StatusServiceUnavailable), true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reactions := script{silentFor(7 * time.Second)}
+				for range 100 {
+					reactions = append(reactions, test.step)
+				}
+				fixture := newServingFixture(reactions)
+				if test.isolated {
+					now := time.Now()
+					fixture.service.Prober = &isolatedLater{fixture, now.Add(300 * time.Millisecond), now.Add(time.Hour)}
+					fixture.service.Peers = &helpedFixture{fixture}
+				} else {
+					suspect(fixture)
+				}
+				recorder, aborted := fixture.serve(newRequest("POST", "/chat/x"))
+				if aborted || recorder.Body.String() != events(1, 5) {
+					t.Errorf("got body %q, aborted: %t; want events 1 to 5", recorder.Body, aborted)
+				}
+				// Two others, after 0.25, 0.5, 1 and 2 s and each 2 s then.
+				if sent := len(fixture.attempts) - 1; sent < 2 || sent > 14 {
+					t.Errorf("%d connections were tried, want 2 to 14", sent)
+				}
+				if retries := fixture.count(CountRetries); retries != "" {
+					t.Errorf("%s retries count, want none", retries)
+				}
+				if budget := (&exchange{service: fixture.service, pool: testRoutes.Pools["llm"]}).retryBudget(); !budget.AllowRetry(time.Now(), 200) {
+					t.Error("the retry budget is used up")
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/edge/streamattempt.go
+++ b/edge/streamattempt.go
@@ -34,6 +34,7 @@
 		inPrefill         atomic.Bool
 		fromEntry         bool   // another entry forwards the stream
 		resumes           bool   // the stream had begun before
+		charged           bool   // to the retry budget
 		recorded          bool   // whether it reached its target
 		cancelled         bool   // by this entry; nothing that it receives counts
 		suspicion         string // evidence that its replica may have lost a member; empty without
--- a/retrybudget.go
+++ b/retrybudget.go
@@ -60,6 +60,19 @@
 	return true
 }
 
+// ReturnRetry takes back a retry that reached no target.
+func (budget *RetryBudget) ReturnRetry(now time.Time) {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	newest := budget.advance(now)
+	for age := range windowBuckets {
+		if index := (newest - age + windowBuckets) % windowBuckets; budget.retries[index] > 0 {
+			budget.retries[index]--
+			return
+		}
+	}
+}
+
 // advance moves the window to the present, clears the buckets that are reused, and
 // returns the index of the newest bucket.
 func (budget *RetryBudget) advance(now time.Time) int {
