Planner: a ready head leaves its replica before it joins another

A planner opened a head and ended; the next one's list still showed the head as ready, and it gave the head to another replica at once, while it served.

A head that the list shows as ready is told to leave, and is given to another replica once it has said so. Under its own replica's name it joins again as before.

The walk (control/groupmodel_test.go) runs the planner's own code with lost, late and unheard orders, silences, lost rows, time and a change of the planner, to a depth of 4 or 5 events. Its second test takes each guard away from outside and finds a sequence that breaks a rule. docs/design/groups.md says what it leaves out.

--- /dev/null
+++ b/control/groupmodel_test.go
@@ -0,0 +1,566 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/mesh"
+)
+
+// What becomes of the orders of a planning round.
+const (
+	fateAnswered fate = iota // carried out and answered
+	fateUnheard              // carried out, and the response is lost
+	fateLost
+	fateLate // not answered, and carried out by a later event
+)
+
+const (
+	modelStall   = 6 * time.Second
+	modelAdvance = 4 * time.Second // more than a silence, less than the time in which a head breaks
+	modelRound   = time.Second     // between two rounds
+)
+
+type (
+	fate int
+
+	// modelClock is a clock that the model sets.
+	modelClock struct{ now time.Time }
+
+	// modelTarget is the true state of a target.
+	modelTarget struct {
+		greengageroute.Target
+		members   []string // of its replica
+		former    []modelReplica
+		silent    bool
+		unlisted  bool
+		stalledAt time.Time // of a head that serves and lacks a member
+		seenEpoch uint64
+	}
+
+	// modelReplica is a replica that a target was a member of.
+	modelReplica struct {
+		key     greengageroute.ReplicaKey
+		members []string
+	}
+
+	// modelWorld is a planner, its view, and targets with their true states.
+	modelWorld struct {
+		clock      *modelClock
+		directory  *Directory
+		planner    *Planner
+		formation  *greengageroute.Formation
+		engine     *greengageroute.Engine
+		targets    map[string]*modelTarget
+		everReady  map[string]bool // by target and replica
+		late       []greengageroute.TargetOrder
+		store      *fakeStore
+		revision   uint64
+		fence      uint64
+		fate       fate
+		used       map[string]int // how often each limited event has happened
+		violations []string
+		guard      modelGuard
+		heads      []greengageroute.ReplicaHead // known from before
+		afterRows  func()                       // changes targets after the rows were written
+	}
+
+	// modelGuard switches off one of the planner's guards, as a test does it from outside.
+	modelGuard struct {
+		name       string
+		events     []string                // the only ones, by prefix; nil: all
+		stall      time.Duration           // that the planner believes in; 0: the true one
+		afterRound func(world *modelWorld) // changes what the planner has recorded
+		beforePlan func(world *modelWorld, view *greengageroute.PoolView)
+	}
+
+	// modelEvent is something that may happen next.
+	modelEvent struct {
+		name string
+		run  func(world *modelWorld)
+	}
+)
+
+func (clock *modelClock) Now() time.Time { return clock.now }
+
+func newModelWorld(guard modelGuard, build func(world *modelWorld)) *modelWorld {
+	world := &modelWorld{
+		clock: &modelClock{now: time.Unix(1000, 0)}, targets: map[string]*modelTarget{}, everReady: map[string]bool{}, used: map[string]int{}, guard: guard,
+		engine: &greengageroute.Engine{LoadsPerSecond: 10, ConcurrentLoads: 10, Models: []greengageroute.EngineModel{{Name: "m", Size: 2, Share: 1}, {Name: "n", Size: 9, Share: 0.01}}},
+		store:  newFakeStore(),
+	}
+	world.directory = NewDirectory(world.clock)
+	build(world)
+	for _, id := range slices.Sorted(maps.Keys(world.targets)) {
+		world.publish(id)
+	}
+	if world.afterRows != nil {
+		world.afterRows()
+	}
+	world.clock.now = world.clock.now.Add(time.Minute)
+	world.replacePlanner()
+	return world
+}
+
+// add adds a target that is a member of a replica, or of none.
+func (world *modelWorld) add(id, replica string, epoch uint64, rank int, state greengageroute.MemberState, members ...string) {
+	target := &modelTarget{Target: greengageroute.Target{ID: id, Pool: "llm", Domain: "d0", Address: id, State: greengageroute.TargetReady, StartUnixMilli: 1, Staged: []string{"n"}}}
+	if replica != "" {
+		target.Membership = greengageroute.Membership{Replica: replica, Epoch: epoch, Model: "m", Rank: rank, State: state}
+		target.members, target.seenEpoch = members, epoch
+		world.everReady[fmt.Sprint(id, replica, epoch)] = true
+	}
+	world.targets[id] = target
+}
+
+// replacePlanner has a new planner take over, which knows what is stored.
+func (world *modelWorld) replacePlanner() {
+	world.fence++
+	lease := NewLease(&fakeConn{fakeStore: world.store}, "entry", true, world.clock, logr.Discard())
+	lease.held = greengageroute.HeldLease{Fence: world.fence, RenewedAt: world.clock.now, Term: 1000 * time.Hour}
+	stall := modelStall
+	if world.guard.stall > 0 {
+		stall = world.guard.stall
+	}
+	world.planner = NewPlanner(PlannerOptions{
+		Lease: lease, OrderSender: world, Activity: fakeActivity{}, Directory: world.directory, HasTraffic: func() bool { return true },
+		Isolated: func() bool { return false }, StallTimeout: stall, Clock: world.clock, Counters: new(expvar.Map).Init(), Log: logr.Discard(),
+	})
+	view := world.planner.poolView("llm", world.engine, world.directory.View())
+	heads, err := world.planner.readHeads(context.Background(), "llm")
+	if err != nil {
+		panic(err)
+	}
+	world.formation = greengageroute.NewFormation(view, world.fence*epochsPerFence)
+	world.formation.RestoreHeads(append(heads, world.heads...))
+	world.planner.recordUnknownHeads(heads, view)
+}
+
+// plan runs a round of the planner, whose orders all meet the fate.
+func (world *modelWorld) plan(met fate) {
+	world.fate = met
+	view := world.planner.poolView("llm", world.engine, world.directory.View())
+	if world.guard.beforePlan != nil {
+		world.guard.beforePlan(world, &view)
+	}
+	world.formation.Update(view)
+	world.planner.storeHeads(context.Background(), view, world.formation)
+	world.awaitHeads()
+	orders := slices.Concat(world.formation.Orders(view), world.formation.PreloadOrders(view))
+	world.planner.storeHeads(context.Background(), view, world.formation)
+	world.awaitHeads()
+	slices.SortStableFunc(orders, func(a, b greengageroute.TargetOrder) int { return strings.Compare(a.String(), b.String()) })
+	for _, order := range orders {
+		if !world.planner.maySend(order, world.formation, "llm") {
+			continue
+		}
+		select {
+		case <-world.planner.wake:
+		default:
+		}
+		world.planner.send(context.Background(), order, view)
+		<-world.planner.wake // once the result is recorded
+	}
+	if world.guard.afterRound != nil {
+		world.guard.afterRound(world)
+	}
+	world.advance(modelRound)
+}
+
+func (world *modelWorld) awaitHeads() {
+	for {
+		world.planner.mu.Lock()
+		writing := world.planner.headsWriting
+		world.planner.mu.Unlock()
+		if !writing {
+			return
+		}
+		time.Sleep(time.Microsecond)
+	}
+}
+
+// Send implements OrderSender.
+func (world *modelWorld) Send(_ context.Context, order greengageroute.TargetOrder, _ time.Duration) error {
+	unanswered := errors.New("no response")
+	target := world.targets[order.Target.ID]
+	switch {
+	case target.silent || world.fate == fateLate:
+		world.late = append(world.late, order)
+		return unanswered
+	case world.fate == fateLost:
+		return unanswered
+	}
+	status := world.execute(order)
+	switch {
+	case world.fate == fateUnheard:
+		return unanswered
+	case status >= 400:
+		return &greengageroute.OrderRefusedError{Target: target.ID, Status: status}
+	default:
+		return nil
+	}
+}
+
+// execute carries out an order as a target does, and checks the rules on groups.
+func (world *modelWorld) execute(order greengageroute.TargetOrder) int {
+	target := world.targets[order.Target.ID]
+	member := target.Membership
+	belongs := member.BelongsTo(order.Replica, order.Epoch)
+	switch order.Kind {
+	case greengageroute.OrderJoin:
+		switch {
+		case order.Epoch < target.seenEpoch || belongs && !slices.Equal(target.members, order.Members):
+			return 412
+		case !belongs:
+			world.join(target, order)
+		}
+	case greengageroute.OrderOpen:
+		if !belongs || member.State != greengageroute.MemberReady {
+			return 409
+		}
+		for _, id := range target.members {
+			if !world.everReady[fmt.Sprint(id, order.Replica, order.Epoch)] {
+				world.violations = append(world.violations, fmt.Sprintf("PARTIAL: %s opens, and %s was never ready", target.ID, id))
+			}
+		}
+		target.Membership.State = greengageroute.MemberOpen
+	case greengageroute.OrderClose:
+		if !belongs || member.State != greengageroute.MemberOpen {
+			return 409
+		}
+		target.Membership.State = greengageroute.MemberReady
+	case greengageroute.OrderLeave:
+		if !belongs {
+			return 409
+		}
+		target.leave()
+		target.Membership, target.members = greengageroute.Membership{}, nil
+	}
+	world.checkHeads()
+	return 202
+}
+
+func (target *modelTarget) leave() {
+	if member := target.Membership; member.Replica != "" {
+		target.former = append(target.former, modelReplica{greengageroute.ReplicaKey{Name: member.Replica, Epoch: member.Epoch}, target.members})
+	}
+}
+
+// join has a target join a replica. The join ends at once.
+func (world *modelWorld) join(target *modelTarget, order greengageroute.TargetOrder) {
+	target.leave()
+	for _, former := range target.former {
+		head := world.targets[former.members[0]]
+		serves := head.Membership.BelongsTo(former.key.Name, former.key.Epoch) && head.Membership.State == greengageroute.MemberOpen
+		if former.key.Name != order.Replica && serves {
+			world.violations = append(world.violations, fmt.Sprintf("TWO: %s joins %s while %s serves %v", target.ID, order.Replica, head.ID, former.key))
+		}
+	}
+	target.Membership = greengageroute.Membership{
+		Replica: order.Replica, Epoch: order.Epoch, Model: order.Model, Rank: slices.Index(order.Members, target.ID), State: greengageroute.MemberReady,
+	}
+	target.members, target.seenEpoch = order.Members, order.Epoch
+	world.everReady[fmt.Sprint(target.ID, order.Replica, order.Epoch)] = true
+}
+
+// checkHeads records since when heads lack members, and breaks those that did so for too long.
+func (world *modelWorld) checkHeads() {
+	for _, head := range world.targets {
+		member := head.Membership
+		if member.Rank != 0 || member.State != greengageroute.MemberOpen {
+			head.stalledAt = time.Time{}
+			continue
+		}
+		whole := !slices.ContainsFunc(head.members, func(id string) bool {
+			return !world.targets[id].Membership.BelongsTo(member.Replica, member.Epoch)
+		})
+		switch {
+		case whole:
+			head.stalledAt = time.Time{}
+		case head.stalledAt.IsZero():
+			head.stalledAt = world.clock.now
+		case world.clock.now.Sub(head.stalledAt) >= modelStall:
+			head.Membership.State = greengageroute.MemberBroken
+		}
+	}
+}
+
+func (world *modelWorld) advance(length time.Duration) {
+	world.clock.now = world.clock.now.Add(length)
+	world.checkHeads()
+}
+
+// publish has the list show a target as it is.
+func (world *modelWorld) publish(id string) {
+	target := world.targets[id]
+	if target.silent || target.unlisted {
+		return
+	}
+	row := target.Target
+	world.revision++
+	row.Revision, row.Statement = greengageroute.StoreRevision{Version: world.revision}, world.revision
+	world.directory.Apply([]greengageroute.Target{row}, nil, time.Time{})
+}
+
+// events returns what may happen next.
+func (world *modelWorld) events() []modelEvent {
+	events := []modelEvent{
+		{"plan, answered", func(world *modelWorld) { world.plan(fateAnswered) }},
+		{"plan, unheard", func(world *modelWorld) { world.plan(fateUnheard) }},
+		{"plan, lost", func(world *modelWorld) { world.plan(fateLost) }},
+		{"plan, late", func(world *modelWorld) { world.plan(fateLate) }},
+		{"rows", func(world *modelWorld) {
+			for _, id := range slices.Sorted(maps.Keys(world.targets)) {
+				world.publish(id)
+			}
+		}},
+	}
+	limited := func(name string, limit int, run func(world *modelWorld)) {
+		if world.used[name] < limit {
+			events = append(events, modelEvent{name, func(world *modelWorld) {
+				world.used[name]++
+				run(world)
+			}})
+		}
+	}
+	limited("4 s pass", 4, func(world *modelWorld) { world.advance(modelAdvance) })
+	limited("planner", 1, (*modelWorld).replacePlanner)
+	for _, id := range []string{"a", "b"} {
+		target := world.targets[id]
+		instance := mesh.TargetInstance{ID: id, StartUnixMilli: 1}
+		switch {
+		case target.silent:
+			events = append(events, modelEvent{id + " goes on", func(world *modelWorld) {
+				world.targets[id].silent = false
+				world.directory.MarkResponding(instance)
+			}})
+		case target.unlisted:
+			events = append(events, modelEvent{id + " is listed", func(world *modelWorld) {
+				world.targets[id].unlisted = false
+				world.publish(id)
+			}})
+		default:
+			limited(id+" is silent", 1, func(world *modelWorld) {
+				world.targets[id].silent = true
+				world.directory.MarkUnreachable(instance)
+			})
+			limited(id+" is cut off from the list", 1, func(world *modelWorld) {
+				world.targets[id].unlisted = true
+				world.directory.Apply(nil, []string{id}, time.Time{})
+				world.directory.MarkUnreachable(instance)
+				world.directory.MarkResponding(instance)
+			})
+		}
+	}
+	for i, order := range world.late {
+		if !world.targets[order.Target.ID].silent {
+			events = append(events, modelEvent{"late " + order.String(), func(world *modelWorld) {
+				world.late = slices.Delete(world.late, i, i+1)
+				world.execute(order)
+			}})
+		}
+	}
+	if world.guard.events == nil {
+		return events
+	}
+	return slices.DeleteFunc(events, func(event modelEvent) bool {
+		return !slices.ContainsFunc(world.guard.events, func(prefix string) bool { return strings.HasPrefix(event.name, prefix) })
+	})
+}
+
+// state describes the world, so that equal ones are explored once.
+func (world *modelWorld) state() string {
+	text := strings.Builder{}
+	for _, id := range slices.Sorted(maps.Keys(world.targets)) {
+		target := world.targets[id]
+		fmt.Fprint(&text, id, target.Membership, target.silent, target.unlisted, target.former, world.age(target.stalledAt), ";")
+	}
+	view := world.planner.poolView("llm", world.engine, world.directory.View())
+	for _, id := range slices.Sorted(maps.Keys(view.Targets)) {
+		fmt.Fprint(&text, id, view.Targets[id].Membership, view.Targets[id].Unlisted, ";")
+	}
+	for _, id := range slices.Sorted(maps.Keys(view.Absent)) {
+		fmt.Fprint(&text, id, view.Absent[id].Membership, world.age(view.AbsentSince[id]), ";")
+	}
+	world.planner.mu.Lock()
+	for id, last := range world.planner.sent {
+		if world.clock.now.Sub(last.at) >= orderRetryInterval {
+			delete(world.planner.sent, id)
+		}
+	}
+	fmt.Fprint(&text, world.late, view.ClosedAt, view.SuspectedHeads, view.PendingOpens, view.Left, world.planner.absentHeads, world.planner.sent, world.used)
+	for _, lost := range view.MemberLostAt {
+		fmt.Fprint(&text, world.age(lost))
+	}
+	world.planner.mu.Unlock()
+	fmt.Fprint(&text, world.formation.Assignments, world.formation.Heads(view))
+	return text.String()
+}
+
+func (world *modelWorld) age(at time.Time) time.Duration {
+	if at.IsZero() {
+		return -1
+	}
+	return min(world.clock.now.Sub(at), 20*time.Second)
+}
+
+// explore runs all sequences of events up to a depth, except what follows a state that was
+// reached before by as few events. It returns the first sequence that breaks a rule, if any,
+// and how many states were reached.
+func explore(guard modelGuard, build func(world *modelWorld), depth int) (sequence []string, violation string, states int) {
+	type path struct{ choices []int }
+	replay := func(choices []int) (*modelWorld, []string) {
+		world := newModelWorld(guard, build)
+		var names []string
+		for _, choice := range choices {
+			events := world.events()
+			if choice >= len(events) {
+				return world, names // the order of a map's values led elsewhere this time
+			}
+			event := events[choice]
+			names = append(names, event.name)
+			event.run(world)
+		}
+		return world, names
+	}
+	seen := map[string]bool{}
+	level := []path{{}}
+	for range depth {
+		var next []path
+		for _, reached := range level {
+			world, _ := replay(reached.choices)
+			for choice := range world.events() {
+				choices := append(slices.Clone(reached.choices), choice)
+				after, names := replay(choices)
+				if len(after.violations) > 0 {
+					return names, after.violations[0], len(seen)
+				}
+				if state := after.state(); !seen[state] {
+					seen[state] = true
+					next = append(next, path{choices})
+				}
+			}
+		}
+		level = next
+	}
+	return nil, "", len(seen)
+}
+
+// oneReplica is a replica of two that serves, and nothing else. Targets without a replica are
+// given one of their own, since they have another model's weights staged.
+func oneReplica(world *modelWorld) {
+	world.add("a", "r1", 1, 0, greengageroute.MemberOpen, "a", "b")
+	world.add("b", "r1", 1, 1, greengageroute.MemberReady, "a", "b")
+}
+
+// twoEpochs is a replica that serves under its second epoch, with a member left in the first. The
+// list still shows the head in the first.
+func twoEpochs(world *modelWorld) {
+	world.add("a", "r1", 1, 0, greengageroute.MemberOpen, "a", "b")
+	world.add("b", "r1", 1, 1, greengageroute.MemberReady, "a", "b")
+	world.targets["b"].Domain = "d1"
+	world.add("c", "r1", 2, 1, greengageroute.MemberReady, "a", "c")
+	for epoch := range uint64(2) {
+		world.heads = append(world.heads, greengageroute.ReplicaHead{Replica: "r1", Epoch: epoch + 1, ID: "a", Address: "a"})
+	}
+	world.afterRows = func() { world.add("a", "r1", 2, 0, greengageroute.MemberOpen, "a", "c") }
+}
+
+// notOpen is a replica whose members have all formed.
+func notOpen(world *modelWorld) {
+	world.add("a", "r1", 1, 0, greengageroute.MemberReady, "a", "b")
+	world.add("b", "r1", 1, 1, greengageroute.MemberReady, "a", "b")
+}
+
+// TestGroupsUnderAllInterleavings walks all sequences of planning rounds, lost, late and
+// unheard orders, rows, silences, losses of the list and changes of the planner, and guards
+// against members that join another replica while their head serves, and replicas that open
+// without a member.
+func TestGroupsUnderAllInterleavings(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		build func(world *modelWorld)
+		depth int
+	}{
+		{"a replica serves", oneReplica, 5},
+		{"a member is left in an earlier epoch", twoEpochs, 4},
+		{"a replica is about to open", notOpen, 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			started := time.Now()
+			sequence, violation, states := explore(modelGuard{}, test.build, test.depth)
+			t.Logf("%d states to depth %d in %s", states, test.depth, time.Since(started).Round(time.Millisecond))
+			if violation != "" {
+				t.Errorf("%s after %q", violation, sequence)
+			}
+		})
+	}
+}
+
+// leaveUnheard has the planner believe that closed heads have left their replicas.
+func leaveUnheard(view *greengageroute.PoolView) {
+	for id, target := range view.Targets {
+		if target.Membership.Rank == 0 && target.Membership.State == greengageroute.MemberReady {
+			view.Left[id] = replicaKeyOf(target)
+		}
+	}
+}
+
+// TestGroupGuardsAreNeeded guards against a walk that would miss the faults that the planner's
+// guards prevent: without each of them it finds a sequence that breaks a rule.
+func TestGroupGuardsAreNeeded(t *testing.T) {
+	for _, test := range []struct {
+		guard modelGuard
+		build func(world *modelWorld)
+		depth int
+	}{
+		{modelGuard{name: "a finding holds for one epoch", events: []string{"plan, answered", "a ", "rows", "4 s"}, beforePlan: func(_ *modelWorld, view *greengageroute.PoolView) {
+			for _, key := range []greengageroute.ReplicaKey{{Name: "r1", Epoch: 1}, {Name: "r1", Epoch: 2}} {
+				for _, at := range view.ClosedAt {
+					view.ClosedAt[key] = at
+				}
+			}
+		}}, twoEpochs, 7},
+		{modelGuard{name: "silence is no word", events: []string{"plan, answered", "a ", "rows", "4 s"}, beforePlan: func(_ *modelWorld, view *greengageroute.PoolView) {
+			for key := range view.SuspectedHeads {
+				view.ClosedAt[key] = view.Now
+			}
+		}}, oneReplica, 7},
+		{modelGuard{name: "the bound is that of the heads", events: []string{"plan, answered", "a ", "rows", "4 s"}, stall: time.Nanosecond}, oneReplica, 9},
+		{modelGuard{name: "the bound begins as a member leaves", events: []string{"plan, answered", "plan, lost", "a ", "rows", "4 s"}, beforePlan: func(_ *modelWorld, view *greengageroute.PoolView) {
+			for key := range view.SuspectedHeads {
+				view.MemberLostAt[key] = view.AbsentSince["a"]
+			}
+		}}, oneReplica, 9},
+		{modelGuard{name: "a head that may have opened leaves first", events: []string{"plan, answered", "b ", "planner"}, beforePlan: func(_ *modelWorld, view *greengageroute.PoolView) {
+			leaveUnheard(view)
+		}}, notOpen, 5},
+		{modelGuard{name: "an order to open is pending, and the head leaves first", events: []string{"plan, answered", "b "}, beforePlan: func(_ *modelWorld, view *greengageroute.PoolView) {
+			leaveUnheard(view)
+			view.PendingOpens = nil
+		}}, notOpen, 5},
+	} {
+		t.Run(test.guard.name, func(t *testing.T) {
+			t.Parallel()
+			started := time.Now()
+			sequence, violation, states := explore(test.guard, test.build, test.depth)
+			t.Logf("%d states in %s: %s after %q", states, time.Since(started).Round(time.Millisecond), violation, sequence)
+			if violation == "" {
+				t.Error("no sequence breaks a rule without the guard")
+			}
+			if sequence, violation, _ := explore(modelGuard{events: test.guard.events}, test.build, len(sequence)); violation != "" {
+				t.Errorf("with the guard: %s after %q", violation, sequence)
+			}
+		})
+	}
+}
--- a/formationorders.go
+++ b/formationorders.go
@@ -5,6 +5,7 @@
 	mustStay    bool
 	mustClose   bool // the head has to be sent an order to close
 	mustRelease bool // one of the members has to leave, so that the head breaks
+	mustLeave   bool // the target is a closed head, which has to leave
 	head        Target
 	member      Membership // of the target
 }
@@ -72,6 +73,9 @@
 // returned for another member of its replica.
 func (formation *Formation) freeingOrders(target Target, constraint constraint, view PoolView, closed map[ReplicaKey]bool) []TargetOrder {
 	key := constraint.member.key()
+	if constraint.mustLeave {
+		return []TargetOrder{{Kind: OrderLeave, Target: target, Replica: key.Name, Epoch: key.Epoch}}
+	}
 	if !constraint.mustClose && !constraint.mustRelease || closed[key] {
 		return nil
 	}
@@ -120,8 +124,11 @@
 		belongs := head.Membership.BelongsTo(member.Replica, member.Epoch)
 		open := belongs && (head.Membership.State == MemberOpen || head.Membership.State == MemberReady && view.openPending(head))
 		serving := open || belongs && head.Membership.State == MemberClosing
-		stays := belongs && head.Membership.State == MemberReady && target.ID != id && !view.hasLeft(head)
-		return constraint{mustStay: serving || stays, mustClose: open, head: head, member: member}
+		// An earlier planner may have opened a head that the list shows as closed. Under its
+		// replica's own name it may join again all the same.
+		rejoins := target.ID == id && (replica == member.Replica || member.isPreload())
+		stays := belongs && head.Membership.State == MemberReady && !rejoins && !view.hasLeft(head)
+		return constraint{mustStay: serving || stays, mustClose: open, mustLeave: stays && !open && target.ID == id, head: head, member: member}
 	}
 	return formation.absentConstraintOf(target, member, replica, view)
 }
