Tests: two operators apply a file that is written once

TestTwoOperatorsAtOnce failed once beside other work: exit codes 0 and 3 (invalid file), want 0 and 4. Traced: the test wrote the file anew for the second operator, while the first one's command read it, so that this one found it empty. The file is written before both start; what is asked of the two is the same.

--- a/integration/config_test.go
+++ b/integration/config_test.go
@@ -96,8 +96,8 @@
 		codes := make([]int, 2)
 		outputs := make([]string, 2)
 		var operators sync.WaitGroup
+		path := cluster.writeConfig("routes", classConfig("routes", 10+round))
 		for i := range codes {
-			path := cluster.writeConfig("routes", classConfig("routes", 10+round))
 			operators.Go(func() {
 				output, err := cluster.tryCommand("apply", path, "--base", fmt.Sprint(round), "--entry", cluster.entries[i*2].listen)
 				codes[i], outputs[i] = exitCode(err), output
