Tests: crashes of replicas wait until others can take the streams

One run of TestUsersPlatformCrashesEndNoStream had gaps of 1.03 s where a head's connections end, at a load average of 49; the run after it 0.09 s. Not traced: its logs weren't kept. The suspicion is that no other replica was open yet, so that the streams waited for one. The test now waits for three open ones before each crash; what it asserts of the streams is unchanged.

--- a/integration/crashgap_test.go
+++ b/integration/crashgap_test.go
@@ -65,6 +65,7 @@
 			for range 3 {
 				deployment.requireStream(deployment.entries[0])
 				deployment.requireStream(deployment.entries[1])
+				deployment.waitFor("other replicas can take the streams", func() bool { return len(deployment.heads()) >= 3 })
 				var mu sync.Mutex
 				var streams sync.WaitGroup
 				for i := range 24 {
