Planner: counters and lines for absent heads

What the planner finds of a head that isn't listed or is silent was to be seen in the outcomes of orders only. Two counters and lines tell that it is suspected, or doesn't serve, by which order.

--- a/control/headstate.go
+++ b/control/headstate.go
@@ -54,6 +54,13 @@
 	return replicaID{order.Target.Pool, order.Key()}
 }
 
+// recordFinding counts and logs what the response to an order, or its absence, says about an
+// absent head.
+func (planner *Planner) recordFinding(counter, finding string, order greengageroute.TargetOrder) {
+	planner.Counters.Add(counter, 1)
+	planner.Log.Info(finding, "target", order.Target.ID, "replica", order.Replica, "epoch", order.Epoch, "order", order.Kind.String())
+}
+
 func replicaKeyOf(target greengageroute.Target) greengageroute.ReplicaKey {
 	return greengageroute.ReplicaKey{Name: target.Membership.Replica, Epoch: target.Membership.Epoch}
 }
@@ -71,9 +78,9 @@
 	}
 }
 
-// memberLostAt returns since when replicas of a pool have been without one of their members. A member
-// that an order of before took back, as the list shows, hasn't been lost. The caller holds the
-// lock.
+// memberLostAt returns since when replicas of a pool have been without one of their members.
+// A member that an order of before took back, as the list shows, hasn't been lost. The caller
+// holds the lock.
 func (planner *Planner) memberLostAt(pool string, targets map[string]greengageroute.Target) map[greengageroute.ReplicaKey]time.Time {
 	lostAt := map[greengageroute.ReplicaKey]time.Time{}
 	now := planner.Clock.Now()
@@ -111,9 +118,9 @@
 	return replicas
 }
 
-// absentHeadStates returns when absent heads of a pool said that they don't serve their replicas, and
-// which of the others are suspected. Findings about a head are void once it is listed again.
-// The caller holds the lock.
+// absentHeadStates returns when absent heads of a pool said that they don't serve their
+// replicas, and which of the others are suspected. Findings about a head are void once it is
+// listed again. The caller holds the lock.
 func (planner *Planner) absentHeadStates(pool string, targets map[string]greengageroute.Target) (closedAt map[greengageroute.ReplicaKey]time.Time, suspected map[greengageroute.ReplicaKey]bool) {
 	closedAt, suspected = map[greengageroute.ReplicaKey]time.Time{}, map[greengageroute.ReplicaKey]bool{}
 	for id, head := range planner.absentHeads {
@@ -171,9 +178,10 @@
 }
 
 // recordCloseResult records the result of an order to close, or to an absent head to leave. An
-// unlisted head is closed, under the epoch of the order alone, once it has left or carried out an
-// immediate close, or has refused the order by its state, which it does if it doesn't serve. It is suspected once it has left
-// orders unanswered while no entry has received data from it either.
+// unlisted head is closed, under the epoch of the order alone, once it has left or carried out
+// an immediate close, or has refused the order by its state, which it does if it doesn't serve.
+// It is suspected once it has left orders unanswered while no entry has received data from it
+// either.
 func (planner *Planner) recordCloseResult(order greengageroute.TargetOrder, err error) {
 	var refused *greengageroute.OrderRefusedError
 	var heldBack *greengageroute.BackoffError
@@ -185,6 +193,9 @@
 	switch {
 	case errors.As(err, &heldBack): // not sent
 	case err == nil && (order.Immediate || order.Kind == greengageroute.OrderLeave), errors.As(err, &refused) && refused.TellsState():
+		if head.closedAt.IsZero() {
+			planner.recordFinding(CountHeadsClosed, "absent head doesn't serve", order)
+		}
 		head.unansweredOrders, head.closedAt = 0, planner.Clock.Now()
 	case err == nil, errors.As(err, &refused):
 		// The head may serve, and is neither lost nor silent.
@@ -194,6 +205,9 @@
 		head.unansweredOrders = 0
 	default:
 		head.unansweredOrders++
+		if head.unansweredOrders == unansweredOrderLimit {
+			planner.recordFinding(CountHeadsSuspected, "absent head is suspected: it leaves orders unanswered", order)
+		}
 	}
 	planner.absentHeads[id] = head
 }
--- a/control/planner.go
+++ b/control/planner.go
@@ -63,6 +63,10 @@
 	CountOrdersNotAnswered = "orders-not-answered"
 	CountReplicasAssigned  = "replicas-assigned"
 	CountLeaseStepsFailed  = "lease-steps-failed"
+	// CountHeadsSuspected counts absent heads that left orders unanswered, CountHeadsClosed
+	// those that said that they don't serve.
+	CountHeadsSuspected = "absent-heads-suspected"
+	CountHeadsClosed    = "absent-heads-closed"
 )
 
 type (
