Planner: heads of replicas are looked up, not searched for

A round asked for the head of each free target's replica by a walk over all targets wherever the planner hadn't ordered the replica itself, as after a change of the planner. The view's index has the listed heads now.

--- a/formation.go
+++ b/formation.go
@@ -75,8 +75,10 @@
 		// Left holds targets that accepted an order to join another replica or to
 		// leave, with the replica they left, though the list doesn't show it yet.
 		Left map[string]ReplicaKey
-		// domains holds the targets by fabric domain; see Indexed.
-		domains map[string]*domainTargets
+		// domains holds the targets by fabric domain, and listedHeads the ids of those that
+		// head a replica; see Indexed.
+		domains     map[string]*domainTargets
+		listedHeads map[ReplicaKey]string
 	}
 
 	// domainTargets are the targets of one fabric domain.
@@ -430,14 +432,19 @@
 	return free
 }
 
-// Indexed returns the view with its targets arranged by fabric domain, which Formation's
-// methods otherwise do each for itself.
+// Indexed returns the view with its targets arranged by fabric domain and its heads by
+// replica, which Formation's methods otherwise do each for itself.
 func (view PoolView) Indexed() PoolView {
 	if view.domains != nil {
 		return view
 	}
-	view.domains = map[string]*domainTargets{}
+	view.domains, view.listedHeads = map[string]*domainTargets{}, map[ReplicaKey]string{}
 	for _, target := range view.Targets {
+		if key := target.Membership.key(); target.Membership.Rank == 0 && key.Name != "" {
+			if other, found := view.listedHeads[key]; !found || target.ID < other {
+				view.listedHeads[key] = target.ID
+			}
+		}
 		domain := view.domains[target.Domain]
 		if domain == nil {
 			domain = &domainTargets{}
--- a/formationorders.go
+++ b/formationorders.go
@@ -19,6 +19,7 @@
 // Orders returns the orders that bring the targets closer to the assignments.
 // Targets that are already joining their replica get none.
 func (formation *Formation) Orders(view PoolView) []TargetOrder {
+	view = view.Indexed()
 	var orders []TargetOrder
 	closed := map[ReplicaKey]bool{}
 	for _, assignment := range formation.Assignments {
@@ -152,15 +153,11 @@
 	if member.Rank == 0 {
 		return target.ID, true
 	}
-	if id, known := formation.heads[ReplicaKey{member.Replica, member.Epoch}]; known {
+	if id, known := formation.heads[member.key()]; known {
 		return id, true
 	}
-	for id, target := range view.Targets {
-		if target.Membership.Rank == 0 && target.Membership.BelongsTo(member.Replica, member.Epoch) {
-			return id, true
-		}
-	}
-	return "", false
+	id, listed := view.Indexed().listedHeads[member.key()]
+	return id, listed
 }
 
 // complete reports whether all members of the head's replica still belong to it and
