Planner: returning replicas are assembled as everywhere else

adoptReturned walked over all targets once for each head that it didn't know; AssembleReplicas does it once for all, and leaves out replicas in which two targets claim one rank.

--- a/formation.go
+++ b/formation.go
@@ -186,34 +186,27 @@
 // adoptReturned assigns open replicas that this formation doesn't know, whose members are all
 // listed: they were silent as it began. Those that it has dissolved are left to be closed.
 func (formation *Formation) adoptReturned(view PoolView) {
-	for id, head := range view.Targets {
-		member := head.Membership
-		if member.Rank != 0 || member.State != MemberOpen || member.isPreload() || formation.assigned.Has(id) || formation.names.Has(member.Replica) {
-			continue
-		}
-		if assignment, whole := formation.wholeReplica(view, head); whole {
-			formation.assign(assignment)
-			formation.recordHead(assignment)
+	var unknown []Target
+	for id, target := range view.Targets {
+		member := target.Membership
+		if member.Formed() && !member.isPreload() && !formation.assigned.Has(id) && !formation.names.Has(member.Replica) {
+			unknown = append(unknown, target)
 		}
 	}
-}
-
-// wholeReplica returns the assignment for a head's replica. It reports false if a member isn't
-// listed, hasn't formed or is assigned.
-func (formation *Formation) wholeReplica(view PoolView, head Target) (Assignment, bool) {
-	member := head.Membership
-	model, known := view.Engine.Model(member.Model)
-	assignment := Assignment{
-		Name: member.Replica, Epoch: member.Epoch, Model: member.Model, Domain: head.Domain,
-		Members: make([]string, model.Size), Opened: true,
-	}
-	for id, target := range view.Targets {
-		rank := target.Membership.Rank
-		if target.Membership.key() == member.key() && target.Membership.Formed() && !formation.assigned.Has(id) && rank >= 0 && rank < model.Size {
-			assignment.Members[rank] = id
+	replicas, _ := AssembleReplicas(unknown)
+	for _, replica := range replicas {
+		model, known := view.Engine.Model(replica.Model)
+		head := replica.Head()
+		if !known || len(replica.Members) != model.Size || head.Membership.State != MemberOpen || formation.names.Has(replica.Name) {
+			continue
+		}
+		assignment := Assignment{Name: replica.Name, Epoch: replica.Epoch, Model: replica.Model, Domain: head.Domain, Opened: true}
+		for _, member := range replica.Members {
+			assignment.Members = append(assignment.Members, member.ID)
 		}
+		formation.assign(assignment)
+		formation.recordHead(assignment)
 	}
-	return assignment, known && !slices.Contains(assignment.Members, "")
 }
 
 // assign adds an assignment.
