--- a/control/directory.go
+++ b/control/directory.go
@@ -461,7 +461,7 @@
 // lock.
 func (directory *Directory) expireLeaving(now time.Time) {
 	maps.DeleteFunc(directory.leaving, func(instance mesh.TargetInstance, since time.Time) bool {
-		if target, listed := directory.targets[instance.ID]; listed && target.StartUnixMilli == instance.StartUnixMilli {
+		if directory.lists(instance) {
 			directory.leaving[instance] = now
 			return false
 		}
--- a/control/groupmodel_test.go
+++ b/control/groupmodel_test.go
@@ -511,7 +511,7 @@
 func leaveUnheard(view *greengageroute.PoolView) {
 	for id, target := range view.Targets {
 		if target.Membership.Rank == 0 && target.Membership.State == greengageroute.MemberReady {
-			view.Left[id] = replicaKeyOf(target)
+			view.Left[id] = replicaIDOf(&target).ReplicaKey
 		}
 	}
 }
--- a/control/headstate.go
+++ b/control/headstate.go
@@ -35,7 +35,7 @@
 		planner.recordCloseResult(order, err)
 	case greengageroute.OrderJoin:
 		if err == nil {
-			planner.recordLeft(order.Target, replicaKeyOf(order.Target))
+			planner.recordLeft(order.Target, replicaIDOf(&order.Target).ReplicaKey)
 		}
 	case greengageroute.OrderLeave:
 		var refused *greengageroute.OrderRefusedError
@@ -61,10 +61,6 @@
 	planner.Log.Info(finding, "target", order.Target.ID, "replica", order.Replica, "epoch", order.Epoch, "order", order.Kind.String())
 }
 
-func replicaKeyOf(target greengageroute.Target) greengageroute.ReplicaKey {
-	return greengageroute.ReplicaKey{Name: target.Membership.Replica, Epoch: target.Membership.Epoch}
-}
-
 // recordLeft records that a target has accepted an order by which it left a replica, or has
 // said that it isn't a member.
 func (planner *Planner) recordLeft(target greengageroute.Target, key greengageroute.ReplicaKey) {
--- a/control/view.go
+++ b/control/view.go
@@ -166,8 +166,8 @@
 		absent[id] = removed.target
 	}
 	for instance := range directory.unreachable {
-		if target, listed := directory.targets[instance.ID]; listed && target.StartUnixMilli == instance.StartUnixMilli {
-			absent[instance.ID] = target
+		if directory.lists(instance) {
+			absent[instance.ID] = directory.targets[instance.ID]
 		}
 	}
 	return absent
