--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -48,6 +48,6 @@
 		return nil
 	}
 	service.Counters.Add(CountEndsUnconfirmed, 1)
-	exchange.checkLinks(requestCtx)
+	exchange.checkLinks(requestCtx, 0)
 	return errEndUnconfirmed
 }
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -404,11 +404,10 @@
 // allowAttempt reports whether the request may be sent to another target. It
 // charges a retry to the pool's budget.
 func (exchange *exchange) allowAttempt() bool {
-	attempts := exchange.attemptsSent + exchange.attemptsPending
-	if attempts == 0 {
+	if exchange.attemptsMade() == 0 {
 		return true
 	}
-	if attempts >= exchange.route.Attempts {
+	if exchange.attemptsMade() >= exchange.route.Attempts {
 		return false
 	}
 	if !exchange.retryBudget().AllowRetry(time.Now(), exchange.service.Peers.LiveEntries()) {
@@ -418,6 +417,11 @@
 	return true
 }
 
+// attemptsMade returns how many attempts reached a target, or still may.
+func (exchange *exchange) attemptsMade() int {
+	return exchange.attemptsSent + exchange.attemptsPending
+}
+
 // returnAttempt takes back what allowAttempt charged for an attempt that reached no target.
 func (exchange *exchange) returnAttempt() {
 	exchange.retryBudget().ReturnRetry(time.Now())
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -34,8 +34,13 @@
 	return !exchange.forwarded && exchange.service.Prober.Isolated()
 }
 
-// checkLinks checks this entry's links after a target didn't respond.
-func (exchange *exchange) checkLinks(ctx context.Context) {
+// checkLinks checks this entry's links after a target didn't respond. It doesn't wait for the
+// result if other attempts run, whose answers would have to wait.
+func (exchange *exchange) checkLinks(ctx context.Context, otherAttempts int) {
+	if otherAttempts > 0 {
+		go exchange.checkLinks(ctx, 0)
+		return
+	}
 	if ctx.Err() == nil {
 		exchange.service.Prober.LinksWork()
 	}
@@ -90,7 +95,7 @@
 func (exchange *exchange) newForwardedAttempt(helper greengageroute.Target) greengageroute.Attempt {
 	attempt := exchange.newAttempt(helper)
 	// An idle connection may have been dropped without notice.
-	attempt.ToEntry, attempt.AtMostOnce, attempt.AttemptsSent = true, true, exchange.attemptsSent+exchange.attemptsPending
+	attempt.ToEntry, attempt.AtMostOnce, attempt.AttemptsSent = true, true, exchange.attemptsMade()
 	return attempt
 }
 
--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -112,7 +112,7 @@
 // startAttempt starts an attempt at a target or, for an isolated entry, through another one.
 func (call *hedgedCall) startAttempt(ctx context.Context, hedges bool) error {
 	exchange := call.exchange
-	if hedges && exchange.attemptsSent+exchange.attemptsPending >= exchange.route.Attempts {
+	if hedges && exchange.attemptsMade() >= exchange.route.Attempts {
 		return errAttemptsUsed
 	}
 	if exchange.isolated() {
@@ -136,7 +136,7 @@
 	}
 	call.tried.Add(target.ID)
 	attempt := newCallAttempt(call, target)
-	attempt.charged = exchange.attemptsSent+exchange.attemptsPending > 0
+	attempt.charged = exchange.attemptsMade() > 0
 	call.start(ctx, attempt)
 	return nil
 }
@@ -162,7 +162,7 @@
 	call.attempts = append(call.attempts, attempt)
 	exchange.attemptsPending++
 	attempt.start(ctx)
-	if exchange.attemptsSent+exchange.attemptsPending < exchange.route.Attempts {
+	if exchange.attemptsMade() < exchange.route.Attempts {
 		call.hedgeTimer.Reset(time.Until(exchange.deadline) / 2)
 	}
 }
@@ -246,7 +246,7 @@
 	exchange, attempt := call.exchange, result.attempt
 	var notSent *upstream.NotSentError
 	if result.answer == nil {
-		call.checkLinks(ctx)
+		exchange.checkLinks(ctx, len(call.attempts))
 		if !errors.As(result.err, &notSent) {
 			exchange.checkCrash(ctx, attempt.target, attempt.sentAt, greengageroute.AnswerProgress{}, result.err)
 		}
@@ -267,16 +267,6 @@
 	return nil
 }
 
-// checkLinks checks this entry's links, in the background if another attempt may be answered
-// meanwhile.
-func (call *hedgedCall) checkLinks(ctx context.Context) {
-	if len(call.attempts) > 0 {
-		go call.exchange.checkLinks(ctx)
-		return
-	}
-	call.exchange.checkLinks(ctx)
-}
-
 // mayBeAnsweredElsewhere reports whether another attempt runs, or may be made at another
 // target.
 func (call *hedgedCall) mayBeAnsweredElsewhere() bool {
--- a/edge/hedgedstream.go
+++ b/edge/hedgedstream.go
@@ -294,30 +294,20 @@
 	switch {
 	case notSent != nil:
 		exchange.service.probeHead(attempt.head())
-		stream.checkLinks(ctx)
+		exchange.checkLinks(ctx, len(stream.active()))
 	case attempt.answer == nil:
-		stream.checkLinks(ctx)
+		exchange.checkLinks(ctx, len(stream.active()))
 		exchange.checkCrash(ctx, attempt.head(), attempt.sentAt, attempt.progress, cause)
 	case attempt.answer.Status == http.StatusOK:
 		exchange.checkCrash(ctx, attempt.head(), attempt.sentAt, attempt.progress, &upstream.AnswerLostError{Target: attempt.head().ID, Cause: cause})
 	}
 }
 
-// checkLinks checks this entry's links, in the background if an attempt runs whose events
-// would have to wait.
-func (stream *hedgedStream) checkLinks(ctx context.Context) {
-	if len(stream.active()) > 0 {
-		go stream.exchange.checkLinks(ctx)
-		return
-	}
-	stream.exchange.checkLinks(ctx)
-}
-
 // forwardFailure delivers a target's error answer, unless the request may be retried at
 // another target. While another attempt runs, the answer is kept.
 func (stream *hedgedStream) forwardFailure(ctx context.Context, message streamMessage) (complete bool, err error) {
 	attempt, exchange := message.attempt, stream.exchange
-	retryable := exchange.route.Resumable && exchange.attemptsSent+exchange.attemptsPending < exchange.route.Attempts
+	retryable := exchange.route.Resumable && exchange.attemptsMade() < exchange.route.Attempts
 	switch {
 	case exchange.headerSent && attempt.fromEntry:
 		return false, errors.New("the other entry could not resume the stream")
--- a/edge/streamattempt.go
+++ b/edge/streamattempt.go
@@ -156,8 +156,8 @@
 }
 
 // assess returns why the replica of a silent attempt may have lost a member, and whether it
-// can't go on: a member is listed with a later start, or the head's newer row shows it broken or in a later
-// replica. That a member isn't listed or doesn't respond proves nothing.
+// can't go on: a member is listed with a later start, or the head's newer row shows it broken or
+// in a later replica. That a member isn't listed or doesn't respond proves nothing.
 func (attempt *streamAttempt) assess() (evidence string, lost bool) {
 	if attempt.source.engine == nil {
 		return "", false
--- a/edge/streamsearch.go
+++ b/edge/streamsearch.go
@@ -111,7 +111,7 @@
 // another entry. A hedge isn't sent to a replica that is silent itself.
 func (stream *hedgedStream) startAttempt(ctx context.Context, hedges bool) error {
 	exchange := stream.exchange
-	if sent := exchange.attemptsSent + exchange.attemptsPending; sent > 0 && sent >= exchange.route.Attempts {
+	if made := exchange.attemptsMade(); made > 0 && made >= exchange.route.Attempts {
 		return errAttemptsUsed
 	}
 	if exchange.isolated() {
@@ -145,7 +145,7 @@
 	}
 	stream.tried.Add(source.key())
 	attempt := newStreamAttempt(stream, source)
-	attempt.charged = exchange.attemptsSent+exchange.attemptsPending > 0
+	attempt.charged = exchange.attemptsMade() > 0
 	stream.start(ctx, attempt)
 	return nil
 }
