Planner: replicas whose members are silent as it takes over are adopted

Cause: a new planner assigned only replicas that a listed target reported, and took absent targets for members of those alone. A replica whose members were all silent wasn't known; the first member that went on was a loose target under an absent head, which was told to leave at once. Where a former member was still listed, the replica was assigned under the earlier epoch, lacked all members and was given up, and its name was never adopted again. The adoption of returning replicas wanted all members in one round; they come back one by one.

TestNewPlannerKeepsReplicasThatWereSilent (five cases), TestNewPlannerFollowsTheEpochBeforeIt and TestReplicaThatReturnsAsAWholeIsKept fail on the code before.

Why it works: what a row says of an open replica is adopted before it is judged, whether its target is listed or silent. An epoch that the planner before had moved on to replaces the one that this planner began with. A replica that was given up is taken back once it is listed as a whole; only one that made room for another model stays dissolved.

Cost: one look at the heads per round; rows are assembled only while an open head belongs to no assignment.

--- a/formation.go
+++ b/formation.go
@@ -118,12 +118,14 @@
 	// can be rebuilt from what the targets report.
 	Formation struct {
 		Assignments []Assignment
+		firstEpoch  uint64 // epochs up to it are those of earlier planners
 		lastEpoch   uint64
 		lastName    uint64
 		preloads    map[string]preload    // by target id
 		heads       map[ReplicaKey]string // heads of all replicas that targets may still be members of
 		assigned    Set[string]           // members of the assignments
 		names       Set[string]           // of all replicas that were ever assigned here
+		dissolved   Set[string]           // names of those that made room for another model
 		releases    map[string][]release  // by target id
 	}
 )
@@ -131,90 +133,29 @@
 // NewFormation returns a formation whose epochs start above the given one. It
 // adopts the replicas that the targets report.
 func NewFormation(view PoolView, epoch uint64) *Formation {
-	formation := &Formation{lastEpoch: epoch, lastName: epoch, preloads: map[string]preload{}, heads: map[ReplicaKey]string{}, assigned: Set[string]{}, names: Set[string]{}, releases: map[string][]release{}}
-	newest := map[string]Assignment{}
+	formation := &Formation{
+		firstEpoch: epoch, lastEpoch: epoch, lastName: epoch, preloads: map[string]preload{}, heads: map[ReplicaKey]string{},
+		assigned: Set[string]{}, names: Set[string]{}, dissolved: Set[string]{}, releases: map[string][]release{},
+	}
 	for _, target := range view.Targets {
-		member := target.Membership
-		model, known := view.Engine.Model(member.Model)
-		if !known || member.Epoch == 0 || member.Rank < 0 || member.Rank >= model.Size || member.isPreload() {
-			continue
-		}
-		assignment := newest[member.Replica]
-		if assignment.Epoch > member.Epoch {
-			continue
-		}
-		if assignment.Epoch < member.Epoch {
-			assignment = Assignment{
-				Name: member.Replica, Epoch: member.Epoch, Model: member.Model, Domain: target.Domain,
-				Members: make([]string, model.Size),
-			}
-		}
-		assignment.Members[member.Rank] = target.ID
-		if member.Rank == 0 {
-			formation.heads[ReplicaKey{member.Replica, member.Epoch}] = target.ID
-			assignment.Opened = member.State == MemberOpen
+		if member := target.Membership; member.Rank == 0 && member.Replica != "" && !member.isPreload() {
+			formation.heads[member.key()] = target.ID
 		}
-		newest[member.Replica] = assignment
 	}
-	formation.nameAbsentMembers(view, newest)
-	for _, assignment := range newest {
-		formation.assign(assignment)
-	}
-	slices.SortFunc(formation.Assignments, func(a, b Assignment) int { return strings.Compare(a.Name, b.Name) })
+	formation.adoptAll(view)
 	return formation
 }
 
-// nameAbsentMembers adds the absent members of the replicas that the listed targets report.
-// They may be silent and go on.
-func (formation *Formation) nameAbsentMembers(view PoolView, replicas map[string]Assignment) {
-	for id, target := range view.Absent {
-		member := target.Membership
-		assignment, found := replicas[member.Replica]
-		_, listed := view.Targets[id]
-		if !found || listed || assignment.Epoch != member.Epoch || member.Rank < 0 || member.Rank >= len(assignment.Members) || assignment.Members[member.Rank] != "" {
-			continue
-		}
-		assignment.Members[member.Rank] = id
-		if member.Rank == 0 {
-			formation.heads[member.key()] = id
-			assignment.Opened = member.State == MemberOpen
-		}
-		replicas[member.Replica] = assignment
-	}
-}
-
-// adoptReturned assigns open replicas that this formation doesn't know, whose members are all
-// listed: they were silent as it began. Those that it has dissolved are left to be closed.
-func (formation *Formation) adoptReturned(view PoolView) {
-	var unknown []Target
-	for id, target := range view.Targets {
-		member := target.Membership
-		if member.Formed() && !member.isPreload() && !formation.assigned.Has(id) && !formation.names.Has(member.Replica) {
-			unknown = append(unknown, target)
-		}
-	}
-	replicas, _ := AssembleReplicas(unknown)
-	for _, replica := range replicas {
-		model, known := view.Engine.Model(replica.Model)
-		head := replica.Head()
-		if !known || len(replica.Members) != model.Size || head.Membership.State != MemberOpen || formation.names.Has(replica.Name) {
-			continue
-		}
-		assignment := Assignment{Name: replica.Name, Epoch: replica.Epoch, Model: replica.Model, Domain: head.Domain, Opened: true}
-		for _, member := range replica.Members {
-			assignment.Members = append(assignment.Members, member.ID)
-		}
-		formation.assign(assignment)
-		formation.recordHead(assignment)
-	}
-}
+func (assignment Assignment) key() ReplicaKey { return ReplicaKey{assignment.Name, assignment.Epoch} }
 
 // assign adds an assignment.
 func (formation *Formation) assign(assignment Assignment) {
 	formation.Assignments = append(formation.Assignments, assignment)
 	formation.names.Add(assignment.Name)
 	for _, id := range assignment.Members {
-		formation.assigned.Add(id)
+		if id != "" {
+			formation.assigned.Add(id)
+		}
 	}
 }
 
@@ -256,7 +197,7 @@
 func (formation *Formation) referencedReplicas(view PoolView) map[ReplicaKey]bool {
 	referenced := map[ReplicaKey]bool{}
 	for _, assignment := range formation.Assignments {
-		referenced[ReplicaKey{assignment.Name, assignment.Epoch}] = true
+		referenced[assignment.key()] = true
 	}
 	for _, targets := range []map[string]Target{view.Targets, view.Absent} {
 		for _, target := range targets {
@@ -300,7 +241,7 @@
 // few. It returns the assignments that changed.
 func (formation *Formation) Update(view PoolView) []Assignment {
 	view = view.Indexed()
-	formation.adoptReturned(view)
+	formation.adoptOpen(view)
 	formation.recordOpened(view)
 	changed := formation.repair(view)
 	changed = append(changed, formation.grow(view)...)
@@ -344,6 +285,7 @@
 			return false
 		}
 		dissolved++
+		formation.dissolved.Add(assignment.Name)
 		return true
 	})
 	return true
@@ -378,7 +320,7 @@
 // recordHead keeps the head of a replica for as long as targets may be its
 // members.
 func (formation *Formation) recordHead(assignment Assignment) {
-	formation.heads[ReplicaKey{assignment.Name, assignment.Epoch}] = assignment.Members[0]
+	formation.heads[assignment.key()] = assignment.Members[0]
 }
 
 // spares returns the free targets of the assignment's domain that join within the
--- a/formation_test.go
+++ b/formation_test.go
@@ -24,6 +24,7 @@
 		formed     map[string]Set[string]   // members that have formed, by replica and epoch
 		heads      map[ReplicaKey]string    // as named by the orders to join
 		lostAt     map[ReplicaKey]time.Time // when a member first accepted an order to leave
+		busy       Set[string]              // targets with requests in progress
 	}
 
 	// simulatedTarget is one target with its true state.
@@ -31,6 +32,7 @@
 		Target
 		crashed     bool
 		unlisted    bool
+		unknown     bool      // unlisted, and never seen by the planner
 		absentSince time.Time // zero: for longer than a target may be silent
 		joinEnd     time.Time // when the join completes
 		stageEnd    time.Time // when the staging completes
@@ -67,8 +69,12 @@
 		Pool: "llm", Engine: pool.engine, Targets: map[string]Target{}, Absent: map[string]Target{},
 		ClosedAt: map[ReplicaKey]time.Time{}, Now: pool.now, HasTraffic: hasTraffic,
 		AbsentSince: map[string]time.Time{}, SuspectedHeads: map[ReplicaKey]bool{}, MemberLostAt: maps.Clone(pool.lostAt), StallTimeout: 6 * time.Second,
+		Busy: pool.busy,
 	}
 	for id, target := range pool.targets {
+		if target.unknown {
+			continue
+		}
 		if target.crashed || target.unlisted {
 			view.Absent[id], view.AbsentSince[id] = target.Target, target.absentSince
 			continue
--- /dev/null
+++ b/formationadoption.go
@@ -0,0 +1,130 @@
+package greengageroute
+
+import (
+	"slices"
+	"strings"
+)
+
+// reportedReplicas returns the newest epoch of each replica that targets report, with the
+// members known of it. Absent targets count as well: they may be silent and go on.
+func (view PoolView) reportedReplicas() map[string]Assignment {
+	newest := map[string]Assignment{}
+	add := func(target Target) {
+		member := target.Membership
+		model, known := view.Engine.Model(member.Model)
+		if !known || member.Epoch == 0 || member.Rank < 0 || member.Rank >= model.Size || member.isPreload() {
+			return
+		}
+		replica := newest[member.Replica]
+		if replica.Epoch > member.Epoch {
+			return
+		}
+		if replica.Epoch < member.Epoch {
+			replica = Assignment{
+				Name: member.Replica, Epoch: member.Epoch, Model: member.Model, Domain: target.Domain,
+				Members: make([]string, model.Size),
+			}
+		}
+		if member.Rank >= len(replica.Members) {
+			return
+		}
+		replica.Members[member.Rank] = target.ID
+		if member.Rank == 0 {
+			replica.Opened = member.State == MemberOpen
+		}
+		newest[member.Replica] = replica
+	}
+	for _, target := range view.Targets {
+		add(target)
+	}
+	for id, target := range view.Absent {
+		if _, listed := view.Targets[id]; !listed && target.Pool == view.Pool {
+			add(target)
+		}
+	}
+	return newest
+}
+
+// isSilent reports whether a target has been absent for no longer than one that works may be
+// silent.
+func (view PoolView) isSilent(id string) bool {
+	since, absent := view.AbsentSince[id]
+	return absent && view.Now.Sub(since) < silenceTolerance
+}
+
+// isPresent reports whether a target is listed, or silent for a moment.
+func (view PoolView) isPresent(id string) bool {
+	_, listed := view.Targets[id]
+	return listed || view.isSilent(id)
+}
+
+// adoptAll assigns the replicas that the targets report, except those whose members have all
+// been absent for long.
+func (formation *Formation) adoptAll(view PoolView) {
+	for _, replica := range view.reportedReplicas() {
+		if slices.ContainsFunc(replica.Members, view.isPresent) {
+			formation.adopt(replica)
+		}
+	}
+	slices.SortFunc(formation.Assignments, func(a, b Assignment) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// adoptOpen assigns open replicas that this formation doesn't know, or only under an epoch from
+// which the planner before had moved on: their members were silent, or their rows on the way, as
+// it began. A replica that was given up is assigned again once it is listed as a whole.
+func (formation *Formation) adoptOpen(view PoolView) {
+	if !formation.hasUnknownHead(view) {
+		return
+	}
+	for _, replica := range view.reportedReplicas() {
+		if !replica.Opened || formation.dissolved.Has(replica.Name) {
+			continue
+		}
+		index := slices.IndexFunc(formation.Assignments, func(assignment Assignment) bool { return assignment.Name == replica.Name })
+		var known Assignment
+		if index >= 0 {
+			known = formation.Assignments[index]
+		}
+		inOther := func(id string) bool { return formation.assigned.Has(id) && !slices.Contains(known.Members, id) }
+		isMissing := func(id string) bool { return !view.isPresent(id) }
+		isUnlisted := func(id string) bool { _, listed := view.Targets[id]; return !listed }
+		switch {
+		case slices.ContainsFunc(replica.Members, inOther):
+		case index >= 0:
+			if replica.Epoch > known.Epoch && replica.Epoch <= formation.firstEpoch && !slices.ContainsFunc(replica.Members, isMissing) {
+				formation.unassign(func(assignment Assignment) bool { return assignment.Name == replica.Name })
+				formation.adopt(replica)
+			}
+		case formation.names.Has(replica.Name):
+			if !slices.ContainsFunc(replica.Members, isUnlisted) {
+				formation.adopt(replica)
+			}
+		case slices.ContainsFunc(replica.Members, view.isPresent):
+			formation.adopt(replica)
+		}
+	}
+}
+
+// hasUnknownHead reports whether an open head belongs to no assignment.
+func (formation *Formation) hasUnknownHead(view PoolView) bool {
+	assigned := map[ReplicaKey]bool{}
+	for _, assignment := range formation.Assignments {
+		assigned[assignment.key()] = true
+	}
+	for _, targets := range []map[string]Target{view.Targets, view.Absent} {
+		for _, target := range targets {
+			if member := target.Membership; member.Rank == 0 && member.State == MemberOpen && !assigned[member.key()] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// adopt assigns a replica as the targets report it.
+func (formation *Formation) adopt(replica Assignment) {
+	formation.assign(replica)
+	if replica.Members[0] != "" {
+		formation.recordHead(replica)
+	}
+}
--- /dev/null
+++ b/formationadoption_test.go
@@ -0,0 +1,134 @@
+package greengageroute
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// newTakeover returns a pool of formed replicas and the first of them, whose members fall silent
+// under requests, just before another planner takes over.
+func newTakeover(t *testing.T) (*simulatedPool, *Formation, Assignment) {
+	pool, formation := newFormedPool(t, 6, 11)
+	pool.run(formation, 3*time.Second, true)
+	pool.orders, pool.orderedAt = nil, nil
+	replica := formation.Assignments[0]
+	pool.busy = NewSet(replica.Members[0])
+	for _, id := range replica.Members {
+		pool.targets[id].unlisted, pool.targets[id].absentSince = true, pool.now
+	}
+	return pool, formation, replica
+}
+
+// requireUntouched checks that no order went to the members of a replica.
+func (pool *simulatedPool) requireUntouched(replica Assignment) {
+	pool.t.Helper()
+	for _, order := range pool.orders {
+		if slices.Contains(replica.Members, order.Target.ID) {
+			pool.t.Errorf("the order %v goes to a member of a replica that serves, want none", order)
+		}
+	}
+}
+
+// TestNewPlannerKeepsReplicasThatWereSilent guards against an open replica that is ended, and
+// its streams with it, because all its members were silent as a planner took over and go on one
+// after the other (calm soak, seed 9002).
+func TestNewPlannerKeepsReplicasThatWereSilent(t *testing.T) {
+	tests := []struct {
+		name  string
+		first int // rank of the member that goes on first
+		// prepare changes the pool before the planner takes over, and change afterwards.
+		prepare, change func(pool *simulatedPool, replica Assignment)
+	}{
+		{name: "its head goes on first"},
+		{name: "another member goes on first", first: 1},
+		{name: "the last member goes on first", first: 5},
+		{name: "a member of an earlier epoch is listed", first: 2, prepare: func(pool *simulatedPool, replica Assignment) {
+			for _, target := range pool.targets {
+				if target.Domain == replica.Domain && target.Membership.isPreload() {
+					target.Membership = Membership{Replica: replica.Name, Epoch: replica.Epoch - 1, Rank: 3, Model: replica.Model, State: MemberReady}
+				}
+			}
+		}},
+		{name: "its rows were missing in the list", prepare: func(pool *simulatedPool, replica Assignment) {
+			for _, id := range replica.Members {
+				pool.targets[id].unknown = true
+			}
+		}, change: func(pool *simulatedPool, replica Assignment) {
+			for _, id := range replica.Members {
+				pool.targets[id].unknown = false
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pool, formation, replica := newTakeover(t)
+			if test.prepare != nil {
+				test.prepare(pool, replica)
+			}
+			successor := NewFormation(pool.view(true), 1_000_000)
+			successor.RestoreHeads(formation.Heads(pool.view(true)))
+			pool.run(successor, 300*time.Millisecond, true)
+			if test.change != nil {
+				test.change(pool, replica)
+			}
+			for offset := range replica.Members {
+				pool.targets[replica.Members[(test.first+offset)%len(replica.Members)]].unlisted = false
+				pool.run(successor, 200*time.Millisecond, true)
+			}
+			pool.run(successor, 3*time.Second, true)
+			pool.requireUntouched(replica)
+			if open := pool.openByModel(); open["large"] != 6 || open["small"] != 6 {
+				t.Errorf("the open replicas are %v, want 6 of each model", open)
+			}
+		})
+	}
+}
+
+// TestNewPlannerFollowsTheEpochBeforeIt guards against a replica that is repaired once more
+// because the list that a planner began with shows an epoch from which the planner before had
+// moved on.
+func TestNewPlannerFollowsTheEpochBeforeIt(t *testing.T) {
+	pool, formation := newFormedPool(t, 6, 11)
+	pool.run(formation, 3*time.Second, true)
+	before := pool.view(true)
+	replica := formation.Assignments[0]
+	lost := pool.targets[replica.Members[2]]
+	lost.crashed = true
+	pool.run(formation, 2*time.Second, true)
+	index := slices.IndexFunc(formation.Assignments, func(assignment Assignment) bool { return assignment.Name == replica.Name })
+	repaired := formation.Assignments[index]
+	if repaired.Epoch == replica.Epoch || pool.openByModel()["large"] != 6 {
+		t.Fatalf("the replica wasn't repaired: %+v", repaired)
+	}
+	pool.orders, pool.orderedAt = nil, nil
+	successor := NewFormation(before, 1_000_000)
+	pool.run(successor, time.Second, true)
+	pool.requireUntouched(repaired)
+}
+
+// TestDissolvedReplicasAreNotAdopted guards against a replica that made room for another model
+// and is assigned again as long as its head is open.
+func TestDissolvedReplicasAreNotAdopted(t *testing.T) {
+	pool, formation := newFormedPool(t, 6, 11)
+	replica := formation.Assignments[0]
+	formation.dissolved.Add(replica.Name)
+	formation.unassign(func(assignment Assignment) bool { return assignment.Name == replica.Name })
+	pool.run(formation, time.Second, true)
+	if slices.ContainsFunc(formation.Assignments, func(assignment Assignment) bool { return assignment.Name == replica.Name }) {
+		t.Errorf("the dissolved replica %s is assigned again", replica.Name)
+	}
+}
+
+// TestReplicaThatReturnsAsAWholeIsKept guards against an open replica that was given up, as it
+// was cut off for long, and is closed once it is back although nothing has replaced it.
+func TestReplicaThatReturnsAsAWholeIsKept(t *testing.T) {
+	pool, formation, replica := newTakeover(t)
+	pool.busy = nil
+	pool.run(formation, silenceTolerance+time.Second, true)
+	for _, id := range replica.Members {
+		pool.targets[id].unlisted = false
+	}
+	pool.run(formation, time.Second, true)
+	pool.requireUntouched(replica)
+}
--- a/formationorders.go
+++ b/formationorders.go
@@ -182,7 +182,7 @@
 func (formation *Formation) closeAbandoned(view PoolView, closed map[ReplicaKey]bool) []TargetOrder {
 	assigned := map[ReplicaKey]bool{}
 	for _, assignment := range formation.Assignments {
-		assigned[ReplicaKey{assignment.Name, assignment.Epoch}] = true
+		assigned[assignment.key()] = true
 	}
 	var orders []TargetOrder
 	for _, target := range view.Targets {
