Planner: all entries know since when a target has been absent

Cause: the planner noted when targets became absent only in rounds in which it held the lease. An entry that held it before and takes it again counted a member's silence from an earlier one, and one that had not held it before counted from then.

TestPlannerKnowsSinceWhen- TargetsAreSilent fails on the code before: 10.3 s instead of 0.3 s, and 0 s instead of 1 s.

Why it works: the directory notes it as a target becomes unlisted or unreachable and forgets it when the target is back, on every entry. A silence that outlasts a change of the planner counts as a whole, so that a lost target is given up no later than without the change.

--- a/control/directory.go
+++ b/control/directory.go
@@ -48,6 +48,8 @@
 		targets map[string]greengageroute.Target
 		dropAt  map[string]time.Time // when to drop targets that a store outage may have unlisted
 		absent  map[string]datedTarget
+		// absentSince is since when targets have been unlisted or unreachable.
+		absentSince map[string]time.Time
 		// unlisted are members that are no longer listed. This also happens to targets
 		// that only lost the store: their replicas may still be complete.
 		unlisted      map[string]datedTarget
@@ -78,11 +80,11 @@
 func NewDirectory(clock greengageroute.Clock) *Directory {
 	directory := &Directory{
 		clock: clock, targets: map[string]greengageroute.Target{}, dropAt: map[string]time.Time{},
-		absent: map[string]datedTarget{}, unlisted: map[string]datedTarget{}, outdated: map[string]datedTarget{},
+		absent: map[string]datedTarget{}, absentSince: map[string]time.Time{}, unlisted: map[string]datedTarget{}, outdated: map[string]datedTarget{},
 		unreachable: map[mesh.TargetInstance]time.Time{}, responded: map[mesh.TargetInstance]time.Time{}, slow: map[mesh.TargetInstance]time.Time{}, leaving: map[mesh.TargetInstance]time.Time{}, watchers: map[uint64]func(){},
 		touched: greengageroute.Set[string]{}, memberships: map[replicaID]map[string]*greengageroute.Target{}, open: map[replicaID]greengageroute.Replica{},
 	}
-	directory.view.Store(&View{})
+	directory.view.Store(&View{Absent: map[string]greengageroute.Target{}, AbsentSince: map[string]time.Time{}})
 	return directory
 }
 
--- a/control/heads.go
+++ b/control/heads.go
@@ -69,7 +69,8 @@
 	defer planner.mu.Unlock()
 	for _, head := range heads {
 		if _, listed := view.Targets[head.ID]; !listed {
-			planner.unknownHeads[head.ID] = greengageroute.Target{ID: head.ID, Address: head.Address, DataCentre: head.DataCentre, Pool: view.Pool}
+			target := greengageroute.Target{ID: head.ID, Address: head.Address, DataCentre: head.DataCentre, Pool: view.Pool}
+			planner.unknownHeads[head.ID] = datedTarget{target, view.Now}
 		}
 	}
 }
--- a/control/headstate.go
+++ b/control/headstate.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"maps"
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
@@ -136,20 +135,6 @@
 	return closedAt, suspected
 }
 
-// recordAbsent returns since when targets have been absent. The caller holds the lock.
-func (planner *Planner) recordAbsent(absent map[string]greengageroute.Target, now time.Time) map[string]time.Time {
-	maps.DeleteFunc(planner.absentSince, func(id string, _ time.Time) bool {
-		_, still := absent[id]
-		return !still
-	})
-	for id := range absent {
-		if _, known := planner.absentSince[id]; !known {
-			planner.absentSince[id] = now
-		}
-	}
-	return maps.Clone(planner.absentSince)
-}
-
 // recordResponse records a head's response to an order to open or close. A head
 // whose state refuses doesn't serve; a head that carries out the order is soon listed in
 // its new state.
--- a/control/planner.go
+++ b/control/planner.go
@@ -140,12 +140,11 @@
 		pendingOpens map[string]pendingOpen
 		// lostMembers holds the first member that each replica is known to have lost.
 		lostMembers map[replicaID]lostMember
-		absentSince map[string]time.Time
 		// left holds targets that accepted an order by which they left a replica,
 		// until the list shows it.
 		left map[string]leftReplica
 		// unknownHeads are heads that only an earlier planner has seen, until they are listed.
-		unknownHeads     map[string]greengageroute.Target
+		unknownHeads     map[string]datedTarget
 		oddHeads         map[string]oddHeads // stored heads that can't be decoded, by pool
 		headsWriteFailed bool                // storedHeads has to be written again
 		headsWriting     bool
@@ -202,9 +201,9 @@
 	return &Planner{
 		PlannerOptions: options, wake: make(chan struct{}, 1),
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staging: map[string]stagingModel{},
-		loggedStates: map[string]string{}, unknownHeads: map[string]greengageroute.Target{}, oddHeads: map[string]oddHeads{}, pendingOpens: map[string]pendingOpen{}, storedHeads: map[string]string{},
+		loggedStates: map[string]string{}, unknownHeads: map[string]datedTarget{}, oddHeads: map[string]oddHeads{}, pendingOpens: map[string]pendingOpen{}, storedHeads: map[string]string{},
 		absentHeads: map[replicaID]absentHead{}, lostMembers: map[replicaID]lostMember{},
-		absentSince: map[string]time.Time{}, storedReleases: map[string]greengageroute.Set[string]{}, left: map[string]leftReplica{},
+		storedReleases: map[string]greengageroute.Set[string]{}, left: map[string]leftReplica{},
 	}
 }
 
@@ -293,19 +292,19 @@
 		targets[target.ID] = target
 	}
 	closedAt, suspected := planner.absentHeadStates(name, targets)
-	absent := maps.Clone(view.Absent)
-	maps.DeleteFunc(planner.unknownHeads, func(id string, _ greengageroute.Target) bool {
+	absent, absentSince := maps.Clone(view.Absent), maps.Clone(view.AbsentSince)
+	maps.DeleteFunc(planner.unknownHeads, func(id string, _ datedTarget) bool {
 		_, listed := view.Target(id)
 		return listed
 	})
 	for id, head := range planner.unknownHeads {
 		if _, known := absent[id]; !known {
-			absent[id] = head
+			absent[id], absentSince[id] = head.target, head.since
 		}
 	}
 	return greengageroute.PoolView{
 		Pool: name, Engine: engine, Targets: targets, HasTraffic: planner.HasTraffic(), Now: now,
-		Absent: absent, AbsentSince: planner.recordAbsent(absent, now), ClosedAt: closedAt, SuspectedHeads: suspected, Busy: busy,
+		Absent: absent, AbsentSince: absentSince, ClosedAt: closedAt, SuspectedHeads: suspected, Busy: busy,
 		MemberLostAt: planner.memberLostAt(name, targets), StallTimeout: planner.StallTimeout, PendingOpens: planner.pendingOpensIn(targets),
 		Left: planner.leftReplicasOf(targets),
 	}.Indexed()
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -309,6 +309,43 @@
 	}
 }
 
+// TestPlannerKnowsSinceWhenTargetsAreSilent guards against replicas that are repaired under their
+// requests by an entry that takes the lease again, and counts a member's silence from an earlier
+// one (calm soak, seed 9004), and against one that takes the lease and counts from then only.
+func TestPlannerKnowsSinceWhenTargetsAreSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		planner, directory := newTestPlanner(fakeActivity{})
+		member := greengageroute.Target{ID: "i-member", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1}
+		directory.Replace([]greengageroute.Target{member}, time.Time{})
+		silentFor := func() (time.Duration, bool) {
+			view := planner.poolView("llm", nil, directory.View())
+			since, absent := view.AbsentSince[member.ID]
+			return view.Now.Sub(since), absent
+		}
+		directory.MarkUnreachable(member.Instance())
+		time.Sleep(time.Second)
+		if silence, absent := silentFor(); !absent || silence != time.Second {
+			t.Errorf("absent: %t, for %s, want 1 s though the planner has just begun", absent, silence)
+		}
+		directory.MarkResponding(member.Instance())
+		time.Sleep(10 * time.Second) // another entry holds the lease
+		directory.MarkUnreachable(member.Instance())
+		time.Sleep(300 * time.Millisecond)
+		if silence, absent := silentFor(); !absent || silence != 300*time.Millisecond {
+			t.Errorf("absent: %t, for %s, want 300 ms since its second silence", absent, silence)
+		}
+		directory.MarkResponding(member.Instance())
+		if _, absent := silentFor(); absent {
+			t.Error("absent although it responds")
+		}
+		directory.Replace(nil, time.Time{})
+		time.Sleep(time.Second)
+		if silence, absent := silentFor(); !absent || silence != time.Second {
+			t.Errorf("absent: %t, for %s, want 1 s since its row lapsed", absent, silence)
+		}
+	})
+}
+
 // TestUnknownHeadIsForgottenOnceListed guards against a silence that counts as old at once, since
 // the head was once known from an earlier planner alone, and against a map that grows.
 func TestUnknownHeadIsForgottenOnceListed(t *testing.T) {
--- a/control/view.go
+++ b/control/view.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
 )
@@ -19,10 +20,12 @@
 	// View is an immutable snapshot of the directory. Consecutive views share what
 	// did not change.
 	View struct {
-		Listed   bool                             // the list has been read and has targets
-		Absent   map[string]greengageroute.Target // no longer listed, or found unreachable
-		targets  [viewShards]map[string]*greengageroute.Target
-		replicas map[string]map[string][]greengageroute.Replica // open replicas by pool and model
+		Listed bool                             // the list has been read and has targets
+		Absent map[string]greengageroute.Target // no longer listed, or found unreachable
+		// AbsentSince is since when the absent targets have been neither listed nor responding.
+		AbsentSince map[string]time.Time
+		targets     [viewShards]map[string]*greengageroute.Target
+		replicas    map[string]map[string][]greengageroute.Replica // open replicas by pool and model
 
 		mu    sync.Mutex
 		pools map[string][]greengageroute.Target // pools listed so far
@@ -113,6 +116,10 @@
 	previous.mu.Lock()
 	maps.Copy(view.pools, previous.pools)
 	previous.mu.Unlock()
+	for id := range directory.touched {
+		directory.recordAbsence(id, view.Absent)
+	}
+	view.AbsentSince = maps.Clone(directory.absentSince)
 	copied := greengageroute.Set[int]{}
 	changed := map[replicaID]bool{}
 	for id := range directory.touched {
@@ -173,6 +180,20 @@
 	return absent
 }
 
+// recordAbsence records since when a target has been absent, if it is. All entries know it, so
+// that one that takes the planner's lease does.
+func (directory *Directory) recordAbsence(id string, absent map[string]greengageroute.Target) {
+	_, isAbsent := absent[id]
+	_, present := directory.present(id)
+	_, known := directory.absentSince[id]
+	switch {
+	case present || !isAbsent:
+		delete(directory.absentSince, id)
+	case !known:
+		directory.absentSince[id] = directory.clock.Now()
+	}
+}
+
 func replicaIDOf(target *greengageroute.Target) replicaID {
 	return replicaID{target.Pool, greengageroute.ReplicaKey{Name: target.Membership.Replica, Epoch: target.Membership.Epoch}}
 }
