Planner: a replica isn't given up while its members are only silent

Cause: a replica that had served waited for members that were silent for under 2 s if nothing else was wrong with it. One that wasn't open yet, had a member that had yet to join, or one that was leaving, was dissolved in favour of another one, or given up, as too few spares remained.

Why it works: replacement stays as fast as it was wherever spares are at hand. Only what ends a replica, its dissolution or a member that has to load, waits until no member of it, or of an earlier epoch of it, has been absent for less than a target that works may be silent.

Cost: a replica with a lost member besides a silent one, and no spares, is dissolved up to 2 s later than before.

--- a/formationadoption_test.go
+++ b/formationadoption_test.go
@@ -132,3 +132,56 @@
 	pool.run(formation, time.Second, true)
 	pool.requireUntouched(replica)
 }
+
+// TestReplicaIsNotGivenUpForSilence guards against members that move to another replica because
+// too few spares are left to replace others that are only silent (calm soak, seeds 1 and 9005).
+func TestReplicaIsNotGivenUpForSilence(t *testing.T) {
+	tests := []struct {
+		name string
+		// change changes a replica as its last member falls silent.
+		change func(pool *simulatedPool, replica Assignment)
+		open   int // replicas at the end, when the silent members turn out to be lost
+	}{
+		{"it serves", func(*simulatedPool, Assignment) {}, 1},
+		{"it isn't open yet", func(pool *simulatedPool, replica Assignment) {
+			pool.targets[replica.Members[0]].Membership.State = MemberReady
+		}, 1},
+		{"a member has yet to join", func(pool *simulatedPool, replica Assignment) {
+			pool.targets[replica.Members[0]].Membership.State = MemberReady
+			pool.targets[replica.Members[1]].Membership = Membership{}
+		}, 1},
+		{"another member is leaving", func(pool *simulatedPool, replica Assignment) {
+			pool.targets[replica.Members[1]].State = TargetLeaving
+		}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pool, formation := newSmallModelPool(t, 7)
+			delete(pool.targets, formation.free(pool.view(false), "d0", nil)[0].ID)
+			replicas := slices.Clone(formation.Assignments)
+			for i, replica := range replicas {
+				test.change(pool, replica)
+				formation.Assignments[i].Opened = pool.targets[replica.Members[0]].Membership.State == MemberOpen
+				silent := pool.targets[replica.Members[2]]
+				silent.unlisted, silent.absentSince = true, pool.now
+			}
+			pool.orders, pool.orderedAt = nil, nil
+			pool.run(formation, silenceTolerance-100*time.Millisecond, true)
+			for _, replica := range replicas {
+				for _, order := range pool.orders {
+					if order.Kind == OrderJoin && slices.Contains(replica.Members, order.Target.ID) && order.Replica != replica.Name {
+						t.Errorf("%v while a member is silent", order)
+					}
+				}
+				if !slices.ContainsFunc(formation.Assignments, func(assignment Assignment) bool { return assignment.Name == replica.Name }) {
+					t.Errorf("replica %s was given up while a member is silent", replica.Name)
+				}
+				pool.targets[replica.Members[2]].crashed = true
+			}
+			pool.run(formation, 15*time.Second, true)
+			if open := pool.openByModel()["small"]; open != test.open {
+				t.Errorf("%d replicas are open once the silent members are lost, want %d", open, test.open)
+			}
+		})
+	}
+}
--- a/formationrepair.go
+++ b/formationrepair.go
@@ -10,7 +10,9 @@
 // dissolving other replicas of the model that are damaged or wait for a member to
 // load, and else by targets that have to load. A replica that only has leaving or slow
 // members keeps running until staged targets can replace these. One whose missing members may
-// return is left as it is while requests wait there for them, or if no staged targets are free.
+// return is left as it is while requests wait there for them, or if no staged targets are free:
+// it is neither dissolved nor given a member that has to load while a target that was in it is
+// only silent.
 func (formation *Formation) repair(view PoolView) []Assignment {
 	damaged := append(formation.takeDamaged(view), formation.takeWaiting(view)...)
 	slices.SortStableFunc(damaged, func(a, b damagedAssignment) int { return cmp.Compare(a.missing(), b.missing()) })
@@ -43,7 +45,7 @@
 	})
 	damaged = slices.DeleteFunc(damaged, func(assignment damagedAssignment) bool { return fill(assignment, joinCostStaged) })
 	leave(func(assignment damagedAssignment) bool {
-		return view.allFormed(assignment.Assignment) || view.mayReturn(assignment)
+		return view.allFormed(assignment.Assignment) || view.awaitsSilent(assignment.Assignment)
 	})
 	damaged = formation.merge(damaged, reserved, fill)
 	for _, assignment := range damaged {
@@ -149,7 +151,7 @@
 		target, found := view.Targets[id]
 		switch {
 		case found && target.Membership.BelongsTo(damaged.Name, damaged.Epoch) && target.Membership.Formed() && target.State != TargetLeaving:
-		case !found && view.Now.Sub(view.AbsentSince[id]) < silenceTolerance:
+		case !found && view.isSilent(id):
 			silent = true
 		default:
 			return false
@@ -158,6 +160,20 @@
 	return silent
 }
 
+// awaitsSilent reports whether a member of the replica, or of an earlier epoch of it, is silent.
+// Until it goes on, or has been absent for too long, its replica isn't given up.
+func (view PoolView) awaitsSilent(assignment Assignment) bool {
+	for id := range view.AbsentSince {
+		_, listed := view.Targets[id]
+		target := view.Absent[id]
+		isMember := slices.Contains(assignment.Members, id) || target.Pool == view.Pool && target.Membership.Replica == assignment.Name
+		if !listed && isMember && view.isSilent(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // reassign puts a damaged assignment back with its spares as new members, under a
 // new epoch.
 func (formation *Formation) reassign(damaged damagedAssignment, spares []string) Assignment {
