Planner: it begins with a list read under its lease

Cause: a new planner took the list as this entry had it. The last orders of the planner before may have been carried out since that was read; the replica was judged, and repaired once more, as it had been before them.

Why it works: all orders of a holder have arrived before its lease ends or is released, and targets write their rows as they carry them out. The store has one counter for all tables, so a list at or after the revision of the row by which the lease was taken shows what they did.

Cost: no calls.

--- a/control/follower.go
+++ b/control/follower.go
@@ -73,7 +73,8 @@
 		plans       func() bool
 		peersConfig func() (version uint64, known bool)
 		routes      atomic.Pointer[greengageroute.RouteTable]
-		confirmedAt atomic.Int64 // when the config was last known to be current, in Unix nanoseconds of the clock
+		listedAt    atomic.Pointer[greengageroute.StoreRevision] // see ListRevision
+		confirmedAt atomic.Int64                                 // when the config was last known to be current, in Unix nanoseconds of the clock
 		// polledAt is when a poll last found it current, whatever other entries know.
 		polledAt atomic.Int64
 		// configUndecodable is set while the newest config can't be decoded: the one in force
@@ -94,7 +95,7 @@
 		batchDelay  func() time.Duration
 		onSnapshot  func(rows platform.Rows)
 		onChanges   func(rows platform.Rows)
-		onConfirmed func(confirmedAt time.Time)
+		onConfirmed func(confirmedAt time.Time, position greengageroute.StoreRevision)
 		// outdated reports whether other entries know newer rows.
 		outdated func() bool
 	}
@@ -110,6 +111,14 @@
 // Routes returns the newest config that this entry knows, or nil.
 func (follower *Follower) Routes() *greengageroute.RouteTable { return follower.routes.Load() }
 
+// ListRevision returns the store's revision up to which the list of targets is known.
+func (follower *Follower) ListRevision() greengageroute.StoreRevision {
+	if position := follower.listedAt.Load(); position != nil {
+		return *position
+	}
+	return greengageroute.StoreRevision{}
+}
+
 // Age returns how long ago the config was last known to be current. A poll counts only
 // while no other entry follows a newer config: a restored store may have an older one.
 func (follower *Follower) Age() time.Duration {
@@ -124,7 +133,7 @@
 	follower.run(ctx, feed{
 		table: platform.ConfigTable, pollTimeout: configPollTimeout,
 		onSnapshot: follower.adoptConfig, onChanges: follower.adoptConfig,
-		onConfirmed: func(confirmedAt time.Time) {
+		onConfirmed: func(confirmedAt time.Time, _ greengageroute.StoreRevision) {
 			if !follower.configUndecodable.Load() {
 				follower.polledAt.Store(max(confirmedAt.UnixNano(), follower.polledAt.Load()))
 			}
@@ -168,8 +177,11 @@
 				follower.directory.DropUnlessWritten(undecodable, follower.clock.Now().Add(undecodableGrace))
 			}
 		},
-		onConfirmed: func(time.Time) { follower.directory.Expire() },
-		outdated:    func() bool { return false },
+		onConfirmed: func(_ time.Time, position greengageroute.StoreRevision) {
+			follower.listedAt.Store(&position)
+			follower.directory.Expire()
+		},
+		outdated: func() bool { return false },
 	})
 }
 
@@ -215,7 +227,7 @@
 			feed.onSnapshot(rows)
 			synced, position = true, rows.Revision()
 		}
-		feed.onConfirmed(started.Add(-rows.Age))
+		feed.onConfirmed(started.Add(-rows.Age), position)
 		// The poll may have ended just before the change came: only the second one shows
 		// that this entry has missed it.
 		wasOutdated := outdated
--- a/control/lease.go
+++ b/control/lease.go
@@ -258,11 +258,14 @@
 		lease.rowCurrent = false
 		return lease.recordEra(revision.Era)
 	}
+	takenAt := lease.held.TakenAt
 	if lease.held.Fence != next.Fence {
+		takenAt = revision
 		lease.log.Info("lease taken", "fence", next.Fence)
 	}
 	lease.row, lease.revision, lease.rowCurrent, lease.maxFence = next, revision, true, max(lease.maxFence, next.Fence)
-	lease.held, lease.released = greengageroute.HeldLease{Fence: next.Fence, RenewedAt: started, Term: leaseTerm}, greengageroute.LeaseRow{}
+	lease.held = greengageroute.HeldLease{Fence: next.Fence, RenewedAt: started, Term: leaseTerm, TakenAt: takenAt}
+	lease.released = greengageroute.LeaseRow{}
 	return nil
 }
 
--- a/control/planner.go
+++ b/control/planner.go
@@ -93,7 +93,9 @@
 		OrderSender OrderSender
 		Activity    ActivityMonitor
 		Directory   *Directory
-		Routes      func() *greengageroute.RouteTable
+		// ListRevision returns the store's revision up to which the directory is known.
+		ListRevision func() greengageroute.StoreRevision
+		Routes       func() *greengageroute.RouteTable
 		// HasTraffic reports whether any entry has received requests.
 		HasTraffic func() bool
 		// Confirm probes members that are no longer listed and marks those that
@@ -261,6 +263,10 @@
 		return
 	}
 	planner.Confirm(planner.Directory.Unlisted())
+	if planner.ListRevision().Before(held.TakenAt) {
+		// The list may lack what the orders of the holder before have changed.
+		return
+	}
 	if held.Fence != planner.fence {
 		planner.fence = held.Fence
 		clear(planner.formations)
--- a/lease.go
+++ b/lease.go
@@ -24,6 +24,9 @@
 		Fence     uint64
 		RenewedAt time.Time
 		Term      time.Duration
+		// TakenAt is the store's revision with the row by which the lease was taken. What was
+		// read before may lack what the holder before has done.
+		TakenAt StoreRevision
 	}
 
 	// ObservedLease is a waiting entry's view of a lease that another entry holds.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -141,7 +141,7 @@
 	backoffFilter := control.NewBackoffFilter(targetClient, targetClient, entry, clock)
 	entry.prober = control.NewProber(deployment.DataCentre, backoffFilter, entry.directory, entry.node, clock, entry.counters, entry.log)
 	entry.planner = control.NewPlanner(control.PlannerOptions{
-		Lease: entry.lease, OrderSender: backoffFilter, Activity: entry.node, Directory: entry.directory, Routes: entry.follower.Routes,
+		Lease: entry.lease, OrderSender: backoffFilter, Activity: entry.node, Directory: entry.directory, ListRevision: entry.follower.ListRevision, Routes: entry.follower.Routes,
 		HasTraffic: entry.systemHasTraffic, Confirm: entry.prober.Confirm, Isolated: entry.prober.Isolated, Eligible: entry.mayPlan, FormationDelay: deployment.Bounds.HeartbeatInterval,
 		StallTimeout: deployment.Bounds.StallTimeout,
 		Clock:        clock, Counters: entry.counters, Log: entry.log,
