--- a/routetable.go
+++ b/routetable.go
@@ -111,8 +111,8 @@
 // RequiresKey reports whether requests need a key.
 func (table *RouteTable) RequiresKey() bool { return table.requiresKey }
 
-// PickPool returns the pool of a request, chosen by the weights of the route. draw
-// is a random number of at least 0 and below 1.
+// PickPool returns the pool of a request, chosen by the weights of the route, or "" if no
+// pool has a share of its requests. draw is a random number of at least 0 and below 1.
 func (route Route) PickPool(draw float64) string {
 	total := 0
 	for _, share := range route.Pools {
@@ -125,10 +125,7 @@
 			return share.Pool
 		}
 	}
-	if len(route.Pools) == 0 {
-		return ""
-	}
-	return route.Pools[len(route.Pools)-1].Pool
+	return ""
 }
 
 // Retryable reports whether a request may be sent again from its start.
