Planner: a row that claims the place of another target frees nothing

A row of another writer that is valid in every field, and names a place in a replica that serves, took the replica out of service at all entries for as long as it was listed: a replica with two targets in one place counted as incomplete. Where the planner needed spares it took such a target for one, and closed the replica that it named to free it, again and again.

Cause: the place that a row names was taken as given. Which of two targets a new planner kept depended on the order of a map.

Why it works: of two targets with one place, the one that has been listed for longer holds it, for entries and the planner alike. One that claims a place that an assignment gives to another target is no spare.

Open: a row that claims a place which no other target claims, or that was listed before the true member, is believed, as are the targets themselves.

--- a/formation.go
+++ b/formation.go
@@ -138,7 +138,8 @@
 		assigned: Set[string]{}, names: Set[string]{}, dissolved: Set[string]{}, releases: map[string][]release{},
 	}
 	for _, target := range view.Targets {
-		if member := target.Membership; member.Rank == 0 && member.Replica != "" && !member.isPreload() {
+		member := target.Membership
+		if member.Rank == 0 && member.Replica != "" && !member.isPreload() && !view.hasPrecedence(formation.heads[member.key()], target) {
 			formation.heads[member.key()] = target.ID
 		}
 	}
@@ -354,12 +355,12 @@
 }
 
 // free returns the targets of a domain that are neither assigned, nor reserved, nor held by
-// an absent head, sorted by id.
+// an absent head, nor claim the place of another one, sorted by id.
 func (formation *Formation) free(view PoolView, domain string, reserved Set[string]) []Target {
 	var free []Target
 	if targets := view.Indexed().domains[domain]; targets != nil {
 		for _, target := range targets.ready {
-			if !formation.assigned.Has(target.ID) && !reserved.Has(target.ID) && !formation.isHeld(*target, view) {
+			if !formation.assigned.Has(target.ID) && !reserved.Has(target.ID) && !formation.isHeld(*target, view) && !formation.claimsTakenPlace(*target) {
 				free = append(free, *target)
 			}
 		}
@@ -376,7 +377,7 @@
 	view.domains, view.listedHeads = map[string]*domainTargets{}, map[ReplicaKey]string{}
 	for _, target := range view.Targets {
 		if key := target.Membership.key(); target.Membership.Rank == 0 && key.Name != "" {
-			if other, found := view.listedHeads[key]; !found || target.ID < other {
+			if !view.hasPrecedence(view.listedHeads[key], target) {
 				view.listedHeads[key] = target.ID
 			}
 		}
--- a/formation_test.go
+++ b/formation_test.go
@@ -25,6 +25,7 @@
 		heads      map[ReplicaKey]string    // as named by the orders to join
 		lostAt     map[ReplicaKey]time.Time // when a member first accepted an order to leave
 		busy       Set[string]              // targets with requests in progress
+		sent       []TargetOrder            // all orders, carried out or not
 	}
 
 	// simulatedTarget is one target with its true state.
@@ -33,6 +34,7 @@
 		crashed     bool
 		unlisted    bool
 		unknown     bool      // unlisted, and never seen by the planner
+		listed      bool      // although it has crashed
 		absentSince time.Time // zero: for longer than a target may be silent
 		joinEnd     time.Time // when the join completes
 		stageEnd    time.Time // when the staging completes
@@ -75,7 +77,7 @@
 		if target.unknown {
 			continue
 		}
-		if target.crashed || target.unlisted {
+		if (target.crashed || target.unlisted) && !target.listed {
 			view.Absent[id], view.AbsentSince[id] = target.Target, target.absentSince
 			continue
 		}
@@ -92,6 +94,7 @@
 // apply carries out an order and checks the rules that hold for every pool.
 func (pool *simulatedPool) apply(order TargetOrder) {
 	target := pool.targets[order.Target.ID]
+	pool.sent = append(pool.sent, order)
 	if target.crashed {
 		return
 	}
--- a/formationadoption.go
+++ b/formationadoption.go
@@ -25,7 +25,7 @@
 				Members: make([]string, model.Size),
 			}
 		}
-		if member.Rank >= len(replica.Members) {
+		if member.Rank >= len(replica.Members) || view.hasPrecedence(replica.Members[member.Rank], target) {
 			return
 		}
 		replica.Members[member.Rank] = target.ID
@@ -45,6 +45,31 @@
 	return newest
 }
 
+// hasPrecedence reports whether a target, if there is one of that id, holds the place in its
+// replica that another one claims too.
+func (view PoolView) hasPrecedence(id string, rival Target) bool {
+	if id == "" {
+		return false
+	}
+	holder, listed := view.Targets[id]
+	if !listed {
+		holder = view.Absent[id]
+	}
+	return comparePrecedence(holder, rival) < 0
+}
+
+// claimsTakenPlace reports whether a target claims a place that an assignment gives to another
+// one. No order has given it that place.
+func (formation *Formation) claimsTakenPlace(target Target) bool {
+	member := target.Membership
+	if member.Replica == "" || member.isPreload() || formation.assigned.Has(target.ID) {
+		return false
+	}
+	return slices.ContainsFunc(formation.Assignments, func(assignment Assignment) bool {
+		return member.BelongsTo(assignment.Name, assignment.Epoch) && member.Rank < len(assignment.Members) && assignment.Members[member.Rank] != ""
+	})
+}
+
 // isSilent reports whether a target has been absent for no longer than one that works may be
 // silent.
 func (view PoolView) isSilent(id string) bool {
--- a/formationadoption_test.go
+++ b/formationadoption_test.go
@@ -185,3 +185,58 @@
 		})
 	}
 }
+
+// TestRowsThatClaimATakenPlaceAreIgnored guards against rows of another writer that are valid in
+// every field and claim a place in a replica that exists: the replica would count as incomplete,
+// or be closed to free the target for another one.
+func TestRowsThatClaimATakenPlaceAreIgnored(t *testing.T) {
+	tests := []struct {
+		name string
+		rank int
+		took bool // another planner takes over
+	}{
+		{"another member's place", 2, false},
+		{"the head's place", 0, false},
+		{"another member's place, as a planner begins", 2, true},
+		{"the head's place, as a planner begins", 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pool, formation := newFormedPool(t, 6, 11)
+			pool.run(formation, 3*time.Second, true)
+			replica := formation.Assignments[0]
+			holder := pool.targets[replica.Members[test.rank]]
+			rival := &simulatedTarget{Target: holder.Target, crashed: true, listed: true}
+			rival.ID, rival.Address, rival.ListedSince = "a-rival", "nowhere", pool.now
+			pool.targets[rival.ID] = rival
+			var members []Target
+			for _, target := range pool.view(true).Targets {
+				if target.Membership.BelongsTo(replica.Name, replica.Epoch) {
+					members = append(members, target)
+				}
+			}
+			complete, rest := AssembleReplicas(members)
+			if len(complete) != 1 || !complete[0].IsOpen(len(replica.Members)) || complete[0].Members[test.rank].ID != holder.ID || len(rest) != 1 || rest[0].ID != rival.ID {
+				t.Errorf("assembled %v, and the rest is %v, want the replica without its rival", complete, rest)
+			}
+			if test.took {
+				formation = NewFormation(pool.view(true), 1_000_000)
+			}
+			// The domain needs all its spares.
+			for _, assignment := range formation.Assignments {
+				if assignment.Domain == replica.Domain && assignment.Name != replica.Name {
+					pool.targets[assignment.Members[1]].crashed = true
+					pool.targets[assignment.Members[2]].crashed = true
+				}
+			}
+			pool.orders, pool.orderedAt, pool.sent = nil, nil, nil
+			pool.run(formation, 3*time.Second, true)
+			pool.requireUntouched(replica)
+			for _, order := range pool.sent {
+				if order.Target.ID == rival.ID && order.Kind != OrderClose {
+					t.Errorf("the order %v goes to the rival", order)
+				}
+			}
+		})
+	}
+}
--- a/replica.go
+++ b/replica.go
@@ -45,8 +45,9 @@
 }
 
 // AssembleReplicas builds the replicas from the memberships that a pool's targets
-// report. A replica with a missing or duplicate rank is left out: its members are
-// returned in rest, with the targets that are in no replica.
+// report. A replica with a missing rank is left out: its members are returned in rest, with
+// the targets that are in no replica. Of two targets that claim one place, the one that has been
+// listed for longer holds it, and the other one is in rest.
 func AssembleReplicas(targets []Target) (complete []Replica, rest []Target) {
 	byKey := map[ReplicaKey][]Target{}
 	for _, target := range targets {
@@ -59,8 +60,9 @@
 	}
 	for key, members := range byKey {
 		slices.SortFunc(members, func(a, b Target) int {
-			return cmp.Or(cmp.Compare(a.Membership.Rank, b.Membership.Rank), strings.Compare(a.ID, b.ID))
+			return cmp.Or(cmp.Compare(a.Membership.Rank, b.Membership.Rank), comparePrecedence(a, b))
 		})
+		members, rest = withoutRivals(members, rest)
 		if !consecutive(members) {
 			rest = append(rest, members...)
 			continue
@@ -76,6 +78,24 @@
 	return complete, rest
 }
 
+// comparePrecedence orders targets that claim one place in a replica: the holder comes first.
+func comparePrecedence(a, b Target) int {
+	return cmp.Or(a.ListedSince.Compare(b.ListedSince), strings.Compare(a.ID, b.ID))
+}
+
+// withoutRivals returns members sorted by rank without those that claim the place of the one
+// before them. It appends these to the others.
+func withoutRivals(members, others []Target) (holders, rest []Target) {
+	for _, member := range members {
+		if last := len(holders) - 1; last >= 0 && holders[last].Membership.Rank == member.Membership.Rank {
+			others = append(others, member)
+			continue
+		}
+		holders = append(holders, member)
+	}
+	return holders, others
+}
+
 func consecutive(members []Target) bool {
 	for rank, member := range members {
 		if member.Membership.Rank != rank {
