Planner: a target that leaves an order to join unanswered is probed

What callers saw: a replica that stays out of service as long as the row of a dark spare, or of another writer's address, is listed: only members of replicas that serve are probed.

Evidence: TestTargetsThatLeaveJoinsUnansweredAreProbed fails without the probe.

Why it works: the probe marks a target that doesn't respond as unreachable, for all entries, until it does, and the planner assigns another one. A target that answers its probe, but carries orders out late, is left as it is.

--- a/control/groupmodel_test.go
+++ b/control/groupmodel_test.go
@@ -133,7 +133,7 @@
 	}
 	world.planner = NewPlanner(PlannerOptions{
 		Lease: lease, OrderSender: world, Activity: fakeActivity{}, Directory: world.directory, HasTraffic: func() bool { return true },
-		Isolated: func() bool { return false }, StallTimeout: stall, Clock: world.clock, Counters: new(expvar.Map).Init(), Log: logr.Discard(),
+		Confirm: func([]mesh.TargetInstance) {}, Isolated: func() bool { return false }, StallTimeout: stall, Clock: world.clock, Counters: new(expvar.Map).Init(), Log: logr.Discard(),
 	})
 	view := world.planner.poolView("llm", world.engine, world.directory.View())
 	heads, err := world.planner.readHeads(context.Background(), "llm")
--- a/control/headstate.go
+++ b/control/headstate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/mesh"
 )
 
 // pendingOpensIn returns the heads that were ordered to open and may have opened
@@ -36,6 +37,7 @@
 		if err == nil {
 			planner.recordLeft(order.Target, replicaIDOf(&order.Target).ReplicaKey)
 		}
+		planner.confirmUnanswered(order.Target, err)
 	case greengageroute.OrderLeave:
 		var refused *greengageroute.OrderRefusedError
 		if err == nil || errors.As(err, &refused) && refused.TellsState() {
@@ -47,6 +49,16 @@
 	}
 }
 
+// confirmUnanswered has a target probed that left an order to join unanswered. One that serves
+// nowhere is probed by nobody else, and its replica would wait for it as long as it is listed.
+func (planner *Planner) confirmUnanswered(target greengageroute.Target, err error) {
+	var refused *greengageroute.OrderRefusedError
+	var heldBack *greengageroute.BackoffError
+	if err != nil && !errors.As(err, &refused) && !errors.As(err, &heldBack) {
+		planner.Confirm([]mesh.TargetInstance{target.Instance()})
+	}
+}
+
 // replicaIDOfOrder returns the replica that an order is about. Planners name the replicas of
 // each pool alike.
 func replicaIDOfOrder(order greengageroute.TargetOrder) replicaID {
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -5,12 +5,14 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/mesh"
 )
 
 type (
@@ -37,7 +39,7 @@
 	directory := NewDirectory(clock)
 	lease := NewLease(&fakeConn{fakeStore: newFakeStore()}, "entry", true, clock, logr.Discard())
 	planner := NewPlanner(PlannerOptions{
-		Lease: lease, OrderSender: unansweredOrderSender{}, Activity: activity, Directory: directory, HasTraffic: func() bool { return true }, Isolated: func() bool { return false },
+		Lease: lease, OrderSender: unansweredOrderSender{}, Activity: activity, Directory: directory, HasTraffic: func() bool { return true }, Confirm: func([]mesh.TargetInstance) {}, Isolated: func() bool { return false },
 		Clock: clock, Counters: new(expvar.Map).Init(), Log: logr.Discard(),
 	})
 	return planner, directory
@@ -309,6 +311,36 @@
 	}
 }
 
+// TestTargetsThatLeaveJoinsUnansweredAreProbed guards against replicas that wait for a dark spare
+// as long as its row is listed: nobody else probes a target that serves nowhere.
+func TestTargetsThatLeaveJoinsUnansweredAreProbed(t *testing.T) {
+	target := greengageroute.Target{ID: "i-spare", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1}
+	tests := []struct {
+		name   string
+		kind   greengageroute.OrderKind
+		err    error
+		probed bool
+	}{
+		{"a join without response", greengageroute.OrderJoin, errors.New("no response"), true},
+		{"an accepted join", greengageroute.OrderJoin, nil, false},
+		{"a refused join", greengageroute.OrderJoin, &greengageroute.OrderRefusedError{Status: 412}, false},
+		{"a join that wasn't sent", greengageroute.OrderJoin, &greengageroute.BackoffError{}, false},
+		{"a close without response", greengageroute.OrderClose, errors.New("no response"), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			planner, directory := newTestPlanner(fakeActivity{})
+			directory.Replace([]greengageroute.Target{target}, time.Time{})
+			var probed []mesh.TargetInstance
+			planner.Confirm = func(instances []mesh.TargetInstance) { probed = append(probed, instances...) }
+			planner.recordResult(greengageroute.TargetOrder{Kind: test.kind, Target: target, Replica: "r1", Epoch: 7}, test.err)
+			if found := slices.Contains(probed, target.Instance()); found != test.probed {
+				t.Errorf("the target is probed: %t, want %t", found, test.probed)
+			}
+		})
+	}
+}
+
 // TestPlannerKnowsSinceWhenTargetsAreSilent guards against replicas that are repaired under their
 // requests by an entry that takes the lease again, and counts a member's silence from an earlier
 // one (calm soak, seed 9004), and against one that takes the lease and counts from then only.
--- a/integration/silences_test.go
+++ b/integration/silences_test.go
@@ -99,7 +99,8 @@
 	})
 }
 
-// oddRows returns rows that name no target to use. The group is one that exists.
+// oddRows returns rows that name no target to use. The group is one that exists: two rows are
+// valid in every field, and claim the place of one of its members.
 func oddRows(domain, group string, epoch uint64) []oddRow {
 	member := func(name string, value any) map[string]any {
 		member := map[string]any{"name": group, "epoch": epoch, "rank": 0, "state": "open"}
@@ -136,6 +137,8 @@
 		{"an unknown state", encode("state", "resting")},
 		{"a group that exists, and an odd start time", encode("born", "soon")},
 		{"bytes that can't be read", []byte("\xff{")},
+		{"a place in a group that another target has", encode("slots", 6)},
+		{"the head's place in a group", encode("group", member("rank", 0))},
 	}
 }
 
