Planner: responses hold for one epoch and one run of a target

Cause: what a target was ordered to stage was kept by its id alone. After a restart, or a refusal, it counted as staging for as long as a load takes (12 to 16 s), got no order, and its domain had no spare. A head that accepted an order to close under an older epoch was taken to have answered a pending order to open, which it may carry out later.

Evidence: TestStagingHoldsForOneRun fails on the code before in two of its four cases, TestCloseOfOtherEpochKeepsPendingOpen, which was TestRefusedCloseKeepsPendingOpen, where the close is accepted.

Why it works: an order to stage holds for the run of the target that got it, until that refuses it; a response is one to a pending order to open only under the same replica and epoch.

--- a/control/headstate.go
+++ b/control/headstate.go
@@ -38,6 +38,8 @@
 			planner.recordLeft(order.Target, replicaIDOf(&order.Target).ReplicaKey)
 		}
 		planner.confirmUnanswered(order.Target, err)
+	case greengageroute.OrderStage:
+		planner.recordStageResult(order, err)
 	case greengageroute.OrderLeave:
 		var refused *greengageroute.OrderRefusedError
 		if err == nil || errors.As(err, &refused) && refused.TellsState() {
@@ -49,6 +51,19 @@
 	}
 }
 
+// recordStageResult forgets that a target stages a model if it has refused to.
+func (planner *Planner) recordStageResult(order greengageroute.TargetOrder, err error) {
+	var refused *greengageroute.OrderRefusedError
+	if !errors.As(err, &refused) {
+		return
+	}
+	planner.mu.Lock()
+	defer planner.mu.Unlock()
+	if staged := planner.staging[order.Target.ID]; staged.model == order.Model && staged.startUnixMilli == order.Target.StartUnixMilli {
+		delete(planner.staging, order.Target.ID)
+	}
+}
+
 // confirmUnanswered has a target probed that left an order to join unanswered. One that serves
 // nowhere is probed by nobody else, and its replica would wait for it as long as it is listed.
 func (planner *Planner) confirmUnanswered(target greengageroute.Target, err error) {
@@ -163,7 +178,7 @@
 		if refused.TellsState() && pending.key == order.Key() && !opened {
 			delete(planner.pendingOpens, order.Target.ID)
 		}
-	case err == nil:
+	case err == nil && pending.key == order.Key():
 		pending.answered = true
 		pending.accepted = pending.accepted || order.Kind == greengageroute.OrderOpen
 		planner.pendingOpens[order.Target.ID] = pending
--- a/control/planner.go
+++ b/control/planner.go
@@ -192,9 +192,11 @@
 		at             time.Time
 	}
 
+	// stagingModel is a model that one run of a target was ordered to stage.
 	stagingModel struct {
-		model string
-		until time.Time
+		model          string
+		startUnixMilli int64
+		until          time.Time
 	}
 )
 
@@ -289,7 +291,8 @@
 	defer planner.mu.Unlock()
 	targets := map[string]greengageroute.Target{}
 	for _, target := range view.Pool(name) {
-		if staged, underway := planner.staging[target.ID]; underway && now.Before(staged.until) && !target.HasStaged(staged.model) {
+		staged, underway := planner.staging[target.ID]
+		if underway && staged.startUnixMilli == target.StartUnixMilli && now.Before(staged.until) && !target.HasStaged(staged.model) {
 			target.Staging = staged.model
 		}
 		if slow.Has(target.ID) && target.State == greengageroute.TargetReady {
@@ -418,7 +421,7 @@
 		}
 	}
 	if order.Kind == greengageroute.OrderStage {
-		planner.staging[order.Target.ID] = stagingModel{order.Model, now.Add(model.LoadTime)}
+		planner.staging[order.Target.ID] = stagingModel{order.Model, order.Target.StartUnixMilli, now.Add(model.LoadTime)}
 	}
 	if loading {
 		planner.loadStarts = append(planner.loadStarts, now)
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -121,17 +121,29 @@
 	}
 }
 
-// TestRefusedCloseKeepsPendingOpen guards against members that leave a head that is about to
-// open, because it refused to close under an older epoch.
-func TestRefusedCloseKeepsPendingOpen(t *testing.T) {
-	head := greengageroute.Target{ID: "i-head", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1}
-	head.Membership = greengageroute.Membership{Replica: "r1", Epoch: 7, Model: "m", State: greengageroute.MemberReady}
-	planner, directory := newTestPlanner(fakeActivity{})
-	planner.send(context.Background(), greengageroute.TargetOrder{Kind: greengageroute.OrderOpen, Target: head, Replica: "r1", Epoch: 7}, greengageroute.PoolView{Engine: &greengageroute.Engine{}})
-	planner.recordResult(greengageroute.TargetOrder{Kind: greengageroute.OrderClose, Target: head, Replica: "r1", Epoch: 6}, &greengageroute.OrderRefusedError{Status: 409})
-	directory.Replace([]greengageroute.Target{head}, time.Time{})
-	if _, pending := planner.poolView("llm", nil, directory.View()).PendingOpens[head.ID]; !pending {
-		t.Error("the order to open is no longer pending")
+// TestCloseOfOtherEpochKeepsPendingOpen guards against members that leave a head that is about to
+// open, because it responded to an order to close under an older epoch.
+func TestCloseOfOtherEpochKeepsPendingOpen(t *testing.T) {
+	tests := []struct {
+		name     string
+		response error
+	}{
+		{"refused", &greengageroute.OrderRefusedError{Status: 409}},
+		{"accepted", nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			head := greengageroute.Target{ID: "i-head", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1, Revision: greengageroute.StoreRevision{Version: 20}}
+			head.Membership = greengageroute.Membership{Replica: "r1", Epoch: 7, Model: "m", State: greengageroute.MemberReady}
+			planner, directory := newTestPlanner(fakeActivity{})
+			planner.send(context.Background(), greengageroute.TargetOrder{Kind: greengageroute.OrderOpen, Target: head, Replica: "r1", Epoch: 7}, greengageroute.PoolView{Engine: &greengageroute.Engine{}})
+			planner.recordResult(greengageroute.TargetOrder{Kind: greengageroute.OrderClose, Target: head, Replica: "r1", Epoch: 6}, test.response)
+			head.Revision.Version++
+			directory.Replace([]greengageroute.Target{head}, time.Time{})
+			if _, pending := planner.poolView("llm", nil, directory.View()).PendingOpens[head.ID]; !pending {
+				t.Error("the order to open is no longer pending")
+			}
+		})
 	}
 }
 
@@ -311,6 +323,39 @@
 	}
 }
 
+// TestStagingHoldsForOneRun guards against a spare that gets no weights for as long as a load
+// takes, since an order was given to its run of before, or was refused.
+func TestStagingHoldsForOneRun(t *testing.T) {
+	engine := &greengageroute.Engine{LoadsPerSecond: 10, Models: []greengageroute.EngineModel{{Name: "m", Size: 2, Share: 1, LoadTime: 16 * time.Second}}}
+	spare := greengageroute.Target{ID: "i-spare", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1}
+	restarted := spare
+	restarted.StartUnixMilli = 2
+	tests := []struct {
+		name    string
+		result  error
+		listed  greengageroute.Target
+		staging string
+	}{
+		{"the order was accepted", nil, spare, "m"},
+		{"no response", errors.New("no response"), spare, "m"},
+		{"the order was refused", &greengageroute.OrderRefusedError{Status: 409}, spare, ""},
+		{"the target restarted", nil, restarted, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			planner, directory := newTestPlanner(fakeActivity{})
+			directory.Replace([]greengageroute.Target{spare}, time.Time{})
+			order := greengageroute.TargetOrder{Kind: greengageroute.OrderStage, Target: spare, Model: "m"}
+			planner.send(context.Background(), order, planner.poolView("llm", engine, directory.View()))
+			planner.recordResult(order, test.result)
+			directory.Replace([]greengageroute.Target{test.listed}, time.Time{})
+			if staging := planner.poolView("llm", engine, directory.View()).Targets[spare.ID].Staging; staging != test.staging {
+				t.Errorf("the target stages %q, want %q", staging, test.staging)
+			}
+		})
+	}
+}
+
 // TestTargetsThatLeaveJoinsUnansweredAreProbed guards against replicas that wait for a dark spare
 // as long as its row is listed: nobody else probes a target that serves nowhere.
 func TestTargetsThatLeaveJoinsUnansweredAreProbed(t *testing.T) {
