Chats: an answer goes on at a group that was only silent

What callers saw: at the product's own interface, an answer that was cut after 10 s with "no group is available", though the engine that had been suspended for 2 s went on, and its group served again.

After a second without a token and a probe without response, or a probe of another member without one, the answer left its group, and never took it again.

Why it works: a failed group is out of service until a probe that began later finds all members in the boots in which they loaded. One that crashed is loaded again under another generation; one that is whole again was only silent. Other groups are still taken at once.

A silence still counts as a crash of a prompt that has got no token yet, since a prompt may stop an engine without ending it.

--- a/caller/chatrun.go
+++ b/caller/chatrun.go
@@ -25,14 +25,14 @@
 	// chatRun is a running chat completion. It implements the filters pick, send and
 	// deliver, and the failover to another group.
 	chatRun struct {
-		service           *Service
-		class             greengageroute.Class
-		causes            chatCauses
-		progress          greengageroute.AnswerProgress // of the group that runs the request
-		generateRequest   target.GenerateRequest
-		prefixKey         string
-		tokenDelivered    bool
-		failedAssignments greengageroute.Set[string]
+		service         *Service
+		class           greengageroute.Class
+		causes          chatCauses
+		progress        greengageroute.AnswerProgress // of the group that runs the request
+		generateRequest target.GenerateRequest
+		prefixKey       string
+		tokenDelivered  bool
+		hasFailed       bool // at a group
 
 		choice       greengageroute.GroupChoice
 		group        greengageroute.Group
@@ -47,7 +47,7 @@
 	class := service.state.Config().Class(workspace.Class)
 	return &chatRun{
 		service: service, class: class, causes: causes,
-		prefixKey: greengageroute.PrefixKey(completion.Model, prompt), failedAssignments: greengageroute.Set[string]{},
+		prefixKey: greengageroute.PrefixKey(completion.Model, prompt),
 		generateRequest: target.GenerateRequest{
 			ID: uuid.NewString(), Model: completion.Model, Prompt: prompt, Seed: seed, From: from,
 			MaxTokens: completion.MaxTokens, Priority: class.Rank,
@@ -123,18 +123,18 @@
 }
 
 // pickGroup waits for an available group until the class's deadline. For half of
-// that time an isolated request accepts only a group that runs no other request.
+// that time an isolated request accepts only a group that runs no other request. A group that
+// failed is available again once a later probe has found it whole in the same boots: it was only
+// silent, and may be the only one.
 func (run *chatRun) pickGroup(ctx context.Context) (greengageroute.Group, error) {
 	start := time.Now()
 	for {
 		now := time.Now()
 		decision := run.service.quarantine.Check(run.causes.request, run.causes.parts, false, now)
-		if decision.State == greengageroute.QuarantineRefused && len(run.failedAssignments) > 0 {
+		if decision.State == greengageroute.QuarantineRefused && run.hasFailed {
 			return greengageroute.Group{}, quarantined(decision)
 		}
-		candidates := slices.DeleteFunc(run.service.state.Available(run.generateRequest.Model, now), func(candidate greengageroute.GroupCandidate) bool {
-			return run.failedAssignments.Has(candidate.Group.Assignment())
-		})
+		candidates := run.service.state.Available(run.generateRequest.Model, now)
 		if decision.State == greengageroute.QuarantineIsolated && now.Sub(start) < run.class.Deadline/2 {
 			candidates = run.idleCandidates(candidates)
 		}
@@ -167,7 +167,7 @@
 	run.leaveGroup()
 	run.service.counters.Add(CountFailovers, 1)
 	assignment := group.Assignment()
-	run.failedAssignments.Add(assignment)
+	run.hasFailed = true
 	var refused *target.RefusedError
 	if errors.As(cause, &refused) {
 		// The group changed before this entry learnt of it. Nothing crashed.
