Planner: a target that is long gone decides no replica's epoch

A replica that served was closed by a planner that took over while the row of a lost target was remembered that had joined the replica under a later epoch.

Evidence: TestLostTargetDecidesNoEpoch fails on the code before: the head is closed, its members form another replica.

Why it works: listed targets, and those silent for under 2 s, name the newest epoch; others only fill the places in it that are left. Heads that have long been absent no longer make the planner assemble all replicas in each round.

--- a/formationadoption.go
+++ b/formationadoption.go
@@ -5,44 +5,55 @@
 	"strings"
 )
 
-// reportedReplicas returns the newest epoch of each replica that targets report, with the
-// members known of it. Absent targets count as well: they may be silent and go on.
+// reportedReplicas returns the newest epoch of each replica that listed or silent targets
+// report, with the members known of it.
 func (view PoolView) reportedReplicas() map[string]Assignment {
-	newest := map[string]Assignment{}
-	add := func(target Target) {
-		member := target.Membership
-		model, known := view.Engine.Model(member.Model)
-		if !known || member.Epoch == 0 || member.Rank < 0 || member.Rank >= model.Size || member.isPreload() {
-			return
-		}
-		replica := newest[member.Replica]
-		if replica.Epoch > member.Epoch {
-			return
-		}
-		if replica.Epoch < member.Epoch {
-			replica = Assignment{
-				Name: member.Replica, Epoch: member.Epoch, Model: member.Model, Domain: target.Domain,
-				Members: make([]string, model.Size),
-			}
-		}
-		if member.Rank >= len(replica.Members) || view.hasPrecedence(replica.Members[member.Rank], target) {
-			return
+	replicas := map[string]Assignment{}
+	for _, target := range view.Targets {
+		view.addMember(replicas, target)
+	}
+	lost := map[string]Target{}
+	for id, target := range view.Absent {
+		_, listed := view.Targets[id]
+		switch {
+		case listed || target.Pool != view.Pool:
+		case view.isSilent(id):
+			view.addMember(replicas, target)
+		default:
+			lost[id] = target
 		}
-		replica.Members[member.Rank] = target.ID
-		if member.Rank == 0 {
-			replica.Opened = member.State == MemberOpen
+	}
+	for _, target := range lost {
+		if replica, known := replicas[target.Membership.Replica]; known && replica.Epoch == target.Membership.Epoch {
+			view.addMember(replicas, target)
 		}
-		newest[member.Replica] = replica
 	}
-	for _, target := range view.Targets {
-		add(target)
+	return replicas
+}
+
+// addMember adds a target to the replica that it reports, unless others report a newer epoch of
+// that, or one of them holds its place.
+func (view PoolView) addMember(replicas map[string]Assignment, target Target) {
+	member := target.Membership
+	model, known := view.Engine.Model(member.Model)
+	if !known || member.Epoch == 0 || member.Rank < 0 || member.Rank >= model.Size || member.isPreload() {
+		return
 	}
-	for id, target := range view.Absent {
-		if _, listed := view.Targets[id]; !listed && target.Pool == view.Pool {
-			add(target)
+	replica := replicas[member.Replica]
+	if replica.Epoch < member.Epoch {
+		replica = Assignment{
+			Name: member.Replica, Epoch: member.Epoch, Model: member.Model, Domain: target.Domain,
+			Members: make([]string, model.Size),
 		}
 	}
-	return newest
+	if replica.Epoch > member.Epoch || member.Rank >= len(replica.Members) || view.hasPrecedence(replica.Members[member.Rank], target) {
+		return
+	}
+	replica.Members[member.Rank] = target.ID
+	if member.Rank == 0 {
+		replica.Opened = member.State == MemberOpen
+	}
+	replicas[member.Replica] = replica
 }
 
 // hasPrecedence reports whether a target, if there is one of that id, holds the place in its
@@ -130,17 +141,23 @@
 	}
 }
 
-// hasUnknownHead reports whether an open head belongs to no assignment.
+// hasUnknownHead reports whether an open head, listed or silent, belongs to no assignment.
 func (formation *Formation) hasUnknownHead(view PoolView) bool {
 	assigned := map[ReplicaKey]bool{}
 	for _, assignment := range formation.Assignments {
 		assigned[assignment.key()] = true
 	}
-	for _, targets := range []map[string]Target{view.Targets, view.Absent} {
-		for _, target := range targets {
-			if member := target.Membership; member.Rank == 0 && member.State == MemberOpen && !assigned[member.key()] {
-				return true
-			}
+	isUnknown := func(member Membership) bool {
+		return member.Rank == 0 && member.State == MemberOpen && !assigned[member.key()]
+	}
+	for _, target := range view.Targets {
+		if isUnknown(target.Membership) {
+			return true
+		}
+	}
+	for id, target := range view.Absent {
+		if target.Pool == view.Pool && isUnknown(target.Membership) && view.isSilent(id) {
+			return true
 		}
 	}
 	return false
--- a/formationadoption_test.go
+++ b/formationadoption_test.go
@@ -107,6 +107,20 @@
 	pool.requireUntouched(repaired)
 }
 
+// TestLostTargetDecidesNoEpoch guards against a replica that serves and isn't known to a planner
+// that takes over, since a target that is long gone had joined it under a later epoch.
+func TestLostTargetDecidesNoEpoch(t *testing.T) {
+	pool, formation := newFormedPool(t, 6, 11)
+	pool.run(formation, 3*time.Second, true)
+	replica := formation.Assignments[0]
+	lost := &simulatedTarget{Target: pool.targets[replica.Members[2]].Target, crashed: true}
+	lost.ID, lost.Membership.Epoch = "lost", replica.Epoch+1
+	pool.targets[lost.ID] = lost
+	pool.orders, pool.orderedAt = nil, nil
+	pool.run(NewFormation(pool.view(true), 1_000_000), time.Second, true)
+	pool.requireUntouched(replica)
+}
+
 // TestDissolvedReplicasAreNotAdopted guards against a replica that made room for another model
 // and is assigned again as long as its head is open.
 func TestDissolvedReplicasAreNotAdopted(t *testing.T) {
