--- a/control/listunderlease_test.go
+++ b/control/listunderlease_test.go
@@ -74,7 +74,8 @@
 		member(1, 8, 0, "open")
 		member(2, 7, 1, "ready")
 		member(3, 8, 1, "ready")
-		go planner.Run(ctx)
+		var planning sync.WaitGroup
+		planning.Go(func() { planner.Run(ctx) })
 		time.Sleep(time.Second)
 		if orders := sender.sent(); len(orders) > 0 {
 			t.Errorf("with a list older than the lease the orders are %v, want none", orders)
@@ -86,10 +87,11 @@
 				t.Errorf("the order %v goes to a member of the replica that serves, want none", order)
 			}
 		}
+		cancel()
+		planning.Wait()
+		time.Sleep(5 * time.Second) // until the other loops have ended
 		if len(planner.formations) == 0 {
 			t.Error("the planner hasn't begun")
 		}
-		cancel()
-		time.Sleep(5 * time.Second)
 	})
 }
