--- a/formation.go
+++ b/formation.go
@@ -194,12 +194,18 @@
 	return heads
 }
 
-// referencedReplicas returns the replicas that an assignment or a target still names.
-func (formation *Formation) referencedReplicas(view PoolView) map[ReplicaKey]bool {
-	referenced := map[ReplicaKey]bool{}
+// assignedReplicas returns the replicas that have an assignment.
+func (formation *Formation) assignedReplicas() map[ReplicaKey]bool {
+	assigned := make(map[ReplicaKey]bool, len(formation.Assignments))
 	for _, assignment := range formation.Assignments {
-		referenced[assignment.key()] = true
+		assigned[assignment.key()] = true
 	}
+	return assigned
+}
+
+// referencedReplicas returns the replicas that an assignment or a target still names.
+func (formation *Formation) referencedReplicas(view PoolView) map[ReplicaKey]bool {
+	referenced := formation.assignedReplicas()
 	for _, targets := range []map[string]Target{view.Targets, view.Absent} {
 		for _, target := range targets {
 			referenced[target.Membership.key()] = true
--- a/formationadoption.go
+++ b/formationadoption.go
@@ -143,10 +143,7 @@
 
 // hasUnknownHead reports whether an open head, listed or silent, belongs to no assignment.
 func (formation *Formation) hasUnknownHead(view PoolView) bool {
-	assigned := map[ReplicaKey]bool{}
-	for _, assignment := range formation.Assignments {
-		assigned[assignment.key()] = true
-	}
+	assigned := formation.assignedReplicas()
 	isUnknown := func(member Membership) bool {
 		return member.Rank == 0 && member.State == MemberOpen && !assigned[member.key()]
 	}
--- a/formationorders.go
+++ b/formationorders.go
@@ -180,10 +180,7 @@
 // closeAbandoned returns orders that close the open heads of replicas without an
 // assignment.
 func (formation *Formation) closeAbandoned(view PoolView, closed map[ReplicaKey]bool) []TargetOrder {
-	assigned := map[ReplicaKey]bool{}
-	for _, assignment := range formation.Assignments {
-		assigned[assignment.key()] = true
-	}
+	assigned := formation.assignedReplicas()
 	var orders []TargetOrder
 	for _, target := range view.Targets {
 		member := target.Membership
