--- a/control/prober.go
+++ b/control/prober.go
@@ -106,7 +106,7 @@
 		log        logr.Logger
 
 		links     *greengageroute.LinkState
-		linkCheck sync.Mutex // held while targets are probed to check the links
+		linkCheck chan struct{} // holds a token while targets are probed to check the links
 
 		mu          sync.Mutex
 		probedAt    map[replicaID]time.Time
@@ -121,7 +121,7 @@
 func NewProber(dataCentre string, reporter Reporter, directory *Directory, notifier Notifier, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Prober {
 	return &Prober{
 		dataCentre: dataCentre, reporter: reporter, directory: directory, notifier: notifier, clock: clock, counters: counters, log: log,
-		links:    &greengageroute.LinkState{},
+		links: &greengageroute.LinkState{}, linkCheck: make(chan struct{}, 1),
 		probedAt: map[replicaID]time.Time{}, confirmedAt: map[mesh.TargetInstance]time.Time{}, awaited: map[mesh.TargetInstance]bool{},
 	}
 }
@@ -355,8 +355,8 @@
 // LinksWork reports whether targets respond to this entry. It probes a few of them if that
 // wasn't done just before.
 func (prober *Prober) LinksWork() bool {
-	prober.linkCheck.Lock()
-	defer prober.linkCheck.Unlock()
+	prober.linkCheck <- struct{}{}
+	defer func() { <-prober.linkCheck }()
 	if !prober.links.CheckedWithin(linkCheckTTL, prober.clock.Now()) {
 		prober.checkLinks()
 	}
@@ -433,9 +433,9 @@
 	for ctx.Err() == nil {
 		greengageroute.Sleep(ctx, isolationCheckInterval)
 		if prober.Isolated() {
-			prober.linkCheck.Lock()
+			prober.linkCheck <- struct{}{}
 			prober.checkLinks()
-			prober.linkCheck.Unlock()
+			<-prober.linkCheck
 		}
 	}
 }
--- /dev/null
+++ b/edge/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package edge
+
+const raceDetector = true
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -81,10 +81,18 @@
 		LeaseUpdated(update LeaseUpdate)
 	}
 
+	// PacketConn sends and receives datagrams; *net.UDPConn implements it.
+	PacketConn interface {
+		ReadFromUDPAddrPort(buffer []byte) (size int, sender netip.AddrPort, err error)
+		WriteToUDPAddrPort(datagram []byte, recipient netip.AddrPort) (int, error)
+		LocalAddr() net.Addr
+		Close() error
+	}
+
 	// Node exchanges messages between this entry and its peers, the other entries.
 	Node struct {
 		self         Message
-		conn         *net.UDPConn
+		conn         PacketConn
 		clock        greengageroute.Clock
 		source       Source
 		sink         Sink
@@ -148,11 +156,17 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "listening for peers on UDP %s", address)
 	}
+	return NewNode(name, dataCentre, capacity, conn, clock, countFailure), nil
+}
+
+// NewNode returns a node that sends and receives on a connection. It calls countFailure as
+// that of Listen does.
+func NewNode(name, dataCentre string, capacity float64, conn PacketConn, clock greengageroute.Clock, countFailure func()) *Node {
 	return &Node{
 		self: Message{From: name, Address: conn.LocalAddr().String(), DataCentre: dataCentre, Capacity: capacity},
 		conn: conn, clock: clock, countFailure: countFailure, peers: map[string]*peer{},
 		forwarded: map[any]time.Time{}, rankings: map[string]ranking{}, sendRequested: make(chan struct{}, 1),
-	}, nil
+	}
 }
 
 // Address returns the IP:port that other entries send to.
@@ -163,8 +177,7 @@
 	node.mu.Lock()
 	node.source, node.sink = source, sink
 	node.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() { node.conn.Close() })
-	defer stop()
+	defer node.conn.Close()
 	go node.receive()
 	timer := time.NewTimer(sendInterval)
 	defer timer.Stop()
