Isolated entries of large fleets forward requests to entries that reach targets

Cause: an entry of a large fleet hears its relays alone, and took everybody else for able to help. It tried three at random, of which nothing was remembered, also the same one twice.

An entry tries the named ones first, of its data centre and of others in turn, then those of which nothing is known. One that refuses does so at once and isn't counted among the three that may be tried; it isn't asked again for 2 s, or until a relay names it 0.5 s later. An entry leaves another one out only by that one's own word or its own experience, whatever relays say. An entry without a config refuses forwarded requests as one that can't help, not as one that is at capacity. Counters tell refused and unreached forwards, and requests for which no entry was left.

--- a/control/prober.go
+++ b/control/prober.go
@@ -182,7 +182,7 @@
 		prober.log.Info("unresponsive replica is healthy; all members answered a probe", "replica", replica.Name, "epoch", replica.Epoch)
 		return
 	}
-	if !prober.LinksWork() {
+	if !prober.LinksWork("") {
 		prober.counters.Add(CountFailuresInDoubt, int64(len(failed)))
 		return
 	}
@@ -311,7 +311,7 @@
 				}
 				return
 			}
-			if !prober.LinksWork() {
+			if !prober.LinksWork("") {
 				prober.counters.Add(CountFailuresInDoubt, 1)
 				return
 			}
@@ -352,9 +352,15 @@
 // the targets. The entry then forwards requests to others, and plans nothing.
 func (prober *Prober) Isolated() bool { return prober.links.Isolated() }
 
+// LostPool reports whether the targets of a pool don't respond to this entry.
+func (prober *Prober) LostPool(string) bool { return prober.Isolated() }
+
+// LostPools returns the pools whose targets don't respond to this entry.
+func (prober *Prober) LostPools() []string { return nil }
+
 // LinksWork reports whether targets respond to this entry. It probes a few of them if that
 // wasn't done just before.
-func (prober *Prober) LinksWork() bool {
+func (prober *Prober) LinksWork(string) bool {
 	prober.linkCheck <- struct{}{}
 	defer func() { <-prober.linkCheck }()
 	if !prober.links.CheckedWithin(linkCheckTTL, prober.clock.Now()) {
--- a/edge/callattempt.go
+++ b/edge/callattempt.go
@@ -55,7 +55,7 @@
 		return
 	}
 	done := service.tracker.Begin(attempt.target.ID, 0)
-	silenceTimer := time.AfterFunc(silentCallCheck, service.checkSilence)
+	silenceTimer := time.AfterFunc(silentCallCheck, func() { service.checkSilence(attempt.target.Pool) })
 	go func() {
 		result := attempt.run(ctx)
 		silenceTimer.Stop()
@@ -68,6 +68,9 @@
 func (attempt *callAttempt) run(ctx context.Context) callResult {
 	result := callResult{attempt: attempt}
 	result.answer, result.err = attempt.sender.Do(ctx, attempt.call.exchange.Request, attempt.attempt)
+	if result.answer != nil && !attempt.fromEntry {
+		attempt.call.exchange.service.tracker.RecordActivity(attempt.target.Pool, time.Now())
+	}
 	if result.err == nil {
 		result.body, result.err = readAnswer(result.answer)
 		result.answer.Close(result.err == nil)
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -49,9 +49,12 @@
 		// Active reports whether any entry has received something from the target
 		// within the given time.
 		Active(target string, within time.Duration) bool
-		// Helpers returns the addresses of other entries to which requests can be
-		// forwarded, in the order in which to try them.
-		Helpers() []string
+		// Helpers returns the addresses of other entries to which requests for a pool can
+		// be forwarded, in the order in which to try them.
+		Helpers(pool string) []string
+		// AvoidHelper records that an entry couldn't help with requests for a pool, or,
+		// with mesh.AnyPool, couldn't be reached.
+		AvoidHelper(address, pool string)
 	}
 
 	// Prober checks targets that may have failed.
@@ -63,10 +66,12 @@
 		// StillServes reports whether the head of a replica is still the listed process and
 		// serves its replica.
 		StillServes(head greengageroute.Target) bool
-		// LinksWork reports whether targets respond to this entry. It may probe some.
-		LinksWork() bool
-		// Isolated reports whether most targets were found not to respond to this entry.
-		Isolated() bool
+		// LinksWork reports whether the targets of a pool respond to this entry, as far as
+		// that says anything about its links. It may probe some.
+		LinksWork(pool string) bool
+		// LostPool reports whether most targets of a pool were found not to respond to this
+		// entry.
+		LostPool(pool string) bool
 	}
 
 	// Sender sends attempts to targets.
@@ -193,6 +198,12 @@
 	// this one, and CountHelped those of other entries.
 	CountForwarded = "requests-forwarded-to-entries"
 	CountHelped    = "requests-of-other-entries"
+	// CountHelpersRefused counts forwarded requests that the other entry couldn't help with,
+	// CountHelpersUnreached those that couldn't be sent, and CountNoHelper requests for which
+	// no entry was left to try.
+	CountHelpersRefused   = "forwards-refused"
+	CountHelpersUnreached = "forwards-unreached"
+	CountNoHelper         = "requests-without-helper"
 	// CountLimitsNamed counts the limits that targets began to name.
 	CountLimitsNamed = "target-limits-named"
 	// CountTargetsLeaving counts the targets that said in an answer that they are leaving,
@@ -263,7 +274,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	ctx := httpRequest.Context()
-	for _, step := range []filter{matchRoute, authenticate, readBody, checkQuarantine, checkStop, forward} {
+	for _, step := range []filter{matchRoute, checkHelp, authenticate, readBody, checkQuarantine, checkStop, forward} {
 		if err := step(ctx, exchange); err != nil {
 			exchange.fail(err)
 			return
--- a/edge/filters.go
+++ b/edge/filters.go
@@ -27,6 +27,9 @@
 
 // matchRoute finds the route of the request and sets its deadline.
 func matchRoute(_ context.Context, exchange *exchange) error {
+	if exchange.routes == nil && exchange.forwarded {
+		return errCannotHelp
+	}
 	if exchange.routes == nil {
 		return unavailable("the config has not been loaded yet", notReadyRetryAfter)
 	}
--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -20,17 +20,17 @@
 	// is silent for half of the time left gets a second attempt beside the first; the first
 	// whole answer is delivered. All methods run in the request's goroutine.
 	hedgedCall struct {
-		exchange     *exchange
-		attempts     []*callAttempt // that haven't ended, cancelled ones included
-		results      chan callResult
-		hedgeTimer   *time.Timer
-		hedgeDue     bool
-		tried        greengageroute.Set[string] // ids of targets
-		starts       int
-		helpersTried int
-		failure      *callResult // an error answer, while another attempt ran
-		reason       string      // why the last attempt failed
-		retryAfter   time.Duration
+		exchange   *exchange
+		attempts   []*callAttempt // that haven't ended, cancelled ones included
+		results    chan callResult
+		hedgeTimer *time.Timer
+		hedgeDue   bool
+		tried      greengageroute.Set[string] // ids of targets
+		starts     int
+		helpers    helperSearch
+		failure    *callResult // an error answer, while another attempt ran
+		reason     string      // why the last attempt failed
+		retryAfter time.Duration
 	}
 )
 
@@ -116,7 +116,9 @@
 		return errAttemptsUsed
 	}
 	if exchange.isolated() {
-		return call.startAtEntry(ctx)
+		if err := call.startAtEntry(ctx); !errors.Is(err, errNoTarget) || hedges || !exchange.mayTryTarget(call.tried) {
+			return err
+		}
 	}
 	if call.starts >= maxTargetsTried {
 		return errNoTarget
@@ -143,12 +145,11 @@
 
 // startAtEntry starts an attempt that another entry forwards.
 func (call *hedgedCall) startAtEntry(ctx context.Context) error {
-	address, found := call.exchange.nextHelper(call.helpersTried)
+	address, found := call.exchange.nextHelper(&call.helpers)
 	if !found {
 		call.reason, call.retryAfter = "neither a target nor an entry that reaches one responds", noHelperRetryAfter
 		return errNoTarget
 	}
-	call.helpersTried++
 	call.start(ctx, newForwardedCallAttempt(call, address))
 	return nil
 }
@@ -275,14 +276,18 @@
 
 // receiveFromEntry handles what another entry answered.
 func (call *hedgedCall) receiveFromEntry(result callResult) (delivered bool, err error) {
+	exchange, helper := call.exchange, result.attempt.target.Address
 	var notSent *upstream.NotSentError
 	var refusal *Refusal
 	switch {
 	case errors.As(result.err, &notSent):
+		exchange.recordHelperFailure(&call.helpers, helper, result.err)
 		return false, nil
 	case result.answer != nil && result.isRefusedByEntry():
-		if errors.As(helperRefusal(result.answer), &refusal) && len(call.attempts) == 0 {
-			return false, call.exchange.noAnswerError(http.StatusBadGateway, refusal.Reason, refusal.RetryAfter)
+		cause := helperRefusal(result.answer)
+		exchange.recordHelperFailure(&call.helpers, helper, cause)
+		if errors.As(cause, &refusal) && len(call.attempts) == 0 {
+			return false, exchange.noAnswerError(http.StatusBadGateway, refusal.Reason, refusal.RetryAfter)
 		}
 		return false, nil
 	case result.err != nil:
--- a/edge/hedgedstream.go
+++ b/edge/hedgedstream.go
@@ -52,8 +52,8 @@
 		checking     bool
 		checked      chan checkedReplica
 		starts       int // attempts since the last pause
-		helpersTried int
-		helpers      sourceBackoff // after all of them were tried
+		helpers      helperSearch
+		helpersLater sourceBackoff // after all of them were tried
 		helpersAsked time.Duration // the longest time that they asked for
 		searchedView *control.View
 		searchedAt   time.Time
@@ -270,14 +270,17 @@
 // asked for.
 func (stream *hedgedStream) recordHelperRefusal(retryAfter time.Duration) {
 	stream.helpersAsked = max(stream.helpersAsked, retryAfter)
-	if until := time.Now().Add(retryAfter); until.After(stream.helpers.until) {
-		stream.helpers.until = until
+	if until := time.Now().Add(retryAfter); until.After(stream.helpersLater.until) {
+		stream.helpersLater.until = until
 	}
 }
 
 // recordFailure records why an attempt failed, and has its target checked.
 func (stream *hedgedStream) recordFailure(ctx context.Context, attempt *streamAttempt, cause error) {
 	exchange := stream.exchange
+	if attempt.fromEntry {
+		exchange.recordHelperFailure(&stream.helpers, attempt.head().Address, cause)
+	}
 	var notSent *upstream.NotSentError
 	switch {
 	case errors.As(cause, &notSent):
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -61,7 +61,7 @@
 			return
 		}
 		service.probeHead(target)
-		if progress.IsSound() || !service.Prober.LinksWork() {
+		if progress.IsSound() || !service.Prober.LinksWork(target.Pool) {
 			return
 		}
 		service.Counters.Add(CountCrashReports, 1)
--- a/edge/streamsearch.go
+++ b/edge/streamsearch.go
@@ -71,8 +71,8 @@
 			delete(stream.tried, key)
 		}
 	}
-	if !stream.helpers.Holds(now) {
-		stream.helpersTried = 0
+	if !stream.helpersLater.Holds(now) {
+		stream.helpers = helperSearch{}
 	}
 	stream.starts = 0
 	stream.silenceTimer.reset(silenceRecheck)
@@ -115,7 +115,9 @@
 		return errAttemptsUsed
 	}
 	if exchange.isolated() {
-		return stream.startAtEntry(ctx)
+		if err := stream.startAtEntry(ctx); !errors.Is(err, errNoReplica) || hedges || !exchange.mayTryTarget(stream.tried) {
+			return err
+		}
 	}
 	if stream.starts >= maxTargetsTried {
 		return errNoReplica
@@ -179,14 +181,13 @@
 
 // startAtEntry starts an attempt that another entry forwards.
 func (stream *hedgedStream) startAtEntry(ctx context.Context) error {
-	address, found := stream.exchange.nextHelper(stream.helpersTried)
+	address, found := stream.exchange.nextHelper(&stream.helpers)
 	if !found {
 		stream.reason, stream.retryAfter = "neither a target nor an entry that reaches one responds", noHelperRetryAfter
 		return errNoReplica
 	}
-	stream.helpersTried++
-	if _, more := stream.exchange.helper(stream.helpersTried); !more {
-		stream.helpers, stream.helpersAsked = stream.helpers.WithFailure(time.Now(), stream.helpersAsked), 0
+	if _, more := stream.exchange.helper(&stream.helpers); !more {
+		stream.helpersLater, stream.helpersAsked = stream.helpersLater.WithFailure(time.Now(), stream.helpersAsked), 0
 	}
 	stream.start(ctx, newForwardedStreamAttempt(stream, address))
 	return nil
--- a/edge/tracker.go
+++ b/edge/tracker.go
@@ -37,10 +37,9 @@
 	// Tracker counts this entry's running requests at each target and records how
 	// the target has answered recently.
 	Tracker struct {
-		seed   maphash.Seed
-		shards [trackerShards]trackerShard
-		// lastActivity is when any target last sent something, in Unix nanoseconds.
-		lastActivity atomic.Int64
+		seed     maphash.Seed
+		shards   [trackerShards]trackerShard
+		activity sync.Map // by pool: when a target last sent something, as *atomic.Int64 in Unix nanoseconds
 	}
 
 	trackerShard struct {
@@ -111,7 +110,6 @@
 
 // RecordEvent records the arrival of a stream's event from a target.
 func (tracker *Tracker) RecordEvent(id string, now time.Time) {
-	tracker.lastActivity.Store(now.UnixNano())
 	tracker.update(id, func(stats *TargetStats) { stats.LastActivity = now })
 }
 
@@ -134,9 +132,22 @@
 	return 1 + (stats.slowdown-1)*math.Exp(-now.Sub(stats.slowdownUpdated).Seconds()/slowdownDecay.Seconds())
 }
 
-// Silent reports whether no target has sent anything within the given time.
-func (tracker *Tracker) Silent(within time.Duration) bool {
-	return time.Now().UnixNano()-tracker.lastActivity.Load() > int64(within)
+// RecordActivity records that a target of a pool has sent something.
+func (tracker *Tracker) RecordActivity(pool string, now time.Time) {
+	tracker.poolActivity(pool).Store(now.UnixNano())
+}
+
+// Silent reports whether no target of a pool has sent anything within the given time.
+func (tracker *Tracker) Silent(pool string, within time.Duration) bool {
+	return time.Now().UnixNano()-tracker.poolActivity(pool).Load() > int64(within)
+}
+
+func (tracker *Tracker) poolActivity(pool string) *atomic.Int64 {
+	last, known := tracker.activity.Load(pool)
+	if !known {
+		last, _ = tracker.activity.LoadOrStore(pool, new(atomic.Int64))
+	}
+	return last.(*atomic.Int64)
 }
 
 // RecordAnswer records an answer's duration and whether it failed.
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -73,12 +73,19 @@
 		Limits []TargetLimit `cbor:"23,keyasint,omitempty"`
 		// ConfigVersion is the version of the config that the sender follows.
 		ConfigVersion uint64 `cbor:"24,keyasint,omitempty"`
-		// Isolated is set if no target responds to the sender.
+		// Isolated is set if most targets don't respond to the sender.
 		Isolated bool `cbor:"25,keyasint,omitempty"`
 		// TargetsLeaving are targets that say that they are leaving.
 		TargetsLeaving []TargetInstance `cbor:"26,keyasint,omitempty"`
 		// Responding are targets that were found unreachable and respond again.
 		Responding []TargetInstance `cbor:"27,keyasint,omitempty"`
+		// Lost are the pools whose targets don't respond to the sender; AnyPool if there are
+		// too many.
+		Lost []string `cbor:"28,keyasint,omitempty"`
+		// Wanted are the pools that any entry of the sender's data centre has lost, and Helpers
+		// entries that reach such pools. They are in summaries.
+		Wanted  []string      `cbor:"29,keyasint,omitempty"`
+		Helpers []PoolHelpers `cbor:"30,keyasint,omitempty"`
 	}
 
 	// LoadRange is the range of target ids whose loads a message has: from the first,
@@ -142,6 +149,7 @@
 func (message Message) senderState(isSummary bool) Message {
 	if isSummary {
 		message.Loads, message.Limits, message.LiveEntries, message.AllEntries, message.Relays, message.Readers = nil, nil, 0, false, nil, nil
+		message.Wanted, message.Helpers = nil, nil
 	}
 	return message
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -1,9 +1,7 @@
 package mesh
 
 import (
-	"cmp"
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -62,8 +60,10 @@
 		ReadsStore() bool
 		// ConfigVersion returns the version of the config that this entry follows, or 0.
 		ConfigVersion() uint64
-		// Isolated reports whether no target responds to this entry.
+		// Isolated reports whether most targets don't respond to this entry.
 		Isolated() bool
+		// LostPools returns the pools whose targets don't respond to this entry, sorted.
+		LostPools() []string
 		// Quarantined returns the causes of crashes that this entry refuses.
 		Quarantined() []greengageroute.QuarantineVerdict
 	}
@@ -118,6 +118,11 @@
 		newestLease      LeaseUpdate        // newest lease among the received messages
 		rankings         map[string]ranking // by data centre
 		sendRequested    chan struct{}
+		// named is when a relay last named an entry as a helper, and avoided when an entry last
+		// couldn't help.
+		named, avoided map[helperKey]time.Time
+		helpersNamedAt [messageKinds]time.Time
+		helpersTurn    [messageKinds]int
 		// nextLoads is the target from which the next message of a kind continues the
 		// loads.
 		nextLoads [messageKinds]string
@@ -133,12 +138,6 @@
 		sentAt          time.Time
 	}
 
-	// helper is an entry that requests can be forwarded to; the lowest draw is first.
-	helper struct {
-		address string
-		draw    float64
-	}
-
 	timestamped[T any] struct {
 		value T
 		at    time.Time
@@ -166,6 +165,7 @@
 		self: Message{From: name, Address: conn.LocalAddr().String(), DataCentre: dataCentre, Capacity: capacity},
 		conn: conn, clock: clock, countFailure: countFailure, peers: map[string]*peer{},
 		forwarded: map[any]time.Time{}, rankings: map[string]ranking{}, sendRequested: make(chan struct{}, 1),
+		named: map[helperKey]time.Time{}, avoided: map[helperKey]time.Time{},
 	}
 }
 
@@ -329,50 +329,6 @@
 	return version, known
 }
 
-// Helpers returns the addresses of other entries to which requests can be forwarded, in the
-// order in which to try them: at random, those on larger VMs more often first, and those of
-// this data centre only if half of its entries can help.
-func (node *Node) Helpers() (addresses []string) {
-	now := node.clock.Now()
-	node.mu.Lock()
-	defer node.mu.Unlock()
-	var local, remote []helper
-	entries := 1
-	for _, other := range node.peers {
-		able := !other.own.Leaving && !other.own.Isolated
-		if node.isFullMesh() {
-			able = able && other.isLive(now)
-		} else {
-			// Most entries of a large fleet are known from the store's list alone.
-			able = able && (other.isLive(now) || other.mayBeLive(now))
-		}
-		switch {
-		case !node.inDataCentre(other):
-			if able {
-				remote = append(remote, newHelper(other))
-			}
-		case able:
-			entries++
-			local = append(local, newHelper(other))
-		default:
-			entries++
-		}
-	}
-	if 2*len(local) < entries {
-		local = append(local, remote...)
-	}
-	slices.SortFunc(local, func(a, b helper) int { return cmp.Compare(a.draw, b.draw) })
-	for _, found := range local {
-		addresses = append(addresses, found.address)
-	}
-	return addresses
-}
-
-// newHelper draws the place of an entry in the order of helpers.
-func newHelper(other *peer) helper {
-	return helper{other.own.Address, rand.ExpFloat64() / max(other.own.Capacity, minCapacity)}
-}
-
 // Loads returns the load of all peers together, by target.
 func (node *Node) Loads() map[string]greengageroute.EngineLoad {
 	now := node.clock.Now()
@@ -477,6 +433,7 @@
 	message.Loads, message.Lease, message.HasTraffic = source.Loads(), source.Lease(), source.HasTraffic()
 	message.ReadsStore = source.ReadsStore()
 	message.Limits, message.ConfigVersion, message.Isolated = source.Limits(), source.ConfigVersion(), source.Isolated()
+	message.Lost = lostPools(source.LostPools())
 	verdicts := source.Quarantined()
 	node.mu.Lock()
 	node.self.ReadsStore = message.ReadsStore
@@ -578,6 +535,9 @@
 	if message.LiveEntries == 0 || sender.own.From == "" {
 		sender.own = message.senderState(message.LiveEntries > 0).withOtherRanges(sender.own, age)
 	}
+	// Of a relay, most entries receive summaries alone.
+	sender.own.Leaving, sender.own.Isolated, sender.own.Lost = message.Leaving, message.Isolated, message.Lost
+	node.recordNamed(message, now)
 	node.forwardUpdates(message)
 	node.mu.Unlock()
 	if message.Lease.Fence > 0 {
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -105,7 +105,7 @@
 	summary.HasTraffic = summary.HasTraffic || node.anyPeerHasTraffic()
 	summary.Limits = node.sumLimits(slices.Clone(message.Limits), now, node.inDataCentre)
 	summary.Loads, summary.LiveEntries = node.sumLoads(message.Loads, now, node.inDataCentre), node.countLiveLocal(now)
-	messages = append(messages, outgoing{summaryMessage, summary, node.markContacted(now, func(other *peer) bool { return node.isRemoteRelay(other, now) })})
+	messages = append(messages, outgoing{summaryMessage, node.withHelpers(summary, now), node.markContacted(now, func(other *peer) bool { return node.isRemoteRelay(other, now) })})
 	if rank > 0 && node.firstRelayActive(now) {
 		return messages
 	}
@@ -121,7 +121,7 @@
 	if !readersAreRelays {
 		summary.Readers = readers
 	}
-	return append(messages, outgoing{announcementMessage, summary, node.reachableAddresses(now, node.inDataCentre)})
+	return append(messages, outgoing{announcementMessage, node.withHelpers(summary, now), node.reachableAddresses(now, node.inDataCentre)})
 }
 
 func anyPeer(*peer) bool { return true }
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -199,6 +199,9 @@
 // Isolated implements mesh.Source.
 func (entry *Entry) Isolated() bool { return entry.prober.Isolated() }
 
+// LostPools implements mesh.Source.
+func (entry *Entry) LostPools() []string { return entry.prober.LostPools() }
+
 // ConfigVersion implements mesh.Source.
 func (entry *Entry) ConfigVersion() uint64 {
 	if routes := entry.follower.Routes(); routes != nil {
