Links are judged by pool: calls to a lost small pool are forwarded

Cause: whether an entry is isolated was decided by a sample of all targets together, so that an entry which lost a pool of 4 among 220 targets wasn't, and tried its targets until the deadline.

The planner gives its lease up, as before, when most targets don't respond: those of the lost pools together. Pools of under five targets still show failures of their targets.

TestRowsOfUnknownServicesDontIsolate asks for the links of its pool.

--- a/control/awaitresponse.go
+++ b/control/awaitresponse.go
@@ -68,7 +68,7 @@
 // one of them says that the target responds: then only this entry's link has failed.
 func (prober *Prober) renewMark(instance mesh.TargetInstance) {
 	since, marked := prober.directory.UnreachableSince(instance)
-	if !marked || prober.clock.Now().Sub(since) < renewAfter || !prober.LinksWork("") {
+	if !marked || prober.clock.Now().Sub(since) < renewAfter || !prober.LinksWork(prober.directory.View().Absent[instance.ID].Pool) {
 		return
 	}
 	renewed := prober.directory.RenewUnreachable(instance)
--- a/control/prober.go
+++ b/control/prober.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,12 +34,12 @@
 	// slowdownLimit is the slowdown from which a member is reported as slow:
 	// replacing it costs the replica half a second.
 	slowdownLimit = 1.5
-	// linkProbes is how many targets of this data centre, and how many of the others, are
-	// probed to check the links, and linkCheckTTL how long the result counts.
+	// linkProbes is how many targets of a pool in this data centre, and how many in the others,
+	// are probed to check the links, and linkCheckTTL how long the result counts.
 	linkProbes   = 3
 	linkCheckTTL = 150 * time.Millisecond
 	// minTargetsIsolated is how many targets there must be before those that all fail say
-	// something about this entry's links.
+	// something about this entry's links, and aren't taken for failed.
 	minTargetsIsolated = 5
 	// isolationCheckInterval is how often an isolated entry tries its links again.
 	isolationCheckInterval = 150 * time.Millisecond
@@ -71,7 +72,9 @@
 	CountFalseAlarms       = "silent-replicas-found-whole"
 	// CountIsolations counts how often this entry lost its links to most targets, and
 	// CountFailuresInDoubt the targets that were not taken for failed because of that.
-	CountIsolations      = "isolations"
+	CountIsolations = "isolations"
+	// CountPoolsLost counts how often it lost its links to the targets of a pool.
+	CountPoolsLost       = "pools-lost"
 	CountFailuresInDoubt = "target-failures-in-doubt"
 )
 
@@ -94,6 +97,13 @@
 		answered bool
 	}
 
+	// poolLinks are this entry's links to the targets of a pool.
+	poolLinks struct {
+		state   greengageroute.LinkState
+		check   chan struct{} // holds a token while targets are probed
+		targets int           // at the last check
+	}
+
 	// Prober probes the members of unresponsive replicas and reports those that are
 	// unreachable or slow to the other entries.
 	Prober struct {
@@ -105,10 +115,9 @@
 		counters   *expvar.Map
 		log        logr.Logger
 
-		links     *greengageroute.LinkState
-		linkCheck chan struct{} // holds a token while targets are probed to check the links
-
 		mu          sync.Mutex
+		links       map[string]*poolLinks // by pool
+		targets     int                   // of all pools, at the last check of links
 		probedAt    map[replicaID]time.Time
 		confirmedAt map[mesh.TargetInstance]time.Time
 		// awaited are unreachable targets that are probed until they respond, and whether another
@@ -121,8 +130,7 @@
 func NewProber(dataCentre string, reporter Reporter, directory *Directory, notifier Notifier, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Prober {
 	return &Prober{
 		dataCentre: dataCentre, reporter: reporter, directory: directory, notifier: notifier, clock: clock, counters: counters, log: log,
-		links: &greengageroute.LinkState{}, linkCheck: make(chan struct{}, 1),
-		probedAt: map[replicaID]time.Time{}, confirmedAt: map[mesh.TargetInstance]time.Time{}, awaited: map[mesh.TargetInstance]bool{},
+		links: map[string]*poolLinks{}, probedAt: map[replicaID]time.Time{}, confirmedAt: map[mesh.TargetInstance]time.Time{}, awaited: map[mesh.TargetInstance]bool{},
 	}
 }
 
@@ -182,7 +190,7 @@
 		prober.log.Info("unresponsive replica is healthy; all members answered a probe", "replica", replica.Name, "epoch", replica.Epoch)
 		return
 	}
-	if !prober.LinksWork("") {
+	if !prober.LinksWork(replica.Pool) {
 		prober.counters.Add(CountFailuresInDoubt, int64(len(failed)))
 		return
 	}
@@ -311,7 +319,7 @@
 				}
 				return
 			}
-			if !prober.LinksWork("") {
+			if !prober.LinksWork(target.Pool) {
 				prober.counters.Add(CountFailuresInDoubt, 1)
 				return
 			}
@@ -349,53 +357,100 @@
 }
 
 // Isolated reports whether most targets don't respond to this entry, which says nothing about
-// the targets. The entry then forwards requests to others, and plans nothing.
-func (prober *Prober) Isolated() bool { return prober.links.Isolated() }
+// the targets. The entry then plans nothing.
+func (prober *Prober) Isolated() bool {
+	prober.mu.Lock()
+	defer prober.mu.Unlock()
+	lost := 0
+	for _, links := range prober.links {
+		if links.state.Isolated() {
+			lost += links.targets
+		}
+	}
+	return prober.targets >= minTargetsIsolated && 2*lost > prober.targets
+}
 
-// LostPool reports whether the targets of a pool don't respond to this entry.
-func (prober *Prober) LostPool(string) bool { return prober.Isolated() }
+// LostPool reports whether the targets of a pool don't respond to this entry, by the last check
+// of the links. The entry then forwards requests to others.
+func (prober *Prober) LostPool(pool string) bool {
+	prober.mu.Lock()
+	defer prober.mu.Unlock()
+	links, known := prober.links[pool]
+	return known && links.state.Isolated()
+}
 
-// LostPools returns the pools whose targets don't respond to this entry.
-func (prober *Prober) LostPools() []string { return nil }
+// LostPools returns the pools whose targets don't respond to this entry, sorted.
+func (prober *Prober) LostPools() []string {
+	prober.mu.Lock()
+	defer prober.mu.Unlock()
+	var lost []string
+	for pool, links := range prober.links {
+		if links.state.Isolated() {
+			lost = append(lost, pool)
+		}
+	}
+	slices.Sort(lost)
+	return lost
+}
 
-// LinksWork reports whether targets respond to this entry. It probes a few of them if that
-// wasn't done just before.
-func (prober *Prober) LinksWork(string) bool {
-	prober.linkCheck <- struct{}{}
-	defer func() { <-prober.linkCheck }()
-	if !prober.links.CheckedWithin(linkCheckTTL, prober.clock.Now()) {
-		prober.checkLinks()
+// LinksWork reports whether targets of a pool respond to this entry, or the pool is so small
+// that those that don't say nothing about the links. It probes a few of them if that wasn't done
+// just before.
+func (prober *Prober) LinksWork(pool string) bool {
+	links := prober.poolLinks(pool)
+	links.check <- struct{}{}
+	defer func() { <-links.check }()
+	if !links.state.CheckedWithin(linkCheckTTL, prober.clock.Now()) {
+		prober.checkLinks(pool, links)
 	}
-	return !prober.Isolated()
+	prober.mu.Lock()
+	small := links.targets < minTargetsIsolated
+	prober.mu.Unlock()
+	return (small || !links.state.Isolated()) && !prober.Isolated()
 }
 
-// checkLinks probes a few targets of this data centre and a few others. The links work if
-// most of either respond: the other data centres may be cut off, and this one may be dark.
-// The caller holds linkCheck.
-func (prober *Prober) checkLinks() {
-	local, remote := prober.sample()
+func (prober *Prober) poolLinks(pool string) *poolLinks {
+	prober.mu.Lock()
+	defer prober.mu.Unlock()
+	links, known := prober.links[pool]
+	if !known {
+		links = &poolLinks{check: make(chan struct{}, 1)}
+		prober.links[pool] = links
+	}
+	return links
+}
+
+// checkLinks probes a few targets of the pool in this data centre and a few others. The links
+// work if most of either respond: the other data centres may be cut off, and this one may be
+// dark. The caller holds the pool's check.
+func (prober *Prober) checkLinks(pool string, links *poolLinks) {
+	serving := prober.directory.Serving()
+	total := len(serving)
+	targets := slices.DeleteFunc(serving, func(target greengageroute.Target) bool { return target.Pool != pool })
+	local, remote := prober.sample(targets)
 	results := make(chan bool, 2)
 	go func() { results <- prober.mostRespond(local) }()
 	go func() { results <- prober.mostRespond(remote) }()
-	probed := len(local) + len(remote)
-	work := probed == 0 || <-results || <-results
-	changed, since := prober.links.RecordCheck(work, prober.clock.Now())
+	work := len(targets) == 0 || <-results || <-results
+	wasIsolated := prober.Isolated()
+	prober.mu.Lock()
+	links.targets, prober.targets = len(targets), total
+	prober.mu.Unlock()
+	changed, since := links.state.RecordCheck(work, prober.clock.Now())
+	if isolated := prober.Isolated(); isolated && !wasIsolated {
+		prober.counters.Add(CountIsolations, 1)
+	}
 	switch {
 	case changed && !work:
-		prober.counters.Add(CountIsolations, 1)
-		prober.log.Info("targets don't respond to this entry; others get its requests", "probed", probed)
+		prober.counters.Add(CountPoolsLost, 1)
+		prober.log.Info("targets of a pool don't respond to this entry; others get its requests", "pool", pool, "targets", len(targets), "probed", len(local)+len(remote), "isolated", prober.Isolated())
 	case changed:
-		prober.log.Info("targets respond to this entry again", "after", prober.clock.Now().Sub(since).String())
+		prober.log.Info("targets of a pool respond to this entry again", "pool", pool, "after", prober.clock.Now().Sub(since).String(), "isolated", prober.Isolated())
 	}
 }
 
-// sample returns some targets at random, of this data centre and of others. It returns none
-// if there are too few to conclude anything from.
-func (prober *Prober) sample() (local, remote []greengageroute.Target) {
-	targets := prober.directory.Serving()
-	if len(targets) < minTargetsIsolated {
-		return nil, nil
-	}
+// sample returns some of the targets at random, of this data centre and of others.
+func (prober *Prober) sample(targets []greengageroute.Target) (local, remote []greengageroute.Target) {
 	for _, index := range rand.Perm(len(targets)) {
 		target := targets[index]
 		switch {
@@ -434,14 +489,19 @@
 	return err == nil || errors.As(err, &refused)
 }
 
-// RunLinkChecks tries the links of an isolated entry again until the context ends.
+// RunLinkChecks tries the links to lost pools again until the context ends.
 func (prober *Prober) RunLinkChecks(ctx context.Context) {
 	for ctx.Err() == nil {
 		greengageroute.Sleep(ctx, isolationCheckInterval)
-		if prober.Isolated() {
-			prober.linkCheck <- struct{}{}
-			prober.checkLinks()
-			<-prober.linkCheck
+		var checks sync.WaitGroup
+		for _, pool := range prober.LostPools() {
+			checks.Go(func() {
+				links := prober.poolLinks(pool)
+				links.check <- struct{}{}
+				defer func() { <-links.check }()
+				prober.checkLinks(pool, links)
+			})
 		}
+		checks.Wait()
 	}
 }
--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -187,6 +188,64 @@
 	}
 }
 
+// TestPoolsAreLostAlone guards against calls to a small pool that wait in vain, since targets of
+// other pools respond, and against an entry that gives its lease away for a small pool's sake.
+func TestPoolsAreLostAlone(t *testing.T) {
+	ids := func(pool string, count int) (ids []string) {
+		for i := range count {
+			ids = append(ids, fmt.Sprint(pool, "-", i))
+		}
+		return ids
+	}
+	llm, ledger := ids("llm", 20), ids("ledger", 4)
+	tests := []struct {
+		name      string
+		failed    []string
+		lost      []string
+		isolated  bool
+		linksWork map[string]bool
+	}{
+		{"no pool", nil, nil, false, map[string]bool{"llm": true, "ledger": true}},
+		{"one of four targets", ledger[:1], nil, false, map[string]bool{"llm": true, "ledger": true}},
+		{"a small pool", ledger, []string{"ledger"}, false, map[string]bool{"llm": true, "ledger": true}},
+		{"a small pool but for one target", ledger[:3], []string{"ledger"}, false, map[string]bool{"llm": true, "ledger": true}},
+		{"a large pool", llm, []string{"llm"}, true, map[string]bool{"llm": false, "ledger": false}},
+		{"both pools", slices.Concat(llm, ledger), []string{"ledger", "llm"}, true, map[string]bool{"llm": false, "ledger": false}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				directory := NewDirectory(greengageroute.RuntimeClock{})
+				var targets []greengageroute.Target
+				for _, id := range slices.Concat(llm, ledger) {
+					pool, _, _ := strings.Cut(id, "-")
+					targets = append(targets, greengageroute.Target{ID: id, Pool: pool, DataCentre: "b", StartUnixMilli: 1, State: greengageroute.TargetReady})
+				}
+				directory.Replace(targets, time.Time{})
+				prober := NewProber("a", &linkReporter{dataCentres: []string{"b"}, failed: test.failed}, directory, &fakeNotifier{}, greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
+				prober.LinksWork("llm")
+				for pool, want := range test.linksWork {
+					if work := prober.LinksWork(pool); work != want {
+						t.Errorf("the links to %s work: %v, want %v", pool, work, want)
+					}
+				}
+				if lost := prober.LostPools(); !slices.Equal(lost, test.lost) || prober.Isolated() != test.isolated {
+					t.Errorf("lost %v, isolated: %v, want %v and %v", lost, prober.Isolated(), test.lost, test.isolated)
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				go prober.RunLinkChecks(ctx)
+				directory.Replace(nil, time.Time{})
+				time.Sleep(time.Second)
+				if lost := prober.LostPools(); len(lost) > 0 || prober.Isolated() {
+					t.Errorf("pools without targets are lost: %v", lost)
+				}
+				cancel()
+				time.Sleep(time.Second) // lets the loop end
+			})
+		})
+	}
+}
+
 // TestRowsOfUnknownServicesDontIsolate guards against an entry that gives its requests and its
 // lease away because rows of services that the config doesn't name don't respond.
 func TestRowsOfUnknownServicesDontIsolate(t *testing.T) {
@@ -210,7 +269,7 @@
 			}
 		}
 		prober := NewProber("a", &linkReporter{dataCentres: []string{"a"}, failed: failed}, directory, &fakeNotifier{}, greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
-		if !prober.LinksWork("") {
+		if !prober.LinksWork("ledger") {
 			t.Error("the entry is isolated, want its links to work as the targets of the config's services respond")
 		}
 		time.Sleep(time.Second) // lets the other probes end
