--- a/control/prober.go
+++ b/control/prober.go
@@ -426,7 +426,7 @@
 func (prober *Prober) checkLinks(pool string, links *poolLinks) {
 	serving := prober.directory.Serving()
 	total := len(serving)
-	targets := slices.DeleteFunc(serving, func(target greengageroute.Target) bool { return target.Pool != pool })
+	targets := slices.DeleteFunc(slices.Clone(serving), func(target greengageroute.Target) bool { return target.Pool != pool })
 	local, remote := prober.sample(targets)
 	results := make(chan bool, 2)
 	go func() { results <- prober.mostRespond(local) }()
@@ -443,12 +443,24 @@
 	switch {
 	case changed && !work:
 		prober.counters.Add(CountPoolsLost, 1)
+		go prober.checkPools(serving)
 		prober.log.Info("targets of a pool don't respond to this entry; others get its requests", "pool", pool, "targets", len(targets), "probed", len(local)+len(remote), "isolated", prober.Isolated())
 	case changed:
 		prober.log.Info("targets of a pool respond to this entry again", "pool", pool, "after", prober.clock.Now().Sub(since).String(), "isolated", prober.Isolated())
 	}
 }
 
+// checkPools checks the links to all pools of the given targets: an entry that has lost one pool
+// has often lost others, and calls that may run once only can't be sent again.
+func (prober *Prober) checkPools(targets []greengageroute.Target) {
+	pools := greengageroute.Set[string]{}
+	for _, target := range targets {
+		if pools.Add(target.Pool) {
+			go prober.LinksWork(target.Pool)
+		}
+	}
+}
+
 // sample returns some of the targets at random, of this data centre and of others.
 func (prober *Prober) sample(targets []greengageroute.Target) (local, remote []greengageroute.Target) {
 	for _, index := range rand.Perm(len(targets)) {
