Connections between entries are closed once no request may use them

Forwarded requests use no connection that was idle for over 0.7 s, as they may run once only, but connections were kept for 4 s. They are closed after 0.7 s now.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -196,6 +196,11 @@
 		refusedWithoutID := head.ID == "" && head.Status >= http.StatusBadRequest
 		if head.ID == request.ID || refusedWithoutID && conn.exchanges == 1 {
 			conn.idleTimeout = head.IdleTimeout
+			if attempt.ToEntry {
+				// Forwarded requests may run once only and use no older connection. The few entries
+				// that help many others have descriptors for other things.
+				conn.idleTimeout = maxIdleAtMostOnce + idleMargin
+			}
 			// Once the connection is kept, a refusal without an id may be a copy of an
 			// earlier one.
 			head.CloseConnection = head.CloseConnection || head.ID != request.ID
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -364,3 +364,45 @@
 		t.Error("the request has no header with the id of the expected target")
 	}
 }
+
+// TestConnectionsToEntriesAreClosed guards against entries that help many others and run out of
+// descriptors for connections that are no longer used.
+func TestConnectionsToEntriesAreClosed(t *testing.T) {
+	tests := []struct {
+		name    string
+		toEntry bool
+		idleFor time.Duration
+		kept    int
+	}{
+		{"of a forwarded request", true, 500 * time.Millisecond, 1},
+		{"of a forwarded request, too old for the next", true, 800 * time.Millisecond, 0},
+		{"to a target", false, 800 * time.Millisecond, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			target := serveRaw(t, func(conn net.Conn, reader *bufio.Reader) {
+				if request, _ := readRequest(reader); request != nil {
+					reply(conn, request.Header.Get(platform.HeaderAttemptID), "own")
+				}
+				_, _ = reader.ReadByte() // keeps the connection open
+			})
+			client := NewClient(func() {})
+			request := greengageroute.Request{ID: "id-1", Method: "POST", URI: "/x", Host: "h", Header: http.Header{platform.HeaderAttemptID: {"id-1"}}}
+			answer, err := client.Do(t.Context(), request, greengageroute.Attempt{Target: target, Remaining: time.Second, ToEntry: test.toEntry})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadAll(answer.Body); err != nil {
+				t.Fatal(err)
+			}
+			answer.Close(true)
+			for _, conn := range client.idle[poolKey(target)] {
+				conn.idleSince = time.Now().Add(-test.idleFor)
+			}
+			client.CloseExpired()
+			if kept := len(client.idle[poolKey(target)]); kept != test.kept {
+				t.Errorf("%d connections are kept, want %d", kept, test.kept)
+			}
+		})
+	}
+}
