Forwarded attempts don't use up the attempts at targets

A request that four other entries had refused was refused without a look at a target, although one may only be silent: attempts at entries counted as attempts at targets (TestSilentTargetsAreTriedWithoutHelpers failed).

--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -494,7 +494,7 @@
 func (process *fleetProcess) HasTraffic() bool                 { return true }
 func (process *fleetProcess) ReadsStore() bool                 { return false }
 func (process *fleetProcess) ConfigVersion() uint64            { return 7 }
-func (process *fleetProcess) Isolated() bool { return process.prober.Isolated() }
+func (process *fleetProcess) Isolated() bool                   { return process.prober.Isolated() }
 
 func (process *fleetProcess) LostPools() []string                             { return process.prober.LostPools() }
 func (process *fleetProcess) Quarantined() []greengageroute.QuarantineVerdict { return nil }
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
@@ -17,6 +18,9 @@
 	// at most: each may take a dial timeout. One that refuses does so at once, and isn't asked
 	// again for a while.
 	maxHelpersUnreached = 3
+	// helperBatch is how many entries a request takes from the list of those that can help,
+	// before it asks for the list again.
+	helperBatch = 8
 	// noHelperRetryAfter is sent when neither a target nor another entry can be reached.
 	noHelperRetryAfter = 500 * time.Millisecond
 	// silentCallCheck is how long a call waits, and this entry receives nothing from any
@@ -35,6 +39,7 @@
 
 // helperSearch is a request's search for another entry that reaches its pool.
 type helperSearch struct {
+	next      []string                   // addresses to try
 	tried     greengageroute.Set[string] // addresses
 	unreached int                        // how many of them couldn't be reached
 }
@@ -104,12 +109,14 @@
 	if search.unreached >= maxHelpersUnreached {
 		return "", false
 	}
-	for _, address := range exchange.service.Peers.Helpers(exchange.pool.Name) {
-		if !search.tried.Has(address) {
-			return address, true
-		}
+	if len(search.next) == 0 {
+		untried := slices.DeleteFunc(exchange.service.Peers.Helpers(exchange.pool.Name), search.tried.Has)
+		search.next = untried[:min(len(untried), helperBatch)]
 	}
-	return "", false
+	if len(search.next) == 0 {
+		return "", false
+	}
+	return search.next[0], true
 }
 
 // nextHelper returns the next entry to forward the request to, which counts as tried.
@@ -123,6 +130,7 @@
 	if search.tried == nil {
 		search.tried = greengageroute.Set[string]{}
 	}
+	search.next = search.next[1:]
 	search.tried.Add(address)
 	service.Counters.Add(CountForwarded, 1)
 	service.Log.V(1).Info("request forwarded", "id", exchange.ID, "pool", exchange.pool.Name, "entry", address, "tried-before", len(search.tried)-1,
--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -156,7 +156,9 @@
 
 func (call *hedgedCall) start(ctx context.Context, attempt *callAttempt) {
 	exchange := call.exchange
-	call.starts++
+	if !attempt.fromEntry {
+		call.starts++
+	}
 	for _, silent := range call.attempts {
 		silent.hedged = true
 	}
--- a/edge/hedgedstream.go
+++ b/edge/hedgedstream.go
@@ -51,7 +51,7 @@
 		confirmed    string                     // key of the replica that a hedge may be sent to
 		checking     bool
 		checked      chan checkedReplica
-		starts       int // attempts since the last pause
+		starts       int // attempts at targets since the last pause
 		helpers      helperSearch
 		helpersLater sourceBackoff // after all of them were tried
 		helpersAsked time.Duration // the longest time that they asked for
--- a/edge/streamsearch.go
+++ b/edge/streamsearch.go
@@ -194,7 +194,9 @@
 }
 
 func (stream *hedgedStream) start(ctx context.Context, attempt *streamAttempt) {
-	stream.starts++
+	if !attempt.fromEntry {
+		stream.starts++
+	}
 	stream.attempts = append(stream.attempts, attempt)
 	stream.exchange.attemptsPending++
 	attempt.start(ctx)
