Planner: a row that claims a member's place is no spare while the replica is silent in part

Trace: i-model-0, an open head, is silent from 43.94 s; at 44.95 s the list gets a row of another writer that claims the place of another member of its replica, valid in every field; in the same millisecond the planner orders the silent head to leave. The order is carried out at 45.54 s, as the head goes on, and its stream ends 10 ms later.

Cause: such a row counts as no spare, but was freed from its replica all the same, as a target that belongs to no assignment and is held by an absent head. Besides, while a replica is repaired its places didn't count as taken, so that the rival was taken as its spare.

--- a/formation.go
+++ b/formation.go
@@ -124,9 +124,11 @@
 		preloads    map[string]preload    // by target id
 		heads       map[ReplicaKey]string // heads of all replicas that targets may still be members of
 		assigned    Set[string]           // members of the assignments
-		names       Set[string]           // of all replicas that were ever assigned here
-		dissolved   Set[string]           // names of those that made room for another model
-		releases    map[string][]release  // by target id
+		// repairing are the assignments that are being repaired, and keep their places meanwhile.
+		repairing []Assignment
+		names     Set[string]          // of all replicas that were ever assigned here
+		dissolved Set[string]          // names of those that made room for another model
+		releases  map[string][]release // by target id
 	}
 )
 
--- a/formationadoption.go
+++ b/formationadoption.go
@@ -76,9 +76,14 @@
 	if member.Replica == "" || member.isPreload() || formation.assigned.Has(target.ID) {
 		return false
 	}
-	return slices.ContainsFunc(formation.Assignments, func(assignment Assignment) bool {
-		return member.BelongsTo(assignment.Name, assignment.Epoch) && member.Rank < len(assignment.Members) && assignment.Members[member.Rank] != ""
-	})
+	isTaken := func(assignment Assignment) bool {
+		if !member.BelongsTo(assignment.Name, assignment.Epoch) || member.Rank >= len(assignment.Members) {
+			return false
+		}
+		holder := assignment.Members[member.Rank]
+		return holder != "" && holder != target.ID
+	}
+	return slices.ContainsFunc(formation.Assignments, isTaken) || slices.ContainsFunc(formation.repairing, isTaken)
 }
 
 // isSilent reports whether a target has been absent for no longer than one that works may be
--- a/formationadoption_test.go
+++ b/formationadoption_test.go
@@ -200,6 +200,45 @@
 	}
 }
 
+// TestRivalIsNoSpareForTheReplicaThatItClaims guards against streams that are cut because a row
+// of another writer claims a place in a replica while another member of it is silent: the head
+// would be ordered to leave, to free the rival for the replica's repair.
+func TestRivalIsNoSpareForTheReplicaThatItClaims(t *testing.T) {
+	tests := []struct {
+		name          string
+		rank, silence int // places of the rival and of the silent member
+	}{
+		{"a member's place, the head is silent", 1, 0},
+		{"a member's place, another member is silent", 1, 2},
+		{"the head's place, a member is silent", 0, 1},
+		{"the place of the silent member", 1, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pool, formation := newFormedPool(t, 6, 11)
+			pool.run(formation, 3*time.Second, true)
+			replica := formation.Assignments[0]
+			for id, target := range pool.targets { // no other spare is left
+				if target.Domain == replica.Domain && !slices.Contains(replica.Members, id) {
+					target.crashed = true
+				}
+			}
+			rival := &simulatedTarget{Target: pool.targets[replica.Members[test.rank]].Target, crashed: true, listed: true}
+			rival.ID, rival.Address, rival.ListedSince = "a-rival", "nowhere", pool.now
+			pool.targets[rival.ID] = rival
+			silent := pool.targets[replica.Members[test.silence]]
+			silent.unlisted, silent.absentSince = true, pool.now
+			pool.orders, pool.orderedAt, pool.sent = nil, nil, nil
+			pool.run(formation, time.Second, true)
+			for _, order := range pool.sent {
+				if order.Target.ID == rival.ID || slices.Contains(replica.Members, order.Target.ID) {
+					t.Errorf("the order %v is sent", order)
+				}
+			}
+		})
+	}
+}
+
 // TestRowsThatClaimATakenPlaceAreIgnored guards against rows of another writer that are valid in
 // every field and claim a place in a replica that exists: the replica would count as incomplete,
 // or be closed to free the target for another one.
--- a/formationrelease.go
+++ b/formationrelease.go
@@ -155,7 +155,7 @@
 func (formation *Formation) freeAbandoned(view PoolView, closed map[ReplicaKey]bool) []TargetOrder {
 	var held []Target
 	for id, target := range view.Targets {
-		if !formation.assigned.Has(id) && target.State == TargetReady && !target.Unlisted && formation.isHeld(target, view) {
+		if !formation.assigned.Has(id) && target.State == TargetReady && !target.Unlisted && !formation.claimsTakenPlace(target) && formation.isHeld(target, view) {
 			held = append(held, target)
 		}
 	}
--- a/formationrepair.go
+++ b/formationrepair.go
@@ -19,7 +19,9 @@
 	reserved := NewSet[string]()
 	for _, assignment := range damaged {
 		assignment.reserve(reserved)
+		formation.repairing = append(formation.repairing, assignment.Assignment)
 	}
+	defer func() { formation.repairing = nil }()
 	var changed []Assignment
 	fill := func(assignment damagedAssignment, maxCost int) bool {
 		spares := formation.spares(view, assignment.Assignment, reserved, maxCost)
