Tests: soak seeds and the slow cases with processes run in parallel

integration/ took about ten minutes, of which the two soaks wait 190 s for their seeds one after the other, and two tests 50 s for their cases. Each has processes and ports of its own. No check is changed.

--- a/integration/crashgap_test.go
+++ b/integration/crashgap_test.go
@@ -60,6 +60,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			deployment := newDeployment(t, 13, 2)
 			var gaps []time.Duration
 			for range 3 {
--- a/integration/cutoffentry_test.go
+++ b/integration/cutoffentry_test.go
@@ -100,6 +100,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			deployment := newEmptyDeployment(t)
 			links := &targetLinks{t: t, store: deployment.store.Handler(), proxies: map[string]*tcpProxy{}}
 			view := httptest.NewServer(links)
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -20,7 +20,7 @@
 	soakSeeds    = flag.Int("soak-seeds", 1, "number of seeds to run")
 	soakFirst    = flag.Uint64("soak-first", 1, "first seed")
 	soakEntries  = flag.Int("soak-entries", 3, "entries of each deployment")
-	soakParallel = flag.Bool("soak-parallel", false, "run seeds in parallel, at most -parallel at a time")
+	soakParallel = flag.Bool("soak-parallel", true, "run seeds in parallel, at most -parallel at a time")
 	soakTime     = flag.Duration("soak-time", 12*time.Second, "how long faults are injected for each seed")
 )
 
