--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -39,7 +39,8 @@
 
 var (
 	binDirectory string
-	claimedPorts int // first port of this process's block
+	claimedPorts int      // first port of this process's block
+	portsInTests sync.Map // ports that tests which run were given
 	lastPort     atomic.Int32
 )
 
@@ -545,17 +546,22 @@
 	return nil, fmt.Errorf("every block of ports from %d to %d is in use; end other runs of the tests", firstPort, endPort)
 }
 
-// freePort returns a loopback address from the process's block that nothing listens
-// on.
+// freePort returns a loopback address from the process's block that nothing listens on, and
+// that no other test is given until this one has ended: its process may just be restarting.
 func freePort(t *testing.T, bind func(address string) (io.Closer, error)) string {
 	t.Helper()
 	for range portBlock {
 		port := claimedPorts + 1 + int(lastPort.Add(1))%(portBlock-1)
+		if _, taken := portsInTests.LoadOrStore(port, true); taken {
+			continue
+		}
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		if listener, err := bind(address); err == nil {
 			_ = listener.Close()
+			t.Cleanup(func() { portsInTests.Delete(port) })
 			return address
 		}
+		portsInTests.Delete(port)
 	}
 	t.Fatalf("no free port among the %d after %d", portBlock, claimedPorts)
 	return ""
--- a/integration/deploymentproxies_test.go
+++ b/integration/deploymentproxies_test.go
@@ -59,20 +59,22 @@
 // peerAddress.
 func (set *proxySet) addEntry(entry *entryProcess, peerAddress, storeAddress string) *entryProxies {
 	t := set.t
-	proxyAddress := freePort(t, func(address string) (io.Closer, error) { return net.ListenPacket("udp4", address) })
+	// The socket stays open: a process that another test forks just then holds it for a moment,
+	// and the port couldn't be bound again.
+	var socket *net.UDPConn
+	proxyAddress := freePort(t, func(address string) (io.Closer, error) {
+		listenAddress, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			return nil, err
+		}
+		socket, err = net.ListenUDP("udp4", listenAddress)
+		return io.NopCloser(nil), err
+	})
 	proxies := &entryProxies{callers: newTCPProxy(t, entry.callerAddress), store: newTCPProxy(t, storeAddress), peers: newTCPProxyAt(t, proxyAddress, peerAddress)}
-	listenAddress, err := net.ResolveUDPAddr("udp4", proxyAddress)
-	if err != nil {
-		t.Fatal(err)
-	}
 	upstream, err := net.ResolveUDPAddr("udp4", peerAddress)
 	if err != nil {
 		t.Fatal(err)
 	}
-	socket, err := net.ListenUDP("udp4", listenAddress)
-	if err != nil {
-		t.Fatal(err)
-	}
 	t.Cleanup(func() { _ = socket.Close() })
 	proxies.gossip = &gossipProxy{set: set, socket: socket, upstream: upstream}
 	set.mu.Lock()
