Mesh, tests, docs: what a message says of lost pools is read in one place

Message.lostPools tells an older build's isolated entry from one that names its pools; two places did. The tests' three recover blocks are one function. A comment said that only an entry's own word leaves it out; counters stood under another one's comment.

--- a/control/prober.go
+++ b/control/prober.go
@@ -72,10 +72,10 @@
 	CountFalseAlarms       = "silent-replicas-found-whole"
 	// CountIsolations counts how often this entry lost its links to most targets, and
 	// CountFailuresInDoubt the targets that were not taken for failed because of that.
-	CountIsolations = "isolations"
-	// CountPoolsLost counts how often it lost its links to the targets of a pool.
-	CountPoolsLost       = "pools-lost"
+	CountIsolations      = "isolations"
 	CountFailuresInDoubt = "target-failures-in-doubt"
+	// CountPoolsLost counts how often it lost its links to the targets of a pool.
+	CountPoolsLost = "pools-lost"
 )
 
 type (
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -208,6 +208,16 @@
 // serve handles a request. It reports whether the connection was aborted.
 func (fixture *fixture) serve(request *http.Request) (recorder *httptest.ResponseRecorder, aborted bool) {
 	recorder = httptest.NewRecorder()
+	aborted = isAborted(func() {
+		if !fixture.service.ServeForwarded(recorder, request) {
+			fixture.service.ServeHTTP(recorder, request)
+		}
+	})
+	return recorder, aborted
+}
+
+// isAborted runs a handler and reports whether it aborted the connection.
+func isAborted(handle func()) (aborted bool) {
 	defer func() {
 		if cause := recover(); cause == http.ErrAbortHandler {
 			aborted = true
@@ -215,10 +225,8 @@
 			panic(cause)
 		}
 	}()
-	if !fixture.service.ServeForwarded(recorder, request) {
-		fixture.service.ServeHTTP(recorder, request)
-	}
-	return recorder, false
+	handle()
+	return false
 }
 
 // answers is a step of a script: the target returns an answer. The functions after
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -459,7 +459,8 @@
 	forwarded := httptest.NewRequestWithContext(ctx, request.Method, request.URI, bytes.NewReader(request.Body))
 	forwarded.Host, forwarded.RequestURI, forwarded.Header = request.Host, request.URI, platform.EncodeAttempt(request, attempt)
 	recorder := httptest.NewRecorder()
-	if aborted := serveForwarded(helper.service, recorder, forwarded); aborted {
+	served := false
+	if isAborted(func() { served = helper.service.ServeForwarded(recorder, forwarded) }) || !served {
 		return nil, &upstream.AnswerLostError{Target: attempt.Target.ID, Cause: io.ErrUnexpectedEOF}
 	}
 	if err := sleep(ctx, fleetDelay); err != nil {
@@ -470,19 +471,6 @@
 	return &upstream.Answer{AnswerHead: platform.DecodeAnswer(response), Body: response.Body}, nil
 }
 
-// serveForwarded has an entry serve the request of another one. It reports whether the entry
-// broke the answer off.
-func serveForwarded(service *Service, writer http.ResponseWriter, request *http.Request) (aborted bool) {
-	defer func() {
-		if cause := recover(); cause == http.ErrAbortHandler {
-			aborted = true
-		} else if cause != nil {
-			panic(cause)
-		}
-	}()
-	return !service.ServeForwarded(writer, request)
-}
-
 // HasIdleConnection implements Sender.
 func (helperSender) HasIdleConnection(greengageroute.Target, bool) bool { return false }
 
@@ -576,17 +564,7 @@
 	request.Header.Set(platform.HeaderAttemptID, id)
 	request.Header.Set("X-Greengageroute-Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
 	recorder := httptest.NewRecorder()
-	aborted := false
-	func() {
-		defer func() {
-			if cause := recover(); cause == http.ErrAbortHandler {
-				aborted = true
-			} else if cause != nil {
-				panic(cause)
-			}
-		}()
-		process.service.ServeHTTP(recorder, request)
-	}()
+	aborted := isAborted(func() { process.service.ServeHTTP(recorder, request) })
 	want := "done"
 	if path == "/chat/x" {
 		want = events(1, fleetEvents)
--- a/mesh/helpers.go
+++ b/mesh/helpers.go
@@ -63,7 +63,7 @@
 // forwarded, in the order in which to try them: those that are known to reach the pool before
 // those of which nothing is known, at random, and those on larger VMs more often first. Entries
 // of this data centre and of others alternate if at least half of this one's can help. An entry
-// that can't help is left out only by its own word.
+// is left out only by its own word, or if this one found that it can't help.
 func (node *Node) Helpers(pool string) (addresses []string) {
 	now := node.clock.Now()
 	node.mu.Lock()
@@ -146,13 +146,20 @@
 
 // reaches reports whether the sender reaches the targets of a pool.
 func (message Message) reaches(pool string) bool {
-	if message.Isolated && len(message.Lost) == 0 {
-		return false // an older build, which names no pools
-	}
+	lost := message.lostPools()
 	if pool == AnyPool {
-		return len(message.Lost) == 0
+		return len(lost) == 0
 	}
-	return !slices.Contains(message.Lost, pool) && !slices.Contains(message.Lost, AnyPool)
+	return !slices.Contains(lost, pool) && !slices.Contains(lost, AnyPool)
+}
+
+// lostPools returns the pools that the sender has lost. An isolated entry of an older build names
+// none.
+func (message Message) lostPools() []string {
+	if message.Isolated && len(message.Lost) == 0 {
+		return []string{AnyPool}
+	}
+	return message.Lost
 }
 
 func (node *Node) isNamed(key helperKey, now time.Time) bool {
@@ -185,16 +192,13 @@
 
 // addLost adds the pools that the sender of a message has lost.
 func addLost(pools greengageroute.Set[string], message Message) {
-	if message.Isolated && len(message.Lost) == 0 {
-		pools.Add(AnyPool)
-	}
-	for _, pool := range message.Lost {
+	for _, pool := range message.lostPools() {
 		pools.Add(pool)
 	}
 }
 
-// lostPools returns the pools that a message names as lost.
-func lostPools(pools []string) []string {
+// limitedPools returns the pools as a message names them.
+func limitedPools(pools []string) []string {
 	if len(pools) > maxLostPools {
 		return []string{AnyPool}
 	}
@@ -212,7 +216,7 @@
 			addLost(wanted, other.own)
 		}
 	}
-	summary.Wanted, summary.Helpers = lostPools(wanted.Sorted()), nil
+	summary.Wanted = limitedPools(wanted.Sorted())
 	kind, pools := summaryMessage, node.wantedElsewhere(now)
 	if summary.AllEntries {
 		kind, pools = announcementMessage, summary.Wanted
@@ -242,7 +246,7 @@
 			}
 		}
 	}
-	return lostPools(wanted.Sorted())
+	return limitedPools(wanted.Sorted())
 }
 
 // reachingHere returns the entries of this data centre that say that they reach a pool.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -433,7 +433,7 @@
 	message.Loads, message.Lease, message.HasTraffic = source.Loads(), source.Lease(), source.HasTraffic()
 	message.ReadsStore = source.ReadsStore()
 	message.Limits, message.ConfigVersion, message.Isolated = source.Limits(), source.ConfigVersion(), source.Isolated()
-	message.Lost = lostPools(source.LostPools())
+	message.Lost = limitedPools(source.LostPools())
 	verdicts := source.Quarantined()
 	node.mu.Lock()
 	node.self.ReadsStore = message.ReadsStore
