Planner: spares are staged for the model that loses most by a loss

In a pool with replicas of eight and of two targets that loses two to three members every 2.7 s, the open replicas of the wide model fell from 9 to 3 in 30 s, and half of its requests were refused, while those of the narrow one stayed at 36 of 36. A wide replica needs a staged spare in its own domain or waits 16 s for a load, with seven targets idle. Spares were staged by the number of members alone, and a damaged narrow replica used up the spare of a wide one by having it load other weights.

Spares are now staged by the members that may be lost times the share of the model's replicas that one loss takes out, and a narrow replica no longer takes a staged spare of a wider model.

--- a/formationrepair.go
+++ b/formationrepair.go
@@ -54,7 +54,7 @@
 		switch {
 		case len(assignment.loading) > 0:
 			formation.assign(assignment.Assignment) // waits on
-		case !fill(assignment, joinCostLoading):
+		case formation.needsSparesOfWider(view, assignment, reserved) || !fill(assignment, joinCostLoading):
 			assignment.release(reserved)
 		}
 	}
@@ -142,6 +142,22 @@
 	return false
 }
 
+// needsSparesOfWider reports whether a damaged replica could only be completed by targets that
+// have the weights of a model with more targets a replica staged. Without that spare the loss of
+// a single member leaves more targets idle than this replica has.
+func (formation *Formation) needsSparesOfWider(view PoolView, damaged damagedAssignment, reserved Set[string]) bool {
+	spares := formation.spares(view, damaged.Assignment, reserved, joinCostLoading)
+	if len(spares) < damaged.missing() {
+		return false
+	}
+	return slices.ContainsFunc(spares[:damaged.missing()], func(id string) bool {
+		return slices.ContainsFunc(view.Targets[id].Staged, func(staged string) bool {
+			model, known := view.Engine.Model(staged)
+			return known && model.Size > len(damaged.Members)
+		})
+	})
+}
+
 // mayReturn reports whether a replica that served lacks only members that have been absent for
 // no longer than a target that works may be silent.
 func (view PoolView) mayReturn(damaged damagedAssignment) bool {
--- a/formationspares.go
+++ b/formationspares.go
@@ -103,19 +103,23 @@
 	return orders
 }
 
-// stagingOrder picks the model with the most members for each staged spare, and a
-// free target that has nothing staged or whose staged model the domain can spare.
+// stagingOrder picks the model with the highest expected loss without a further staged spare,
+// and a free target that has nothing staged or whose staged model the domain can spare. The
+// expected loss is the number of members that may be lost in the domain times the share of the
+// model's replicas that a loss takes out of service, over the spares that it has.
 func (formation *Formation) stagingOrder(view PoolView, domain string, free []Target, spares map[string]int) (TargetOrder, bool) {
-	members := map[string]int{}
+	members, replicas := map[string]int{}, map[string]int{}
 	for _, assignment := range formation.Assignments {
+		replicas[assignment.Model]++
 		if assignment.Domain == domain {
 			members[assignment.Model] += len(assignment.Members)
 		}
 	}
+	expectedLoss := func(model EngineModel) float64 {
+		return float64(members[model.Name]) / float64(max(replicas[model.Name], 1)) / float64(1+spares[model.Name])
+	}
 	models := slices.Clone(view.Engine.Models)
-	slices.SortStableFunc(models, func(a, b EngineModel) int {
-		return cmp.Compare(members[b.Name]*(1+spares[a.Name]), members[a.Name]*(1+spares[b.Name]))
-	})
+	slices.SortStableFunc(models, func(a, b EngineModel) int { return cmp.Compare(expectedLoss(b), expectedLoss(a)) })
 	if len(models) == 0 {
 		return TargetOrder{}, false
 	}
