Planner: idle targets move to a busier model with more urgent requests

Trace of the first deployment with hard load: the model of the most urgent requests had 28 to 32 of 30 slots in use on most replicas for a quarter of the time, and 41 in 100 of the requests sent then were late; the other model used 4 to 12 of 30 slots. The planner divided the targets by the shares of the configuration and looked at no demand.

It now measures the requests in progress for each model and the most urgent rank requested, and dissolves replicas of a model with idle slots for a model that is busier by half and has more urgent requests. Where ranks don't differ, nothing changes. Each data centre keeps a replica of each model, and a model that gives targets stays below half of its slots.

--- a/control/planner.go
+++ b/control/planner.go
@@ -62,7 +62,9 @@
 	CountOrdersRefused     = "orders-refused"
 	CountOrdersNotAnswered = "orders-not-answered"
 	CountReplicasAssigned  = "replicas-assigned"
-	CountLeaseStepsFailed  = "lease-steps-failed"
+	// CountTargetShifts counts the times that targets were moved to a busier model.
+	CountTargetShifts     = "target-shifts"
+	CountLeaseStepsFailed = "lease-steps-failed"
 	// CountHeadsSuspected counts absent heads that left orders unanswered, CountHeadsClosed
 	// those that said that they don't serve.
 	CountHeadsSuspected = "absent-heads-suspected"
@@ -98,6 +100,8 @@
 		Routes       func() *greengageroute.RouteTable
 		// HasTraffic reports whether any entry has received requests.
 		HasTraffic func() bool
+		// Demand returns what callers ask of the models of a pool; nil while it isn't known.
+		Demand func(pool string, engine *greengageroute.Engine) map[string]greengageroute.ModelDemand
 		// Confirm probes members that are no longer listed and marks those that
 		// don't respond as unreachable.
 		Confirm func(unlisted []mesh.TargetInstance)
@@ -287,6 +291,10 @@
 	if len(view.Absent) > 0 {
 		busy = planner.Activity.Busy()
 	}
+	var demand map[string]greengageroute.ModelDemand
+	if planner.Demand != nil && len(engine.Models) > 1 {
+		demand = planner.Demand(name, engine)
+	}
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
 	targets := map[string]greengageroute.Target{}
@@ -314,7 +322,7 @@
 	return greengageroute.PoolView{
 		Pool: name, Engine: engine, Targets: targets, HasTraffic: planner.HasTraffic(), Now: now,
 		Absent: absent, AbsentSince: absentSince, ClosedAt: closedAt, SuspectedHeads: suspected, Busy: busy,
-		MemberLostAt: planner.memberLostAt(name, targets), StallTimeout: planner.StallTimeout, PendingOpens: planner.pendingOpensIn(targets),
+		Demand: demand, MemberLostAt: planner.memberLostAt(name, targets), StallTimeout: planner.StallTimeout, PendingOpens: planner.pendingOpensIn(targets),
 		Left: planner.leftReplicasOf(targets),
 	}.Indexed()
 }
@@ -336,7 +344,13 @@
 		planner.formations[view.Pool] = formation
 		planner.Log.Info("formation built from the listed targets", "pool", view.Pool, "replicas", len(formation.Assignments), "targets", len(view.Targets))
 	}
-	for _, assignment := range formation.Update(view) {
+	shiftedAt := formation.ShiftedAt()
+	changed := formation.Update(view)
+	if formation.ShiftedAt() != shiftedAt {
+		planner.Counters.Add(CountTargetShifts, 1)
+		planner.Log.Info("targets move to a busier model", "pool", view.Pool, "demand", fmt.Sprint(view.Demand), "planned-targets", fmt.Sprint(formation.PlannedTargets()))
+	}
+	for _, assignment := range changed {
 		planner.Counters.Add(CountReplicasAssigned, 1)
 		planner.Log.Info("replica assigned", "replica", assignment.Name, "epoch", assignment.Epoch, "model", assignment.Model,
 			"domain", assignment.Domain, "members", strings.Join(assignment.Members, ","))
--- a/formation.go
+++ b/formation.go
@@ -72,6 +72,8 @@
 		// PendingOpens holds heads that were sent an order to open and may have
 		// opened, though the list doesn't show it yet.
 		PendingOpens map[string]ReplicaKey
+		// Demand is what callers ask of each model; nil while it isn't known.
+		Demand map[string]ModelDemand
 		// Left holds targets that accepted an order to join another replica or to
 		// leave, with the replica they left, though the list doesn't show it yet.
 		Left map[string]ReplicaKey
@@ -129,6 +131,10 @@
 		names     Set[string]          // of all replicas that were ever assigned here
 		dissolved Set[string]          // names of those that made room for another model
 		releases  map[string][]release // by target id
+		// shares are the targets planned for each model since the last shift by demand; nil
+		// before the first.
+		shares    map[string]float64
+		shiftedAt time.Time
 	}
 )
 
@@ -254,7 +260,7 @@
 	formation.recordOpened(view)
 	changed := formation.repair(view)
 	changed = append(changed, formation.grow(view)...)
-	if formation.rebalance(view) {
+	if formation.rebalance(view) || formation.shift(view) {
 		changed = append(changed, formation.grow(view)...)
 	}
 	return changed
@@ -269,7 +275,7 @@
 	if len(models) < 2 {
 		return false
 	}
-	perShare := func(model EngineModel) float64 { return targets[model.Name] / max(model.Share, 0.01) }
+	perShare := func(model EngineModel) float64 { return targets[model.Name] / formation.share(model) }
 	slices.SortStableFunc(models, func(a, b EngineModel) int { return cmp.Compare(perShare(a), perShare(b)) })
 	underserved, overserved := models[0], models[len(models)-1]
 	if view.HasTraffic && targets[underserved.Name] > 0 || perShare(underserved) >= rebalanceRatio*perShare(overserved) || targets[overserved.Name] < 2*float64(overserved.Size) {
@@ -285,7 +291,7 @@
 		}
 	}
 	remaining := targets[overserved.Name] - float64(fewest*overserved.Size)
-	if fewest == 0 || remaining/max(overserved.Share, 0.01) < perShare(underserved) {
+	if fewest == 0 || remaining/formation.share(overserved) < perShare(underserved) {
 		return false
 	}
 	dissolved := 0
@@ -466,9 +472,12 @@
 	models := slices.Clone(view.Engine.Models)
 	targets := formation.targetsByModel(view.Engine)
 	slices.SortStableFunc(models, func(a, b EngineModel) int {
-		return cmp.Compare(targets[a.Name]/max(a.Share, 0.01), targets[b.Name]/max(b.Share, 0.01))
+		return cmp.Compare(targets[a.Name]/formation.share(a), targets[b.Name]/formation.share(b))
 	})
 	for _, model := range models {
+		if formation.yieldsTargets(model, targets) {
+			continue
+		}
 		best, mostRemaining := "", -1
 		for _, name := range names {
 			ready := len(formation.spares(view, Assignment{Model: model.Name, Domain: name}, nil, maxCost))
--- a/formation_test.go
+++ b/formation_test.go
@@ -26,6 +26,7 @@
 		lostAt     map[ReplicaKey]time.Time // when a member first accepted an order to leave
 		busy       Set[string]              // targets with requests in progress
 		sent       []TargetOrder            // all orders, carried out or not
+		demand     map[string]ModelDemand
 	}
 
 	// simulatedTarget is one target with its true state.
@@ -71,7 +72,7 @@
 		Pool: "llm", Engine: pool.engine, Targets: map[string]Target{}, Absent: map[string]Target{},
 		ClosedAt: map[ReplicaKey]time.Time{}, Now: pool.now, HasTraffic: hasTraffic,
 		AbsentSince: map[string]time.Time{}, SuspectedHeads: map[ReplicaKey]bool{}, MemberLostAt: maps.Clone(pool.lostAt), StallTimeout: 6 * time.Second,
-		Busy: pool.busy,
+		Busy: pool.busy, Demand: pool.demand,
 	}
 	for id, target := range pool.targets {
 		if target.unknown {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -347,6 +347,13 @@
 	return loads
 }
 
+// TotalLoads returns the load of all entries together, by target.
+func (node *Node) TotalLoads() map[string]greengageroute.EngineLoad {
+	loads := node.Loads()
+	addLoads(loads, node.source.Loads(), 1)
+	return loads
+}
+
 // addLoads adds loads to sums if sign is 1, and subtracts them if it is -1.
 func addLoads(sums map[string]greengageroute.EngineLoad, loads []Load, sign int) {
 	for _, load := range loads {
