Platform, control, edge: requests avoid evacuated data centres and regions that aren't permitted

Rows evacuate/ZONE of the table op are followed with the config and are in force before it. The pickers of replicas and targets exclude evacuated data centres and, by the new lists allowed_regions of routes and workspaces, those in other regions. Bodies with a list of regions are forwarded only to entries there.

--- a/control/directory.go
+++ b/control/directory.go
@@ -66,6 +66,8 @@
 		memberships map[replicaID]map[string]*greengageroute.Target // present members of each replica
 		open        map[replicaID]greengageroute.Replica
 
+		evacuations Evacuations
+
 		view atomic.Pointer[View]
 	}
 
@@ -135,6 +137,11 @@
 	})
 }
 
+// SetEvacuations replaces the evacuations of data centres.
+func (directory *Directory) SetEvacuations(evacuations Evacuations) {
+	directory.update(func() { directory.evacuations = evacuations })
+}
+
 // Replace applies a complete read of the list. Targets that are missing from it
 // are dropped at the given time, except those whose rows are there but can't be decoded.
 func (directory *Directory) Replace(targets []greengageroute.Target, dropAt time.Time, undecodable ...string) {
--- a/control/follower.go
+++ b/control/follower.go
@@ -54,6 +54,11 @@
 	// CountConfigsBehind counts polls of the config that ended while another entry followed
 	// a newer one.
 	CountConfigsBehind = "configs-behind-peers"
+	// CountEvacuationsBegun and CountEvacuationsEnded count the evacuations of data centres that
+	// this entry saw begin and end; GaugeEvacuated is how many are evacuated.
+	CountEvacuationsBegun = "evacuations-begun"
+	CountEvacuationsEnded = "evacuations-ended"
+	GaugeEvacuated        = "data-centres-evacuated"
 )
 
 type (
@@ -80,6 +85,7 @@
 		// configUndecodable is set while the newest config can't be decoded: the one in force
 		// isn't current.
 		configUndecodable atomic.Bool
+		evacuations       Evacuations // used by RunConfig alone
 
 		mu          sync.Mutex
 		failing     bool      // the last call failed
@@ -132,7 +138,15 @@
 func (follower *Follower) RunConfig(ctx context.Context) {
 	follower.run(ctx, feed{
 		table: platform.ConfigTable, pollTimeout: configPollTimeout,
-		onSnapshot: follower.adoptConfig, onChanges: follower.adoptConfig,
+		// Requests are served once there is a config: the evacuations come before it.
+		onSnapshot: func(rows platform.Rows) {
+			follower.adoptEvacuations(rows, Evacuations.WithSnapshot)
+			follower.adoptConfig(rows)
+		},
+		onChanges: func(rows platform.Rows) {
+			follower.adoptEvacuations(rows, Evacuations.WithChanges)
+			follower.adoptConfig(rows)
+		},
 		onConfirmed: func(confirmedAt time.Time, _ greengageroute.StoreRevision) {
 			if !follower.configUndecodable.Load() {
 				follower.polledAt.Store(max(confirmedAt.UnixNano(), follower.polledAt.Load()))
@@ -316,6 +330,27 @@
 	}
 }
 
+// adoptEvacuations applies the rows that request evacuations of data centres.
+func (follower *Follower) adoptEvacuations(rows platform.Rows, with func(Evacuations, platform.Rows, time.Time) (Evacuations, []EvacuationChange)) {
+	next, changes := with(follower.evacuations, rows, follower.clock.Now())
+	follower.evacuations = next
+	if len(changes) == 0 {
+		return
+	}
+	follower.directory.SetEvacuations(next)
+	for _, change := range changes {
+		counter, message := CountEvacuationsEnded, "evacuation of a data centre ended"
+		if change.Evacuated {
+			counter, message = CountEvacuationsBegun, "evacuation of a data centre began"
+		}
+		follower.counters.Add(counter, 1)
+		follower.log.Info(message, "data-centre", change.DataCentre, "row-version", change.RowVersion, "evacuated", len(next.current))
+	}
+	evacuated := new(expvar.Int)
+	evacuated.Set(int64(len(next.current)))
+	follower.counters.Set(GaugeEvacuated, evacuated)
+}
+
 func (follower *Follower) decodeTargets(rows platform.Rows) (written []greengageroute.Target, removed, undecodable []string) {
 	for _, row := range rows.Rows {
 		if row.Deleted {
--- a/control/view.go
+++ b/control/view.go
@@ -24,6 +24,7 @@
 		Absent map[string]greengageroute.Target // no longer listed, or found unreachable
 		// AbsentSince is since when the absent targets have been neither listed nor responding.
 		AbsentSince map[string]time.Time
+		evacuations Evacuations
 		targets     [viewShards]map[string]*greengageroute.Target
 		replicas    map[string]map[string][]greengageroute.Replica // open replicas by pool and model
 
@@ -102,12 +103,23 @@
 	return greengageroute.Replica{}, false
 }
 
+// Evacuated returns the data centres to which no requests are sent; nil without any. Callers
+// must not change it.
+func (view *View) Evacuated() greengageroute.Set[string] { return view.evacuations.current }
+
+// EvacuationEndedAt returns when the last evacuation of a data centre ended, if this entry has
+// seen that and no other one has begun since.
+func (view *View) EvacuationEndedAt(dataCentre string) (time.Time, bool) {
+	at, ended := view.evacuations.endedAt[dataCentre]
+	return at, ended
+}
+
 // nextView returns the view after an update that changed the touched targets. The
 // caller holds the lock.
 func (directory *Directory) nextView() *View {
 	previous := directory.view.Load()
 	view := &View{
-		Listed: len(directory.targets) > 0, Absent: directory.absentTargets(),
+		Listed: len(directory.targets) > 0, Absent: directory.absentTargets(), evacuations: directory.evacuations,
 		targets: previous.targets, replicas: maps.Clone(previous.replicas), pools: map[string][]greengageroute.Target{},
 	}
 	if view.replicas == nil {
--- a/deployment.go
+++ b/deployment.go
@@ -13,7 +13,9 @@
 	Deployment struct {
 		Name       string
 		DataCentre string
-		IP         string
+		// Regions are those of the data centres that the settings name.
+		Regions DataCentreRegions
+		IP      string
 		// CallerAddress is where callers connect, ReadyAddress where the load
 		// balancer's health check connects.
 		CallerAddress string
@@ -43,6 +45,7 @@
 		DrainTimeout      time.Duration // after which a leaving target receives no more work
 		TerminationGrace  time.Duration // between SIGTERM and SIGKILL
 		RevocationTime    time.Duration // after which a revoked key is accepted nowhere
+		EvacuationTime    time.Duration // after which an evacuated data centre receives no more requests
 		RetryRatio        float64       // retries per request, over all entries
 		RetryWindow       time.Duration
 		RetryExtra        float64 // additional retries in a window, over all entries
@@ -64,6 +67,7 @@
 	positive("heartbeat interval", deployment.Bounds.HeartbeatInterval.Seconds())
 	positive("termination grace period", deployment.Bounds.TerminationGrace.Seconds())
 	positive("revocation time", deployment.Bounds.RevocationTime.Seconds())
+	positive("evacuation time", deployment.Bounds.EvacuationTime.Seconds())
 	positive("retry window", deployment.Bounds.RetryWindow.Seconds())
 	if !(deployment.Bounds.RetryRatio >= 0) || !(deployment.Bounds.RetryExtra >= 0) {
 		errs = append(errs, trace.BadParameter("the retry budget is %v of the requests and %v; neither may be negative", deployment.Bounds.RetryRatio, deployment.Bounds.RetryExtra))
--- a/edge/call.go
+++ b/edge/call.go
@@ -81,8 +81,10 @@
 	var candidates []greengageroute.TargetCandidate
 	var waits []time.Duration
 	loads, limits := service.Peers.Loads(), service.Peers.Limits()
-	for _, target := range service.Directory.View().Pool(exchange.pool.Name) {
-		if target.State != greengageroute.TargetReady || tried.Has(target.ID) {
+	view := service.Directory.View()
+	filter := exchange.targetFilter(view)
+	for _, target := range view.Pool(exchange.pool.Name) {
+		if !filter.Permits(target.DataCentre) || target.State != greengageroute.TargetReady || tried.Has(target.ID) {
 			continue
 		}
 		stats := service.tracker.Stats(target.ID)
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -76,6 +76,7 @@
 func (fixture *fixture) Active(string, time.Duration) bool           { return false }
 func (fixture *fixture) Helpers(string) []string                     { return nil }
 func (fixture *fixture) AvoidHelper(string, string)                  {}
+func (fixture *fixture) EntryDataCentres() map[string]string         { return nil }
 func (fixture *fixture) LinksWork(string) bool                       { return true }
 func (fixture *fixture) LostPool(string) bool                        { return false }
 func (fixture *fixture) Loads() map[string]greengageroute.EngineLoad { return fixture.loads }
@@ -131,6 +132,7 @@
 func (calmDependencies) Active(string, time.Duration) bool                  { return true }
 func (calmDependencies) Helpers(string) []string                            { return nil }
 func (calmDependencies) AvoidHelper(string, string)                         {}
+func (calmDependencies) EntryDataCentres() map[string]string                { return nil }
 func (calmDependencies) LinksWork(string) bool                              { return true }
 func (calmDependencies) LostPool(string) bool                               { return false }
 func (calmDependencies) ReportCrash(greengageroute.CrashReport)             {}
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -55,6 +55,8 @@
 		// AvoidHelper records that an entry couldn't help with requests for a pool, or,
 		// with mesh.AnyPool, couldn't be reached.
 		AvoidHelper(address, pool string)
+		// EntryDataCentres returns the data centres of the other entries by address.
+		EntryDataCentres() map[string]string
 	}
 
 	// Prober checks targets that may have failed.
@@ -90,6 +92,7 @@
 	Dependencies struct {
 		Entry      string // name of this entry
 		DataCentre string
+		Regions    greengageroute.DataCentreRegions
 		Bounds     greengageroute.Bounds
 		Config     Config
 		Directory  *control.Directory
@@ -112,6 +115,7 @@
 		quarantine *greengageroute.Quarantine
 		checks     *replicaChecks
 		bounds     atomic.Pointer[greengageroute.Bounds]
+		regions    atomic.Pointer[greengageroute.DataCentreRegions]
 		hasTraffic atomic.Bool
 		stop       atomic.Pointer[stopSchedule] // nil until the entry stops
 		running    context.Context              // ends when running requests are ended
@@ -131,6 +135,7 @@
 		route        greengageroute.Route
 		pool         greengageroute.Pool
 		priority     int
+		allowed      greengageroute.AllowedRegions
 		arrived      time.Time
 		deadline     time.Time
 		attemptsSent int // attempts that reached a target
@@ -221,6 +226,10 @@
 	CountRefusedInStop = "requests-refused-in-stop"
 	// CountCrashReports counts requests of this entry during which a target crashed.
 	CountCrashReports = "target-crashes-reported"
+	// CountRefusedEvacuated and CountRefusedRegions count requests refused because all data
+	// centres in permitted regions are evacuated, or none is in a permitted region.
+	CountRefusedEvacuated = "requests-refused-evacuated"
+	CountRefusedRegions   = "requests-refused-regions"
 )
 
 // New returns a service that uses the given dependencies.
@@ -230,12 +239,18 @@
 	service.quarantine = greengageroute.NewQuarantine(service.logQuarantine)
 	service.checks = newReplicaChecks(func(head greengageroute.Target) bool { return service.Prober.StillServes(head) })
 	service.SetBounds(dependencies.Bounds)
+	service.SetRegions(dependencies.Regions)
 	return service
 }
 
 // SetBounds replaces the bounds. Existing retry budgets keep the old ones.
 func (service *Service) SetBounds(bounds greengageroute.Bounds) { service.bounds.Store(&bounds) }
 
+// SetRegions replaces the regions of the data centres.
+func (service *Service) SetRegions(regions greengageroute.DataCentreRegions) {
+	service.regions.Store(&regions)
+}
+
 // Tracker returns the tracker of the service's running requests.
 func (service *Service) Tracker() *Tracker { return service.tracker }
 
@@ -274,7 +289,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	ctx := httpRequest.Context()
-	for _, step := range []filter{matchRoute, checkHelp, authenticate, readBody, checkQuarantine, checkStop, forward} {
+	for _, step := range []filter{matchRoute, checkHelp, authenticate, checkPlacement, readBody, checkQuarantine, checkStop, forward} {
 		if err := step(ctx, exchange); err != nil {
 			exchange.fail(err)
 			return
--- a/edge/filters.go
+++ b/edge/filters.go
@@ -45,7 +45,7 @@
 		return refuse(http.StatusNotFound, "no route matches this host and path", "check the URL")
 	}
 	exchange.pickPool()
-	exchange.priority = exchange.route.Priority
+	exchange.priority, exchange.allowed = exchange.route.Priority, exchange.route.AllowedRegions
 	timeout := exchange.CallerTimeout
 	if timeout <= 0 {
 		timeout = defaultCallerTimeout
@@ -79,7 +79,7 @@
 	if !found {
 		return refuse(http.StatusUnauthorized, "the key is not known", "use a valid key")
 	}
-	exchange.Workspace = owner.Name
+	exchange.Workspace, exchange.allowed = owner.Name, exchange.allowed.And(owner.AllowedRegions)
 	if owner.HasPriority {
 		exchange.priority = owner.Priority
 	}
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -111,6 +111,9 @@
 	}
 	if len(search.next) == 0 {
 		untried := slices.DeleteFunc(exchange.service.Peers.Helpers(exchange.pool.Name), search.tried.Has)
+		if permitted := exchange.mayForwardTo(); permitted != nil {
+			untried = slices.DeleteFunc(untried, func(address string) bool { return !permitted(address) })
+		}
 		search.next = untried[:min(len(untried), helperBatch)]
 	}
 	if len(search.next) == 0 {
--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -130,6 +130,11 @@
 		}
 	}
 	target, found := exchange.pickTarget(call.tried)
+	if !found && !hedges {
+		if err := exchange.placementError(); err != nil {
+			return err
+		}
+	}
 	switch {
 	case !found && exchange.limitWait > 0 && !hedges:
 		return exchange.limitError()
@@ -147,7 +152,7 @@
 func (call *hedgedCall) startAtEntry(ctx context.Context) error {
 	address, found := call.exchange.nextHelper(&call.helpers)
 	if !found {
-		call.reason, call.retryAfter = "neither a target nor an entry that reaches one responds", noHelperRetryAfter
+		call.reason, call.retryAfter = call.exchange.noHelperReason(), noHelperRetryAfter
 		return errNoTarget
 	}
 	call.start(ctx, newForwardedCallAttempt(call, address))
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -103,9 +103,11 @@
 	loads, limits := service.Peers.Loads(), service.Peers.Limits()
 	var candidates []greengageroute.ReplicaCandidate
 	var waits []time.Duration
-	for _, replica := range service.Directory.View().Replicas(exchange.pool.Name, model.Name) {
+	view := service.Directory.View()
+	filter := exchange.targetFilter(view)
+	for _, replica := range view.Replicas(exchange.pool.Name, model.Name) {
 		head := replica.Head()
-		if head.State != greengageroute.TargetReady || len(tried) > 0 && tried.Has(replicaKey(head)) {
+		if !filter.Permits(head.DataCentre) || head.State != greengageroute.TargetReady || len(tried) > 0 && tried.Has(replicaKey(head)) {
 			continue
 		}
 		stats := service.tracker.Stats(head.ID)
--- a/edge/streamsearch.go
+++ b/edge/streamsearch.go
@@ -79,10 +79,11 @@
 }
 
 // mayWait reports whether a stream for which nothing runs waits for a replica. One that
-// hasn't begun is refused at once.
+// hasn't begun is refused at once, and one whose pool is excluded by evacuations or regions is
+// ended.
 func (stream *hedgedStream) mayWait(err error) bool {
 	exchange := stream.exchange
-	return exchange.headerSent && exchange.route.Resumable && !errors.Is(err, errAttemptsUsed) && exchange.quarantineError() == nil
+	return exchange.headerSent && exchange.route.Resumable && !errors.Is(err, errAttemptsUsed) && exchange.quarantineError() == nil && !exchange.poolIsExcluded(exchange.service.Directory.View())
 }
 
 func (stream *hedgedStream) recordWait(err error) {
@@ -123,6 +124,11 @@
 		return errNoReplica
 	}
 	source, found := exchange.pickSource(stream.tried)
+	if !found && !hedges {
+		if err := exchange.placementError(); err != nil {
+			return err
+		}
+	}
 	switch {
 	case !found && exchange.limitWait > 0 && !exchange.headerSent && !hedges:
 		return exchange.limitError()
@@ -183,7 +189,7 @@
 func (stream *hedgedStream) startAtEntry(ctx context.Context) error {
 	address, found := stream.exchange.nextHelper(&stream.helpers)
 	if !found {
-		stream.reason, stream.retryAfter = "neither a target nor an entry that reaches one responds", noHelperRetryAfter
+		stream.reason, stream.retryAfter = stream.exchange.noHelperReason(), noHelperRetryAfter
 		return errNoReplica
 	}
 	if _, more := stream.exchange.helper(&stream.helpers); !more {
--- a/mesh/helpers.go
+++ b/mesh/helpers.go
@@ -98,6 +98,17 @@
 	return addresses
 }
 
+// EntryDataCentres returns the data centres of the other entries by address.
+func (node *Node) EntryDataCentres() map[string]string {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	dataCentres := make(map[string]string, len(node.peers))
+	for _, other := range node.peers {
+		dataCentres[other.own.Address] = other.own.DataCentre
+	}
+	return dataCentres
+}
+
 // newHelper draws the place of an entry in the order of helpers.
 func newHelper(other *peer) helper {
 	return helper{other.own.Address, rand.ExpFloat64() / max(other.own.Capacity, minCapacity)}
--- a/routetable.go
+++ b/routetable.go
@@ -40,6 +40,7 @@
 		Public           bool          // needs no key
 		Resumable        bool          // a stream may be resumed at another target
 		Pools            []PoolShare
+		AllowedRegions   AllowedRegions
 	}
 
 	// PoolShare is a pool's part of a route's requests.
@@ -69,6 +70,8 @@
 		Name        string
 		Priority    int // overrides the route's if HasPriority is set
 		HasPriority bool
+		// AllowedRegions limits those of the routes.
+		AllowedRegions AllowedRegions
 	}
 )
 
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -147,7 +147,7 @@
 		Clock:        clock, Counters: entry.counters, Log: entry.log,
 	})
 	entry.service = edge.New(edge.Dependencies{
-		Entry: deployment.Name, DataCentre: deployment.DataCentre, Bounds: deployment.Bounds, Config: entry.follower, Directory: entry.directory,
+		Entry: deployment.Name, DataCentre: deployment.DataCentre, Regions: deployment.Regions, Bounds: deployment.Bounds, Config: entry.follower, Directory: entry.directory,
 		Peers: entry.node, Prober: entry.prober, Sender: entry.upstream, PeerSender: entry.peerUpstream, Counters: entry.counters, Latencies: entry.latencies, Log: entry.log, MayTryQuarantined: entry.holdsLease,
 	})
 	if entry.callerListener, err = listenTCP(deployment.CallerAddress); err != nil {
@@ -244,7 +244,7 @@
 	entry.grace.Store(int64(deployment.Bounds.TerminationGrace))
 }
 
-// Reload applies changed settings: the bounds and the memory limit. Addresses stay
+// Reload applies changed settings: the bounds, the regions and the memory limit. Addresses stay
 // as they were at the start of the process. If the settings are invalid, it logs the
 // error and changes nothing.
 func (entry *Entry) Reload(deployment greengageroute.Deployment, err error) {
@@ -255,6 +255,7 @@
 	}
 	entry.counters.Add(CountSettingsReloaded, 1)
 	entry.service.SetBounds(deployment.Bounds)
+	entry.service.SetRegions(deployment.Regions)
 	limitMemory(deployment)
 	entry.adoptSettings(deployment)
 	entry.log.Info("settings reloaded", "settings", deployment.Digest, "name", deployment.Name, "memory-mb", deployment.Limits.MemoryMB,
