--- a/mesh/helpers_test.go
+++ b/mesh/helpers_test.go
@@ -125,6 +125,23 @@
 	})
 }
 
+// TestEntryDataCentres guards against bodies that are forwarded to an entry in another data centre
+// than the one it counts for.
+func TestEntryDataCentres(t *testing.T) {
+	node := newHelperNode()
+	dataCentres := node.EntryDataCentres()
+	for _, index := range []int{0, 7, 38} {
+		if got, want := dataCentres[helperAddress(index).String()], string(rune('a'+index%2)); got != want {
+			t.Errorf("entry %d counts for data centre %q, want %q", index, got, want)
+		}
+	}
+	for _, address := range node.Helpers("llm") {
+		if dataCentres[address] == "" {
+			t.Errorf("the data centre of helper %s isn't known", address)
+		}
+	}
+}
+
 // TestRelaysNameHelpers guards against helpers that aren't named to those who want them: as
 // they are too many for one message, or in another data centre.
 func TestRelaysNameHelpers(t *testing.T) {
