--- a/edge/placement_test.go
+++ b/edge/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -165,6 +166,36 @@
 	}
 }
 
+// TestModelWithoutReplicasElsewhere guards against a refusal that doesn't name the evacuation, and
+// one for the time that an evacuation takes, while a replica may open in another data centre.
+func TestModelWithoutReplicasElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newPlacedFixture(nil)
+		directory := fixture.service.Directory
+		evacuate(directory, "a", "b")
+		free, _ := directory.View().Target("llm-c")
+		free.Membership = greengageroute.Membership{}
+		directory.Apply([]greengageroute.Target{free}, nil, time.Time{})
+		recorder, _ := fixture.serve(newRequest("POST", "/chat/x"))
+		if recorder.Code != http.StatusServiceUnavailable || recorder.Header().Get("Retry-After") != "0.800" || !strings.Contains(recorder.Body.String(), evacuatedReason) {
+			t.Errorf("got %d with Retry-After %q: %s", recorder.Code, recorder.Header().Get("Retry-After"), recorder.Body)
+		}
+	})
+}
+
+// TestBodyOfRefusedRequestIsNotRead guards against bodies that are held for requests which no data
+// centre takes.
+func TestBodyOfRefusedRequestIsNotRead(t *testing.T) {
+	fixture := newPlacedFixture(nil)
+	evacuate(fixture.service.Directory, "a", "b", "c")
+	request, body := newRequest("POST", "/post/x"), strings.NewReader("body")
+	request.Body = io.NopCloser(body)
+	fixture.serve(request)
+	if body.Len() != len("body") {
+		t.Errorf("%d bytes of the body were read", len("body")-body.Len())
+	}
+}
+
 // TestEvacuationDuringRequests guards against a stream that is broken off because its data centre
 // is evacuated, and against requests that wait for an evacuation to end.
 func TestEvacuationDuringRequests(t *testing.T) {
