Cold targets: bound the requests to a cold target over all entries

Cause: what the list and responses say of cold targets is dropped. As replicas of restarted targets open, all entries send to their empty heads at once: 33 requests in a second were measured where 30.5 are allowed.

Change: a row's cold_remaining_ms counts from the first reception of the row, X-Greengageroute-Cold-Ms from that of the response; the entries tell each other of the latter (message key 35). While a target is cold, an entry sends to it in its turns only: in each half second the entries on an arc of a ring of all listed entries have one. Off for services without cold_per_s.

--- a/control/directory.go
+++ b/control/directory.go
@@ -58,6 +58,7 @@
 		responded     map[mesh.TargetInstance]time.Time // when targets that were found unreachable responded again
 		slow          map[mesh.TargetInstance]time.Time
 		leaving       map[mesh.TargetInstance]time.Time // when they were last listed, or said so
+		coldCentres   map[string]time.Time              // since when the targets of data centres count as cold
 		routes        *greengageroute.RouteTable
 		watchers      map[uint64]func()
 		lastWatcherID uint64
@@ -81,7 +82,7 @@
 	directory := &Directory{
 		clock: clock, targets: map[string]greengageroute.Target{}, dropAt: map[string]time.Time{},
 		absent: map[string]datedTarget{}, absentSince: map[string]time.Time{}, unlisted: map[string]datedTarget{}, outdated: map[string]datedTarget{},
-		unreachable: map[mesh.TargetInstance]time.Time{}, responded: map[mesh.TargetInstance]time.Time{}, slow: map[mesh.TargetInstance]time.Time{}, leaving: map[mesh.TargetInstance]time.Time{}, watchers: map[uint64]func(){},
+		unreachable: map[mesh.TargetInstance]time.Time{}, responded: map[mesh.TargetInstance]time.Time{}, slow: map[mesh.TargetInstance]time.Time{}, leaving: map[mesh.TargetInstance]time.Time{}, coldCentres: map[string]time.Time{}, watchers: map[uint64]func(){},
 		touched: greengageroute.Set[string]{}, memberships: map[replicaID]map[string]*greengageroute.Target{}, open: map[replicaID]greengageroute.Replica{},
 	}
 	directory.view.Store(&View{Absent: map[string]greengageroute.Target{}, AbsentSince: map[string]time.Time{}})
@@ -210,6 +211,7 @@
 	}
 	delete(directory.outdated, target.ID)
 	target.ListedSince = directory.clock.Now()
+	target = target.ReceivedAt(target.ListedSince, directory.lastRow(target.ID))
 	if found && known.StartUnixMilli == target.StartUnixMilli {
 		target.ListedSince = known.ListedSince
 	}
@@ -220,6 +222,14 @@
 	delete(directory.dropAt, target.ID)
 }
 
+// lastRow returns the last row of a target, which may no longer be listed.
+func (directory *Directory) lastRow(id string) greengageroute.Target {
+	if target, listed := directory.targets[id]; listed {
+		return target
+	}
+	return directory.absent[id].target
+}
+
 func (directory *Directory) scheduleDrop(id string, dropAt time.Time) {
 	if !dropAt.After(directory.clock.Now()) {
 		directory.drop(id)
--- a/control/view.go
+++ b/control/view.go
@@ -159,7 +159,7 @@
 	if _, leaving := directory.leaving[target.Instance()]; leaving {
 		target.State = greengageroute.TargetLeaving
 	}
-	return target, !directory.isUnreachable(target)
+	return directory.withColdCentre(target), !directory.isUnreachable(target)
 }
 
 func (directory *Directory) isUnreachable(target greengageroute.Target) bool {
--- a/deployment.go
+++ b/deployment.go
@@ -48,6 +48,10 @@
 		RetryExtra        float64 // additional retries in a window, over all entries
 		StallTimeout      time.Duration
 		StableWindow      time.Duration
+		// A cold target may get ColdOvershoot times its rate and ColdSlack requests in any
+		// second. Both are the margin for what entries don't know of each other; 0 if unset.
+		ColdOvershoot float64
+		ColdSlack     float64
 	}
 )
 
@@ -68,5 +72,8 @@
 	if !(deployment.Bounds.RetryRatio >= 0) || !(deployment.Bounds.RetryExtra >= 0) {
 		errs = append(errs, trace.BadParameter("the retry budget is %v of the requests and %v; neither may be negative", deployment.Bounds.RetryRatio, deployment.Bounds.RetryExtra))
 	}
+	if !(deployment.Bounds.ColdOvershoot >= 0) || !(deployment.Bounds.ColdSlack >= 0) {
+		errs = append(errs, trace.BadParameter("the bound of cold targets is %v times their rate and %v; neither may be negative", deployment.Bounds.ColdOvershoot, deployment.Bounds.ColdSlack))
+	}
 	return errors.Join(errs...)
 }
--- a/edge/call.go
+++ b/edge/call.go
@@ -86,7 +86,7 @@
 			continue
 		}
 		stats := service.tracker.Stats(target.ID)
-		wait := max(service.limitWait(target.ID, limits), stats.backoff.Remaining(target.StartUnixMilli, time.Now()))
+		wait := max(service.limitWait(target.ID, limits), exchange.coldWait(target, stats), stats.backoff.Remaining(target.StartUnixMilli, time.Now()))
 		if wait > 0 {
 			waits = append(waits, wait)
 		}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/control"
+	"greengageroute.example/greengageroute/mesh"
 	"greengageroute.example/greengageroute/platform"
 	"greengageroute.example/greengageroute/upstream"
 )
@@ -63,6 +64,8 @@
 func (fixture *fixture) LoadChanged()                                {}
 func (fixture *fixture) IsFullMesh() bool                            { return true }
 func (fixture *fixture) Limits() map[string]greengageroute.PeerLimit { return nil }
+func (fixture *fixture) ReportCold(...mesh.ColdReport)               {}
+func (fixture *fixture) Seat() greengageroute.Seat                   { return greengageroute.Seat{Entries: 3} }
 func (fixture *fixture) ReportSound(...greengageroute.CrashCause)    {}
 func (fixture *fixture) ReportLeaving(leaving ...greengageroute.TargetInstance) {
 	fixture.reportedLeaving = append(fixture.reportedLeaving, leaving...)
@@ -135,6 +138,8 @@
 func (calmDependencies) LostPool(string) bool                               { return false }
 func (calmDependencies) ReportCrash(greengageroute.CrashReport)             {}
 func (calmDependencies) ReportLeaving(...greengageroute.TargetInstance)     {}
+func (calmDependencies) ReportCold(...mesh.ColdReport)                      {}
+func (calmDependencies) Seat() greengageroute.Seat                          { return greengageroute.Seat{Entries: 1} }
 func (calmDependencies) ReportSound(...greengageroute.CrashCause)           {}
 func (calmDependencies) ProbeReplica(greengageroute.Replica)                {}
 func (calmDependencies) AcceptsConnections(greengageroute.Target) bool      { return true }
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/control"
+	"greengageroute.example/greengageroute/mesh"
 	"greengageroute.example/greengageroute/platform"
 	"greengageroute.example/greengageroute/upstream"
 )
@@ -44,6 +45,10 @@
 		ReportCrash(report greengageroute.CrashReport)
 		// ReportLeaving notifies the peers of targets that say that they are leaving.
 		ReportLeaving(leaving ...greengageroute.TargetInstance)
+		// ReportCold notifies the peers of targets that said in a response that they are cold.
+		ReportCold(cold ...mesh.ColdReport)
+		// Seat returns this entry's place among all that may send.
+		Seat() greengageroute.Seat
 		// ReportSound notifies the peers of causes that crash no targets.
 		ReportSound(causes ...greengageroute.CrashCause)
 		// Active reports whether any entry has received something from the target
@@ -138,6 +143,7 @@
 		attemptsPending int
 		triedTargets    string                      // IDs of the targets tried, for the log
 		limitWait       time.Duration               // until a target takes a request, if none took one at the last choice, by limits and backoffs
+		coldTargets     bool                        // the last choice left out a cold target
 		mayHaveRun      bool                        // a target may have run the request
 		forwarded       bool                        // another entry, which reaches no target, sent the request
 		cause           greengageroute.CrashCause   // stands for the request in the quarantine
@@ -213,6 +219,15 @@
 	CountBackoffs = "target-backoffs"
 	// CountLimited counts requests refused because of the limits and backoffs of all targets.
 	CountLimited = "requests-over-limits"
+	// CountColdByRow, CountColdByResponse and CountColdByEntry count the targets that became
+	// cold, by the source from which this entry learned of it.
+	CountColdByRow      = "targets-cold-by-row"
+	CountColdByResponse = "targets-cold-by-response"
+	CountColdByEntry    = "targets-cold-by-entry"
+	// CountColdPassedOver counts how often a cold target was left out of a choice,
+	// CountColdRefused requests that were refused with one left out.
+	CountColdPassedOver = "cold-targets-passed-over"
+	CountColdRefused    = "requests-refused-for-cold"
 	// CountCausesQuarantined counts the requests and prompt parts that were found to
 	// crash targets, CountCausesReleased those that are no longer refused.
 	CountCausesQuarantined = "crash-causes-quarantined"
@@ -340,6 +355,7 @@
 func (service *Service) RecordAvailability(target greengageroute.Target, answer greengageroute.AnswerHead) {
 	backoff, leaving := answer.Availability(target)
 	service.recordBackoff(target, backoff)
+	service.recordCold(target, answer)
 	if leaving {
 		service.recordLeaving(target.Instance())
 	}
@@ -396,7 +412,10 @@
 // backoff.
 func (exchange *exchange) limitError() error {
 	exchange.service.Counters.Add(CountLimited, 1)
-	return exchange.noAnswerError(http.StatusBadGateway, "the targets are at the limits that they name, or asked for a backoff", max(exchange.limitWait, minOverloadRetryAfter))
+	if exchange.coldTargets {
+		exchange.service.Counters.Add(CountColdRefused, 1)
+	}
+	return exchange.noAnswerError(http.StatusBadGateway, "the targets are at the limits that they name, cold, or asked for a backoff", max(exchange.limitWait, minOverloadRetryAfter))
 }
 
 // retryBudget returns the retry budget of the request's pool.
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -60,10 +60,14 @@
 		ctx     context.Context
 		network *datagramNetwork
 		targets []greengageroute.Target
+		routes  *greengageroute.RouteTable
 
-		mu      sync.Mutex
-		entries []*fleetEntry
-		tries   []firstTry
+		mu       sync.Mutex
+		entries  []*fleetEntry
+		tries    []firstTry
+		arrivals map[string][]time.Time // of requests, by target
+		// coldUntil is until when targets say in their responses that they are cold.
+		coldUntil map[string]time.Time
 	}
 
 	// fleetEntry is an entry, through restarts of its process.
@@ -199,10 +203,15 @@
 // newFleet returns a fleet of so many entries in the given number of data centres, two of each
 // on larger VMs.
 func newFleet(ctx context.Context, entries, dataCentres int) *fleet {
+	return newFleetOf(ctx, entries, dataCentres, fleetHeads, testRoutes)
+}
+
+// newFleetOf returns such a fleet with the given number of heads and routes.
+func newFleetOf(ctx context.Context, entries, dataCentres, heads int, routes *greengageroute.RouteTable) *fleet {
 	network := &datagramNetwork{conns: map[netip.AddrPort]*datagramConn{}, received: map[netip.AddrPort]int64{}}
-	fleet := &fleet{ctx: ctx, network: network}
+	fleet := &fleet{ctx: ctx, network: network, routes: routes, arrivals: map[string][]time.Time{}, coldUntil: map[string]time.Time{}}
 	dataCentre := func(index int) string { return string(rune('a' + index%dataCentres)) }
-	for i := range fleetHeads {
+	for i := range heads {
 		fleet.targets = append(fleet.targets, greengageroute.Target{
 			ID: headName(i), Pool: "llm", DataCentre: dataCentre(i), State: greengageroute.TargetReady, StartUnixMilli: 7, Slots: 38,
 			Membership: greengageroute.Membership{Replica: fmt.Sprint("r", i), Epoch: 1, Model: "m", State: greengageroute.MemberOpen},
@@ -253,7 +262,7 @@
 	clock := greengageroute.RuntimeClock{}
 	process.node = mesh.NewNode(entry.name, entry.dataCentre, entry.capacity, entry.fleet.network.listen(entry.address), clock, func() {})
 	process.directory = control.NewDirectory(clock)
-	process.directory.SetRoutes(testRoutes)
+	process.directory.SetRoutes(entry.fleet.routes)
 	process.directory.Replace(entry.fleet.targets, time.Time{})
 	process.prober = control.NewProber(entry.dataCentre, process, process.directory, process.node, clock, process.counters, logr.Discard())
 	process.service = New(Dependencies{
@@ -355,6 +364,9 @@
 	return sleep(ctx, 2*fleetDelay)
 }
 
+// Routes implements Config.
+func (process *fleetProcess) Routes() *greengageroute.RouteTable { return process.entry.fleet.routes }
+
 // Do implements Sender.
 func (process *fleetProcess) Do(ctx context.Context, request greengageroute.Request, attempt greengageroute.Attempt) (*upstream.Answer, error) {
 	target, entry := attempt.Target, process.entry
@@ -366,18 +378,27 @@
 	if err := entry.passLink(ctx, target.Pool); err != nil {
 		return nil, &upstream.AnswerLostError{Target: target.ID, Cause: err}
 	}
+	cold := entry.fleet.arrive(target)
 	if err := sleep(ctx, fleetCallTime); err != nil {
 		return nil, &upstream.AnswerLostError{Target: target.ID, Cause: err}
 	}
 	process.recordUse(target)
 	header := http.Header{platform.HeaderAttemptID: {request.ID}, "X-Greengageroute-Server-Signature": {target.ID}}
-	answer := &upstream.Answer{AnswerHead: greengageroute.AnswerHead{ID: request.ID, Status: http.StatusOK, Signed: true, Header: header}, Body: strings.NewReader("done")}
+	answer := &upstream.Answer{AnswerHead: greengageroute.AnswerHead{ID: request.ID, Status: http.StatusOK, Signed: true, ColdRemaining: cold, Header: header}, Body: strings.NewReader("done")}
 	if target.Pool == "llm" {
 		answer.Body = &fleetStream{ctx: ctx, process: process, target: target, next: 1}
 	}
 	return answer, nil
 }
 
+// arrive records a request at a target and returns for how long the target says it is cold.
+func (fleet *fleet) arrive(target greengageroute.Target) time.Duration {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	fleet.arrivals[target.ID] = append(fleet.arrivals[target.ID], time.Now())
+	return max(time.Until(fleet.coldUntil[target.ID]), 0)
+}
+
 // HasIdleConnection implements Sender.
 func (process *fleetProcess) HasIdleConnection(target greengageroute.Target, atMostOnce bool) bool {
 	process.mu.Lock()
@@ -495,7 +516,10 @@
 func (process *fleetProcess) TargetsResponding(_ string, responding []mesh.TargetInstance) {
 	process.prober.RecordResponding(responding)
 }
-func (process *fleetProcess) TargetsSlow(string, []mesh.TargetInstance)                    {}
+func (process *fleetProcess) TargetsSlow(string, []mesh.TargetInstance) {}
+func (process *fleetProcess) TargetsCold(_ string, cold []mesh.ColdReport) {
+	process.service.AdoptCold(cold)
+}
 func (process *fleetProcess) TargetsLeaving(string, []mesh.TargetInstance)                 {}
 func (process *fleetProcess) CrashesReported(string, []greengageroute.CrashReport)         {}
 func (process *fleetProcess) CausesFoundSound(string, []greengageroute.CrashCause)         {}
--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -129,7 +129,7 @@
 			return err
 		}
 	}
-	target, found := exchange.pickTarget(call.tried)
+	target, found := exchange.claimTarget(call.tried)
 	switch {
 	case !found && exchange.limitWait > 0 && !hedges:
 		return exchange.limitError()
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -88,7 +88,7 @@
 }
 
 // pickSource chooses the replica for the next attempt. A stream that has begun is resumed
-// regardless of limits, but not at a head that asked for a backoff.
+// regardless of limits, but not at a head that asked for a backoff, or that is cold and out of turn.
 func (exchange *exchange) pickSource(tried greengageroute.Set[string]) (source, bool) {
 	engine := exchange.pool.Engine
 	if engine == nil {
@@ -109,7 +109,7 @@
 			continue
 		}
 		stats := service.tracker.Stats(head.ID)
-		backoff := stats.backoff.Remaining(head.StartUnixMilli, time.Now())
+		backoff := max(stats.backoff.Remaining(head.StartUnixMilli, time.Now()), exchange.coldWait(head, stats))
 		limit := service.limitWait(head.ID, limits)
 		if wait := max(limit, backoff); wait > 0 {
 			waits = append(waits, wait)
--- a/edge/streamsearch.go
+++ b/edge/streamsearch.go
@@ -122,7 +122,7 @@
 	if stream.starts >= maxTargetsTried {
 		return errNoReplica
 	}
-	source, found := exchange.pickSource(stream.tried)
+	source, found := exchange.claimSource(stream.tried)
 	switch {
 	case !found && exchange.limitWait > 0 && !exchange.headerSent && !hedges:
 		return exchange.limitError()
--- a/edge/tracker.go
+++ b/edge/tracker.go
@@ -61,6 +61,8 @@
 		sent            greengageroute.SendCount // by this entry, while the target has a limit
 		usedTurn        int64                    // the last one in which this entry sent a request
 		backoff         greengageroute.TargetBackoff
+		sentAt          time.Time // of the last request
+		cold            coldRecord
 	}
 )
 
@@ -94,6 +96,7 @@
 			stats.LastActivity = now
 		}
 		stats.Running++
+		stats.sentAt = now
 		stats.PrefillTokens += promptTokens
 		if stats.limit.InForce(now) {
 			stats.sent = stats.sent.WithRequest(now)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -32,6 +32,7 @@
 	refused              []greengageroute.QuarantineVerdict
 	sound                []greengageroute.CrashCause
 	crashes              []greengageroute.CrashReport
+	cold                 []ColdReport
 }
 
 func (entry *testEntry) Loads() []Load {
@@ -90,6 +91,12 @@
 }
 
 // CausesQuarantined adopts the causes.
+func (entry *testEntry) TargetsCold(_ string, cold []ColdReport) {
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	entry.cold = append(entry.cold, cold...)
+}
+
 func (entry *testEntry) CausesQuarantined(_ string, verdicts []greengageroute.QuarantineVerdict) {
 	entry.mu.Lock()
 	defer entry.mu.Unlock()
@@ -450,10 +457,11 @@
 	entries[39].ReportUnreachable(TargetInstance{ID: "i-9", StartUnixMilli: 4})
 	entries[39].ReportSlow(TargetInstance{ID: "i-9", StartUnixMilli: 4})
 	entries[39].ReportLeaving(TargetInstance{ID: "i-9", StartUnixMilli: 4}) // the same target as the slow one
-	waitUntil(t, "the unreachable target, the slow target, the leaving target and the lease are known to all", func() bool {
+	entries[39].ReportCold(ColdReport{Target: "i-9", StartUnixMilli: 4, ID: 1, RemainingMillis: 60_000})
+	waitUntil(t, "the unreachable target, the slow target, the leaving target, the cold target and the lease are known to all", func() bool {
 		for _, entry := range entries[:39] {
 			entry.mu.Lock()
-			known := len(entry.unreachable) > 0 && len(entry.slow) > 0 && len(entry.leaving) > 0 && (entry == entries[0] || len(entry.leaseUpdates) > 0)
+			known := len(entry.unreachable) > 0 && len(entry.slow) > 0 && len(entry.leaving) > 0 && len(entry.cold) > 0 && (entry == entries[0] || len(entry.leaseUpdates) > 0)
 			entry.mu.Unlock()
 			if !known {
 				return false
@@ -461,6 +469,17 @@
 		}
 		return true
 	})
+	entries[0].mu.Lock()
+	cold := entries[0].cold[len(entries[0].cold)-1]
+	entries[0].mu.Unlock()
+	if cold.RemainingMillis > 60_000 || cold.RemainingMillis < 50_000 {
+		t.Errorf("a target that is cold for 60 s is reported as cold for %d ms", cold.RemainingMillis)
+	}
+	for _, index := range []int{0, 17, 39} {
+		if got, want := entries[index].Seat(), (greengageroute.Seat{Index: index, Entries: 40}); got != want {
+			t.Errorf("entry %d has the seat %+v, want %+v", index, got, want)
+		}
+	}
 	entries[39].ReportResponding(TargetInstance{ID: "i-9", StartUnixMilli: 4})
 	waitUntil(t, "the target that responds again is known to all", func() bool {
 		return !slices.ContainsFunc(entries[:39], func(entry *testEntry) bool {
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -86,6 +86,8 @@
 		// entries that reach such pools. They are in summaries.
 		Wanted  []string      `cbor:"29,keyasint,omitempty"`
 		Helpers []PoolHelpers `cbor:"30,keyasint,omitempty"`
+		// Cold are targets that said in a response that they are cold.
+		Cold []ColdReport `cbor:"35,keyasint,omitempty"`
 	}
 
 	// LoadRange is the range of target ids whose loads a message has: from the first,
@@ -121,6 +123,15 @@
 		CentiSent      int64 // hundredths of a request, as counted by greengageroute.SendCount
 	}
 
+	// ColdReport tells that a target said in a response that it is cold.
+	ColdReport struct {
+		_               struct{} `cbor:",toarray"`
+		Target          string
+		StartUnixMilli  int64
+		ID              int64 // of the report, among those about the target
+		RemainingMillis int64 // at the time of sending
+	}
+
 	// TargetInstance is a target from one start to the next.
 	TargetInstance = greengageroute.TargetInstance
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -75,6 +75,8 @@
 		TargetsResponding(from string, responding []TargetInstance)
 		TargetsSlow(from string, slow []TargetInstance)
 		TargetsLeaving(from string, leaving []TargetInstance)
+		// TargetsCold receives targets that said in a response that they are cold.
+		TargetsCold(from string, cold []ColdReport)
 		CrashesReported(from string, crashes []greengageroute.CrashReport)
 		CausesFoundSound(from string, causes []greengageroute.CrashCause)
 		CausesQuarantined(from string, verdicts []greengageroute.QuarantineVerdict)
@@ -111,6 +113,8 @@
 		responding       []timestamped[TargetInstance]
 		slow             []timestamped[TargetInstance]
 		targetsLeaving   []timestamped[TargetInstance]
+		cold             []timestamped[ColdReport]
+		seat             greengageroute.Seat // as of the peers known so far
 		crashes          []timestamped[greengageroute.CrashReport]
 		sound            []timestamped[greengageroute.CrashCause]
 		verdictsAt       time.Time          // when the refused causes were last sent
@@ -443,6 +447,7 @@
 	node.responding, message.Responding = currentUpdates(node.responding, now, node.sequence, maxUpdates)
 	node.slow, message.Slow = currentUpdates(node.slow, now, node.sequence, maxUpdates)
 	node.targetsLeaving, message.TargetsLeaving = currentUpdates(node.targetsLeaving, now, node.sequence, maxUpdates)
+	node.cold, message.Cold = currentColdReports(node.cold, now, node.sequence)
 	node.crashes, message.Crashes = currentUpdates(node.crashes, now, node.sequence, maxCrashUpdates)
 	node.sound, message.Sound = currentUpdates(node.sound, now, node.sequence, maxUpdates)
 	if now.Sub(node.verdictsAt) >= verdictInterval {
@@ -555,6 +560,9 @@
 	if len(message.TargetsLeaving) > 0 {
 		node.sink.TargetsLeaving(message.From, message.TargetsLeaving)
 	}
+	if len(message.Cold) > 0 {
+		node.sink.TargetsCold(message.From, message.Cold)
+	}
 	if len(message.Crashes) > 0 {
 		node.sink.CrashesReported(message.From, message.Crashes)
 	}
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -54,6 +54,12 @@
 	// leavingUpdate is the key of a leaving target among the forwarded updates.
 	leavingUpdate TargetInstance
 
+	// coldUpdate is the key of a report of a cold target among the forwarded updates.
+	coldUpdate struct {
+		target             string
+		startUnixMilli, id int64
+	}
+
 	// crashUpdate is the key of a report among the forwarded updates.
 	crashUpdate struct {
 		crashID        string
@@ -261,6 +267,7 @@
 	}
 	forwardNew(node, &node.slow, message.Slow, func(target TargetInstance) any { return slowUpdate(target) }, now)
 	forwardNew(node, &node.targetsLeaving, message.TargetsLeaving, func(target TargetInstance) any { return leavingUpdate(target) }, now)
+	forwardNew(node, &node.cold, message.Cold, func(report ColdReport) any { return coldUpdate{report.Target, report.StartUnixMilli, report.ID} }, now)
 	forwardNew(node, &node.crashes, message.Crashes, func(crash greengageroute.CrashReport) any { return newCrashUpdate(crash) }, now)
 	forwardNew(node, &node.sound, message.Sound, func(cause greengageroute.CrashCause) any { return cause }, now)
 }
--- a/request.go
+++ b/request.go
@@ -61,6 +61,8 @@
 		// together; 0 if it names none.
 		LimitPerSecond float64
 		IdleTimeout    time.Duration
+		// ColdRemaining is for how long the target is still cold, if it says so.
+		ColdRemaining time.Duration
 		// Leaving reports that the target says that it is leaving.
 		Leaving bool
 		// ForwardedFrom is the target whose answer another entry passes on, if that target
--- a/routetable.go
+++ b/routetable.go
@@ -53,7 +53,11 @@
 		Name           string
 		HealthPath     string
 		MaxConnections int // per target, from all callers together
-		Engine         *Engine
+		// ColdTime is how long a target is cold after its start, and ColdPerSecond the rate of
+		// requests that a cold one takes from all entries together; 0: any.
+		ColdTime      time.Duration
+		ColdPerSecond float64
+		Engine        *Engine
 	}
 
 	// CallerLimits bound what a caller may send.
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -246,6 +246,9 @@
 	entry.directory.MarkLeaving(leaving...)
 }
 
+// TargetsCold implements mesh.Sink.
+func (entry *Entry) TargetsCold(_ string, cold []mesh.ColdReport) { entry.service.AdoptCold(cold) }
+
 // CrashesReported implements mesh.Sink.
 func (entry *Entry) CrashesReported(_ string, crashes []greengageroute.CrashReport) {
 	for _, report := range crashes {
--- a/target.go
+++ b/target.go
@@ -49,6 +49,12 @@
 		// ListedSince is since when this entry has seen the target listed without
 		// interruption.
 		ListedSince time.Time
+		// ColdRemaining is for how long the target was still cold when it wrote the row.
+		ColdRemaining time.Duration
+		// StatedAt is when this entry received the row, and ListedColdUntil when the target is warm
+		// by it or for another reason. Both are readings of the directory's clock.
+		StatedAt        time.Time
+		ListedColdUntil time.Time
 		// Unlisted means that the target is no longer listed but is a member of a
 		// replica that may still be complete.
 		Unlisted bool
