--- a/edge/streamsearch.go
+++ b/edge/streamsearch.go
@@ -123,7 +123,7 @@
 	if stream.starts >= maxTargetsTried {
 		return errNoReplica
 	}
-	source, found := exchange.pickSource(stream.tried)
+	source, found := exchange.claimSource(stream.tried)
 	if !found && !hedges {
 		if err := exchange.placementError(); err != nil {
 			return err
