Edge: admission of streams by the time spent queueing

The rule of 1.5 times the objective lets the queue settle there, so that in a burst nearly all streams are slightly late. A stream is now sent to a full replica only if it would wait no longer than its objective leaves, corrected by the measured time to first token; less urgent ranks and workspaces over their usual rates get a smaller budget. Urgencies are sent where the ranks of a pool differ or a stream resumes.

Tests of the root and of edge pass; the effect is not yet measured.

--- a/balance.go
+++ b/balance.go
@@ -140,6 +140,25 @@
 	return index, expected
 }
 
+// ChooseFreeReplica returns the index of the candidate with a free slot that has the lowest
+// predicted time to the first token, if the chosen one has none, or -1. Penalties may choose
+// a full replica where a request would be refused.
+func ChooseFreeReplica(engine *Engine, model EngineModel, promptTokens, chosen int, candidates []ReplicaCandidate) (index int, expected time.Duration) {
+	index = -1
+	if candidates[chosen].Load.Running < engine.Slots {
+		return index, 0
+	}
+	for i, candidate := range candidates {
+		if candidate.Limited || candidate.Unresponsive || candidate.Load.Running >= engine.Slots {
+			continue
+		}
+		if timeToFirstToken := candidate.TimeToFirstToken(engine, model, promptTokens); index < 0 || timeToFirstToken < expected {
+			index, expected = i, timeToFirstToken
+		}
+	}
+	return index, expected
+}
+
 // ChooseTarget returns the index of the target with the lowest expected response
 // time, or -1 if there is none or all are limited. A failure counts as the time of a second attempt.
 func ChooseTarget(candidates []TargetCandidate) int {
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -109,6 +109,7 @@
 	Service struct {
 		Dependencies
 		tracker    *Tracker
+		overload   *overloadRecords
 		quarantine *greengageroute.Quarantine
 		checks     *replicaChecks
 		bounds     atomic.Pointer[greengageroute.Bounds]
@@ -131,6 +132,8 @@
 		route        greengageroute.Route
 		pool         greengageroute.Pool
 		priority     int
+		overUsual    bool // the workspace sends more than usual; known from the first decision on
+		decided      bool // on admission, at least once
 		arrived      time.Time
 		deadline     time.Time
 		attemptsSent int // attempts that reached a target
@@ -225,7 +228,7 @@
 
 // New returns a service that uses the given dependencies.
 func New(dependencies Dependencies) *Service {
-	service := &Service{Dependencies: dependencies, tracker: NewTracker(), budgets: map[string]*greengageroute.RetryBudget{}}
+	service := &Service{Dependencies: dependencies, tracker: NewTracker(), overload: newOverloadRecords(), budgets: map[string]*greengageroute.RetryBudget{}}
 	service.running, service.endRunning = context.WithCancel(context.Background())
 	service.quarantine = greengageroute.NewQuarantine(service.logQuarantine)
 	service.checks = newReplicaChecks(func(head greengageroute.Target) bool { return service.Prober.StillServes(head) })
--- /dev/null
+++ b/edge/overload.go
@@ -0,0 +1,175 @@
+package edge
+
+import (
+	"maps"
+	"math"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	greengageroute "greengageroute.example/greengageroute"
+)
+
+const (
+	// refusedShareWeight is the weight of the newest decision in the share refused lately.
+	refusedShareWeight = 0.05
+	// refusedShareDecay is the time after which the share counts for about a third.
+	refusedShareDecay = 2 * time.Second
+	// maxIdleWorkspaces is the number of workspaces from which idle ones are dropped.
+	maxIdleWorkspaces = 256
+)
+
+// CountAdmission counts the decisions on streams to pools with a published engine. It is
+// followed by the outcome and the rank.
+const CountAdmission = "admission-"
+
+type (
+	// overloadRecords is what an entry has seen lately of the streams to engines.
+	overloadRecords struct {
+		mu         sync.Mutex
+		models     map[overloadKey]*overloadModel
+		workspaces map[string]greengageroute.UsualRate
+	}
+
+	// overloadKey identifies a model of a pool.
+	overloadKey struct{ pool, model string }
+
+	overloadModel struct {
+		offset         greengageroute.FirstTokenOffset
+		ranks          greengageroute.SeenRanks
+		refused        float64 // share of the decisions
+		refusedUpdated time.Time
+	}
+)
+
+func newOverloadRecords() *overloadRecords {
+	return &overloadRecords{models: map[overloadKey]*overloadModel{}, workspaces: map[string]greengageroute.UsualRate{}}
+}
+
+// model returns the record of a model. The caller holds the lock.
+func (records *overloadRecords) model(key overloadKey) *overloadModel {
+	model, known := records.models[key]
+	if !known {
+		model = &overloadModel{}
+		records.models[key] = model
+	}
+	return model
+}
+
+// recordFirstToken records the time to first token of a request that found a free slot.
+func (records *overloadRecords) recordFirstToken(key overloadKey, measured, predicted time.Duration) {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	model := records.model(key)
+	model.offset = model.offset.WithSample(measured, predicted)
+}
+
+// recordRequest records a request's kind, and reports whether its workspace is within its
+// usual rate.
+func (records *overloadRecords) recordRequest(key overloadKey, rank int, objective time.Duration, workspace string, now time.Time) (isUsual bool) {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	model := records.model(key)
+	model.ranks = model.ranks.WithRequest(rank, objective, now)
+	if workspace == "" {
+		return true
+	}
+	rate, known := records.workspaces[workspace]
+	if !known && len(records.workspaces) >= maxIdleWorkspaces {
+		maps.DeleteFunc(records.workspaces, func(_ string, rate greengageroute.UsualRate) bool { return rate.IsIdle(now) })
+	}
+	rate, isUsual = rate.WithRequest(now)
+	records.workspaces[workspace] = rate
+	return isUsual
+}
+
+// recordDecision records whether a request was refused.
+func (records *overloadRecords) recordDecision(key overloadKey, refused bool, now time.Time) {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	model := records.model(key)
+	share := model.refusedShare(now) * (1 - refusedShareWeight)
+	if refused {
+		share += refusedShareWeight
+	}
+	model.refused, model.refusedUpdated = share, now
+}
+
+// refusedShare returns the share of the decisions lately that were refusals.
+func (model *overloadModel) refusedShare(now time.Time) float64 {
+	return model.refused * math.Exp(-now.Sub(model.refusedUpdated).Seconds()/refusedShareDecay.Seconds())
+}
+
+// input fills in what the records tell of a model.
+func (records *overloadRecords) input(key overloadKey, rank int, now time.Time) greengageroute.OverloadInput {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	model := records.model(key)
+	lowest, moreUrgent := model.ranks.AtLeastAsUrgent(rank, now)
+	return greengageroute.OverloadInput{
+		Offset: model.offset.Mean(), LowestObjective: lowest, MoreUrgent: moreUrgent, RefusedShare: model.refusedShare(now),
+	}
+}
+
+func (exchange *exchange) overloadKey() overloadKey {
+	return overloadKey{exchange.pool.Name, exchange.Model}
+}
+
+// admit decides whether a stream is sent to the source, or to its alternative. A stream that
+// has begun, or may have run, is sent regardless of the load: a refusal would end it for good.
+func (exchange *exchange) admit(chosen source) (source, *Refusal) {
+	if chosen.engine == nil || exchange.route.LatencyObjective <= 0 || exchange.headerSent || exchange.mayHaveRun {
+		return chosen, nil
+	}
+	records, key, now := exchange.service.overload, exchange.overloadKey(), time.Now()
+	if !exchange.decided {
+		exchange.decided = true
+		exchange.overUsual = !records.recordRequest(key, exchange.priority, exchange.route.LatencyObjective, exchange.Workspace, now)
+	}
+	decision := exchange.overloadInput(chosen, now).Decide()
+	if !decision.IsSent() && chosen.alternative != nil {
+		chosen = *chosen.alternative
+		decision = exchange.overloadInput(chosen, now).Decide()
+	}
+	records.recordDecision(key, !decision.IsSent(), now)
+	exchange.recordDecision(chosen, decision)
+	if decision.IsSent() {
+		return chosen, nil
+	}
+	return chosen, unavailable(overloadReason(decision.Outcome), decision.RetryAfter)
+}
+
+func (exchange *exchange) overloadInput(source source, now time.Time) greengageroute.OverloadInput {
+	input := exchange.service.overload.input(exchange.overloadKey(), exchange.priority, now)
+	input.Engine, input.Model, input.Load, input.Slowdown = source.engine, source.model, source.load, source.slowdown
+	input.Objective, input.Waited, input.Remaining = exchange.route.LatencyObjective, now.Sub(exchange.arrived), exchange.deadline.Sub(now)
+	input.PromptTokens, input.AnswerTokens, input.OverUsual = exchange.PromptTokens, exchange.AnswerTokens, exchange.overUsual
+	input.Draw = float64(xxhash.Sum64String(exchange.ID+"/"+source.replica.Name)>>11) / (1 << 53)
+	return input
+}
+
+// recordDecision counts a decision, and logs one that was made on a full replica or refuses.
+func (exchange *exchange) recordDecision(source source, decision greengageroute.OverloadDecision) {
+	service := exchange.service
+	service.Counters.Add(CountAdmission+string(decision.Outcome)+"-"+strconv.Itoa(exchange.priority), 1)
+	if decision.IsSent() && !decision.IsFull {
+		return
+	}
+	service.Log.V(1).Info("admission under overload", "id", exchange.ID, "outcome", string(decision.Outcome), "rank", exchange.priority, "workspace", exchange.Workspace,
+		"over-usual", exchange.overUsual, "replica", source.replica.Name, "running", source.load.Running, "predicted-ms", decision.Predicted.Milliseconds(),
+		"objective-ms", exchange.route.LatencyObjective.Milliseconds(), "retry-after", decision.RetryAfter.String())
+}
+
+func overloadReason(outcome greengageroute.OverloadOutcome) string {
+	switch outcome {
+	case greengageroute.OverloadRefusedDeadline:
+		return "the deadline can't be met"
+	case greengageroute.OverloadRefusedRank:
+		return "the replicas are at capacity, and the rest is reserved for more urgent requests"
+	case greengageroute.OverloadRefusedWorkspace:
+		return "the replicas are at capacity, and the workspace sends more than usual"
+	default:
+		return "the replicas are at capacity"
+	}
+}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -17,16 +17,13 @@
 	unresponsiveMargin = 150 * time.Millisecond
 	// healthySlowdown is the ratio of a healthy replica's inter-event gaps to the
 	// time of an iteration that only decodes. The gaps include prefill.
-	healthySlowdown = 1.6
+	healthySlowdown = greengageroute.HealthySlowdown
 	// noReplicaRetryAfter is sent when the model has no replica: about as long as a
 	// staged target takes to replace a failed one.
 	noReplicaRetryAfter = 800 * time.Millisecond
-	// overloadFactor is the limit of a request's predicted time to first token, as a
-	// multiple of the route's latency objective.
-	overloadFactor = 1.5
 	// minOverloadRetryAfter keeps callers from retrying before any running request
 	// has ended.
-	minOverloadRetryAfter = 200 * time.Millisecond
+	minOverloadRetryAfter = greengageroute.MinOverloadRetryAfter
 )
 
 var (
@@ -52,8 +49,10 @@
 		model            greengageroute.EngineModel
 		engine           *greengageroute.Engine
 		load             greengageroute.EngineLoad
+		slowdown         float64
 		timeToFirstToken time.Duration // predicted
 		unresponsive     bool          // it runs requests and has been silent for too long
+		alternative      *source       // the best with a free slot, if this one has none
 	}
 )
 
@@ -76,17 +75,6 @@
 	}
 }
 
-// overloadRetryAfter returns the Retry-After time for a request whose predicted
-// time to first token is too long, or 0 if it is acceptable. A stream that has
-// begun is resumed regardless of the wait.
-func (exchange *exchange) overloadRetryAfter(source source) time.Duration {
-	limit := time.Duration(overloadFactor * float64(exchange.route.LatencyObjective))
-	if exchange.headerSent || source.engine == nil || limit <= 0 || source.timeToFirstToken <= limit {
-		return 0
-	}
-	return max(source.timeToFirstToken-exchange.route.LatencyObjective, minOverloadRetryAfter)
-}
-
 // pickSource chooses the replica for the next attempt. A stream that has begun is resumed
 // regardless of limits, but not at a head that asked for a backoff.
 func (exchange *exchange) pickSource(tried greengageroute.Set[string]) (source, bool) {
@@ -131,10 +119,19 @@
 	if index < 0 {
 		return source{}, false
 	}
-	chosen := candidates[index]
+	found := newSource(engine, model, candidates[index], timeToFirstToken)
+	if index, timeToFirstToken := greengageroute.ChooseFreeReplica(engine, model, exchange.PromptTokens, index, candidates); index >= 0 {
+		alternative := newSource(engine, model, candidates[index], timeToFirstToken)
+		found.alternative = &alternative
+	}
+	return found, true
+}
+
+func newSource(engine *greengageroute.Engine, model greengageroute.EngineModel, candidate greengageroute.ReplicaCandidate, timeToFirstToken time.Duration) source {
 	return source{
-		replica: chosen.Replica, model: model, engine: engine, load: chosen.Load, timeToFirstToken: timeToFirstToken, unresponsive: chosen.Unresponsive,
-	}, true
+		replica: candidate.Replica, model: model, engine: engine, load: candidate.Load, slowdown: candidate.Slowdown,
+		timeToFirstToken: timeToFirstToken, unresponsive: candidate.Unresponsive,
+	}
 }
 
 // key identifies the source among those that were tried.
--- a/edge/streamattempt.go
+++ b/edge/streamattempt.go
@@ -49,6 +49,9 @@
 		stream: stream, source: source, sender: service.Sender, request: exchange.Request, attempt: exchange.newAttempt(head),
 		lastEvent: now, sentAt: now, resumes: exchange.headerSent, unresponsiveAfter: time.Hour,
 	}
+	if source.engine != nil {
+		attempt.attempt.Urgency = exchange.routes.Urgency(exchange.pool.Name, exchange.priority, attempt.resumes)
+	}
 	attempt.done = service.tracker.Begin(head.ID, exchange.PromptTokens)
 	attempt.inPrefill.Store(true)
 	if source.engine != nil {
@@ -221,6 +224,9 @@
 		return
 	}
 	attempt.finishPrefill()
+	if attempt.progress.Pieces() == 1 && !attempt.resumes && attempt.suspicion == "" && attempt.source.load.Running < attempt.source.engine.Slots {
+		exchange.service.overload.recordFirstToken(exchange.overloadKey(), now.Sub(attempt.sentAt), attempt.source.timeToFirstToken)
+	}
 	if !hasNoGap {
 		expected := attempt.source.engine.IterationTime(attempt.source.model, attempt.source.load.Running+1)
 		tracker.RecordEventGap(head, float64(gap)/float64(max(expected, time.Millisecond)), now)
--- a/edge/streamsearch.go
+++ b/edge/streamsearch.go
@@ -129,8 +129,9 @@
 	case !found, hedges && (source.engine == nil || source.unresponsive):
 		return errNoReplica
 	}
-	if wait := exchange.overloadRetryAfter(source); wait > 0 {
-		stream.reason, stream.retryAfter = "the replicas are at capacity", wait
+	source, refusal := exchange.admit(source)
+	if refusal != nil {
+		stream.reason, stream.retryAfter = refusal.Reason, refusal.RetryAfter
 		return errNoReplica
 	}
 	if len(stream.tried) > 0 {
--- a/engine.go
+++ b/engine.go
@@ -81,11 +81,12 @@
 // the given load.
 func (engine *Engine) TimeToFirstToken(model EngineModel, load EngineLoad, promptTokens int) time.Duration {
 	iteration := engine.IterationTime(model, load.Running+1)
-	wait := engine.PrefillTime(model, load.PrefillTokens+promptTokens) + iteration*3/2
-	if excess := load.Running + 1 - engine.Slots; excess > 0 {
-		wait += time.Duration(excess) * engine.slotReleaseInterval(model)
-	}
-	return wait
+	return engine.PrefillTime(model, load.PrefillTokens+promptTokens) + iteration*3/2 + engine.SlotWait(model, load)
+}
+
+// SlotWait predicts how long a further request waits for a slot.
+func (engine *Engine) SlotWait(model EngineModel, load EngineLoad) time.Duration {
+	return time.Duration(max(load.Running+1-engine.Slots, 0)) * engine.slotReleaseInterval(model)
 }
 
 // slotReleaseInterval returns the mean time until the next running request ends on
--- /dev/null
+++ b/overloadinput.go
@@ -0,0 +1,154 @@
+package greengageroute
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// HealthySlowdown is the ratio of a healthy replica's inter-event gaps to the time of
+	// an iteration that only decodes. The gaps include prefill.
+	HealthySlowdown = 1.6
+	// overloadFactor is the limit of the predicted time to first token on a replica with
+	// free slots, as a multiple of the objective. Beyond it the queue is looked at.
+	overloadFactor = 1.5
+	// minQueueingShare is the part of the objective that a request may always spend in the
+	// queue, so that long prompts aren't starved.
+	minQueueingShare = 0.25
+	// rankReserve is the factor on the budget for queueing for each more urgent rank seen
+	// lately: what it leaves is reserved for that rank.
+	rankReserve = 0.6
+	// overUsualReserve is the same for a workspace beyond its usual rate.
+	overUsualReserve = 0.5
+	// budgetSpread is the width of the range that the budget is drawn from, as a part of
+	// it. The share of requests sent then falls continuously with the load, where a common
+	// edge would make all entries that see the same loads send or refuse together.
+	budgetSpread = 0.5
+	// generationShare is the part of the mean generation time that a deadline must leave.
+	// Answers may be shorter than expected.
+	generationShare = 0.5
+	// MinOverloadRetryAfter keeps callers from retrying before any running request has
+	// ended.
+	MinOverloadRetryAfter = 200 * time.Millisecond
+	// overloadSpan is the Retry-After time for the share of refused requests 1. Bursts last
+	// for 3 to 14 s; a caller that returns within one adds to it and is late anyway.
+	overloadSpan = 2 * time.Second
+	// maxRetryAfterShare is the part of the remaining time that callers honour as
+	// Retry-After.
+	maxRetryAfterShare = 1.0 / 3
+	// retryAfterSpread is the part of the Retry-After time that is drawn at random, so
+	// that callers don't return together.
+	retryAfterSpread = 0.3
+)
+
+type (
+	// OverloadInput is what the decision on a stream that has not begun depends on: the
+	// request, the replica chosen for it, and what the entry has seen lately.
+	OverloadInput struct {
+		Engine       *Engine
+		Model        EngineModel
+		Load         EngineLoad
+		Slowdown     float64
+		Offset       time.Duration // of the measured time to first token from the predicted one
+		Objective    time.Duration // 0: none, the request is sent
+		Waited       time.Duration // since the request's arrival
+		Remaining    time.Duration // until the deadline
+		PromptTokens int
+		AnswerTokens int // 0: not known
+		// LowestObjective is the lowest one of the ranks at least as urgent that were seen
+		// lately at the model, and MoreUrgent the number of the more urgent ranks.
+		LowestObjective time.Duration
+		MoreUrgent      int
+		OverUsual       bool    // the workspace is beyond its usual rate with this request
+		RefusedShare    float64 // share of the requests for the model that were refused lately
+		Draw            float64 // at least 0 and below 1, drawn for each request
+	}
+)
+
+// Decide returns whether the request is sent or refused.
+func (input OverloadInput) Decide() OverloadDecision {
+	queueing, budget := input.queueing(), input.budget(input.MoreUrgent, input.OverUsual)
+	firstToken := input.unloaded(input.Objective, input.PromptTokens) + queueing
+	decision := OverloadDecision{Outcome: OverloadSent, Predicted: input.Waited + firstToken, IsFull: input.isFull()}
+	switch {
+	case input.Objective <= 0:
+		return decision
+	case firstToken+input.generation() > input.Remaining:
+		decision.Outcome = OverloadRefusedDeadline
+	case !input.isFull() && input.meetsFactor(), queueing <= budget:
+		return decision
+	case queueing <= input.budget(input.MoreUrgent, false):
+		decision.Outcome = OverloadRefusedWorkspace
+	case queueing <= input.budget(0, false):
+		decision.Outcome = OverloadRefusedRank
+	default:
+		decision.Outcome = OverloadRefusedQueue
+	}
+	decision.RetryAfter = input.retryAfter(queueing - budget)
+	return decision
+}
+
+// isFull reports whether the request would wait for a slot.
+func (input OverloadInput) isFull() bool { return input.Load.Running >= input.Engine.Slots }
+
+// meetsFactor reports whether the predicted time to first token is acceptable on a replica
+// with free slots.
+func (input OverloadInput) meetsFactor() bool {
+	candidate := ReplicaCandidate{Load: input.Load, Slowdown: input.Slowdown}
+	return candidate.TimeToFirstToken(input.Engine, input.Model, input.PromptTokens) <= time.Duration(overloadFactor*float64(input.Objective))
+}
+
+// queueing predicts the time spent waiting for other requests: for a slot, while the
+// prompts sent before are prefilled. The time for a slot contains the prefill of those that
+// get one first, hence a healthy replica's slowdown.
+func (input OverloadInput) queueing() time.Duration {
+	wait := max(input.Engine.SlotWait(input.Model, input.Load), input.Engine.PrefillTime(input.Model, input.Load.PrefillTokens))
+	return time.Duration(float64(wait) * max(input.Slowdown/HealthySlowdown, 1))
+}
+
+// unloaded predicts the time to first token without a queue, at the replica's speed under
+// its present load.
+func (input OverloadInput) unloaded(objective time.Duration, promptTokens int) time.Duration {
+	work := input.Engine.PrefillTime(input.Model, promptTokens) + input.Engine.IterationTime(input.Model, input.Load.Running+1)*3/2
+	return time.Duration(float64(work)*max(input.Slowdown, 1)) + min(input.Offset, objective)
+}
+
+// budget returns how long the request may wait for others. A less urgent rank, or one with a
+// longer objective, may not wait where a more urgent request of usual length could not.
+func (input OverloadInput) budget(moreUrgent int, overUsual bool) time.Duration {
+	budget := input.queueingBudget(input.Objective, input.PromptTokens)
+	if input.LowestObjective > 0 && input.LowestObjective < input.Objective {
+		budget = min(budget, input.queueingBudget(input.LowestObjective, input.Engine.MeanPromptTokens))
+	}
+	factor := 1 + budgetSpread*(input.Draw-0.5)
+	factor *= math.Pow(rankReserve, float64(moreUrgent))
+	if overUsual {
+		factor *= overUsualReserve
+	}
+	return time.Duration(float64(budget)*factor) - input.Waited
+}
+
+func (input OverloadInput) queueingBudget(objective time.Duration, promptTokens int) time.Duration {
+	return max(objective-input.unloaded(objective, promptTokens), time.Duration(minQueueingShare*float64(objective)))
+}
+
+// generation returns a modest estimate of the time from the first token to the last.
+func (input OverloadInput) generation() time.Duration {
+	tokens := input.Engine.MeanAnswerTokens
+	if input.AnswerTokens > 0 {
+		tokens = min(tokens, input.AnswerTokens)
+	}
+	iterations := generationShare * float64(tokens) / float64(max(input.Engine.StepsPerIteration, 1))
+	return time.Duration(iterations * float64(input.Engine.IterationTime(input.Model, 1)))
+}
+
+// retryAfter returns when to retry, for an excess of the queue over the budget: the queue has
+// to shorten, and the more requests are refused, the longer the overload lasts.
+func (input OverloadInput) retryAfter(excess time.Duration) time.Duration {
+	after := max(excess, MinOverloadRetryAfter) + time.Duration(input.RefusedShare*float64(overloadSpan))
+	after += time.Duration(retryAfterSpread * input.Draw * float64(after))
+	if limit := time.Duration(maxRetryAfterShare * float64(input.Remaining)); after > limit {
+		after = time.Duration(float64(limit) * (1 - retryAfterSpread*input.Draw))
+	}
+	return max(after, time.Millisecond) // 0 would stand for none
+}
--- a/routetable.go
+++ b/routetable.go
@@ -24,6 +24,7 @@
 		hosts       map[string][]Route // in descending order of the prefix length
 		keyOwners   map[string]KeyOwner
 		requiresKey bool
+		ranks       map[string][]int // of streams by pool, the most urgent first
 	}
 
 	// Route maps requests of a host and path prefix to pools.
@@ -78,6 +79,7 @@
 	for _, route := range routes {
 		table.hosts[route.Host] = insertByPrefix(table.hosts[route.Host], route)
 	}
+	table.ranks = streamRanks(routes, keyOwners)
 	return table
 }
 
