--- a/control/coldcentres.go
+++ b/control/coldcentres.go
@@ -17,16 +17,18 @@
 // that their pools' targets are cold after their start, whatever their rows say: they got
 // no requests for long.
 func (directory *Directory) MarkDataCentreCold(dataCentre string) {
-	directory.update(func() {
-		now := directory.clock.Now()
-		maps.DeleteFunc(directory.coldCentres, func(_ string, since time.Time) bool { return now.Sub(since) > coldCentreTTL })
-		directory.coldCentres[dataCentre] = now
-		for id, target := range directory.targets {
-			if target.DataCentre == dataCentre {
-				directory.touched.Add(id)
-			}
+	directory.update(func() { directory.markCold(dataCentre, directory.clock.Now()) })
+}
+
+// markCold is MarkDataCentreCold within an update.
+func (directory *Directory) markCold(dataCentre string, now time.Time) {
+	maps.DeleteFunc(directory.coldCentres, func(_ string, since time.Time) bool { return now.Sub(since) > coldCentreTTL })
+	directory.coldCentres[dataCentre] = now
+	for id, target := range directory.targets {
+		if target.DataCentre == dataCentre {
+			directory.touched.Add(id)
 		}
-	})
+	}
 }
 
 // withColdCentre returns the target as the view shows it. The caller holds the lock.
--- a/control/directory.go
+++ b/control/directory.go
@@ -138,9 +138,17 @@
 	})
 }
 
-// SetEvacuations replaces the evacuations of data centres.
+// SetEvacuations replaces the evacuations of data centres. The targets of those whose evacuation
+// has ended count as cold in the same view that lets requests through to them.
 func (directory *Directory) SetEvacuations(evacuations Evacuations) {
-	directory.update(func() { directory.evacuations = evacuations })
+	directory.update(func() {
+		for dataCentre, endedAt := range evacuations.endedAt {
+			if !endedAt.Equal(directory.evacuations.endedAt[dataCentre]) {
+				directory.markCold(dataCentre, endedAt)
+			}
+		}
+		directory.evacuations = evacuations
+	})
 }
 
 // Replace applies a complete read of the list. Targets that are missing from it
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -271,3 +271,11 @@
 
 // LeaseUpdated implements mesh.Sink.
 func (entry *Entry) LeaseUpdated(update mesh.LeaseUpdate) { entry.lease.ReceiveUpdate(update) }
+
+// TotalLoads implements control.DemandSource.
+func (entry *Entry) TotalLoads() map[string]greengageroute.EngineLoad { return entry.node.TotalLoads() }
+
+// RequestedRanks implements control.DemandSource.
+func (entry *Entry) RequestedRanks(pool string) map[string]int {
+	return entry.service.RequestedRanks(pool)
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -143,8 +143,8 @@
 	entry.planner = control.NewPlanner(control.PlannerOptions{
 		Lease: entry.lease, OrderSender: backoffFilter, Activity: entry.node, Directory: entry.directory, ListRevision: entry.follower.ListRevision, Routes: entry.follower.Routes,
 		HasTraffic: entry.systemHasTraffic, Confirm: entry.prober.Confirm, Isolated: entry.prober.Isolated, Eligible: entry.mayPlan, FormationDelay: deployment.Bounds.HeartbeatInterval,
-		StallTimeout: deployment.Bounds.StallTimeout,
-		Clock:        clock, Counters: entry.counters, Log: entry.log,
+		StallTimeout: deployment.Bounds.StallTimeout, Demand: control.NewDemand(entry, entry.directory, clock).Observe,
+		Clock: clock, Counters: entry.counters, Log: entry.log,
 	})
 	entry.service = edge.New(edge.Dependencies{
 		Entry: deployment.Name, DataCentre: deployment.DataCentre, Regions: deployment.Regions, Bounds: deployment.Bounds, Config: entry.follower, Directory: entry.directory,
