--- a/edge/hedgedstream.go
+++ b/edge/hedgedstream.go
@@ -343,12 +343,21 @@
 		return false, err
 	}
 	stream.exchange.sendHeader(attempt.answer)
+	stream.recordLengths(attempt)
 	if !attempt.progress.IsSound() {
 		stream.exchange.recordSound()
 	}
 	return true, nil
 }
 
+// recordLengths records the lengths of a request that its target answered completely.
+func (stream *hedgedStream) recordLengths(attempt *streamAttempt) {
+	exchange, engine := stream.exchange, attempt.source.engine
+	if engine != nil && attempt.answer.Status == http.StatusOK {
+		exchange.service.overload.recordLengths(exchange.overloadKey(), exchange.PromptTokens, exchange.timing.events*max(engine.StepsPerIteration, 1))
+	}
+}
+
 // confirmEnd returns an error for an answer that may be cut off.
 func (stream *hedgedStream) confirmEnd(ctx context.Context, attempt *streamAttempt) error {
 	if !attempt.fromEntry {
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -38,6 +38,7 @@
 	overloadModel struct {
 		offset         greengageroute.FirstTokenOffset
 		ranks          greengageroute.SeenRanks
+		lengths        greengageroute.RequestLengths
 		refused        float64 // share of the decisions
 		refusedUpdated time.Time
 	}
@@ -65,6 +66,21 @@
 	model.offset = model.offset.WithSample(measured, predicted)
 }
 
+// recordLengths records the lengths of a request and its complete answer.
+func (records *overloadRecords) recordLengths(key overloadKey, promptTokens, answerTokens int) {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	model := records.model(key)
+	model.lengths = model.lengths.WithAnswer(promptTokens, answerTokens)
+}
+
+// withLengths returns a model with the measured lengths of its requests.
+func (records *overloadRecords) withLengths(key overloadKey, model greengageroute.EngineModel) greengageroute.EngineModel {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	return records.model(key).lengths.Of(model)
+}
+
 // recordRequest records a request's kind, and reports whether its workspace is within its
 // usual rate.
 func (records *overloadRecords) recordRequest(key overloadKey, rank int, objective time.Duration, workspace string, now time.Time) (isUsual bool) {
--- a/engine.go
+++ b/engine.go
@@ -1,6 +1,7 @@
 package greengageroute
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -38,6 +39,9 @@
 		TimeFactor float64 // factor on all times
 		LoadTime   time.Duration
 		StageTime  time.Duration // time to join with staged weights
+		// MeanPromptTokens and MeanAnswerTokens are the measured means of the model's requests;
+		// 0: those of the pool's engine.
+		MeanPromptTokens, MeanAnswerTokens int
 	}
 
 	// EngineLoad is the load of one replica.
@@ -57,11 +61,19 @@
 	return EngineModel{}, false
 }
 
+func (engine *Engine) meanPrompt(model EngineModel) int {
+	return cmp.Or(model.MeanPromptTokens, engine.MeanPromptTokens)
+}
+
+func (engine *Engine) meanAnswer(model EngineModel) int {
+	return cmp.Or(model.MeanAnswerTokens, engine.MeanAnswerTokens)
+}
+
 // IterationTime returns the duration of an iteration that only decodes, for the
 // given number of running requests.
 func (engine *Engine) IterationTime(model EngineModel, running int) time.Duration {
 	running = min(running, engine.Slots)
-	contextKTokens := float64(running*(engine.MeanPromptTokens+engine.MeanAnswerTokens/2)) / 1000
+	contextKTokens := float64(running*(engine.meanPrompt(model)+engine.meanAnswer(model)/2)) / 1000
 	stepTime := float64(engine.StepTime) + float64(engine.StepTimePerSequence)*float64(running) + float64(engine.StepTimePerKToken)*contextKTokens
 	return time.Duration(stepTime * float64(max(engine.StepsPerIteration, 1)) * model.TimeFactor)
 }
@@ -71,7 +83,7 @@
 	if engine.PrefillRate <= 0 {
 		return 0
 	}
-	meanPrompt := float64(max(engine.MeanPromptTokens, 1))
+	meanPrompt := float64(max(engine.meanPrompt(model), 1))
 	pairs := float64(tokens) * meanPrompt / 2 / 1e6
 	seconds := float64(tokens)/engine.PrefillRate + pairs*engine.AttentionTime.Seconds()
 	return time.Duration(seconds * model.TimeFactor * float64(time.Second))
@@ -92,9 +104,9 @@
 // slotReleaseInterval returns the mean time until the next running request ends on
 // a full replica.
 func (engine *Engine) slotReleaseInterval(model EngineModel) time.Duration {
-	iterations := math.Ceil(float64(engine.MeanAnswerTokens) / float64(max(engine.StepsPerIteration, 1)))
+	iterations := math.Ceil(float64(engine.meanAnswer(model)) / float64(max(engine.StepsPerIteration, 1)))
 	generation := float64(engine.IterationTime(model, engine.Slots)) * iterations
-	return time.Duration(generation/float64(max(engine.Slots, 1))) + engine.PrefillTime(model, engine.MeanPromptTokens)
+	return time.Duration(generation/float64(max(engine.Slots, 1))) + engine.PrefillTime(model, engine.meanPrompt(model))
 }
 
 // LongestIteration returns the longest time that a healthy replica with the given
--- a/overloadinput.go
+++ b/overloadinput.go
@@ -118,7 +118,7 @@
 func (input OverloadInput) budget(moreUrgent int, overUsual bool) time.Duration {
 	budget := input.queueingBudget(input.Objective, input.PromptTokens)
 	if input.LowestObjective > 0 && input.LowestObjective < input.Objective {
-		budget = min(budget, input.queueingBudget(input.LowestObjective, input.Engine.MeanPromptTokens))
+		budget = min(budget, input.queueingBudget(input.LowestObjective, input.Engine.meanPrompt(input.Model)))
 	}
 	factor := 1 + budgetSpread*(input.Draw-0.5)
 	factor *= math.Pow(rankReserve, float64(moreUrgent))
@@ -134,7 +134,7 @@
 
 // generation returns a modest estimate of the time from the first token to the last.
 func (input OverloadInput) generation() time.Duration {
-	tokens := input.Engine.MeanAnswerTokens
+	tokens := input.Engine.meanAnswer(input.Model)
 	if input.AnswerTokens > 0 {
 		tokens = min(tokens, input.AnswerTokens)
 	}
