--- a/edge/placement.go
+++ b/edge/placement.go
@@ -15,8 +15,8 @@
 	regionReason    = "no target that serves the request is in a region that is permitted for it"
 )
 
-// targetFilter says in which data centres the request may be served.
-func (exchange *exchange) targetFilter(view *control.View) greengageroute.TargetFilter {
+// targetFilter says in which data centres the request may be served; nil in all.
+func (exchange *exchange) targetFilter(view *control.View) *greengageroute.TargetFilter {
 	return greengageroute.NewTargetFilter(view.Evacuated(), exchange.allowed, *exchange.service.regions.Load())
 }
 
@@ -29,7 +29,7 @@
 func (exchange *exchange) placementError() error {
 	view := exchange.service.Directory.View()
 	filter := exchange.targetFilter(view)
-	if filter.PermitsAll() || exchange.headerSent || exchange.mayHaveRun {
+	if filter == nil || exchange.headerSent || exchange.mayHaveRun {
 		return nil
 	}
 	obstacle := filter.Obstacle(exchange.servingDataCentres(view))
@@ -58,7 +58,7 @@
 // far as this entry knows.
 func (exchange *exchange) poolIsExcluded(view *control.View) bool {
 	filter := exchange.targetFilter(view)
-	return !filter.PermitsAll() && filter.Obstacle(dataCentresOf(view.Pool(exchange.pool.Name))) != greengageroute.NoObstacle && !exchange.isolated()
+	return filter != nil && filter.Obstacle(dataCentresOf(view.Pool(exchange.pool.Name))) != greengageroute.NoObstacle && !exchange.isolated()
 }
 
 // servingDataCentres returns the data centres of the targets and heads that serve such
--- a/targetfilter.go
+++ b/targetfilter.go
@@ -12,8 +12,8 @@
 )
 
 type (
-	// TargetFilter says in which data centres a request may be served. The zero value permits
-	// all.
+	// TargetFilter says in which data centres a request may be served. It is immutable; nil
+	// permits all.
 	TargetFilter struct {
 		evacuated Set[string]
 		allowed   AllowedRegions
@@ -25,31 +25,29 @@
 )
 
 // NewTargetFilter returns the filter of a request that the given regions are permitted for,
-// while some data centres are evacuated.
-func NewTargetFilter(evacuated Set[string], allowed AllowedRegions, regions DataCentreRegions) TargetFilter {
-	return TargetFilter{evacuated: evacuated, allowed: allowed, regions: regions}
-}
-
-// PermitsAll reports whether no data centre is excluded.
-func (filter TargetFilter) PermitsAll() bool {
-	return len(filter.evacuated) == 0 && filter.allowed.PermitsAll()
+// while some data centres are evacuated; nil if nothing is excluded.
+func NewTargetFilter(evacuated Set[string], allowed AllowedRegions, regions DataCentreRegions) *TargetFilter {
+	if len(evacuated) == 0 && allowed.PermitsAll() {
+		return nil
+	}
+	return &TargetFilter{evacuated: evacuated, allowed: allowed, regions: regions}
 }
 
 // Permits reports whether a request may be sent to the targets of a data centre.
-func (filter TargetFilter) Permits(dataCentre string) bool {
-	return filter.PermitsAll() || !filter.evacuated.Has(dataCentre) && filter.PermitsRegionOf(dataCentre)
+func (filter *TargetFilter) Permits(dataCentre string) bool {
+	return filter == nil || !filter.evacuated.Has(dataCentre) && filter.PermitsRegionOf(dataCentre)
 }
 
 // PermitsRegionOf reports whether the region of a data centre is permitted. Entries there may
 // have the request's body, also while the data centre's targets are evacuated.
-func (filter TargetFilter) PermitsRegionOf(dataCentre string) bool {
-	return filter.allowed.PermitsAll() || filter.allowed.Permits(filter.regions[dataCentre])
+func (filter *TargetFilter) PermitsRegionOf(dataCentre string) bool {
+	return filter == nil || filter.allowed.PermitsAll() || filter.allowed.Permits(filter.regions[dataCentre])
 }
 
 // Obstacle returns why a request can be served in none of the data centres that have targets
 // for it. Without targets there is no obstacle.
-func (filter TargetFilter) Obstacle(dataCentres iter.Seq[string]) FilterObstacle {
-	if filter.PermitsAll() {
+func (filter *TargetFilter) Obstacle(dataCentres iter.Seq[string]) FilterObstacle {
+	if filter == nil {
 		return NoObstacle
 	}
 	obstacle := NoObstacle
