--- a/control/evacuations_test.go
+++ b/control/evacuations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,16 +105,18 @@
 	follow(t, func(store *fakeStore, _ *fakeConn, follower *Follower) {
 		store.put("op", "config", `{"version":5}`)
 		store.put("op", "evacuate/a", `{}`)
-		evacuated, adopted := "", false
+		var first atomic.Pointer[string] // what is evacuated with the first config
 		stop := follower.directory.Watch(func() {
-			if follower.Routes() != nil && !adopted {
-				evacuated, adopted = follower.evacuated(), true
+			if evacuated := follower.evacuated(); follower.Routes() != nil {
+				first.CompareAndSwap(nil, &evacuated)
 			}
 		})
 		defer stop()
 		time.Sleep(time.Second)
-		if !adopted || evacuated != "a" {
-			t.Errorf("with the first config (%t) %q are evacuated, want a", adopted, evacuated)
+		if evacuated := first.Load(); evacuated == nil {
+			t.Error("no config was adopted")
+		} else if *evacuated != "a" {
+			t.Errorf("with the first config %q are evacuated, want a", *evacuated)
 		}
 	})
 }
