Planner: prefer warm heads for new and repaired replicas

Cause: a head that is cold takes few requests for 3 s, though another member of its replica may be warm.

Change: a new replica, and one that has lost its head, gets its first warm member as head, in pools whose cold targets are limited. A head that stays keeps its place.

Measured: TestNewReplicasHaveWarmHeads; the tests of the root and of control pass.

--- a/control/planner.go
+++ b/control/planner.go
@@ -276,7 +276,9 @@
 	}
 	for name, pool := range routes.Pools {
 		if pool.Engine != nil && len(pool.Engine.Models) > 0 {
-			planner.planPool(ctx, planner.poolView(name, pool.Engine, view))
+			poolView := planner.poolView(name, pool.Engine, view)
+			poolView.ColdPerSecond = pool.ColdPerSecond
+			planner.planPool(ctx, poolView)
 		}
 	}
 }
--- a/formation.go
+++ b/formation.go
@@ -50,6 +50,8 @@
 		// HasTraffic reports whether requests have arrived. From then on, loading
 		// weights takes its full time.
 		HasTraffic bool
+		// ColdPerSecond is the rate of requests that a cold target takes; 0: any.
+		ColdPerSecond float64
 		// Now is the time of the view.
 		Now time.Time
 		// Absent holds targets that are no longer listed or were found unreachable.
@@ -453,12 +455,25 @@
 	assignment := Assignment{
 		Name: "r" + strconv.FormatUint(formation.lastName, 36), Epoch: formation.lastEpoch, Model: model.Name, Domain: domain,
 	}
-	assignment.Members = formation.spares(view, assignment, nil, joinCostLoading)[:model.Size]
+	assignment.Members = view.withWarmHead(formation.spares(view, assignment, nil, joinCostLoading)[:model.Size])
 	formation.assign(assignment)
 	formation.recordHead(assignment)
 	return assignment
 }
 
+// withWarmHead returns the members with the first warm one in front, as the head, which gets
+// the requests. It keeps their order if the requests to cold targets aren't limited.
+func (view PoolView) withWarmHead(members []string) []string {
+	if view.ColdPerSecond <= 0 {
+		return members
+	}
+	warm := slices.IndexFunc(members, func(id string) bool { return !view.Targets[id].ListedColdUntil.After(view.Now) })
+	if warm <= 0 {
+		return members
+	}
+	return slices.Concat(members[warm:warm+1], members[:warm], members[warm+1:])
+}
+
 // nextReplica picks the model and the domain of the next new replica, whose
 // members join within the given cost.
 func (formation *Formation) nextReplica(view PoolView, maxCost int) (EngineModel, string, bool) {
--- a/formationrepair.go
+++ b/formationrepair.go
@@ -28,7 +28,7 @@
 		if len(spares) < assignment.missing() {
 			return false
 		}
-		changed = append(changed, formation.reassign(assignment, spares[:assignment.missing()]))
+		changed = append(changed, formation.reassign(view, assignment, spares[:assignment.missing()]))
 		assignment.release(reserved) // its members are assigned or free now
 		return true
 	}
@@ -177,12 +177,15 @@
 }
 
 // reassign puts a damaged assignment back with its spares as new members, under a
-// new epoch.
-func (formation *Formation) reassign(damaged damagedAssignment, spares []string) Assignment {
+// new epoch. A head that stays keeps its place, also if it is cold.
+func (formation *Formation) reassign(view PoolView, damaged damagedAssignment, spares []string) Assignment {
 	assignment := damaged.Assignment
 	formation.lastEpoch++
 	assignment.Epoch, assignment.Opened = formation.lastEpoch, false
 	assignment.Members = append(slices.Clone(damaged.survivors), spares...)
+	if assignment.Members[0] != damaged.Members[0] {
+		assignment.Members = view.withWarmHead(assignment.Members)
+	}
 	formation.assign(assignment)
 	formation.recordHead(assignment)
 	return assignment
