--- a/edge/coldload_test.go
+++ b/edge/coldload_test.go
@@ -2,13 +2,22 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/control"
+	"greengageroute.example/greengageroute/upstream"
 )
 
 const (
@@ -157,6 +166,49 @@
 	time.Sleep(time.Second) // lets the probes end
 }
 
+// brokenHeadEntry is an entry whose first head breaks its streams off after two events when it
+// is lost. It implements the service's dependencies.
+type brokenHeadEntry struct {
+	calmDependencies
+	service *Service
+	lost    chan struct{}
+
+	mu       sync.Mutex
+	arrivals map[string]int // by head
+}
+
+func (entry *brokenHeadEntry) Routes() *greengageroute.RouteTable { return newColdRoutes() }
+func (entry *brokenHeadEntry) LiveEntries() int                   { return 1 }
+
+// Do implements Sender.
+func (entry *brokenHeadEntry) Do(ctx context.Context, request greengageroute.Request, attempt greengageroute.Attempt) (*upstream.Answer, error) {
+	entry.mu.Lock()
+	entry.arrivals[attempt.Target.ID]++
+	entry.mu.Unlock()
+	answer := greengageroute.AnswerHead{ID: request.ID, Status: http.StatusOK}
+	if attempt.Target.ID != headName(0) {
+		last, _ := strconv.Atoi(attempt.LastEventID) // 0 for a new stream
+		return &upstream.Answer{AnswerHead: answer, Body: strings.NewReader(events(last+1, 4))}, nil
+	}
+	reader, writer := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(writer, events(1, 2)) // the reader's end shows in the test
+		select {
+		case <-entry.lost:
+		case <-ctx.Done():
+		}
+		writer.CloseWithError(io.ErrUnexpectedEOF)
+	}()
+	return &upstream.Answer{AnswerHead: answer, Body: reader}, nil
+}
+
+// arrived returns how many requests a head got.
+func (entry *brokenHeadEntry) arrived(head string) int {
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	return entry.arrivals[head]
+}
+
 // TestColdHeadsAreSpared guards against heads that crash as they come back cold and empty,
 // and all entries send to them at once.
 func TestColdHeadsAreSpared(t *testing.T) {
@@ -178,3 +230,49 @@
 		})
 	}
 }
+
+// TestBegunStreamsSpareColdHeads guards against a cold head that gets all streams of a replica
+// that was lost, since streams that have begun are resumed regardless of limits.
+func TestBegunStreamsSpareColdHeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		directory := control.NewDirectory(greengageroute.RuntimeClock{})
+		directory.SetRoutes(newColdRoutes())
+		head := func(index int, cold time.Duration) greengageroute.Target {
+			return greengageroute.Target{
+				ID: headName(index), Pool: "llm", State: greengageroute.TargetReady, ColdRemaining: cold,
+				Membership: greengageroute.Membership{Replica: fmt.Sprint("r", index), Epoch: 1, Model: "m", State: greengageroute.MemberOpen},
+			}
+		}
+		directory.Replace([]greengageroute.Target{head(0, 0)}, time.Time{})
+		entry := &brokenHeadEntry{lost: make(chan struct{}), arrivals: map[string]int{}}
+		entry.service = newTestService("entry", directory, entry)
+		const streams = 60
+		outcomes := make(chan bool, streams)
+		for index := range streams {
+			go func() {
+				request := newRequest("POST", "/chat/x")
+				request.Body = io.NopCloser(strings.NewReader(fmt.Sprint("body ", index)))
+				recorder := httptest.NewRecorder()
+				aborted := isAborted(func() { entry.service.ServeHTTP(recorder, request) })
+				refused := recorder.Code == http.StatusServiceUnavailable // before it began
+				outcomes <- !aborted && (refused || recorder.Body.String() == events(1, 4))
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		directory.Apply([]greengageroute.Target{head(1, coldTime)}, []string{headName(0)}, time.Time{})
+		close(entry.lost)
+		time.Sleep(time.Second)
+		if got := entry.arrived(headName(1)); float64(got) > coldAllowed || got == 0 {
+			t.Errorf("a cold head got %d of %d streams in a second, want some, at most %.1f", got, streams, coldAllowed)
+		}
+		whole := 0
+		for range streams {
+			if <-outcomes {
+				whole++
+			}
+		}
+		if whole < streams {
+			t.Errorf("%d of %d streams were completed or refused before they began, want all; %v", whole, streams, entry.service.Counters)
+		}
+	})
+}
