--- a/edge/coldload_test.go
+++ b/edge/coldload_test.go
@@ -45,11 +45,11 @@
 	restarts    bool    // some entries restart meanwhile
 }
 
-// newColdRoutes returns the routes of the tests, to engines of more slots, whose cold targets
+// newColdRoutes returns the routes of the tests, to engines of so many slots, whose cold targets
 // take 17 requests a second.
-func newColdRoutes() *greengageroute.RouteTable {
+func newColdRoutes(slots int) *greengageroute.RouteTable {
 	engine := *testEngine
-	engine.Slots = 30
+	engine.Slots = slots
 	routes, pools := *testRoutes, maps.Clone(testRoutes.Pools)
 	pools["llm"] = greengageroute.Pool{Name: "llm", Engine: &engine, ColdTime: coldTime, ColdPerSecond: 17}
 	routes.Pools = pools
@@ -108,7 +108,7 @@
 func (load coldLoad) play(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	fleet := newFleetOf(ctx, load.entries, 3, load.heads, newColdRoutes())
+	fleet := newFleetOf(ctx, load.entries, 3, load.heads, newColdRoutes(30))
 	time.Sleep(3 * time.Second) // the entries hear from each other
 	calling, stopCalling := context.WithCancel(ctx)
 	callers := fleet.startCallers(calling, load.perSecond)
@@ -170,6 +170,7 @@
 // is lost. It implements the service's dependencies.
 type brokenHeadEntry struct {
 	calmDependencies
+	routes  *greengageroute.RouteTable
 	service *Service
 	lost    chan struct{}
 
@@ -177,7 +178,7 @@
 	arrivals map[string]int // by head
 }
 
-func (entry *brokenHeadEntry) Routes() *greengageroute.RouteTable { return newColdRoutes() }
+func (entry *brokenHeadEntry) Routes() *greengageroute.RouteTable { return entry.routes }
 func (entry *brokenHeadEntry) LiveEntries() int                   { return 1 }
 
 // Do implements Sender.
@@ -236,7 +237,8 @@
 func TestBegunStreamsSpareColdHeads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		directory := control.NewDirectory(greengageroute.RuntimeClock{})
-		directory.SetRoutes(newColdRoutes())
+		routes := newColdRoutes(80)
+		directory.SetRoutes(routes)
 		head := func(index int, cold time.Duration) greengageroute.Target {
 			return greengageroute.Target{
 				ID: headName(index), Pool: "llm", State: greengageroute.TargetReady, ColdRemaining: cold,
@@ -244,9 +246,9 @@
 			}
 		}
 		directory.Replace([]greengageroute.Target{head(0, 0)}, time.Time{})
-		entry := &brokenHeadEntry{lost: make(chan struct{}), arrivals: map[string]int{}}
+		entry := &brokenHeadEntry{routes: routes, lost: make(chan struct{}), arrivals: map[string]int{}}
 		entry.service = newTestService("entry", directory, entry)
-		const streams = 60
+		const streams = 90
 		outcomes := make(chan bool, streams)
 		for index := range streams {
 			go func() {
