Prober: entries of a data centre share the probes of many unreachable targets

Cause: each entry that found a target unreachable probed it up to four times a second until it responded, each probe on a new connection.

Change: of more than 16 unreachable targets, each entry of a data centre probes one at random, about one entry an interval; entries that were only told of a target take part. When one responds, the others of its data centre are probed at once. Marks are renewed by half of their time meanwhile, on a check of the links that is up to 5 s old. Probes of links and of unreachable targets are counted.

Up to 16 unreachable targets are probed as before.

--- a/control/awaitresponse_test.go
+++ b/control/awaitresponse_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -206,3 +207,56 @@
 		})
 	}
 }
+
+// TestUnreachableTargetsAreProbedTogether guards against entries that each probe all targets of a
+// data centre that is cut off, against a lost replica that is probed by nobody, and against targets
+// that wait for their turn after the cut.
+func TestUnreachableTargetsAreProbedTogether(t *testing.T) {
+	tests := []struct {
+		name                 string
+		targets, entries     int
+		found                bool // by this entry
+		minProbes, maxProbes int64
+	}{
+		{"a lost replica", 4, 47, true, 4 * 4, 4 * 4},
+		{"a lost replica that another entry found", 4, 47, false, 0, 0},
+		{"a data centre", 74, 8, true, 5, 60},
+		{"a data centre that another entry found", 74, 8, false, 5, 60},
+		{"a data centre with one entry", 74, 1, true, 74, 3 * 74},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fixture := newResponseFixture()
+				fixture.notifier.entries = test.entries
+				fixture.reporter.silent.Store(true)
+				var listed []greengageroute.Target
+				var instances []mesh.TargetInstance
+				for i := range test.targets {
+					listed = append(listed, greengageroute.Target{ID: fmt.Sprint("i-", i), Pool: "llm", DataCentre: "b", StartUnixMilli: 1})
+					instances = append(instances, listed[i].Instance())
+				}
+				fixture.directory.Replace(listed, time.Time{})
+				fixture.directory.MarkUnreachable(instances...)
+				for i := range listed {
+					if test.found {
+						fixture.prober.awaitResponse(listed[i], true)
+					}
+				}
+				fixture.prober.AwaitReported(instances)
+				time.Sleep(4 * (responseInterval + probeTimeout))
+				if probes := fixture.reporter.probes.Load(); probes < test.minProbes || probes > test.maxProbes {
+					t.Errorf("%d probes in 1.44 s, want %d to %d", probes, test.minProbes, test.maxProbes)
+				}
+				fixture.reporter.silent.Store(false)
+				time.Sleep(probeTimeout)
+				fixture.prober.RecordResponding(instances[:1])
+				time.Sleep(600 * time.Millisecond)
+				if left := len(fixture.directory.Unreachable()); test.found && left > 0 {
+					t.Errorf("%d targets aren't used 0.6 s after one responds", left)
+				}
+				fixture.end()
+			})
+		})
+	}
+}
--- a/control/prober.go
+++ b/control/prober.go
@@ -50,19 +50,36 @@
 	slowResponseInterval = 900 * time.Millisecond
 	fastResponseTime     = 5 * time.Second
 	// responseSpacing is the mean time between two such probes, of whichever targets, and
-	// maxAwaited how many targets are probed so. The marks of others expire.
+	// maxAwaited how many targets are probed so. The marks of others expire. The data centre with
+	// most targets of a deployment has some 80, and an entry may be cut off from several.
 	responseSpacing = 8 * time.Millisecond
-	maxAwaited      = 128
+	maxAwaited      = 256
+	// fewAwaited is how many targets are probed by each entry that found them unreachable; of
+	// more than that, about probersPerTarget entries of each data centre probe one in an
+	// interval. The largest replicas have 16 members.
+	fewAwaited       = 16
+	probersPerTarget = 1
+	// probeSpread spreads the probes of targets that may all respond again, as one of them does.
+	probeSpread = 100 * time.Millisecond
 	// renewAfter is the age at which the mark of a target is renewed that is still
 	// unreachable: before it expires at the other entries.
 	renewAfter = unreachableTTL - 750*time.Millisecond
+	// sharedRenewAfter is the same for a target that the entries probe in turns: the next turn
+	// may come too late. renewLinkTTL is how long a check of the links counts for that: the
+	// others hold the mark too.
+	sharedRenewAfter = unreachableTTL / 2
+	renewLinkTTL     = unreachableTTL
 	// confirmInterval is how often a target that may have failed is probed.
 	confirmInterval = time.Second
 )
 
 // Counters of the prober; docs/OPERATIONS.md lists them.
 const (
-	CountProbes             = "probes"
+	CountProbes = "probes"
+	// CountLinkProbes counts those of them that check this entry's links, CountAwaitProbes those
+	// of targets that were found unreachable. The others are of members of silent replicas.
+	CountLinkProbes         = "probes-of-links"
+	CountAwaitProbes        = "probes-of-unreachable"
 	CountTargetsUnreachable = "targets-found-dead"
 	// CountTargetsRestarted counts those of them that another process answered for, and
 	// CountTargetsResponding those that responded again.
@@ -89,6 +106,9 @@
 		ReportUnreachable(unreachable ...mesh.TargetInstance)
 		ReportResponding(responding ...mesh.TargetInstance)
 		ReportSlow(slow ...mesh.TargetInstance)
+		// EntriesSharingLinks returns about how many live entries are in this data centre, this
+		// one included.
+		EntriesSharingLinks() int
 	}
 
 	// failedProbe is a target that didn't respond, or for which another process answered.
@@ -120,9 +140,7 @@
 		targets     int                   // of all pools, at the last check of links
 		probedAt    map[replicaID]time.Time
 		confirmedAt map[mesh.TargetInstance]time.Time
-		// awaited are unreachable targets that are probed until they respond, and whether another
-		// entry says that they do.
-		awaited map[mesh.TargetInstance]bool
+		awaited     map[mesh.TargetInstance]*awaitedTarget
 	}
 )
 
@@ -130,7 +148,7 @@
 func NewProber(dataCentre string, reporter Reporter, directory *Directory, notifier Notifier, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Prober {
 	return &Prober{
 		dataCentre: dataCentre, reporter: reporter, directory: directory, notifier: notifier, clock: clock, counters: counters, log: log,
-		links: map[string]*poolLinks{}, probedAt: map[replicaID]time.Time{}, confirmedAt: map[mesh.TargetInstance]time.Time{}, awaited: map[mesh.TargetInstance]bool{},
+		links: map[string]*poolLinks{}, probedAt: map[replicaID]time.Time{}, confirmedAt: map[mesh.TargetInstance]time.Time{}, awaited: map[mesh.TargetInstance]*awaitedTarget{},
 	}
 }
 
@@ -212,7 +230,7 @@
 	if probe.answered {
 		prober.counters.Add(CountTargetsRestarted, 1)
 	} else {
-		prober.awaitResponse(target)
+		prober.awaitResponse(target, true)
 	}
 	prober.log.Info("target unreachable or restarted", "target", target.ID, "born", target.StartUnixMilli, "restarted", probe.answered,
 		"replica", target.Membership.Replica, "epoch", target.Membership.Epoch)
@@ -283,7 +301,7 @@
 // probes marked targets until they respond, as this entry may only have been told of them.
 func (prober *Prober) Confirm(unlisted []mesh.TargetInstance) {
 	for _, target := range prober.directory.Unreachable() {
-		prober.awaitResponse(target)
+		prober.awaitResponse(target, true)
 	}
 	prober.confirm(unlisted, func(mesh.TargetInstance) {})
 }
@@ -396,11 +414,14 @@
 // LinksWork reports whether targets of a pool respond to this entry, or the pool is so small
 // that those that don't say nothing about the links. It probes a few of them if that wasn't done
 // just before.
-func (prober *Prober) LinksWork(pool string) bool {
+func (prober *Prober) LinksWork(pool string) bool { return prober.linksWork(pool, linkCheckTTL) }
+
+// linksWork does the same, by the last check if it was done within the given time.
+func (prober *Prober) linksWork(pool string, within time.Duration) bool {
 	links := prober.poolLinks(pool)
 	links.check <- struct{}{}
 	defer func() { <-links.check }()
-	if !links.state.CheckedWithin(linkCheckTTL, prober.clock.Now()) {
+	if !links.state.CheckedWithin(within, prober.clock.Now()) {
 		prober.checkLinks(pool, links)
 	}
 	prober.mu.Lock()
@@ -496,6 +517,7 @@
 // responds reports whether a target responds to a probe on a new connection, with whatever.
 func (prober *Prober) responds(target greengageroute.Target) bool {
 	prober.counters.Add(CountProbes, 1)
+	prober.counters.Add(CountLinkProbes, 1)
 	_, err := prober.reporter.Report(context.Background(), target, probeTimeout)
 	var refused *greengageroute.OrderRefusedError
 	return err == nil || errors.As(err, &refused)
--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -49,6 +49,7 @@
 type fakeNotifier struct {
 	mu                            sync.Mutex
 	unreachable, responding, slow []mesh.TargetInstance
+	entries                       int // of the data centre; 0: one
 }
 
 func (notifier *fakeNotifier) ReportUnreachable(unreachable ...mesh.TargetInstance) {
@@ -63,6 +64,8 @@
 	notifier.responding = append(notifier.responding, responding...)
 }
 
+func (notifier *fakeNotifier) EntriesSharingLinks() int { return max(notifier.entries, 1) }
+
 func (notifier *fakeNotifier) reportedUnreachable() []mesh.TargetInstance {
 	notifier.mu.Lock()
 	defer notifier.mu.Unlock()
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -32,7 +32,8 @@
 	fleetDelay = 1400 * time.Microsecond
 	// fleetDialTimeout is the dial timeout of package upstream.
 	fleetDialTimeout = 200 * time.Millisecond
-	// fleetEventGap and fleetEvents make up a stream of fleetEvents events.
+	// fleetEventGap and fleetEvents make up a stream of fleetEvents events, unless the fleet has
+	// longer ones.
 	fleetEventGap = 40 * time.Millisecond
 	fleetEvents   = 10
 	// fleetCallTime is the time that a target needs for a call.
@@ -60,6 +61,9 @@
 		ctx     context.Context
 		network *datagramNetwork
 		targets []greengageroute.Target
+		routes  *greengageroute.RouteTable
+		events  int      // of a stream
+		models  []string // that callers ask for in turn
 
 		mu      sync.Mutex
 		entries []*fleetEntry
@@ -75,7 +79,7 @@
 		capacity   float64
 
 		mu       sync.Mutex
-		links    map[string]linkState // by pool
+		links    map[string]linkState // by pool or data centre
 		changed  chan struct{}        // closed when the links change
 		lost     bool                 // links were lost
 		process  *fleetProcess        // nil while the entry is down
@@ -95,8 +99,9 @@
 		service   *Service
 		counters  *expvar.Map
 
-		mu   sync.Mutex
-		used map[string]time.Time // when a connection to a target was last used
+		mu    sync.Mutex
+		used  map[string]time.Time // when a connection to a target was last used
+		dials int                  // connections to targets, for requests and probes
 	}
 
 	// helperSender sends requests to other entries.
@@ -199,26 +204,33 @@
 // newFleet returns a fleet of so many entries in the given number of data centres, two of each
 // on larger VMs.
 func newFleet(ctx context.Context, entries, dataCentres int) *fleet {
-	network := &datagramNetwork{conns: map[netip.AddrPort]*datagramConn{}, received: map[netip.AddrPort]int64{}}
-	fleet := &fleet{ctx: ctx, network: network}
-	dataCentre := func(index int) string { return string(rune('a' + index%dataCentres)) }
+	var targets []greengageroute.Target
 	for i := range fleetHeads {
-		fleet.targets = append(fleet.targets, greengageroute.Target{
-			ID: headName(i), Pool: "llm", DataCentre: dataCentre(i), State: greengageroute.TargetReady, StartUnixMilli: 7, Slots: 38,
+		targets = append(targets, greengageroute.Target{
+			ID: headName(i), Pool: "llm", DataCentre: dataCentreName(i, dataCentres), State: greengageroute.TargetReady, StartUnixMilli: 7, Slots: 38,
 			Membership: greengageroute.Membership{Replica: fmt.Sprint("r", i), Epoch: 1, Model: "m", State: greengageroute.MemberOpen},
 		})
 	}
 	for i := range fleetLedgers {
-		fleet.targets = append(fleet.targets, greengageroute.Target{
-			ID: fmt.Sprint("ledger-", i), Pool: "ledger", DataCentre: dataCentre(i), State: greengageroute.TargetReady, StartUnixMilli: 7, Slots: 6,
+		targets = append(targets, greengageroute.Target{
+			ID: fmt.Sprint("ledger-", i), Pool: "ledger", DataCentre: dataCentreName(i, dataCentres), State: greengageroute.TargetReady, StartUnixMilli: 7, Slots: 6,
 		})
 	}
+	return newFleetWith(ctx, entries, dataCentres, testRoutes, targets)
+}
+
+func dataCentreName(index, dataCentres int) string { return string(rune('a' + index%dataCentres)) }
+
+// newFleetWith returns a fleet with the given targets.
+func newFleetWith(ctx context.Context, entries, dataCentres int, routes *greengageroute.RouteTable, targets []greengageroute.Target) *fleet {
+	network := &datagramNetwork{conns: map[netip.AddrPort]*datagramConn{}, received: map[netip.AddrPort]int64{}}
+	fleet := &fleet{ctx: ctx, network: network, targets: targets, routes: routes, events: fleetEvents, models: []string{"m"}}
 	for i := range entries {
 		capacity := 0.134
 		if i < 2*dataCentres {
 			capacity = 0.8
 		}
-		fleet.add(dataCentre(i), capacity)
+		fleet.add(dataCentreName(i, dataCentres), capacity)
 	}
 	for _, entry := range fleet.entries {
 		entry.start()
@@ -253,7 +265,7 @@
 	clock := greengageroute.RuntimeClock{}
 	process.node = mesh.NewNode(entry.name, entry.dataCentre, entry.capacity, entry.fleet.network.listen(entry.address), clock, func() {})
 	process.directory = control.NewDirectory(clock)
-	process.directory.SetRoutes(testRoutes)
+	process.directory.SetRoutes(entry.fleet.routes)
 	process.directory.Replace(entry.fleet.targets, time.Time{})
 	process.prober = control.NewProber(entry.dataCentre, process, process.directory, process.node, clock, process.counters, logr.Discard())
 	process.service = New(Dependencies{
@@ -267,6 +279,11 @@
 	}
 	go process.node.Run(ctx, process, process)
 	go process.prober.RunLinkChecks(ctx)
+	go func() {
+		for sleep(ctx, 200*time.Millisecond) == nil {
+			process.directory.Expire()
+		}
+	}()
 	entry.mu.Lock()
 	entry.process = process
 	entry.mu.Unlock()
@@ -281,12 +298,12 @@
 	process.stop()
 }
 
-// setLinks sets the state of the entry's links to the targets of the given pools.
-func (entry *fleetEntry) setLinks(state linkState, pools ...string) {
+// setLinks sets the state of the entry's links to the targets of the given pools or data centres.
+func (entry *fleetEntry) setLinks(state linkState, names ...string) {
 	entry.mu.Lock()
 	defer entry.mu.Unlock()
-	for _, pool := range pools {
-		entry.links[pool] = state
+	for _, name := range names {
+		entry.links[name] = state
 	}
 	entry.lost = entry.lost || state != linkWorks
 	close(entry.changed)
@@ -300,10 +317,10 @@
 	return entry.lost
 }
 
-func (entry *fleetEntry) link(pool string) (state linkState, changed <-chan struct{}) {
+func (entry *fleetEntry) link(target greengageroute.Target) (state linkState, changed <-chan struct{}) {
 	entry.mu.Lock()
 	defer entry.mu.Unlock()
-	return entry.links[pool], entry.changed
+	return max(entry.links[target.Pool], entry.links[target.DataCentre]), entry.changed
 }
 
 func (entry *fleetEntry) running() (process *fleetProcess, powerOff bool) {
@@ -322,10 +339,10 @@
 	}
 }
 
-// passLink waits until data passes an established connection to a target of a pool.
-func (entry *fleetEntry) passLink(ctx context.Context, pool string) error {
+// passLink waits until data passes an established connection to a target.
+func (entry *fleetEntry) passLink(ctx context.Context, target greengageroute.Target) error {
 	for {
-		state, changed := entry.link(pool)
+		state, changed := entry.link(target)
 		switch state {
 		case linkWorks, linkRefuses:
 			return sleep(ctx, fleetDelay)
@@ -340,9 +357,12 @@
 	}
 }
 
-// connect opens a connection to a target of a pool.
-func (entry *fleetEntry) connect(ctx context.Context, pool string, timeout time.Duration) error {
-	state, _ := entry.link(pool)
+// connect opens a connection to a target.
+func (process *fleetProcess) connect(ctx context.Context, target greengageroute.Target, timeout time.Duration) error {
+	process.mu.Lock()
+	process.dials++
+	process.mu.Unlock()
+	state, _ := process.entry.link(target)
 	switch state {
 	case linkHangs:
 		if err := sleep(ctx, timeout); err != nil {
@@ -359,11 +379,11 @@
 func (process *fleetProcess) Do(ctx context.Context, request greengageroute.Request, attempt greengageroute.Attempt) (*upstream.Answer, error) {
 	target, entry := attempt.Target, process.entry
 	if !process.HasIdleConnection(target, attempt.AtMostOnce) {
-		if err := entry.connect(ctx, target.Pool, fleetDialTimeout); err != nil {
+		if err := process.connect(ctx, target, fleetDialTimeout); err != nil {
 			return nil, &upstream.NotSentError{Target: target.ID, Cause: err}
 		}
 	}
-	if err := entry.passLink(ctx, target.Pool); err != nil {
+	if err := entry.passLink(ctx, target); err != nil {
 		return nil, &upstream.AnswerLostError{Target: target.ID, Cause: err}
 	}
 	if err := sleep(ctx, fleetCallTime); err != nil {
@@ -413,14 +433,14 @@
 			}
 			stream.pending = nil
 		}
-		if stream.next > fleetEvents {
+		if stream.next > stream.process.entry.fleet.events {
 			stream.process.recordUse(stream.target)
 			return 0, io.EOF
 		}
 		if err := sleep(stream.ctx, fleetEventGap); err != nil {
 			return 0, err
 		}
-		if err := stream.process.entry.passLink(stream.ctx, stream.target.Pool); err != nil {
+		if err := stream.process.entry.passLink(stream.ctx, stream.target); err != nil {
 			return 0, err
 		}
 		stream.pending = strings.NewReader(events(stream.next, stream.next))
@@ -432,10 +452,10 @@
 func (process *fleetProcess) Report(ctx context.Context, target greengageroute.Target, timeout time.Duration) (greengageroute.TargetReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if err := process.entry.connect(ctx, target.Pool, timeout); err != nil {
+	if err := process.connect(ctx, target, timeout); err != nil {
 		return greengageroute.TargetReport{}, err
 	}
-	return greengageroute.TargetReport{StartUnixMilli: target.StartUnixMilli, Membership: target.Membership}, process.entry.passLink(ctx, target.Pool)
+	return greengageroute.TargetReport{StartUnixMilli: target.StartUnixMilli, Membership: target.Membership}, process.entry.passLink(ctx, target)
 }
 
 // Do implements Sender.
@@ -476,6 +496,9 @@
 
 // The methods of mesh.Source and mesh.Sink follow.
 
+// Routes implements Config.
+func (process *fleetProcess) Routes() *greengageroute.RouteTable { return process.entry.fleet.routes }
+
 func (process *fleetProcess) Loads() []mesh.Load               { return process.service.Tracker().Loads() }
 func (process *fleetProcess) Limits() []mesh.TargetLimit       { return nil }
 func (process *fleetProcess) Lease() (update mesh.LeaseUpdate) { return update }
@@ -489,7 +512,13 @@
 
 func (process *fleetProcess) TargetsUnreachable(_ string, unreachable []mesh.TargetInstance) {
 	process.directory.RenewUnreachable(unreachable...)
-	process.directory.MarkUnreachable(unreachable...)
+	view := process.directory.View()
+	inactive := slices.DeleteFunc(slices.Clone(unreachable), func(instance mesh.TargetInstance) bool {
+		target, listed := view.Target(instance.ID)
+		return !listed || process.service.HasRecentActivity(target) || process.directory.RespondedLately(instance)
+	})
+	process.directory.MarkUnreachable(inactive...)
+	process.prober.AwaitReported(inactive)
 }
 
 func (process *fleetProcess) TargetsResponding(_ string, responding []mesh.TargetInstance) {
@@ -563,11 +592,13 @@
 	request := newRequest("POST", path).WithContext(ctx)
 	request.Header.Set(platform.HeaderAttemptID, id)
 	request.Header.Set("X-Greengageroute-Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
+	models := process.entry.fleet.models
+	request.Header.Set("X-Greengageroute-Model", models[int(id[len(id)-1])%len(models)])
 	recorder := httptest.NewRecorder()
 	aborted := isAborted(func() { process.service.ServeHTTP(recorder, request) })
 	want := "done"
 	if path == "/chat/x" {
-		want = events(1, fleetEvents)
+		want = events(1, process.entry.fleet.events)
 	}
 	if aborted {
 		return 0, false
@@ -602,15 +633,31 @@
 func (fleet *fleet) counts() string {
 	text := strings.Builder{}
 	for _, name := range []string{CountForwarded, CountHelpersRefused, CountHelpersUnreached, CountNoHelper} {
-		sum := int64(0)
-		for _, entry := range fleet.all() {
-			if process, _ := entry.running(); process != nil {
-				if counter, counted := process.counters.Get(name).(*expvar.Int); counted {
-					sum += counter.Value()
-				}
+		fmt.Fprintf(&text, "%s: %d; ", name, fleet.count(name))
+	}
+	return text.String()
+}
+
+// count returns the sum of a counter of all running entries.
+func (fleet *fleet) count(name string) (sum int64) {
+	for _, entry := range fleet.all() {
+		if process, _ := entry.running(); process != nil {
+			if counter, counted := process.counters.Get(name).(*expvar.Int); counted {
+				sum += counter.Value()
 			}
 		}
-		fmt.Fprintf(&text, "%s: %d; ", name, sum)
 	}
-	return text.String()
+	return sum
+}
+
+// dials returns how many connections to targets all running entries made.
+func (fleet *fleet) dials() (sum int) {
+	for _, entry := range fleet.all() {
+		if process, _ := entry.running(); process != nil {
+			process.mu.Lock()
+			sum += process.dials
+			process.mu.Unlock()
+		}
+	}
+	return sum
 }
--- a/mesh/ranking.go
+++ b/mesh/ranking.go
@@ -36,6 +36,22 @@
 	return node.isFullMesh()
 }
 
+// EntriesSharingLinks returns about how many live entries are in this data centre, this one
+// included. In a large fleet most entries know the others of their data centre from the store's
+// list alone, which may name some that have ended.
+func (node *Node) EntriesSharingLinks() int {
+	live := node.LiveEntries()
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	listed := 1
+	for _, other := range node.peers {
+		if node.inDataCentre(other) {
+			listed++
+		}
+	}
+	return min(listed, live)
+}
+
 // PlannerInDataCentre reports whether another entry of this data centre holds the
 // planner's lease, by the newest message about it.
 func (node *Node) PlannerInDataCentre() bool {
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -226,6 +226,7 @@
 	})
 	if len(inactive) > 0 {
 		entry.directory.MarkUnreachable(inactive...)
+		entry.prober.AwaitReported(inactive)
 	}
 }
 
