Mesh, edge: entries tell each other of silent replicas

Change: an entry tells the others at once of the head of a silent replica (key 40). For a second the replica costs 300 ms and its longest iteration more, until any entry receives something from it, and the members are probed by the entry that told. The idle time of a target counts from what it sent.

--- a/balance.go
+++ b/balance.go
@@ -23,6 +23,10 @@
 	// gapPenalty is added for a replica whose next iteration would make its running
 	// streams miss the gap objective.
 	gapPenalty = 150 * time.Millisecond
+	// suspicionDelay is added, with the longest iteration, for a replica that another entry
+	// suspects: what a request at a lost replica waits until the members were probed. A sound
+	// replica is still used if the others are full by that much.
+	suspicionDelay = 300 * time.Millisecond
 	// shareSize is how many replicas of a model an entry prefers, of those in its data
 	// centre and of the others each. Entries of a large fleet would otherwise dial
 	// nearly every request, and all choose the same replicas before they learn of each
@@ -41,6 +45,7 @@
 		Slowdown          float64       // measured time divided by the published one
 		Local             bool          // its head is in the entry's data centre
 		Unresponsive      bool          // no event for longer than an iteration takes
+		Suspected         bool          // another entry says so, and none has received one since
 		HasIdleConnection bool          // there is an idle connection to its head
 		SharePenalty      time.Duration // positive if the entry prefers other replicas
 		Limited           bool          // its head gets no more requests now, by the limit that it names or as it asked for a backoff
@@ -130,6 +135,9 @@
 		if candidate.Load.Running > 0 && gapObjective > 0 && candidate.NextIterationTime(engine, model, promptTokens) > time.Duration(gapMargin*float64(gapObjective)) {
 			cost += gapPenalty
 		}
+		if candidate.Suspected {
+			cost += suspicionDelay + engine.LongestIteration(model, candidate.Load)
+		}
 		if candidate.Unresponsive {
 			cost += time.Hour
 		}
--- a/balance_test.go
+++ b/balance_test.go
@@ -115,6 +115,9 @@
 		{"a straggler only if it is far less loaded", []ReplicaCandidate{{Slowdown: 5}, {Load: EngineLoad{Running: 10}}}, 1},
 		{"an unresponsive replica last", []ReplicaCandidate{{Unresponsive: true}, {Load: EngineLoad{Running: 26, PrefillTokens: 20_000}}}, 1},
 		{"an unresponsive replica if there is no other", []ReplicaCandidate{{Unresponsive: true}}, 0},
+		{"not a suspected replica", []ReplicaCandidate{{Suspected: true}, {Load: EngineLoad{Running: 20}}}, 1},
+		{"a suspected replica if the others are full", []ReplicaCandidate{{Suspected: true}, {Load: EngineLoad{Running: 60}}}, 0},
+		{"a suspected replica before an unresponsive one", []ReplicaCandidate{{Suspected: true}, {Unresponsive: true}}, 0},
 		{"the local one of equal replicas", []ReplicaCandidate{{}, {Local: true}}, 1},
 		{"a replica with a free slot", []ReplicaCandidate{{Load: EngineLoad{Running: 26}}, {Load: EngineLoad{Running: 25}}}, 1},
 		{"not the replica whose streams would miss their gap objective", []ReplicaCandidate{
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -57,13 +57,14 @@
 	}
 )
 
-func (fixture *fixture) Routes() *greengageroute.RouteTable          { return testRoutes }
-func (fixture *fixture) Age() time.Duration                          { return fixture.age }
-func (fixture *fixture) LiveEntries() int                            { return fixture.liveEntries }
-func (fixture *fixture) LoadChanged()                                {}
-func (fixture *fixture) IsFullMesh() bool                            { return true }
-func (fixture *fixture) Limits() map[string]greengageroute.PeerLimit { return nil }
-func (fixture *fixture) ReportSound(...greengageroute.CrashCause)    {}
+func (fixture *fixture) Routes() *greengageroute.RouteTable               { return testRoutes }
+func (fixture *fixture) Age() time.Duration                               { return fixture.age }
+func (fixture *fixture) LiveEntries() int                                 { return fixture.liveEntries }
+func (fixture *fixture) LoadChanged()                                     {}
+func (fixture *fixture) IsFullMesh() bool                                 { return true }
+func (fixture *fixture) Limits() map[string]greengageroute.PeerLimit      { return nil }
+func (fixture *fixture) ReportSuspected(...greengageroute.TargetInstance) {}
+func (fixture *fixture) ReportSound(...greengageroute.CrashCause)         {}
 func (fixture *fixture) ReportLeaving(leaving ...greengageroute.TargetInstance) {
 	fixture.reportedLeaving = append(fixture.reportedLeaving, leaving...)
 }
@@ -135,6 +136,7 @@
 func (calmDependencies) LostPool(string) bool                               { return false }
 func (calmDependencies) ReportCrash(greengageroute.CrashReport)             {}
 func (calmDependencies) ReportLeaving(...greengageroute.TargetInstance)     {}
+func (calmDependencies) ReportSuspected(...greengageroute.TargetInstance)   {}
 func (calmDependencies) ReportSound(...greengageroute.CrashCause)           {}
 func (calmDependencies) ProbeReplica(greengageroute.Replica)                {}
 func (calmDependencies) AcceptsConnections(greengageroute.Target) bool      { return true }
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -46,6 +46,8 @@
 		ReportLeaving(leaving ...greengageroute.TargetInstance)
 		// ReportSound notifies the peers of causes that crash no targets.
 		ReportSound(causes ...greengageroute.CrashCause)
+		// ReportSuspected notifies the peers of heads of replicas that may have lost a member.
+		ReportSuspected(heads ...greengageroute.TargetInstance)
 		// Active reports whether any entry has received something from the target
 		// within the given time.
 		Active(target string, within time.Duration) bool
@@ -111,6 +113,7 @@
 		tracker    *Tracker
 		quarantine *greengageroute.Quarantine
 		checks     *replicaChecks
+		suspicions *replicaSuspicions
 		bounds     atomic.Pointer[greengageroute.Bounds]
 		hasTraffic atomic.Bool
 		stop       atomic.Pointer[stopSchedule] // nil until the entry stops
@@ -177,6 +180,10 @@
 	// lost a member, CountReplicasLost those whose replica was found to have lost one.
 	CountStreamsSuspected = "streams-suspected"
 	CountReplicasLost     = "streams-lost-replica"
+	// CountReplicasSuspected counts silent replicas of which this entry told the others, and
+	// CountSuspicionsReceived those of which others told it.
+	CountReplicasSuspected  = "replicas-suspected"
+	CountSuspicionsReceived = "replica-suspicions-received"
 	// CountHedgesSent counts attempts that were started beside suspected ones,
 	// CountHedgesWon those that brought the next event, and CountStreamsRecovered the
 	// suspected ones that did.
@@ -226,6 +233,7 @@
 // New returns a service that uses the given dependencies.
 func New(dependencies Dependencies) *Service {
 	service := &Service{Dependencies: dependencies, tracker: NewTracker(), budgets: map[string]*greengageroute.RetryBudget{}}
+	service.suspicions = newReplicaSuspicions()
 	service.running, service.endRunning = context.WithCancel(context.Background())
 	service.quarantine = greengageroute.NewQuarantine(service.logQuarantine)
 	service.checks = newReplicaChecks(func(head greengageroute.Target) bool { return service.Prober.StillServes(head) })
@@ -250,7 +258,7 @@
 		return false
 	}
 	stats := service.tracker.Stats(replica.Head().ID)
-	return stats.Running > 0 && time.Since(stats.LastActivity) < activityWindow
+	return stats.Running > 0 && time.Since(stats.LastReceived) < activityWindow
 }
 
 // ConfigFresh reports whether keys may be checked against the config: it was
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -68,6 +68,9 @@
 		mu      sync.Mutex
 		entries []*fleetEntry
 		tries   []firstTry
+		dead    greengageroute.Set[string] // ids of targets that have ended
+		// sentToLost is how many requests were sent to the heads of replicas with dead members.
+		sentToLost int
 	}
 
 	// fleetEntry is an entry, through restarts of its process.
@@ -224,7 +227,7 @@
 // newFleetWith returns a fleet with the given targets.
 func newFleetWith(ctx context.Context, entries, dataCentres int, routes *greengageroute.RouteTable, targets []greengageroute.Target) *fleet {
 	network := &datagramNetwork{conns: map[netip.AddrPort]*datagramConn{}, received: map[netip.AddrPort]int64{}}
-	fleet := &fleet{ctx: ctx, network: network, targets: targets, routes: routes, events: fleetEvents, models: []string{"m"}}
+	fleet := &fleet{ctx: ctx, network: network, targets: targets, routes: routes, events: fleetEvents, models: []string{"m"}, dead: greengageroute.Set[string]{}}
 	for i := range entries {
 		capacity := 0.134
 		if i < 2*dataCentres {
@@ -375,6 +378,23 @@
 	return sleep(ctx, 2*fleetDelay)
 }
 
+// hasLost reports whether a target has ended, or its replica has lost a member: then its head
+// accepts requests and sends nothing.
+func (fleet *fleet) hasLost(target greengageroute.Target, members bool) bool {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	return fleet.dead.Has(target.ID) || members && slices.ContainsFunc(fleet.targets, func(other greengageroute.Target) bool {
+		return fleet.dead.Has(other.ID) && other.Membership.Replica != "" && other.Membership.Replica == target.Membership.Replica
+	})
+}
+
+// kill ends a target.
+func (fleet *fleet) kill(target string) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	fleet.dead.Add(target)
+}
+
 // Do implements Sender.
 func (process *fleetProcess) Do(ctx context.Context, request greengageroute.Request, attempt greengageroute.Attempt) (*upstream.Answer, error) {
 	target, entry := attempt.Target, process.entry
@@ -386,6 +406,12 @@
 	if err := entry.passLink(ctx, target); err != nil {
 		return nil, &upstream.AnswerLostError{Target: target.ID, Cause: err}
 	}
+	if entry.fleet.hasLost(target, true) {
+		entry.fleet.mu.Lock()
+		entry.fleet.sentToLost++
+		entry.fleet.mu.Unlock()
+		<-ctx.Done()
+	}
 	if err := sleep(ctx, fleetCallTime); err != nil {
 		return nil, &upstream.AnswerLostError{Target: target.ID, Cause: err}
 	}
@@ -440,6 +466,10 @@
 		if err := sleep(stream.ctx, fleetEventGap); err != nil {
 			return 0, err
 		}
+		if stream.process.entry.fleet.hasLost(stream.target, true) {
+			<-stream.ctx.Done()
+			return 0, stream.ctx.Err()
+		}
 		if err := stream.process.entry.passLink(stream.ctx, stream.target); err != nil {
 			return 0, err
 		}
@@ -455,6 +485,10 @@
 	if err := process.connect(ctx, target, timeout); err != nil {
 		return greengageroute.TargetReport{}, err
 	}
+	if process.entry.fleet.hasLost(target, false) {
+		<-ctx.Done()
+		return greengageroute.TargetReport{}, ctx.Err()
+	}
 	return greengageroute.TargetReport{StartUnixMilli: target.StartUnixMilli, Membership: target.Membership}, process.entry.passLink(ctx, target)
 }
 
@@ -524,6 +558,10 @@
 func (process *fleetProcess) TargetsResponding(_ string, responding []mesh.TargetInstance) {
 	process.prober.RecordResponding(responding)
 }
+
+func (process *fleetProcess) ReplicasSuspected(_ string, heads []mesh.TargetInstance) {
+	process.service.RecordSuspected(heads)
+}
 func (process *fleetProcess) TargetsSlow(string, []mesh.TargetInstance)                    {}
 func (process *fleetProcess) TargetsLeaving(string, []mesh.TargetInstance)                 {}
 func (process *fleetProcess) CrashesReported(string, []greengageroute.CrashReport)         {}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -122,7 +122,8 @@
 		candidates = append(candidates, greengageroute.ReplicaCandidate{
 			Replica: replica, Load: load, Slowdown: slowdown,
 			Local: head.DataCentre == service.DataCentre, Unresponsive: unresponsive, HasIdleConnection: service.Sender.HasIdleConnection(head, false),
-			Limited: backoff > 0 || limit > 0 && !exchange.headerSent,
+			Suspected: service.isSuspected(head),
+			Limited:   backoff > 0 || limit > 0 && !exchange.headerSent,
 		})
 	}
 	exchange.recordLimitWaits(len(candidates), waits)
--- a/edge/streamattempt.go
+++ b/edge/streamattempt.go
@@ -195,12 +195,14 @@
 }
 
 // requestProbe has the members of a silent replica probed if no entry has received anything
-// from its head lately.
+// from its head lately, and tells the others that it is suspected.
 func (attempt *streamAttempt) requestProbe() {
 	service := attempt.stream.exchange.service
-	if attempt.source.engine != nil && !service.Peers.Active(attempt.head().ID, attempt.unresponsiveAfter) {
-		service.Prober.ProbeReplica(attempt.source.replica)
+	if attempt.source.engine == nil || service.Peers.Active(attempt.head().ID, attempt.unresponsiveAfter) || !service.mayProbe(attempt.head()) {
+		return
 	}
+	service.suspect(attempt.source.replica, time.Since(attempt.lastEvent))
+	service.Prober.ProbeReplica(attempt.source.replica)
 }
 
 // recordProgress records an event and the replica's speed relative to the published one.
--- a/edge/tracker.go
+++ b/edge/tracker.go
@@ -53,7 +53,8 @@
 		PrefillTokens   int // sent, not yet processed
 		Latency         time.Duration
 		Failures        float64   // exponentially decayed share of failed answers
-		LastActivity    time.Time // of the last event or answer
+		LastActivity    time.Time // of the last event or answer, or of the first running request
+		LastReceived    time.Time // of the last event or answer; zero if there was none
 		failuresUpdated time.Time
 		slowdown        float64 // inter-event gap as a multiple of the published iteration time
 		slowdownUpdated time.Time
@@ -110,7 +111,7 @@
 
 // RecordEvent records the arrival of a stream's event from a target.
 func (tracker *Tracker) RecordEvent(id string, now time.Time) {
-	tracker.update(id, func(stats *TargetStats) { stats.LastActivity = now })
+	tracker.update(id, func(stats *TargetStats) { stats.LastActivity, stats.LastReceived = now, now })
 }
 
 // RecordEventGap records an inter-event gap, as a multiple of the published
@@ -154,7 +155,7 @@
 func (tracker *Tracker) RecordAnswer(id string, latency time.Duration, failed bool) {
 	now := time.Now()
 	tracker.update(id, func(stats *TargetStats) {
-		stats.LastActivity = now
+		stats.LastActivity, stats.LastReceived = now, now
 		stats.Latency += time.Duration(latencyWeight * float64(latency-stats.Latency))
 		stats.Failures = stats.failuresAt(now) * (1 - latencyWeight)
 		if failed {
@@ -275,7 +276,8 @@
 		shard.mu.Lock()
 		for id, stats := range shard.targets {
 			if stats.Running > 0 {
-				idle := time.Since(stats.LastActivity).Milliseconds()
+				// A request that was sent is no sign of life.
+				idle := min(time.Since(stats.LastReceived), recordTTL).Milliseconds()
 				loads = append(loads, mesh.Load{Target: id, Running: stats.Running, PrefillTokens: stats.PrefillTokens, IdleMillis: idle})
 			} else if time.Since(stats.LastActivity) > recordTTL {
 				delete(shard.targets, id)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -27,6 +27,7 @@
 	slow                 []TargetInstance
 	leaving              []TargetInstance
 	responding           []TargetInstance
+	suspected            []TargetInstance
 	leaseUpdates         []LeaseUpdate
 	readsStore, isolated atomic.Bool
 	refused              []greengageroute.QuarantineVerdict
@@ -65,6 +66,12 @@
 	entry.responding = append(entry.responding, responding...)
 }
 
+func (entry *testEntry) ReplicasSuspected(_ string, heads []TargetInstance) {
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	entry.suspected = append(entry.suspected, heads...)
+}
+
 func (entry *testEntry) TargetsSlow(_ string, slow []TargetInstance) {
 	entry.mu.Lock()
 	defer entry.mu.Unlock()
@@ -450,10 +457,11 @@
 	entries[39].ReportUnreachable(TargetInstance{ID: "i-9", StartUnixMilli: 4})
 	entries[39].ReportSlow(TargetInstance{ID: "i-9", StartUnixMilli: 4})
 	entries[39].ReportLeaving(TargetInstance{ID: "i-9", StartUnixMilli: 4}) // the same target as the slow one
-	waitUntil(t, "the unreachable target, the slow target, the leaving target and the lease are known to all", func() bool {
+	entries[39].ReportSuspected(TargetInstance{ID: "i-9", StartUnixMilli: 4})
+	waitUntil(t, "the unreachable target, the slow target, the leaving target, the suspected head and the lease are known to all", func() bool {
 		for _, entry := range entries[:39] {
 			entry.mu.Lock()
-			known := len(entry.unreachable) > 0 && len(entry.slow) > 0 && len(entry.leaving) > 0 && (entry == entries[0] || len(entry.leaseUpdates) > 0)
+			known := len(entry.unreachable) > 0 && len(entry.slow) > 0 && len(entry.leaving) > 0 && len(entry.suspected) > 0 && (entry == entries[0] || len(entry.leaseUpdates) > 0)
 			entry.mu.Unlock()
 			if !known {
 				return false
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -86,6 +86,8 @@
 		// entries that reach such pools. They are in summaries.
 		Wanted  []string      `cbor:"29,keyasint,omitempty"`
 		Helpers []PoolHelpers `cbor:"30,keyasint,omitempty"`
+		// Suspected are heads of replicas that are silent and may have lost a member.
+		Suspected []TargetInstance `cbor:"40,keyasint,omitempty"`
 	}
 
 	// LoadRange is the range of target ids whose loads a message has: from the first,
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -73,6 +73,8 @@
 		TargetsUnreachable(from string, unreachable []TargetInstance)
 		// TargetsResponding receives targets that respond again.
 		TargetsResponding(from string, responding []TargetInstance)
+		// ReplicasSuspected receives heads of replicas that may have lost a member.
+		ReplicasSuspected(from string, heads []TargetInstance)
 		TargetsSlow(from string, slow []TargetInstance)
 		TargetsLeaving(from string, leaving []TargetInstance)
 		CrashesReported(from string, crashes []greengageroute.CrashReport)
@@ -109,6 +111,7 @@
 		peerAddedAt      time.Time // when a peer from the store's list was last added
 		unreachable      []timestamped[TargetInstance]
 		responding       []timestamped[TargetInstance]
+		suspected        []timestamped[TargetInstance]
 		slow             []timestamped[TargetInstance]
 		targetsLeaving   []timestamped[TargetInstance]
 		crashes          []timestamped[greengageroute.CrashReport]
@@ -255,6 +258,9 @@
 // ReportSlow notifies the peers at once of targets that reported themselves as slow.
 func (node *Node) ReportSlow(slow ...TargetInstance) { report(node, &node.slow, slow) }
 
+// ReportSuspected notifies the peers at once of heads of replicas that may have lost a member.
+func (node *Node) ReportSuspected(heads ...TargetInstance) { report(node, &node.suspected, heads) }
+
 // ReportLeaving notifies the peers at once of targets that say that they are leaving.
 func (node *Node) ReportLeaving(leaving ...TargetInstance) {
 	report(node, &node.targetsLeaving, leaving)
@@ -441,6 +447,7 @@
 	message.Sequence = node.sequence
 	node.unreachable, message.Unreachable = currentUpdates(node.unreachable, now, node.sequence, maxUpdates)
 	node.responding, message.Responding = currentUpdates(node.responding, now, node.sequence, maxUpdates)
+	node.suspected, message.Suspected = currentUpdates(node.suspected, now, node.sequence, maxUpdates)
 	node.slow, message.Slow = currentUpdates(node.slow, now, node.sequence, maxUpdates)
 	node.targetsLeaving, message.TargetsLeaving = currentUpdates(node.targetsLeaving, now, node.sequence, maxUpdates)
 	node.crashes, message.Crashes = currentUpdates(node.crashes, now, node.sequence, maxCrashUpdates)
@@ -549,6 +556,9 @@
 	if len(message.Responding) > 0 {
 		node.sink.TargetsResponding(message.From, message.Responding)
 	}
+	if len(message.Suspected) > 0 {
+		node.sink.ReplicasSuspected(message.From, message.Suspected)
+	}
 	if len(message.Slow) > 0 {
 		node.sink.TargetsSlow(message.From, message.Slow)
 	}
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -51,6 +51,9 @@
 	// respondingUpdate is the key of a target that responds again.
 	respondingUpdate TargetInstance
 
+	// suspectedUpdate is the key of the head of a suspected replica.
+	suspectedUpdate TargetInstance
+
 	// leavingUpdate is the key of a leaving target among the forwarded updates.
 	leavingUpdate TargetInstance
 
@@ -259,6 +262,7 @@
 	for _, target := range message.Unreachable {
 		node.forgetSoon(respondingUpdate(target), now)
 	}
+	forwardNew(node, &node.suspected, message.Suspected, func(head TargetInstance) any { return suspectedUpdate(head) }, now)
 	forwardNew(node, &node.slow, message.Slow, func(target TargetInstance) any { return slowUpdate(target) }, now)
 	forwardNew(node, &node.targetsLeaving, message.TargetsLeaving, func(target TargetInstance) any { return leavingUpdate(target) }, now)
 	forwardNew(node, &node.crashes, message.Crashes, func(crash greengageroute.CrashReport) any { return newCrashUpdate(crash) }, now)
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -235,6 +235,11 @@
 	entry.prober.RecordResponding(responding)
 }
 
+// ReplicasSuspected implements mesh.Sink.
+func (entry *Entry) ReplicasSuspected(_ string, heads []mesh.TargetInstance) {
+	entry.service.RecordSuspected(heads)
+}
+
 // TargetsSlow implements mesh.Sink.
 func (entry *Entry) TargetsSlow(_ string, slow []mesh.TargetInstance) {
 	if len(entry.directory.MarkSlow(slow...)) > 0 {
