--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -67,6 +67,7 @@
 func (fixture *fixture) ReportCold(...mesh.ColdReport)               {}
 func (fixture *fixture) Seat() greengageroute.Seat                   { return greengageroute.Seat{Entries: 3} }
 func (fixture *fixture) ReportSound(...greengageroute.CrashCause)    {}
+func (fixture *fixture) ReportSuspected(...greengageroute.TargetInstance) {}
 func (fixture *fixture) ReportLeaving(leaving ...greengageroute.TargetInstance) {
 	fixture.reportedLeaving = append(fixture.reportedLeaving, leaving...)
 }
@@ -142,6 +143,7 @@
 func (calmDependencies) ReportLeaving(...greengageroute.TargetInstance)     {}
 func (calmDependencies) ReportCold(...mesh.ColdReport)                      {}
 func (calmDependencies) Seat() greengageroute.Seat                          { return greengageroute.Seat{Entries: 1} }
+func (calmDependencies) ReportSuspected(...greengageroute.TargetInstance)   {}
 func (calmDependencies) ReportSound(...greengageroute.CrashCause)           {}
 func (calmDependencies) ProbeReplica(greengageroute.Replica)                {}
 func (calmDependencies) AcceptsConnections(greengageroute.Target) bool      { return true }
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -88,6 +88,8 @@
 		Helpers []PoolHelpers `cbor:"30,keyasint,omitempty"`
 		// Cold are targets that said in a response that they are cold.
 		Cold []ColdReport `cbor:"35,keyasint,omitempty"`
+		// Suspected are heads of replicas that are silent and may have lost a member.
+		Suspected []TargetInstance `cbor:"40,keyasint,omitempty"`
 	}
 
 	// LoadRange is the range of target ids whose loads a message has: from the first,
