--- a/balance.go
+++ b/balance.go
@@ -159,6 +159,18 @@
 	return index, expected
 }
 
+// Occupancy returns the part of the slots that are taken of the replicas that get requests.
+func Occupancy(engine *Engine, candidates []ReplicaCandidate) float64 {
+	taken, slots := 0, 0
+	for _, candidate := range candidates {
+		if !candidate.Limited {
+			taken += min(candidate.Load.Running, engine.Slots)
+			slots += engine.Slots
+		}
+	}
+	return float64(taken) / float64(max(slots, 1))
+}
+
 // ChooseTarget returns the index of the target with the lowest expected response
 // time, or -1 if there is none or all are limited. A failure counts as the time of a second attempt.
 func ChooseTarget(candidates []TargetCandidate) int {
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"strconv"
 	"sync"
 	"time"
@@ -12,12 +11,11 @@
 )
 
 const (
-	// refusedShareWeight is the weight of the newest decision in the share refused lately.
-	refusedShareWeight = 0.05
-	// refusedShareDecay is the time after which the share counts for about a third.
-	refusedShareDecay = 2 * time.Second
 	// maxIdleWorkspaces is the number of workspaces from which idle ones are dropped.
 	maxIdleWorkspaces = 256
+	// allWorkspaces is the key of the rate of all workspaces together. No workspace that
+	// owns a key has an empty name.
+	allWorkspaces = ""
 )
 
 // CountAdmission counts the decisions on streams to pools with a published engine. It is
@@ -36,10 +34,9 @@
 	overloadKey struct{ pool, model string }
 
 	overloadModel struct {
-		offset         greengageroute.FirstTokenOffset
-		ranks          greengageroute.SeenRanks
-		refused        float64 // share of the decisions
-		refusedUpdated time.Time
+		offset  greengageroute.FirstTokenOffset
+		ranks   greengageroute.SeenRanks
+		refused map[int]greengageroute.RefusedShare // by level
 	}
 )
 
@@ -51,7 +48,7 @@
 func (records *overloadRecords) model(key overloadKey) *overloadModel {
 	model, known := records.models[key]
 	if !known {
-		model = &overloadModel{}
+		model = &overloadModel{refused: map[int]greengageroute.RefusedShare{}}
 		records.models[key] = model
 	}
 	return model
@@ -79,37 +76,30 @@
 	if !known && len(records.workspaces) >= maxIdleWorkspaces {
 		maps.DeleteFunc(records.workspaces, func(_ string, rate greengageroute.UsualRate) bool { return rate.IsIdle(now) })
 	}
-	rate, isUsual = rate.WithRequest(now)
+	all := records.workspaces[allWorkspaces]
+	rate, isUsual = rate.WithRequest(now, all.GrowthOfOthers(rate, now))
 	records.workspaces[workspace] = rate
+	records.workspaces[allWorkspaces], _ = all.WithRequest(now, 1)
 	return isUsual
 }
 
-// recordDecision records whether a request was refused.
-func (records *overloadRecords) recordDecision(key overloadKey, refused bool, now time.Time) {
+// recordDecision records whether a request of a level was sent.
+func (records *overloadRecords) recordDecision(key overloadKey, level int, isSent bool, now time.Time) {
 	records.mu.Lock()
 	defer records.mu.Unlock()
-	model := records.model(key)
-	share := model.refusedShare(now) * (1 - refusedShareWeight)
-	if refused {
-		share += refusedShareWeight
-	}
-	model.refused, model.refusedUpdated = share, now
-}
-
-// refusedShare returns the share of the decisions lately that were refusals.
-func (model *overloadModel) refusedShare(now time.Time) float64 {
-	return model.refused * math.Exp(-now.Sub(model.refusedUpdated).Seconds()/refusedShareDecay.Seconds())
+	refused := records.model(key).refused
+	refused[level] = refused[level].WithDecision(isSent, now)
 }
 
-// input fills in what the records tell of a model.
-func (records *overloadRecords) input(key overloadKey, rank int, now time.Time) greengageroute.OverloadInput {
+// input returns what the records tell of a model.
+func (records *overloadRecords) input(key overloadKey, rank int, overUsual bool, now time.Time) (input greengageroute.OverloadInput) {
 	records.mu.Lock()
 	defer records.mu.Unlock()
 	model := records.model(key)
-	lowest, moreUrgent := model.ranks.AtLeastAsUrgent(rank, now)
-	return greengageroute.OverloadInput{
-		Offset: model.offset.Mean(), LowestObjective: lowest, MoreUrgent: moreUrgent, RefusedShare: model.refusedShare(now),
-	}
+	input.Offset, input.OverUsual = model.offset.Mean(), overUsual
+	input.LowestObjective, input.MoreUrgent = model.ranks.AtLeastAsUrgent(rank, now)
+	input.RefusedShare, input.UrgentRefusedShare = greengageroute.HighestRefusedShares(model.refused, greengageroute.OverloadLevel(rank, overUsual), now)
+	return input
 }
 
 func (exchange *exchange) overloadKey() overloadKey {
@@ -132,7 +122,7 @@
 		chosen = *chosen.alternative
 		decision = exchange.overloadInput(chosen, now).Decide()
 	}
-	records.recordDecision(key, !decision.IsSent(), now)
+	records.recordDecision(key, greengageroute.OverloadLevel(exchange.priority, exchange.overUsual), decision.IsSent(), now)
 	exchange.recordDecision(chosen, decision)
 	if decision.IsSent() {
 		return chosen, nil
@@ -141,10 +131,10 @@
 }
 
 func (exchange *exchange) overloadInput(source source, now time.Time) greengageroute.OverloadInput {
-	input := exchange.service.overload.input(exchange.overloadKey(), exchange.priority, now)
-	input.Engine, input.Model, input.Load, input.Slowdown = source.engine, source.model, source.load, source.slowdown
+	input := exchange.service.overload.input(exchange.overloadKey(), exchange.priority, exchange.overUsual, now)
+	input.Engine, input.Model, input.Load, input.Slowdown, input.Occupancy = source.engine, source.model, source.load, source.slowdown, source.occupancy
 	input.Objective, input.Waited, input.Remaining = exchange.route.LatencyObjective, now.Sub(exchange.arrived), exchange.deadline.Sub(now)
-	input.PromptTokens, input.AnswerTokens, input.OverUsual = exchange.PromptTokens, exchange.AnswerTokens, exchange.overUsual
+	input.PromptTokens, input.AnswerTokens = exchange.PromptTokens, exchange.AnswerTokens
 	input.Draw = float64(xxhash.Sum64String(exchange.ID+"/"+source.replica.Name)>>11) / (1 << 53)
 	return input
 }
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -50,6 +50,7 @@
 		engine           *greengageroute.Engine
 		load             greengageroute.EngineLoad
 		slowdown         float64
+		occupancy        float64       // part of the slots of the model's replicas that are taken
 		timeToFirstToken time.Duration // predicted
 		unresponsive     bool          // it runs requests and has been silent for too long
 		alternative      *source       // the best with a free slot, if this one has none
@@ -120,9 +121,10 @@
 		return source{}, false
 	}
 	found := newSource(engine, model, candidates[index], timeToFirstToken)
+	found.occupancy = greengageroute.Occupancy(engine, candidates)
 	if index, timeToFirstToken := greengageroute.ChooseFreeReplica(engine, model, exchange.PromptTokens, index, candidates); index >= 0 {
 		alternative := newSource(engine, model, candidates[index], timeToFirstToken)
-		found.alternative = &alternative
+		alternative.occupancy, found.alternative = found.occupancy, &alternative
 	}
 	return found, true
 }
