--- a/formationrepair.go
+++ b/formationrepair.go
@@ -143,8 +143,8 @@
 }
 
 // needsSparesOfWider reports whether a damaged replica could only be completed by targets that
-// have the weights of a model with more targets a replica staged. Without that spare the loss of
-// a single member leaves more targets idle than this replica has.
+// have the weights of a wider model staged, of which callers miss a replica more. Without that
+// spare the loss of a single member leaves more targets idle than this replica has.
 func (formation *Formation) needsSparesOfWider(view PoolView, damaged damagedAssignment, reserved Set[string]) bool {
 	spares := formation.spares(view, damaged.Assignment, reserved, joinCostLoading)
 	if len(spares) < damaged.missing() {
@@ -153,7 +153,8 @@
 	return slices.ContainsFunc(spares[:damaged.missing()], func(id string) bool {
 		return slices.ContainsFunc(view.Targets[id].Staged, func(staged string) bool {
 			model, known := view.Engine.Model(staged)
-			return known && model.Size > len(damaged.Members)
+			return known && model.Size > len(damaged.Members) &&
+				formation.expectedLoss(view, damaged.Domain, staged, 0) >= formation.expectedLoss(view, damaged.Domain, damaged.Model, 0)
 		})
 	})
 }
--- a/formationspares.go
+++ b/formationspares.go
@@ -104,22 +104,13 @@
 }
 
 // stagingOrder picks the model with the highest expected loss without a further staged spare,
-// and a free target that has nothing staged or whose staged model the domain can spare. The
-// expected loss is the number of members that may be lost in the domain times the share of the
-// model's replicas that a loss takes out of service, over the spares that it has.
+// and a free target that has nothing staged or whose staged model the domain can spare.
 func (formation *Formation) stagingOrder(view PoolView, domain string, free []Target, spares map[string]int) (TargetOrder, bool) {
-	members, replicas := map[string]int{}, map[string]int{}
-	for _, assignment := range formation.Assignments {
-		replicas[assignment.Model]++
-		if assignment.Domain == domain {
-			members[assignment.Model] += len(assignment.Members)
-		}
-	}
-	expectedLoss := func(model EngineModel) float64 {
-		return float64(members[model.Name]) / float64(max(replicas[model.Name], 1)) / float64(1+spares[model.Name])
-	}
+	members := formation.membersIn(domain)
 	models := slices.Clone(view.Engine.Models)
-	slices.SortStableFunc(models, func(a, b EngineModel) int { return cmp.Compare(expectedLoss(b), expectedLoss(a)) })
+	slices.SortStableFunc(models, func(a, b EngineModel) int {
+		return cmp.Compare(formation.expectedLoss(view, domain, b.Name, spares[b.Name]), formation.expectedLoss(view, domain, a.Name, spares[a.Name]))
+	})
 	if len(models) == 0 {
 		return TargetOrder{}, false
 	}
@@ -137,3 +128,33 @@
 	}
 	return TargetOrder{}, false
 }
+
+// membersIn returns how many members the replicas of each model have in a domain.
+func (formation *Formation) membersIn(domain string) map[string]int {
+	members := map[string]int{}
+	for _, assignment := range formation.Assignments {
+		if assignment.Domain == domain {
+			members[assignment.Model] += len(assignment.Members)
+		}
+	}
+	return members
+}
+
+// expectedLoss compares what callers lose by the losses of members in a domain that has a
+// number of staged spares for a model: the members that may be lost, times the share of the
+// model's replicas that each takes out of service, over the spares. It grows with the square of
+// the share of slots in use, where that is known: idle replicas aren't missed, and waiting times
+// rise faster than the use.
+func (formation *Formation) expectedLoss(view PoolView, domain, model string, spares int) float64 {
+	replicas := 0
+	for _, assignment := range formation.Assignments {
+		if assignment.Model == model {
+			replicas++
+		}
+	}
+	use := 1.0
+	if demand, known := view.Demand[model]; known && len(view.Demand) == len(view.Engine.Models) {
+		use = modelUse{ModelDemand: demand, replicas: replicas}.of(view.Engine.Slots)
+	}
+	return float64(formation.membersIn(domain)[model]) / float64(max(replicas, 1)) / float64(1+spares) * use * use
+}
