--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -58,15 +58,15 @@
 	}
 )
 
-func (fixture *fixture) Routes() *greengageroute.RouteTable          { return testRoutes }
-func (fixture *fixture) Age() time.Duration                          { return fixture.age }
-func (fixture *fixture) LiveEntries() int                            { return fixture.liveEntries }
-func (fixture *fixture) LoadChanged()                                {}
-func (fixture *fixture) IsFullMesh() bool                            { return true }
-func (fixture *fixture) Limits() map[string]greengageroute.PeerLimit { return nil }
-func (fixture *fixture) ReportCold(...mesh.ColdReport)               {}
-func (fixture *fixture) Seat() greengageroute.Seat                   { return greengageroute.Seat{Entries: 3} }
-func (fixture *fixture) ReportSound(...greengageroute.CrashCause)    {}
+func (fixture *fixture) Routes() *greengageroute.RouteTable               { return testRoutes }
+func (fixture *fixture) Age() time.Duration                               { return fixture.age }
+func (fixture *fixture) LiveEntries() int                                 { return fixture.liveEntries }
+func (fixture *fixture) LoadChanged()                                     {}
+func (fixture *fixture) IsFullMesh() bool                                 { return true }
+func (fixture *fixture) Limits() map[string]greengageroute.PeerLimit      { return nil }
+func (fixture *fixture) ReportCold(...mesh.ColdReport)                    {}
+func (fixture *fixture) Seat() greengageroute.Seat                        { return greengageroute.Seat{Entries: 3} }
+func (fixture *fixture) ReportSound(...greengageroute.CrashCause)         {}
 func (fixture *fixture) ReportSuspected(...greengageroute.TargetInstance) {}
 func (fixture *fixture) ReportLeaving(leaving ...greengageroute.TargetInstance) {
 	fixture.reportedLeaving = append(fixture.reportedLeaving, leaving...)
--- a/edge/overload_test.go
+++ b/edge/overload_test.go
@@ -117,7 +117,7 @@
 	records, key, now := newOverloadRecords(), overloadKey{"llm", "m"}, time.Now()
 	for i := range b.N {
 		now = now.Add(time.Millisecond)
-		isUsual := records.recordRequest(key, i%3, 300*time.Millisecond, "workspace", now)
+		isUsual := records.recordRequest(key, greengageroute.Route{Priority: i % 3, LatencyObjective: 300 * time.Millisecond}, i%3, "workspace", now)
 		input := records.input(key, i%3, !isUsual, now)
 		input.Engine, input.Model, input.Load.Running, input.Slowdown = testEngine, testEngine.Models[0], i%8, 1.2
 		input.Objective, input.Remaining, input.Draw, input.Occupancy = 300*time.Millisecond, 8*time.Second, 0.5, 0.95
