Balance, edge: small pools by slots, recent rejections and random choice

Cause: entries chose the target with the fewest requests as of the last message, which is several calls old, so that all chose the same one; a rejection lowered the target's mean latency, and the call was sent again to the next full target.

Change: others' requests count by how much of them still runs; the expected time grows with the use of the slots and the requests beyond them; of two targets at random whose times are alike the better one is chosen. A target that rejected a call counts as full for its latency, longer after further rejections.

--- a/balance.go
+++ b/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +19,14 @@
 	// targetConnectPenalty is the same for a target of a plain service, whose
 	// responses take 20 ms.
 	targetConnectPenalty = 2 * time.Millisecond
+	// alikeFactor is up to which multiple of the lowest expected time the times of targets are
+	// alike: their latencies vary by more.
+	alikeFactor = 1.1
+	// loadAge is the age of what entries of a large fleet know of each other's requests.
+	loadAge = 120 * time.Millisecond
+	// minLoadWeight is the least weight of what is known of others' requests at a target: a lasting
+	// difference between targets shows there.
+	minLoadWeight = 0.1
 	// gapMargin is the part of the gap objective that an iteration may take.
 	gapMargin = 0.85
 	// gapPenalty is added for a replica whose next iteration would make its running
@@ -56,8 +65,10 @@
 	TargetCandidate struct {
 		Target            Target
 		Running           int           // requests from all entries
+		Own               int           // of these, this entry's
 		Latency           time.Duration // mean response time
 		Failures          float64       // fraction of its latest responses that failed
+		Full              time.Duration // it has just rejected a request as full, and counts so for this long
 		Local             bool
 		HasIdleConnection bool // there is an idle connection to it
 		Limited           bool // it gets no more requests now, by the limit that it names or as it asked for a backoff
@@ -148,27 +159,70 @@
 	return index, expected
 }
 
-// ChooseTarget returns the index of the target with the lowest expected response
-// time, or -1 if there is none or all are limited. A failure counts as the time of a second attempt.
-func ChooseTarget(candidates []TargetCandidate) int {
-	index := -1
-	lowestCost := 0.0
+// expectedTime predicts the response time of the target with so many running requests, penalties
+// included. Requests beyond its slots wait or are rejected, and one that has few free slots may
+// have none when the request arrives. A failure counts as the time of a second attempt.
+func (candidate TargetCandidate) expectedTime(running float64) time.Duration {
+	slots := candidate.slots()
+	use := min(running/slots, 1)
+	expected := candidate.Latency.Seconds() * (1 + max(running+1-slots, 0)/slots + use*use*use)
+	expected *= 1 + 8*candidate.Failures
+	if !candidate.Local {
+		expected += 2e-3
+	}
+	if !candidate.HasIdleConnection {
+		expected += targetConnectPenalty.Seconds()
+	}
+	return time.Duration(expected*float64(time.Second)) + candidate.Full
+}
+
+func (candidate TargetCandidate) slots() float64 { return float64(max(candidate.Target.Slots, 1)) }
+
+// estimateRunning estimates the requests that run at each target now. What is known of other
+// entries' requests is about loadAge old, and a request ends within the target's latency: the
+// shorter that is, the more a target's load is taken for the mean of all.
+func estimateRunning(candidates []TargetCandidate) []float64 {
+	others, slots := 0.0, 0.0
+	for _, candidate := range candidates {
+		others += float64(candidate.Running - candidate.Own)
+		slots += candidate.slots()
+	}
+	running := make([]float64, len(candidates))
 	for i, candidate := range candidates {
-		if candidate.Limited {
+		mean := others / slots * candidate.slots()
+		weight := max(math.Exp(-loadAge.Seconds()/max(candidate.Latency, time.Millisecond).Seconds()), minLoadWeight)
+		running[i] = float64(candidate.Own) + mean + weight*(float64(candidate.Running-candidate.Own)-mean)
+	}
+	return running
+}
+
+// ChooseTarget returns the index of a target with a low expected response time, or -1 if there is
+// none or all are limited. Targets that have just rejected a request as full are chosen only if all
+// have. Of two targets at random whose expected times are alike, the better one is chosen: entries that know the same loads would otherwise all choose the same target. RandomInt
+// returns a number below the given one.
+func ChooseTarget(candidates []TargetCandidate, randomInt func(below int) int) int {
+	allFull := true
+	for _, candidate := range candidates {
+		allFull = allFull && (candidate.Limited || candidate.Full > 0)
+	}
+	running, expected := estimateRunning(candidates), make([]time.Duration, len(candidates))
+	lowest := time.Duration(math.MaxInt64)
+	var alike []int
+	for i, candidate := range candidates {
+		if candidate.Limited || candidate.Full > 0 && !allFull {
 			continue
 		}
-		slots := float64(max(candidate.Target.Slots, 1))
-		cost := candidate.Latency.Seconds() * (1 + float64(candidate.Running)/slots)
-		cost *= 1 + 8*candidate.Failures
-		if !candidate.Local {
-			cost += 2e-3
-		}
-		if !candidate.HasIdleConnection {
-			cost += targetConnectPenalty.Seconds()
-		}
-		if index < 0 || cost < lowestCost {
-			index, lowestCost = i, cost
-		}
+		expected[i] = candidate.expectedTime(running[i])
+		lowest = min(lowest, expected[i])
+		alike = append(alike, i)
+	}
+	alike = slices.DeleteFunc(alike, func(i int) bool { return float64(expected[i]) > alikeFactor*float64(lowest) })
+	if len(alike) == 0 {
+		return -1
+	}
+	first, second := alike[randomInt(len(alike))], alike[randomInt(len(alike))]
+	if expected[second] < expected[first] {
+		return second
 	}
-	return index
+	return first
 }
--- a/balance_test.go
+++ b/balance_test.go
@@ -147,7 +147,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			if index := ChooseTarget(test.candidates); index != test.want {
+			if index := ChooseTarget(test.candidates, rand.IntN); index != test.want {
 				t.Errorf("got %d, want %d", index, test.want)
 			}
 		})
--- a/edge/call.go
+++ b/edge/call.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -76,6 +77,8 @@
 	return nil
 }
 
+// pickTarget chooses the target for the next attempt. After a rejection as full, no target is
+// chosen that has just rejected another request.
 func (exchange *exchange) pickTarget(tried greengageroute.Set[string]) (greengageroute.Target, bool) {
 	service := exchange.service
 	var candidates []greengageroute.TargetCandidate
@@ -91,15 +94,15 @@
 			waits = append(waits, wait)
 		}
 		candidates = append(candidates, greengageroute.TargetCandidate{
-			Target: target, Running: stats.Running + loads[target.ID].Running, Latency: stats.Latency,
-			Failures: stats.Failures, Local: target.DataCentre == service.DataCentre,
+			Target: target, Running: stats.Running + loads[target.ID].Running, Own: stats.Running, Latency: stats.Latency,
+			Failures: stats.Failures, Full: stats.fullness.Remaining(time.Now()), Local: target.DataCentre == service.DataCentre,
 			HasIdleConnection: service.Sender.HasIdleConnection(target, exchange.route.Kind == greengageroute.NonIdempotent),
 			Limited:           wait > 0,
 		})
 	}
 	exchange.recordLimitWaits(len(candidates), waits)
-	index := greengageroute.ChooseTarget(candidates)
-	if index < 0 {
+	index := greengageroute.ChooseTarget(candidates, rand.IntN)
+	if index < 0 || exchange.rejectedAsFull && candidates[index].Full > 0 {
 		return greengageroute.Target{}, false
 	}
 	return candidates[index].Target, true
--- a/edge/callattempt.go
+++ b/edge/callattempt.go
@@ -91,8 +91,19 @@
 	if attempt.fromEntry || attempt.cancelled && !attempt.hedged {
 		return
 	}
+	service := attempt.call.exchange.service
+	if result.isRejection() {
+		service.Counters.Add(CountTargetsFull, 1)
+		service.tracker.RecordRejection(attempt.target.ID)
+		return
+	}
 	failed := result.err != nil || result.answer.NotRun || result.answer.Status >= http.StatusInternalServerError
-	attempt.call.exchange.service.tracker.RecordAnswer(attempt.target.ID, time.Since(attempt.sentAt), failed)
+	service.tracker.RecordAnswer(attempt.target.ID, time.Since(attempt.sentAt), failed)
+}
+
+// isRejection reports whether the target rejected the call because it was full.
+func (result callResult) isRejection() bool {
+	return !result.attempt.fromEntry && result.answer != nil && result.answer.NotRun && result.answer.Status == http.StatusServiceUnavailable
 }
 
 // isRefusedByEntry reports whether another entry refused the call without having it run.
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -141,6 +141,7 @@
 		attemptsPending int
 		triedTargets    string                      // IDs of the targets tried, for the log
 		limitWait       time.Duration               // until a target takes a request, if none took one at the last choice, by limits and backoffs
+		rejectedAsFull  bool                        // the last target that was tried rejected the request as full
 		mayHaveRun      bool                        // a target may have run the request
 		forwarded       bool                        // another entry, which reaches no target, sent the request
 		cause           greengageroute.CrashCause   // stands for the request in the quarantine
@@ -218,6 +219,8 @@
 	CountTargetsLeaving = "targets-leaving-by-answer"
 	// CountBackoffs counts the backoffs that targets asked for.
 	CountBackoffs = "target-backoffs"
+	// CountTargetsFull counts calls that a target rejected as full.
+	CountTargetsFull = "calls-rejected-by-targets"
 	// CountLimited counts requests refused because of the limits and backoffs of all targets.
 	CountLimited = "requests-over-limits"
 	// CountCausesQuarantined counts the requests and prompt parts that were found to
--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -186,6 +186,7 @@
 	}
 	if !attempt.fromEntry {
 		exchange.recordSent(attempt.target)
+		exchange.rejectedAsFull = result.isRejection()
 		exchange.mayHaveRun = exchange.mayHaveRun || result.answer == nil || !result.answer.NotRun
 		if result.answer != nil {
 			exchange.recordNotices(attempt.target, result.answer.AnswerHead, attempt.sentAt)
--- a/edge/tracker.go
+++ b/edge/tracker.go
@@ -62,6 +62,7 @@
 		sent            greengageroute.SendCount // by this entry, while the target has a limit
 		usedTurn        int64                    // the last one in which this entry sent a request
 		backoff         greengageroute.TargetBackoff
+		fullness        greengageroute.TargetFullness
 	}
 )
 
@@ -162,6 +163,17 @@
 			stats.Failures += latencyWeight
 		}
 		stats.failuresUpdated = now
+		stats.fullness = greengageroute.TargetFullness{}
+	})
+}
+
+// RecordRejection records that a target rejected a request as full. How fast it did says nothing
+// about its latency.
+func (tracker *Tracker) RecordRejection(id string) {
+	now := time.Now()
+	tracker.update(id, func(stats *TargetStats) {
+		stats.LastActivity, stats.LastReceived = now, now
+		stats.fullness = stats.fullness.WithRejection(stats.Latency, now)
 	})
 }
 
