--- a/edge/tracker.go
+++ b/edge/tracker.go
@@ -64,6 +64,7 @@
 		backoff         greengageroute.TargetBackoff
 		sentAt          time.Time // of the last request
 		cold            coldRecord
+		fullness        greengageroute.TargetFullness
 	}
 )
 
@@ -165,6 +166,17 @@
 			stats.Failures += latencyWeight
 		}
 		stats.failuresUpdated = now
+		stats.fullness = greengageroute.TargetFullness{}
+	})
+}
+
+// RecordRejection records that a target rejected a request as full. How fast it did says nothing
+// about its latency.
+func (tracker *Tracker) RecordRejection(id string) {
+	now := time.Now()
+	tracker.update(id, func(stats *TargetStats) {
+		stats.LastActivity, stats.LastReceived = now, now
+		stats.fullness = stats.fullness.WithRejection(stats.Latency, now)
 	})
 }
 
