Tests: a process that crashes closes connections it is just accepting

TestKeptConnectionTellsTheProcess failed once of two runs beside other tests (load 30): the test's process had accepted a spare connection but not yet listed it when it closed all that it had listed, and went on serving it, as no crashed process does. The check is unchanged.

--- a/upstream/keptconnection_test.go
+++ b/upstream/keptconnection_test.go
@@ -22,6 +22,7 @@
 	conns    chan net.Conn
 	checks   atomic.Int64
 	silence  atomic.Int64 // before each response to a health check, in nanoseconds
+	crashed  atomic.Bool
 }
 
 func startProcess(t *testing.T, id, address string) *process {
@@ -38,6 +39,10 @@
 				return
 			}
 			process.conns <- conn
+			if process.crashed.Load() {
+				conn.Close() // accepted as the process crashed
+				continue
+			}
 			go process.serve(conn)
 		}
 	}()
@@ -66,6 +71,7 @@
 
 // crash ends the process: the operating system closes its listener and its connections.
 func (process *process) crash() {
+	process.crashed.Store(true)
 	process.listener.Close()
 	for {
 		select {
