--- a/overloadinput.go
+++ b/overloadinput.go
@@ -31,6 +31,10 @@
 	// with short answers would refuse requests while they are idle.
 	loadAge         = 100 * time.Millisecond
 	maxLoadAgeShare = 0.1
+	// minReleases is the number of slots of a replica that become free within loadAge from
+	// which on it counts in full. Where fewer do, entries can't exceed the slots by many
+	// requests, and replicas with few slots would refuse while one is free.
+	minReleases = 1.75
 	// spreadAges is the widening for as many refused requests as sent ones. With less, the
 	// entries send more than the replicas serve before they see it.
 	spreadAges = 9
@@ -184,8 +188,9 @@
 }
 
 func (input OverloadInput) loadAge() float64 {
-	allSlots := float64(input.Engine.Slots) * float64(input.Engine.slotReleaseInterval(input.Model))
-	return min(float64(loadAge), maxLoadAgeShare*allSlots)
+	interval := float64(input.Engine.slotReleaseInterval(input.Model))
+	age := float64(loadAge) * min(float64(loadAge)/max(minReleases*interval, 1), 1)
+	return min(age, maxLoadAgeShare*float64(input.Engine.Slots)*interval)
 }
 
 // pressure returns how near the replicas are to being full, from 0 to 1.
