--- a/control/demand.go
+++ b/control/demand.go
@@ -26,8 +26,8 @@
 	DemandSource interface {
 		// TotalLoads returns the loads of the targets from all entries, this one included.
 		TotalLoads() map[string]greengageroute.EngineLoad
-		// RequestedRanks returns the most urgent rank requested lately for each model of a pool,
-		// as far as this entry has received requests for it.
+		// RequestedRanks returns the rank of the most urgent route requested lately for each model
+		// of a pool, as far as this entry has received requests for it.
 		RequestedRanks(pool string) map[string]int
 	}
 
@@ -58,8 +58,8 @@
 	return &Demand{source: source, directory: directory, clock: clock, pools: map[string]*poolDemand{}}
 }
 
-// Observe returns the demand for each model of a pool that requests were seen for, once it was
-// observed for minDemandTime. The planner calls it in each round.
+// Observe returns the demand for each model of a pool, once it was observed for minDemandTime.
+// The planner calls it in each round.
 func (demand *Demand) Observe(pool string, engine *greengageroute.Engine) map[string]greengageroute.ModelDemand {
 	now, loads, ranks := demand.clock.Now(), demand.source.TotalLoads(), demand.source.RequestedRanks(pool)
 	demand.mu.Lock()
@@ -81,8 +81,9 @@
 		if rank, requested := ranks[model.Name]; requested {
 			observed.recordRank(model.Name, rank, now)
 		}
-		if seen, ranked := observed.ranks[model.Name]; ranked && now.Sub(seen.at) < rankTTL {
-			result[model.Name] = greengageroute.ModelDemand{Running: observed.running[model.Name], Rank: seen.rank}
+		seen, ranked := observed.ranks[model.Name]
+		result[model.Name] = greengageroute.ModelDemand{
+			Running: observed.running[model.Name], Rank: seen.rank, HasRank: ranked && now.Sub(seen.at) < rankTTL,
 		}
 	}
 	if now.Sub(observed.since) < minDemandTime {
--- a/formationlosses_test.go
+++ b/formationlosses_test.go
@@ -84,23 +84,35 @@
 // third of its wide replicas out of service: each needs a staged spare in its own domain, and
 // the spares were staged for the narrow ones, or used up by them.
 func TestSteadyLossesLeaveBothModelsServing(t *testing.T) {
+	tests := []struct {
+		name   string
+		demand map[string]ModelDemand
+	}{
+		{"unknown demand", nil},
+		{"two fifths and half of the slots in use", map[string]ModelDemand{"wide": {Running: 72}, "narrow": {Running: 360}}},
+	}
 	engine := *testEngine
+	engine.Slots = 20
 	engine.Models = []EngineModel{
 		{Name: "wide", Size: 8, Share: 0.5, TimeFactor: 1, LoadTime: 16 * time.Second, StageTime: 1600 * time.Millisecond},
 		{Name: "narrow", Size: 2, Share: 0.5, TimeFactor: 0.6, LoadTime: 12 * time.Second, StageTime: 1100 * time.Millisecond},
 	}
-	sums := map[string]float64{}
-	for seed := range uint64(lossSeeds) {
-		pool := &lossyPool{simulatedPool: newSimulatedPool(t, 9, 18), random: rand.New(rand.NewPCG(seed, 1)), losses: 3}
-		pool.engine = &engine
-		for model, share := range pool.meanOpen(NewFormation(pool.view(false), 1000)) {
-			sums[model] += share / lossSeeds
-		}
-	}
-	for _, model := range engine.Models {
-		if sums[model.Name] < minMeanOpen {
-			t.Errorf("on average %.2f of the replicas of the %s model served, want %.2f", sums[model.Name], model.Name, minMeanOpen)
-		}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sums := map[string]float64{}
+			for seed := range uint64(lossSeeds) {
+				pool := &lossyPool{simulatedPool: newSimulatedPool(t, 9, 18), random: rand.New(rand.NewPCG(seed, 1)), losses: 3}
+				pool.engine, pool.demand = &engine, test.demand
+				for model, share := range pool.meanOpen(NewFormation(pool.view(false), 1000)) {
+					sums[model] += share / lossSeeds
+				}
+			}
+			for _, model := range engine.Models {
+				if sums[model.Name] < minMeanOpen {
+					t.Errorf("on average %.2f of the replicas of the %s model served, want %.2f", sums[model.Name], model.Name, minMeanOpen)
+				}
+			}
+			t.Logf("replicas that served on average: %v", sums)
+		})
 	}
-	t.Logf("replicas that served on average: %v", sums)
 }
--- a/formationrepair.go
+++ b/formationrepair.go
@@ -154,7 +154,7 @@
 		return slices.ContainsFunc(view.Targets[id].Staged, func(staged string) bool {
 			model, known := view.Engine.Model(staged)
 			return known && model.Size > len(damaged.Members) &&
-				formation.expectedLoss(view, damaged.Domain, staged, 0) >= formation.expectedLoss(view, damaged.Domain, damaged.Model, 0)
+				formation.replicaValue(view, staged) >= formation.replicaValue(view, damaged.Model)
 		})
 	})
 }
--- a/formationshift.go
+++ b/formationshift.go
@@ -23,7 +23,8 @@
 	// ModelDemand is what callers ask of a model.
 	ModelDemand struct {
 		Running float64 // requests in progress at all entries, mean over some seconds
-		Rank    int     // the most urgent one requested lately
+		Rank    int     // of the most urgent route requested lately
+		HasRank bool    // a request for the model was seen lately
 	}
 
 	// modelUse is the use that a model's callers make of its replicas.
@@ -41,7 +42,7 @@
 
 // shouldGiveTo reports whether targets of the model should serve the other one.
 func (use modelUse) shouldGiveTo(other modelUse, slots int) bool {
-	return other.Rank < use.Rank && other.of(slots) >= max(shiftUse, shiftRatio*use.of(slots))
+	return use.HasRank && other.HasRank && other.Rank < use.Rank && other.of(slots) >= max(shiftUse, shiftRatio*use.of(slots))
 }
 
 // share returns a model's weight when targets are divided among the models: that of the
--- a/formationspares.go
+++ b/formationspares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,6 +16,10 @@
 	// preloadTimeout limits how long a spare is sent the order to load its model. A
 	// target that can't load the model alone is left as it is after that.
 	preloadTimeout = 4 * time.Second
+	// idleUse is the share of slots in use below which a model's replicas are missed less, by a
+	// power of how much below: in bursts of 1.7 times the usual load, others take their work.
+	idleUse      = 0.4
+	idleUsePower = 4
 )
 
 // preload is the order to a spare to load its staged model.
@@ -141,20 +146,27 @@
 }
 
 // expectedLoss compares what callers lose by the losses of members in a domain that has a
-// number of staged spares for a model: the members that may be lost, times the share of the
-// model's replicas that each takes out of service, over the spares. It grows with the square of
-// the share of slots in use, where that is known: idle replicas aren't missed, and waiting times
-// rise faster than the use.
+// number of staged spares for a model.
 func (formation *Formation) expectedLoss(view PoolView, domain, model string, spares int) float64 {
-	replicas := 0
-	for _, assignment := range formation.Assignments {
-		if assignment.Model == model {
-			replicas++
+	return float64(formation.membersIn(domain)[model]) / float64(1+spares) * formation.replicaValue(view, model)
+}
+
+// replicaValue compares what callers lose without one of a model's replicas: it is the share of
+// all of them that it makes up, and less if their slots are known to be idle.
+func (formation *Formation) replicaValue(view PoolView, model string) float64 {
+	assigned, serving := Set[string]{}, 0
+	for _, assignment := range slices.Concat(formation.repairing, formation.Assignments) {
+		if assignment.Model != model || !assigned.Add(assignment.Name) {
+			continue
+		}
+		if assignment.Opened && view.allFormed(assignment) {
+			serving++
 		}
 	}
-	use := 1.0
-	if demand, known := view.Demand[model]; known && len(view.Demand) == len(view.Engine.Models) {
-		use = modelUse{ModelDemand: demand, replicas: replicas}.of(view.Engine.Slots)
+	value := 1 / float64(max(len(assigned), 1))
+	if demand, known := view.Demand[model]; known {
+		use := modelUse{ModelDemand: demand, replicas: serving}.of(view.Engine.Slots)
+		value *= math.Pow(min(use/idleUse, 1), idleUsePower)
 	}
-	return float64(formation.membersIn(domain)[model]) / float64(max(replicas, 1)) / float64(1+spares) * use * use
+	return value
 }
