Intake: a byte budget for bodies, bounds of callers' connections, and no doubling buffers

Cause: a body was read into a doubling buffer without any bound over all callers, and nothing ended a caller that stopped. 80 callers that stop short took an entry to 463 MB.

Change: package intake holds the account of the bytes held for callers and the tracked listener (moved from serve). Bytes are reserved in steps as they arrive, the framing of chunks too, and returned at the end of the request. When they don't fit, the request that holds many and moved few within the last two seconds is ended with 503; a quarter is reserved for small bodies. Bodies that stop for 20 s or bring less than 8 KB/s after 30 s are ended with 408, counted in checks that a suspended process doesn't make. Connections are bounded by descriptors and memory, kernel buffers by 64 KB, and a write without progress for 30 s ends its connection. The decisions are functions and values in the root package. Request.Body is a list of the parts as read.

--- a/crashcause.go
+++ b/crashcause.go
@@ -22,20 +22,38 @@
 	}
 )
 
-// maxReportedParts limits the parts of a prompt in one report.
-const maxReportedParts = 8
+const (
+	// maxReportedParts limits the parts of a prompt in one report.
+	maxReportedParts = 8
+	// fieldEnd follows each field of what a cause is the hash of.
+	fieldEnd = "\x00"
+)
 
 // PromptPartCause returns the cause that stands for a part of prompts.
 func PromptPartCause(id string) CrashCause { return CrashCause(xxhash.Sum64String("part\x00" + id)) }
 
 // RequestCause returns the cause that stands for requests with exactly these fields.
 func RequestCause(fields ...string) CrashCause {
+	return CrashCause(hashFields(fields).Sum64())
+}
+
+// BodyCause returns the cause that stands for requests with exactly these fields and this body.
+func BodyCause(body Body, fields ...string) CrashCause {
+	hash := hashFields(fields)
+	for _, part := range body {
+		_, _ = hash.Write(part) // never fails
+	}
+	_, _ = hash.WriteString(fieldEnd)
+	return CrashCause(hash.Sum64())
+}
+
+func hashFields(fields []string) *xxhash.Digest {
 	hash := xxhash.New()
 	for _, field := range fields {
-		// Writing to a hash never fails.
-		_, _ = hash.WriteString(field + "\x00")
+		_, _ = hash.WriteString(field) // never fails, as the next line
+		_, _ = hash.WriteString(fieldEnd)
 	}
-	return CrashCause(hash.Sum64())
+	return hash
 }
 
 // String returns the cause as it stands in logs.
--- a/deployment.go
+++ b/deployment.go
@@ -35,6 +35,8 @@
 		CPUShare float64
 		MemoryMB int
 		LinkMbps float64
+		// FileDescriptors is how many files the process may have open; 0 if unknown.
+		FileDescriptors int
 	}
 
 	// Bounds are the durations and ratios that the operator requires of the system.
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/control"
+	"greengageroute.example/greengageroute/intake"
 	"greengageroute.example/greengageroute/platform"
 	"greengageroute.example/greengageroute/upstream"
 )
@@ -96,7 +97,8 @@
 		Peers      Peers
 		Prober     Prober
 		Sender     Sender
-		PeerSender Sender // sends requests to other entries
+		PeerSender Sender         // sends requests to other entries
+		Budget     *intake.Budget // nil: no bound
 		Counters   *expvar.Map
 		Latencies  *LatencyHistograms
 		Log        logr.Logger
@@ -143,6 +145,8 @@
 		cause           greengageroute.CrashCause   // stands for the request in the quarantine
 		partCauses      []greengageroute.CrashCause // stand for the parts of its prompt, but the last
 		headerSent      bool                        // status and header were sent to the caller
+		bodyRefused     bool                        // the reading of the body was ended by this entry
+		holding         intake.Holding              // bytes held for the caller
 		timing          timing
 	}
 
@@ -270,6 +274,8 @@
 	exchange.service, exchange.arrived, exchange.routes = service, time.Now(), service.Config.Routes()
 	service.Counters.Add(CountRequests, 1)
 	service.hasTraffic.Store(true)
+	exchange.holding.Begin(service.Budget, writer, httpRequest)
+	defer exchange.holding.Release()
 	if service.stop.Load() != nil || !service.ConfigFresh() {
 		writer.Header().Set("Connection", "close")
 	}
--- a/edge/filters.go
+++ b/edge/filters.go
@@ -9,6 +9,7 @@
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/intake"
 )
 
 const (
@@ -91,14 +92,14 @@
 	if exchange.httpRequest.ContentLength == 0 {
 		return nil
 	}
-	limit := exchange.routes.Limits.BodyBytes
 	undo := exchange.interruptReading()
 	defer undo()
-	body, err := io.ReadAll(http.MaxBytesReader(exchange.writer, exchange.httpRequest.Body, limit))
-	var tooLong *http.MaxBytesError
+	body, err := exchange.holding.ReadBody(exchange.httpRequest, exchange.routes.Limits.BodyBytes)
+	var refused *intake.Refusal
 	switch {
-	case errors.As(err, &tooLong):
-		return refuse(http.StatusRequestEntityTooLarge, "the request body is too long", "send a shorter body")
+	case errors.As(err, &refused):
+		exchange.bodyRefused = true
+		return &Refusal{Status: refused.Status, Reason: refused.Reason, Remedy: refused.Remedy, RetryAfter: refused.RetryAfter}
 	case err != nil && exchange.service.running.Err() != nil:
 		return unavailable(stoppingReason, stopRetryAfter)
 	case isDisconnect(err):
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -456,7 +456,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(helper.ctx, cancel)()
-	forwarded := httptest.NewRequestWithContext(ctx, request.Method, request.URI, bytes.NewReader(request.Body))
+	forwarded := httptest.NewRequestWithContext(ctx, request.Method, request.URI, bytes.NewReader(request.Body.Bytes()))
 	forwarded.Host, forwarded.RequestURI, forwarded.Header = request.Host, request.URI, platform.EncodeAttempt(request, attempt)
 	recorder := httptest.NewRecorder()
 	served := false
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -20,7 +20,7 @@
 
 // checkQuarantine refuses requests that crash targets.
 func checkQuarantine(_ context.Context, exchange *exchange) error {
-	exchange.cause = greengageroute.RequestCause(exchange.Workspace, exchange.Method, exchange.Host, exchange.URI, string(exchange.Body))
+	exchange.cause = greengageroute.BodyCause(exchange.Body, exchange.Workspace, exchange.Method, exchange.Host, exchange.URI)
 	if parts := exchange.PromptParts; len(parts) > 0 {
 		// The last part belongs to the request, and tells no more than its digest.
 		for _, part := range parts[:len(parts)-1] {
--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"greengageroute.example/greengageroute/intake"
 	"greengageroute.example/greengageroute/platform"
 )
 
@@ -60,8 +61,8 @@
 	facts := append(exchange.logValues(), "cause", err.Error())
 	var refusal *Refusal
 	switch {
-	case errors.Is(err, errCallerDisconnected) || exchange.httpRequest.Context().Err() != nil && service.running.Err() == nil:
-		// A stop that interrupts the reading of a body ends the context too.
+	case errors.Is(err, errCallerDisconnected) || exchange.httpRequest.Context().Err() != nil && service.running.Err() == nil && !exchange.bodyRefused:
+		// A stop that interrupts the reading of a body ends the context too, as a refused body does.
 		service.Counters.Add(CountCallersDisconnected, 1)
 		service.Log.V(1).Info("caller disconnected", facts...)
 		panic(http.ErrAbortHandler) // closes the connection without an answer
@@ -71,6 +72,9 @@
 		if exchange.forwarded && !exchange.mayHaveRun {
 			platform.MarkNotRun(exchange.writer.Header())
 		}
+		if exchange.httpRequest.ContentLength != 0 && exchange.Body == nil {
+			intake.BoundLeftover(exchange.writer)
+		}
 		refusal.write(exchange.writer, exchange.ID)
 	default:
 		service.Counters.Add(CountResponsesAborted, 1)
--- /dev/null
+++ b/intake/holding.go
@@ -0,0 +1,251 @@
+package intake
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+)
+
+const (
+	// framingStep is the step in which the framing of chunks is charged.
+	framingStep = 4 << 10
+	// leftoverTimeout bounds the time for the part of a refused body that the HTTP server
+	// reads on, 256 KB at most.
+	leftoverTimeout = 2 * time.Second
+	// stalledWriteChecks is the number of checks without progress after which a caller
+	// counts as one that doesn't read.
+	stalledWriteChecks = 2
+	// overBudgetRetryAfter is about as long as it takes until callers that have stopped can be
+	// told from those that send.
+	overBudgetRetryAfter = 2 * time.Second
+)
+
+type (
+	// Refusal is the reason why a body is not read. The request has not run.
+	Refusal struct {
+		Status     int
+		Reason     string
+		Remedy     string
+		RetryAfter time.Duration // 0: none
+	}
+
+	// Holding is the part of a budget that one request holds. The zero value holds nothing
+	// and belongs to no budget, which bounds nothing.
+	Holding struct {
+		budget *Budget
+		writer http.ResponseWriter
+		conn   *Conn // nil if the server's connections are not tracked
+
+		next, previous *Holding // guarded by the budget, as the others below
+		linked         bool
+		released       bool
+		reading        bool
+		held           int64
+		ended          error
+		pace           greengageroute.BodyPace
+		received       atomic.Int64 // bytes of the body
+	}
+
+	connKey struct{}
+)
+
+var (
+	// partSizes are the lengths of the parts in which a body is read, the last of which
+	// repeats. The first three together are a small body.
+	partSizes = [...]int64{512, 4 << 10, greengageroute.SmallBody - (4 << 10) - 512, 64 << 10}
+
+	errOverBudget = &Refusal{http.StatusServiceUnavailable, "the entry holds as many bytes for its callers as it may", "retry after the given time", overBudgetRetryAfter}
+	errTooLong    = &Refusal{http.StatusRequestEntityTooLarge, "the request body is too long", "send a shorter body", 0}
+	errStalled    = &Refusal{http.StatusRequestTimeout, "the request body has stopped arriving", "send it again", 0}
+	errTooSlow    = &Refusal{http.StatusRequestTimeout, "the request body arrives too slowly", "send it again over a faster link", 0}
+	errReleased   = errors.New("the request has ended")
+)
+
+func (refusal *Refusal) Error() string { return refusal.Reason + "; " + refusal.Remedy }
+
+// Begin starts the holding of a request, which holds nothing yet. Release has to be called at
+// its end.
+func (holding *Holding) Begin(budget *Budget, writer http.ResponseWriter, request *http.Request) {
+	holding.budget, holding.writer = budget, writer
+	holding.conn, _ = request.Context().Value(connKey{}).(*Conn)
+}
+
+// Release returns all bytes. Later reservations fail.
+func (holding *Holding) Release() {
+	budget := holding.budget
+	if budget == nil {
+		return
+	}
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	budget.unlink(holding)
+	holding.released = true
+}
+
+// Reserve reserves more bytes until the end of the request. It fails if they don't fit into
+// the budget.
+func (holding *Holding) Reserve(bytes int64) error {
+	budget := holding.budget
+	if budget == nil {
+		return nil
+	}
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	return holding.reserve(bytes)
+}
+
+// reserve does what Reserve does. The caller holds the budget's mu.
+func (holding *Holding) reserve(bytes int64) error {
+	budget := holding.budget
+	switch {
+	case holding.ended != nil:
+		return holding.ended
+	case holding.released:
+		return errReleased
+	case !budget.makeRoom(holding.held, bytes):
+		budget.counters.Add(CountOverBudget, 1)
+		return errOverBudget
+	case holding.ended != nil: // to make room for itself
+		return holding.ended
+	}
+	budget.link(holding)
+	budget.add(holding, bytes)
+	return nil
+}
+
+// setReading records whether the body is being read. It returns why the request was ended
+// meanwhile.
+func (holding *Holding) setReading(reading bool) error {
+	if holding.budget == nil {
+		return nil
+	}
+	holding.budget.mu.Lock()
+	defer holding.budget.mu.Unlock()
+	if reading {
+		holding.budget.link(holding)
+	}
+	holding.reading = reading
+	return holding.ended
+}
+
+// heldBytes describes the holding for the choice of a request to end.
+func (holding *Holding) heldBytes() greengageroute.HeldBytes {
+	return greengageroute.HeldBytes{
+		Held: holding.held, Moved: holding.pace.Moved(holding.transferred()),
+		Waits: holding.reading || holding.conn != nil && holding.conn.stalledChecks.Load() >= stalledWriteChecks,
+	}
+}
+
+// transferred returns the bytes that moved between the caller and this process.
+func (holding *Holding) transferred() int64 {
+	bytes := holding.received.Load()
+	if holding.conn != nil {
+		bytes += holding.conn.written.Load()
+	}
+	return bytes
+}
+
+// interrupt has reads of the body fail, or writes of the answer.
+func (holding *Holding) interrupt() {
+	controller := http.NewResponseController(holding.writer)
+	if holding.reading {
+		_ = controller.SetReadDeadline(longAgo) // fails once the connection is closed
+		return
+	}
+	_ = controller.SetWriteDeadline(longAgo)
+}
+
+// ReadBody reads the body of a request, which may have the given length. Its bytes are
+// reserved as they arrive, with the framing of chunks. After an error the connection is closed
+// and the rest of the body not read, also after a *Refusal, which the caller is still to be
+// sent.
+func (holding *Holding) ReadBody(request *http.Request, limit int64) (greengageroute.Body, error) {
+	if request.ContentLength > limit {
+		holding.Abandon()
+		return nil, errTooLong
+	}
+	if request.ContentLength == 0 {
+		return nil, nil
+	}
+	if err := holding.setReading(true); err != nil {
+		return nil, err
+	}
+	body, err := holding.readParts(request, limit)
+	if ended := holding.setReading(false); ended != nil {
+		err = ended
+	}
+	if err != nil {
+		holding.Abandon()
+		return nil, err
+	}
+	return body, nil
+}
+
+func (holding *Holding) readParts(request *http.Request, limit int64) (body greengageroute.Body, err error) {
+	length := int64(0)
+	framing := holding.newFraming(request)
+	for {
+		part, err := holding.nextPart(request.ContentLength, length, limit, len(body))
+		if err != nil {
+			return nil, err
+		}
+		filled := 0
+		for filled < len(part) && err == nil {
+			var count int
+			count, err = request.Body.Read(part[filled:])
+			filled += count
+			length += int64(count)
+			holding.received.Store(length)
+			if err == nil {
+				err = framing.charge(length)
+			}
+		}
+		if length > limit {
+			return nil, errTooLong
+		}
+		if filled > 0 {
+			body = append(body, part[:filled])
+		}
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// nextPart reserves and returns the buffer of the next part. Of a body over the limit one byte
+// is read.
+func (holding *Holding) nextPart(announced, length, limit int64, parts int) ([]byte, error) {
+	size := partSizes[min(parts, len(partSizes)-1)]
+	if announced > 0 {
+		size = min(size, max(announced-length, 1))
+	}
+	size = min(size, limit-length+1)
+	if err := holding.Reserve(size); err != nil {
+		return nil, err
+	}
+	return make([]byte, size), nil
+}
+
+// Abandon bounds the time in which the rest of a body that is not read may arrive, and closes
+// the connection after the answer.
+func (holding *Holding) Abandon() {
+	if holding.writer == nil {
+		return
+	}
+	holding.writer.Header().Set("Connection", "close")
+	BoundLeftover(holding.writer)
+}
+
+// BoundLeftover bounds the time in which the rest of a body that is not read may arrive: the
+// HTTP server reads up to 256 KB of it before it sends an answer, and otherwise without a bound
+// of the time.
+func BoundLeftover(writer http.ResponseWriter) {
+	_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(leftoverTimeout)) // fails once the connection is closed
+}
--- a/serve/connections_test.go
+++ b/intake/listener_test.go
@@ -1,7 +1,8 @@
-package serve
+package intake
 
 import (
 	"bufio"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -14,12 +15,12 @@
 const testRequest = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok"
 
 // trackedServer serves requests that take the given time, and counts them.
-func trackedServer(t *testing.T, work time.Duration, handled *atomic.Int64) *connTracker {
-	tracker, err := listenTCP("127.0.0.1:0")
+func trackedServer(t *testing.T, work time.Duration, handled *atomic.Int64) *Listener {
+	tracker, err := Listen("tcp4", "127.0.0.1:0", 1000, new(expvar.Map).Init())
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := newServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	server := tracker.Configure(&http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		handled.Add(1)
 		_, _ = io.Copy(io.Discard, request.Body) // a cut body ends the request's context
 		select {
@@ -28,14 +29,13 @@
 		case <-request.Context().Done():
 			panic(http.ErrAbortHandler)
 		}
-	}))
-	server.ConnState = tracker.connState
+	})})
 	go func() { _ = server.Serve(tracker) }() // returns an error when the listener is closed
 	t.Cleanup(func() { server.Close() })
 	return tracker
 }
 
-func dial(t *testing.T, tracker *connTracker) (net.Conn, *bufio.Reader) {
+func dial(t *testing.T, tracker *Listener) (net.Conn, *bufio.Reader) {
 	conn, err := net.Dial("tcp4", tracker.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -74,7 +74,7 @@
 	for handled.Load() < 2 {
 		time.Sleep(time.Millisecond)
 	}
-	done := tracker.stop()
+	done := tracker.Stop()
 	for name, reader := range map[string]*bufio.Reader{"unused": unusedReader, "kept": keptReader} {
 		if _, err := reader.ReadByte(); err != io.EOF {
 			t.Errorf("the %s connection ends with %v, want EOF", name, err)
@@ -107,7 +107,7 @@
 			})
 		}
 		time.Sleep(20 * time.Millisecond)
-		<-tracker.stop()
+		<-tracker.Stop()
 		callers.Wait()
 		if handled.Load() != answered.Load() {
 			t.Errorf("%d requests were handled, %d answered", handled.Load(), answered.Load())
--- a/request.go
+++ b/request.go
@@ -14,7 +14,7 @@
 		URI           string // as sent, including the query
 		Path          string
 		Header        http.Header // forwarded to the target
-		Body          []byte
+		Body          Body
 		Key           string // presented by the caller
 		Workspace     string // owner of the key
 		CallerTimeout time.Duration
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -9,7 +9,6 @@
 	"expvar"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -21,6 +20,7 @@
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/control"
 	"greengageroute.example/greengageroute/edge"
+	"greengageroute.example/greengageroute/intake"
 	"greengageroute.example/greengageroute/mesh"
 	"greengageroute.example/greengageroute/platform"
 	"greengageroute.example/greengageroute/relay"
@@ -68,6 +68,8 @@
 	idleTimeout    = 75 * time.Second
 	maxHeaderBytes = 16 << 10
 	sweepInterval  = time.Second
+	// maxControlConns bounds the connections for health checks, and those for metrics.
+	maxControlConns = 16
 )
 
 // Counters of an entry; docs/OPERATIONS.md lists them.
@@ -108,9 +110,10 @@
 		settingsSince  atomic.Int64 // when they came into force, in Unix seconds of the time of day
 		grace          atomic.Int64 // time.Duration between SIGTERM and SIGKILL
 
-		callerListener, peerListener *connTracker
-		readyListener                net.Listener
-		metricsAddress               string
+		budget *intake.Budget
+
+		callerListener, peerListener, readyListener *intake.Listener
+		metricsAddress                              string
 	}
 )
 
@@ -125,6 +128,7 @@
 		deployment: deployment, counters: new(expvar.Map).Init(), registered: make(chan struct{}), latencies: edge.NewLatencyHistograms(), logSink: sink,
 		log: newLogger(sink), store: platform.NewStore(deployment.StoreAddress), directory: control.NewDirectory(clock), metricsAddress: metricsAddress,
 	}
+	entry.budget = intake.NewBudget(greengageroute.NewBodyBudget(deployment.Limits.MemoryMB), entry.counters)
 	entry.adoptSettings(deployment)
 	count := func(name string) func() { return func() { entry.counters.Add(name, 1) } }
 	entry.upstream = upstream.NewClient(count("target-connections"))
@@ -148,15 +152,16 @@
 	})
 	entry.service = edge.New(edge.Dependencies{
 		Entry: deployment.Name, DataCentre: deployment.DataCentre, Bounds: deployment.Bounds, Config: entry.follower, Directory: entry.directory,
-		Peers: entry.node, Prober: entry.prober, Sender: entry.upstream, PeerSender: entry.peerUpstream, Counters: entry.counters, Latencies: entry.latencies, Log: entry.log, MayTryQuarantined: entry.holdsLease,
+		Peers: entry.node, Prober: entry.prober, Sender: entry.upstream, PeerSender: entry.peerUpstream, Budget: entry.budget, Counters: entry.counters, Latencies: entry.latencies, Log: entry.log, MayTryQuarantined: entry.holdsLease,
 	})
-	if entry.callerListener, err = listenTCP(deployment.CallerAddress); err != nil {
+	connections := greengageroute.NewConnectionBounds(deployment.Limits)
+	if entry.callerListener, err = intake.Listen("tcp4", deployment.CallerAddress, connections.Callers, entry.counters); err != nil {
 		return nil, trace.Wrap(err, "listening for callers on %s", deployment.CallerAddress)
 	}
-	if entry.peerListener, err = listenTCP(entry.node.Address()); err != nil {
+	if entry.peerListener, err = intake.Listen("tcp4", entry.node.Address(), connections.Entries, entry.counters); err != nil {
 		return nil, trace.Wrap(err, "listening for other entries on %s", entry.node.Address())
 	}
-	entry.readyListener, err = net.Listen("tcp4", deployment.ReadyAddress)
+	entry.readyListener, err = intake.Listen("tcp4", deployment.ReadyAddress, maxControlConns, entry.counters)
 	return entry, trace.Wrap(err, "listening for the health check on %s", deployment.ReadyAddress)
 }
 
@@ -210,14 +215,15 @@
 	for _, loop := range []func(context.Context){
 		entry.afterRegistration(entry.follower.RunConfig), entry.afterRegistration(entry.follower.RunList), entry.register, entry.keepVerdicts, entry.sweep, entry.serveMetrics, entry.prober.RunLinkChecks,
 		func(ctx context.Context) { entry.node.Run(ctx, entry, entry) },
+		func(ctx context.Context) {
+			intake.RunChecks(ctx, entry.budget, entry.log, entry.callerListener, entry.peerListener, entry.readyListener)
+		},
 	} {
 		loops.Go(func() { loop(background) })
 	}
-	callerServer := newServer(entry.service)
-	callerServer.ConnState = entry.callerListener.connState
-	readyServer := newServer(http.HandlerFunc(entry.handleReady))
-	peerServer := newServer(entry.peerHandler())
-	peerServer.ConnState = entry.peerListener.connState
+	callerServer := newServer(entry.callerListener, entry.service)
+	readyServer := newServer(entry.readyListener, http.HandlerFunc(entry.handleReady))
+	peerServer := newServer(entry.peerListener, entry.peerHandler())
 	serveErrors := make(chan error, 3)
 	go func() { serveErrors <- callerServer.Serve(entry.callerListener) }()
 	go func() { serveErrors <- readyServer.Serve(entry.readyListener) }()
@@ -256,6 +262,10 @@
 	entry.counters.Add(CountSettingsReloaded, 1)
 	entry.service.SetBounds(deployment.Bounds)
 	limitMemory(deployment)
+	entry.budget.SetLimits(greengageroute.NewBodyBudget(deployment.Limits.MemoryMB))
+	connections := greengageroute.NewConnectionBounds(deployment.Limits)
+	entry.callerListener.SetMaxConns(connections.Callers)
+	entry.peerListener.SetMaxConns(connections.Entries)
 	entry.adoptSettings(deployment)
 	entry.log.Info("settings reloaded", "settings", deployment.Digest, "name", deployment.Name, "memory-mb", deployment.Limits.MemoryMB,
 		"revoke-ms", deployment.Bounds.RevocationTime.Milliseconds(), "moved", deployment.CallerAddress != entry.deployment.CallerAddress)
@@ -265,10 +275,10 @@
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(deployment.Limits.MemoryMB) * (1 << 20)))
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
+func newServer(listener *intake.Listener, handler http.Handler) *http.Server {
+	return listener.Configure(&http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	})
 }
 
 // peerHandler serves other entries: the rows that this entry reads for them, and requests
@@ -295,7 +305,7 @@
 	entry.node.Leave()
 	time.Sleep(time.Until(acceptUntil))
 	timeout := time.After(time.Until(end.Add(exitMargin / 2)))
-	callersDone, peersDone := entry.callerListener.stop(), entry.peerListener.stop()
+	callersDone, peersDone := entry.callerListener.Stop(), entry.peerListener.Stop()
 	for _, done := range []<-chan struct{}{callersDone, peersDone} {
 		select {
 		case <-done:
@@ -336,12 +346,12 @@
 	if entry.metricsAddress == "" {
 		return
 	}
-	listener, err := net.Listen("tcp4", entry.metricsAddress)
+	listener, err := intake.Listen("tcp4", entry.metricsAddress, maxControlConns, entry.counters)
 	if err != nil {
 		entry.log.Error(err, "metrics not served: can't listen", "address", entry.metricsAddress)
 		return
 	}
-	server := newServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { entry.writeMetrics(writer) }))
+	server := newServer(listener, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { entry.writeMetrics(writer) }))
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -12,6 +12,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -369,18 +370,20 @@
 // send writes the request. A long body is written in the background, because the
 // target may answer before it has read the body.
 func (conn *conn) send(request greengageroute.Request, attempt greengageroute.Attempt) error {
-	buffer := bytes.NewBuffer(make([]byte, 0, bufferSize))
+	buffer, length := bytes.NewBuffer(make([]byte, 0, bufferSize)), request.Body.Len()
 	buffer.WriteString(request.Method + " " + request.URI + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
-	if len(request.Body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
-		buffer.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
+	if length > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
+		buffer.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	if err := platform.EncodeAttempt(request, attempt).Write(buffer); err != nil {
 		return trace.Wrap(err)
 	}
 	buffer.WriteString("\r\n")
 	conn.written = nil
-	if len(request.Body) <= maxInlineBody {
-		buffer.Write(request.Body)
+	if length <= maxInlineBody {
+		for _, part := range request.Body {
+			buffer.Write(part)
+		}
 		_, err := conn.Write(buffer.Bytes())
 		return trace.Wrap(err)
 	}
@@ -389,7 +392,8 @@
 	}
 	conn.written = make(chan error, 1)
 	go func(written chan<- error) {
-		_, err := conn.Write(request.Body)
+		parts := net.Buffers(slices.Clone(request.Body)) // writing consumes the list
+		_, err := parts.WriteTo(conn.Conn)
 		written <- err
 	}(conn.written)
 	return nil
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -39,7 +39,7 @@
 
 func send(client *Client, target greengageroute.Target, id string, body []byte) (*Answer, error) {
 	request := greengageroute.Request{
-		ID: id, Method: http.MethodPost, Host: "h", URI: "/x?y=1", Body: body,
+		ID: id, Method: http.MethodPost, Host: "h", URI: "/x?y=1", Body: greengageroute.Body{body},
 		Header: http.Header{platform.HeaderAttemptID: {id}},
 	}
 	return client.Do(context.Background(), request, greengageroute.Attempt{Target: target, Remaining: time.Second})
