Caller, entry: the budget and the shared body reader on the product's own interface, and for answers

Cause: the own interface read bodies into doubling buffers, the operators' decoder without any bound, and an answer that its caller doesn't read was held without a bound over all callers.

Change: both interfaces read bodies by intake.Holding.ReadBody, the operators' service too, with the copies that decoding makes charged. Bodies are bounded in progress instead of by 30 s as a whole. Forwarded requests are charged. Answers of calls are charged and read into a slice of their length; one that doesn't fit is answered 502, since it has run. Settings memory-mb and file-descriptors.

--- a/bodybudget.go
+++ b/bodybudget.go
@@ -37,9 +37,9 @@
 	}
 )
 
-// NewBodyBudget returns the budget of a process that has the given memory.
-func NewBodyBudget(memoryMB int) BodyBudget {
-	total := int64(memoryMB) << 20 / bodyBudgetShare
+// NewBodyBudget returns the budget of a process on a VM.
+func NewBodyBudget(limits VMLimits) BodyBudget {
+	total := int64(limits.memoryMB()) << 20 / bodyBudgetShare
 	return BodyBudget{Total: total, SmallReserve: total / smallReserveShare}
 }
 
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -11,12 +12,16 @@
 
 	"github.com/gravitational/trace"
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/intake"
 )
 
 const (
 	maxBodyBytes     = 4 << 20
 	defaultMaxTokens = 256
 	maxTokensLimit   = 32768
+	// decodedCopies is how many copies of a body its decoding makes at most: in one slice, in
+	// the strings of its fields, in the prompt and in the request to the engine.
+	decodedCopies = 4
 )
 
 type (
@@ -76,17 +81,36 @@
 	}
 )
 
-// readBody reads a request's complete body, up to maxBodyBytes.
-func readBody(ctx context.Context, body io.Reader) ([]byte, error) {
-	defer exchangeFrom(ctx).clearBodyDeadline()
-	raw, err := io.ReadAll(io.LimitReader(body, maxBodyBytes+1))
+// readBody reads a request's complete body, up to maxBodyBytes. What the request's decoding
+// takes is charged too.
+func readBody(ctx context.Context, source io.Reader) ([]byte, error) {
+	exchange := exchangeFrom(ctx)
+	exchange.bodyRead = true
+	body, err := exchange.holding.ReadBody(source, exchange.announced(), maxBodyBytes)
+	if err == nil {
+		err = exchange.holding.Reserve(int64(body.Len()) * decodedCopies)
+	}
 	if err != nil {
-		return nil, trace.BadParameter("the body is incomplete (%v); send all of it", err)
+		return nil, bodyError(err)
+	}
+	return body.Bytes(), nil
+}
+
+// ChargeBody charges a body that another entry has read and forwarded, and its decoding.
+func ChargeBody(holding *intake.Holding, body []byte) error {
+	if err := holding.Reserve(int64(len(body)) * (1 + decodedCopies)); err != nil {
+		return bodyError(err)
 	}
-	if len(raw) > maxBodyBytes {
-		return nil, trace.BadParameter("the body has more than %d bytes; send a shorter one", maxBodyBytes)
+	return nil
+}
+
+// bodyError returns the error of a request whose body was not read.
+func bodyError(err error) error {
+	var refused *intake.Refusal
+	if errors.As(err, &refused) {
+		return &Refusal{Status: refused.Status, Code: bodyCodes[refused.Status], Message: refused.Error(), RetryAfter: refused.RetryAfter}
 	}
-	return raw, nil
+	return trace.BadParameter("the body is incomplete (%v); send all of it", err)
 }
 
 // parseCompletion decodes and checks a chat completion request.
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -1,24 +1,25 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/intake"
 )
 
 const (
-	// bodyTimeout is how long a request's body may take to arrive.
-	bodyTimeout = 30 * time.Second
-
 	codeNotRun  = "not-run"
 	codeUnknown = "unknown"
 )
@@ -39,6 +40,8 @@
 	exchange struct {
 		http.ResponseWriter
 		request    *http.Request
+		holding    intake.Holding // bytes held for the caller
+		bodyRead   bool
 		status     int
 		retryAfter time.Duration
 	}
@@ -46,6 +49,11 @@
 	exchangeKey struct{}
 )
 
+// bodyCodes are the codes of refused bodies by status.
+var bodyCodes = map[int]string{
+	http.StatusRequestTimeout: "too-slow", http.StatusRequestEntityTooLarge: "too-long", http.StatusServiceUnavailable: "over-budget",
+}
+
 func (refusal *Refusal) Error() string { return refusal.Message }
 
 // StatusCode implements goa's Statuser.
@@ -57,6 +65,9 @@
 // WriteHeader replaces the design's status 200 with the status that the service
 // set, and adds Retry-After.
 func (exchange *exchange) WriteHeader(status int) {
+	if exchange.request.ContentLength != 0 && !exchange.bodyRead {
+		intake.BoundLeftover(exchange.ResponseWriter)
+	}
 	if exchange.status != 0 && status == http.StatusOK {
 		status = exchange.status
 	}
@@ -67,24 +78,50 @@
 	exchange.ResponseWriter.WriteHeader(status)
 }
 
-// clearBodyDeadline removes the read deadline that WithExchange set for the body.
-func (exchange *exchange) clearBodyDeadline() {
-	if exchange.ResponseWriter != nil {
-		_ = http.NewResponseController(exchange.ResponseWriter).SetReadDeadline(time.Time{})
+// announced returns the announced length of the body, or -1.
+func (exchange *exchange) announced() int64 {
+	if exchange.ResponseWriter == nil {
+		return -1
 	}
+	return exchange.request.ContentLength
 }
 
-// WithExchange is middleware that passes the request to the service, lets the
-// service set the answer's status, and sets the read deadline of the body.
-func WithExchange(next http.Handler) http.Handler {
+// WithExchange is middleware that passes the request to the service, lets the service set the
+// answer's status, and charges what is held for the caller to the budget until the request
+// ends.
+func WithExchange(budget *intake.Budget, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		exchange := &exchange{ResponseWriter: writer, request: request}
-		_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(bodyTimeout))
+		exchange.holding.Begin(request.Context(), budget, writer)
+		defer exchange.holding.Release()
 		ctx := context.WithValue(request.Context(), exchangeKey{}, exchange)
 		next.ServeHTTP(exchange, request.WithContext(ctx))
 	})
 }
 
+// WithBufferedBody is middleware within WithExchange that reads the bodies of requests below a
+// path, for handlers that decode them without a bound.
+func WithBufferedBody(prefix string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.ContentLength == 0 || !strings.HasPrefix(request.URL.Path, prefix) {
+			next.ServeHTTP(writer, request)
+			return
+		}
+		raw, err := readBody(request.Context(), request.Body)
+		if err != nil {
+			exchangeFrom(request.Context()).retryAfter = refusalFor(err).RetryAfter
+			status, refusal := EncodeRefusal(err)
+			writer.Header().Set("Content-Type", contentJSON)
+			writer.WriteHeader(status)
+			_, _ = writer.Write(refusal) // if it fails, the caller has disconnected
+			return
+		}
+		buffered := request.WithContext(request.Context())
+		buffered.Body = io.NopCloser(bytes.NewReader(raw))
+		next.ServeHTTP(writer, buffered)
+	})
+}
+
 func exchangeFrom(ctx context.Context) *exchange {
 	found, ok := ctx.Value(exchangeKey{}).(*exchange)
 	if !ok {
--- a/callerconnections.go
+++ b/callerconnections.go
@@ -19,8 +19,6 @@
 const (
 	// descriptorsReserved are the descriptors that the platform reserves for files.
 	descriptorsReserved = 200
-	// defaultDescriptors applies where the settings name no limit.
-	defaultDescriptors = 4096
 	// connectionsPerMB is how many connections of callers fit into the memory: a
 	// connection with a header that never ends takes about 100 KB, with what the kernel
 	// holds for it.
@@ -50,13 +48,9 @@
 // NewConnectionBounds returns the bounds for a VM. Half of the descriptors are for callers and
 // an eighth for other entries; the rest is for targets, the store and health checks.
 func NewConnectionBounds(limits VMLimits) ConnectionBounds {
-	descriptors := limits.FileDescriptors
-	if descriptors <= 0 {
-		descriptors = defaultDescriptors
-	}
-	usable := max(descriptors-descriptorsReserved, 0)
+	usable := max(limits.fileDescriptors()-descriptorsReserved, 0)
 	return ConnectionBounds{
-		Callers: max(min(usable/2, limits.MemoryMB*connectionsPerMB), 1), Entries: max(usable/8, 1),
+		Callers: max(min(usable/2, limits.memoryMB()*connectionsPerMB), 1), Entries: max(usable/8, 1),
 	}
 }
 
--- a/deployment.go
+++ b/deployment.go
@@ -8,6 +8,12 @@
 	"github.com/gravitational/trace"
 )
 
+// Defaults of the limits of a VM.
+const (
+	defaultMemoryMB    = 256
+	defaultDescriptors = 4096
+)
+
 type (
 	// Deployment is the configuration that an entry is started with on the platform.
 	Deployment struct {
@@ -35,7 +41,7 @@
 		CPUShare float64
 		MemoryMB int
 		LinkMbps float64
-		// FileDescriptors is how many files the process may have open; 0 if unknown.
+		// FileDescriptors is how many files the process may have open; 0 for the default.
 		FileDescriptors int
 	}
 
@@ -53,6 +59,22 @@
 	}
 )
 
+// memoryMB returns the memory, or the default where none is set.
+func (limits VMLimits) memoryMB() int {
+	if limits.MemoryMB <= 0 {
+		return defaultMemoryMB
+	}
+	return limits.MemoryMB
+}
+
+// fileDescriptors returns the number of files, or the default where none is set.
+func (limits VMLimits) fileDescriptors() int {
+	if limits.FileDescriptors <= 0 {
+		return defaultDescriptors
+	}
+	return limits.FileDescriptors
+}
+
 // Validate returns an error that names every setting with which an entry can't run.
 func (deployment Deployment) Validate() error {
 	var errs []error
--- a/edge/callattempt.go
+++ b/edge/callattempt.go
@@ -72,7 +72,7 @@
 		attempt.call.exchange.service.tracker.RecordActivity(attempt.target.Pool, time.Now())
 	}
 	if result.err == nil {
-		result.body, result.err = readAnswer(result.answer)
+		result.body, result.err = attempt.call.exchange.readAnswer(result.answer)
 		result.answer.Close(result.err == nil)
 	}
 	return result
@@ -88,7 +88,7 @@
 // something about its target only if it was silent for too long.
 func (result callResult) recordLatency() {
 	attempt := result.attempt
-	if attempt.fromEntry || attempt.cancelled && !attempt.hedged {
+	if attempt.fromEntry || attempt.cancelled && !attempt.hedged || isOverBudget(result.err) {
 		return
 	}
 	failed := result.err != nil || result.answer.NotRun || result.answer.Status >= http.StatusInternalServerError
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -274,7 +274,7 @@
 	exchange.service, exchange.arrived, exchange.routes = service, time.Now(), service.Config.Routes()
 	service.Counters.Add(CountRequests, 1)
 	service.hasTraffic.Store(true)
-	exchange.holding.Begin(service.Budget, writer, httpRequest)
+	exchange.holding.Begin(httpRequest.Context(), service.Budget, writer)
 	defer exchange.holding.Release()
 	if service.stop.Load() != nil || !service.ConfigFresh() {
 		writer.Header().Set("Connection", "close")
--- a/edge/filters.go
+++ b/edge/filters.go
@@ -94,7 +94,7 @@
 	}
 	undo := exchange.interruptReading()
 	defer undo()
-	body, err := exchange.holding.ReadBody(exchange.httpRequest, exchange.routes.Limits.BodyBytes)
+	body, err := exchange.holding.ReadBody(exchange.httpRequest.Body, exchange.httpRequest.ContentLength, exchange.routes.Limits.BodyBytes)
 	var refused *intake.Refusal
 	switch {
 	case errors.As(err, &refused):
--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -210,6 +210,9 @@
 	case ctx.Err() != nil:
 		call.stop()
 		return false, exchange.timeoutError()
+	case isOverBudget(result.err):
+		call.stop()
+		return false, exchange.noAnswerError(http.StatusBadGateway, "the answer doesn't fit beside what is held for other callers", 0)
 	case result.attempt.fromEntry:
 		return call.receiveFromEntry(result)
 	}
--- a/edge/streamattempt.go
+++ b/edge/streamattempt.go
@@ -122,7 +122,7 @@
 	case answer.NotRun && !attempt.fromEntry:
 		return nil, errNotRun
 	case answer.Status != http.StatusOK:
-		return readAnswer(answer)
+		return attempt.stream.exchange.readAnswer(answer)
 	case attempt.resumes && !attempt.isEventStream():
 		return nil, errNotEvents
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"expvar"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"github.com/gravitational/trace"
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/caller"
+	"greengageroute.example/greengageroute/intake"
 	"greengageroute.example/greengageroute/peer"
 	"greengageroute.example/greengageroute/table"
 	"greengageroute.example/greengageroute/target"
@@ -63,7 +63,8 @@
 		leaving       *leavingVMs
 		health        *healthTable
 
-		listener       net.Listener
+		listener       *intake.Listener
+		budget         *intake.Budget
 		server         *http.Server
 		stopping       atomic.Bool
 		forwards       runningForwards
@@ -93,6 +94,8 @@
 		router:  greengageroute.NewRouter(), inFlight: caller.NewInFlightRequests(),
 		eventKey: eventKey, leaving: newLeavingVMs(), health: newHealthTable(),
 	}
+	limits := greengageroute.VMLimits{MemoryMB: settings.MemoryMB, FileDescriptors: settings.FileDescriptors}
+	entry.budget = intake.NewBudget(greengageroute.NewBodyBudget(limits), entry.counters)
 	entry.quarantine = greengageroute.NewQuarantine(entry.logQuarantine)
 	entry.probeResults = greengageroute.NewProbeResults(entry.handleUnhealthyGroup)
 	entry.chatAdmission = greengageroute.NewAdmission(0, entry.countRefused)
@@ -112,7 +115,7 @@
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
 	entry.members = peer.NewMembership(self, settings.Seeds, entry.node, entry)
-	if entry.listener, err = net.Listen("tcp", settings.Listen); err != nil {
+	if entry.listener, err = intake.Listen("tcp", settings.Listen, greengageroute.NewConnectionBounds(limits).Callers, entry.counters); err != nil {
 		return nil, trace.Wrap(err, "listening at %s", settings.Listen)
 	}
 	return entry, nil
@@ -137,8 +140,8 @@
 	background, stop := entry.lifetime, entry.cancelLifetime
 	defer stop()
 	var loops sync.WaitGroup
-	entry.server = newServer(entry.handler())
-	for _, loop := range []func(context.Context){entry.node.Run, entry.members.Run, entry.syncLoop, entry.probeLoop, entry.planLoop} {
+	entry.server = entry.listener.Configure(newServer(entry.handler()))
+	for _, loop := range []func(context.Context){entry.node.Run, entry.members.Run, entry.syncLoop, entry.probeLoop, entry.planLoop, entry.checkCallers} {
 		loops.Go(func() { loop(background) })
 	}
 	serveErrors := make(chan error, 1)
@@ -155,6 +158,11 @@
 	return err
 }
 
+// checkCallers ends callers that make no progress.
+func (entry *Entry) checkCallers(ctx context.Context) {
+	intake.RunChecks(ctx, entry.budget, entry.log, entry.listener)
+}
+
 func (entry *Entry) shutDown(ctx context.Context) error {
 	entry.log.Info("entry stopping", "name", entry.settings.Name)
 	entry.stopping.Store(true)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 	"greengageroute.example/greengageroute/caller"
+	"greengageroute.example/greengageroute/intake"
 	"greengageroute.example/greengageroute/peer"
 )
 
@@ -84,6 +85,14 @@
 		return
 	}
 	defer done()
+	var holding intake.Holding
+	holding.Begin(ctx, entry.budget, nil)
+	defer holding.Release()
+	if err := caller.ChargeBody(&holding, request.Body); err != nil {
+		status, refusal := caller.EncodeRefusal(err)
+		_ = writeHeader(peer.ForwardHeader{Status: status, Refusal: refusal}) // if this fails, the forwarding entry sees a truncated stream
+		return
+	}
 	result, response, err := entry.callerService.AnswerForwarded(ctx, request.Workspace, request.Body, request.LastEventID)
 	if err != nil {
 		status, refusal := caller.EncodeRefusal(err)
--- a/entry/http.go
+++ b/entry/http.go
@@ -24,6 +24,8 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 32 << 10
+	// adminPath is the path of the operators' service.
+	adminPath = "/admin/"
 )
 
 func newServer(handler http.Handler) *http.Server {
@@ -58,7 +60,7 @@
 		writer.Header().Set("Content-Type", "application/json")
 		_, _ = io.WriteString(writer, entry.counters.String())
 	})
-	return caller.WithExchange(mux)
+	return caller.WithExchange(entry.budget, caller.WithBufferedBody(adminPath, mux))
 }
 
 // countEncodeFailure counts a response that could not be written because the caller
--- a/intake/framing.go
+++ b/intake/framing.go
@@ -1,7 +1,5 @@
 package intake
 
-import "net/http"
-
 // framing charges what a chunked body sends beside its bytes to the request's holding.
 type framing struct {
 	holding *Holding
@@ -11,8 +9,8 @@
 
 // newFraming returns the account of a body's framing; one that charges nothing if the body
 // has a length or its connection isn't known.
-func (holding *Holding) newFraming(request *http.Request) framing {
-	if request.ContentLength >= 0 || holding.conn == nil {
+func (holding *Holding) newFraming(announced int64) framing {
+	if announced >= 0 || holding.conn == nil {
 		return framing{}
 	}
 	return framing{holding: holding, before: holding.conn.received.Load()}
--- a/intake/holding.go
+++ b/intake/holding.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -68,10 +69,10 @@
 func (refusal *Refusal) Error() string { return refusal.Reason + "; " + refusal.Remedy }
 
 // Begin starts the holding of a request, which holds nothing yet. Release has to be called at
-// its end.
-func (holding *Holding) Begin(budget *Budget, writer http.ResponseWriter, request *http.Request) {
+// its end. The writer is nil for a request that didn't come by HTTP.
+func (holding *Holding) Begin(ctx context.Context, budget *Budget, writer http.ResponseWriter) {
 	holding.budget, holding.writer = budget, writer
-	holding.conn, _ = request.Context().Value(connKey{}).(*Conn)
+	holding.conn, _ = ctx.Value(connKey{}).(*Conn)
 }
 
 // Release returns all bytes. Later reservations fail.
@@ -151,6 +152,9 @@
 
 // interrupt has reads of the body fail, or writes of the answer.
 func (holding *Holding) interrupt() {
+	if holding.writer == nil {
+		return
+	}
 	controller := http.NewResponseController(holding.writer)
 	if holding.reading {
 		_ = controller.SetReadDeadline(longAgo) // fails once the connection is closed
@@ -159,22 +163,22 @@
 	_ = controller.SetWriteDeadline(longAgo)
 }
 
-// ReadBody reads the body of a request, which may have the given length. Its bytes are
-// reserved as they arrive, with the framing of chunks. After an error the connection is closed
-// and the rest of the body not read, also after a *Refusal, which the caller is still to be
-// sent.
-func (holding *Holding) ReadBody(request *http.Request, limit int64) (greengageroute.Body, error) {
-	if request.ContentLength > limit {
+// ReadBody reads the body of a request, of which a length is announced, or -1 if it is sent in
+// chunks. Its bytes are reserved as they arrive, with the framing of chunks. After an error the
+// connection is closed and the rest of the body not read, also after a *Refusal, which the
+// caller is still to be sent.
+func (holding *Holding) ReadBody(source io.Reader, announced, limit int64) (greengageroute.Body, error) {
+	if announced > limit {
 		holding.Abandon()
 		return nil, errTooLong
 	}
-	if request.ContentLength == 0 {
+	if announced == 0 {
 		return nil, nil
 	}
 	if err := holding.setReading(true); err != nil {
 		return nil, err
 	}
-	body, err := holding.readParts(request, limit)
+	body, err := holding.readParts(source, announced, limit)
 	if ended := holding.setReading(false); ended != nil {
 		err = ended
 	}
@@ -185,18 +189,18 @@
 	return body, nil
 }
 
-func (holding *Holding) readParts(request *http.Request, limit int64) (body greengageroute.Body, err error) {
+func (holding *Holding) readParts(source io.Reader, announced, limit int64) (body greengageroute.Body, err error) {
 	length := int64(0)
-	framing := holding.newFraming(request)
+	framing := holding.newFraming(announced)
 	for {
-		part, err := holding.nextPart(request.ContentLength, length, limit, len(body))
+		part, err := holding.nextPart(announced, length, limit, len(body))
 		if err != nil {
 			return nil, err
 		}
 		filled := 0
 		for filled < len(part) && err == nil {
 			var count int
-			count, err = request.Body.Read(part[filled:])
+			count, err = source.Read(part[filled:])
 			filled += count
 			length += int64(count)
 			holding.received.Store(length)
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -128,7 +128,7 @@
 		deployment: deployment, counters: new(expvar.Map).Init(), registered: make(chan struct{}), latencies: edge.NewLatencyHistograms(), logSink: sink,
 		log: newLogger(sink), store: platform.NewStore(deployment.StoreAddress), directory: control.NewDirectory(clock), metricsAddress: metricsAddress,
 	}
-	entry.budget = intake.NewBudget(greengageroute.NewBodyBudget(deployment.Limits.MemoryMB), entry.counters)
+	entry.budget = intake.NewBudget(greengageroute.NewBodyBudget(deployment.Limits), entry.counters)
 	entry.adoptSettings(deployment)
 	count := func(name string) func() { return func() { entry.counters.Add(name, 1) } }
 	entry.upstream = upstream.NewClient(count("target-connections"))
@@ -262,7 +262,7 @@
 	entry.counters.Add(CountSettingsReloaded, 1)
 	entry.service.SetBounds(deployment.Bounds)
 	limitMemory(deployment)
-	entry.budget.SetLimits(greengageroute.NewBodyBudget(deployment.Limits.MemoryMB))
+	entry.budget.SetLimits(greengageroute.NewBodyBudget(deployment.Limits))
 	connections := greengageroute.NewConnectionBounds(deployment.Limits)
 	entry.callerListener.SetMaxConns(connections.Callers)
 	entry.peerListener.SetMaxConns(connections.Entries)
--- a/settings.go
+++ b/settings.go
@@ -28,6 +28,10 @@
 		LeaseTerm         time.Duration `yaml:"lease-term"`
 		StopGrace         time.Duration `yaml:"stop-grace"`
 		StopTimeout       time.Duration `yaml:"stop-timeout"`
+		// MemoryMB and FileDescriptors are the memory and the open files that the process may
+		// use; 0 for the defaults.
+		MemoryMB        int `yaml:"memory-mb"`
+		FileDescriptors int `yaml:"file-descriptors"`
 	}
 
 	// KeyPaths are the paths of the PEM files that an entry authenticates itself
@@ -86,6 +90,9 @@
 	if settings.OperatorTokenHash != "" {
 		checkHash(list, "operator-token-hash", settings.OperatorTokenHash)
 	}
+	if settings.MemoryMB < 0 || settings.FileDescriptors < 0 {
+		list.add("memory-mb", "set memory-mb and file-descriptors above zero, or leave them out", "the memory or the number of files is negative")
+	}
 	for path, value := range map[string]string{
 		"keys.authority": settings.Keys.Authority, "keys.certificate": settings.Keys.Certificate,
 		"keys.key": settings.Keys.Key, "keys.event-key": settings.Keys.EventKey,
