--- a/edge/smallrequest_test.go
+++ b/edge/smallrequest_test.go
@@ -24,6 +24,8 @@
 	client *upstream.Client
 }
 
+func (sendingDependencies) LiveEntries() int { return 1 }
+
 func (dependencies sendingDependencies) Do(ctx context.Context, request greengageroute.Request, attempt greengageroute.Attempt) (*upstream.Answer, error) {
 	return dependencies.client.Do(ctx, request, attempt)
 }
--- a/intake/listener_test.go
+++ b/intake/listener_test.go
@@ -114,3 +114,66 @@
 		}
 	}
 }
+
+// TestBoundClosesIdleConnections guards against connections that nobody uses and that keep
+// callers out, and against more open connections than the descriptors allow.
+func TestBoundClosesIdleConnections(t *testing.T) {
+	var handled atomic.Int64
+	tracker := trackedServer(t, time.Millisecond, &handled)
+	tracker.SetMaxConns(8)
+	for range 40 {
+		idle, reader := dial(t, tracker)
+		if !exchange(idle, reader) {
+			t.Fatal("a new connection is not served at the bound")
+		}
+	}
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	if open := len(tracker.conns); open > 9 {
+		t.Errorf("%d connections are open, want at most 8 and one that is closing", open)
+	}
+}
+
+// TestUnreadAnswerEndsItsConnection guards against answers that are held without end for a
+// caller that doesn't read, and against ending one that reads slowly.
+func TestUnreadAnswerEndsItsConnection(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		reads bool
+		ends  bool
+	}{{"read slowly", true, false}, {"not read", false, true}} {
+		t.Run(test.name, func(t *testing.T) {
+			listener, err := Listen("tcp4", "127.0.0.1:0", 10, new(expvar.Map).Init())
+			if err != nil {
+				t.Fatal(err)
+			}
+			written := make(chan error, 1)
+			server := listener.Configure(&http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				_, err := writer.Write(make([]byte, 64<<20))
+				written <- err
+			})})
+			go func() { _ = server.Serve(listener) }() // returns an error when the listener is closed
+			defer server.Close()
+			conn, reader := dial(t, listener)
+			_, _ = io.WriteString(conn, testRequest) // a failure shows in the answer
+			buffer := make([]byte, 1<<20)
+			for range writeStallLimit + 5 {
+				if test.reads {
+					_, _ = io.ReadFull(reader, buffer) // a cut answer shows in the handler's error
+				}
+				time.Sleep(20 * time.Millisecond)
+				listener.Check()
+			}
+			select {
+			case err := <-written:
+				if !test.ends || err == nil {
+					t.Errorf("the write ended with %v", err)
+				}
+			case <-time.After(500 * time.Millisecond):
+				if test.ends {
+					t.Error("the write goes on")
+				}
+			}
+		})
+	}
+}
