--- a/callerconnections.go
+++ b/callerconnections.go
@@ -19,10 +19,9 @@
 const (
 	// descriptorsReserved are the descriptors that the platform reserves for files.
 	descriptorsReserved = 200
-	// connectionsPerMB is how many connections of callers fit into the memory: a
-	// connection with a header that never ends takes about 100 KB, with what the kernel
-	// holds for it.
-	connectionsPerMB = 4
+	// connectionsPerMB is how many connections of callers fit into the memory: one with a
+	// header that never ends takes about 40 KB, and the kernel holds up to 72 KB for it.
+	connectionsPerMB = 3
 	// headerGrace is how long a connection may take to bring a header before it is the
 	// first to be closed.
 	headerGrace = 3 * time.Second
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// receiveBuffer and sendBuffer bound what the kernel holds for a connection: unread
-	// bytes count as the process's memory. They are what a connection starts with on Linux;
-	// without the bound the kernel lets them grow to megabytes. 64 KB a round trip of 20 ms
-	// are 25 Mbit/s.
-	receiveBuffer = 64 << 10
+	// receiveBuffer and sendBuffer bound what the kernel holds for a connection: unread bytes
+	// count as the process's memory. With this receive buffer Linux was measured to hold up to
+	// 72 KB, without one it lets the buffer grow to megabytes. 64 KB a round trip of 20 ms are
+	// 25 Mbit/s.
+	receiveBuffer = 32 << 10
 	sendBuffer    = 64 << 10
 	// writePiece is how much is written at once, so that a slow reader's progress shows.
 	writePiece = 16 << 10
--- a/intake/holding.go
+++ b/intake/holding.go
@@ -247,6 +247,16 @@
 	BoundLeftover(holding.writer)
 }
 
+// WithoutBody is middleware for handlers that read no bodies.
+func WithoutBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.ContentLength != 0 {
+			BoundLeftover(writer)
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
 // BoundLeftover bounds the time in which the rest of a body that is not read may arrive: the
 // HTTP server reads up to 256 KB of it before it sends an answer, and otherwise without a bound
 // of the time.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -222,7 +222,7 @@
 		loops.Go(func() { loop(background) })
 	}
 	callerServer := newServer(entry.callerListener, entry.service)
-	readyServer := newServer(entry.readyListener, http.HandlerFunc(entry.handleReady))
+	readyServer := newServer(entry.readyListener, intake.WithoutBody(http.HandlerFunc(entry.handleReady)))
 	peerServer := newServer(entry.peerListener, entry.peerHandler())
 	serveErrors := make(chan error, 3)
 	go func() { serveErrors <- callerServer.Serve(entry.callerListener) }()
@@ -284,7 +284,7 @@
 // peerHandler serves other entries: the rows that this entry reads for them, and requests
 // that they forward.
 func (entry *Entry) peerHandler() http.Handler {
-	rows := entry.source.Handler()
+	rows := intake.WithoutBody(entry.source.Handler())
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if !entry.service.ServeForwarded(writer, request) {
 			rows.ServeHTTP(writer, request)
@@ -351,7 +351,7 @@
 		entry.log.Error(err, "metrics not served: can't listen", "address", entry.metricsAddress)
 		return
 	}
-	server := newServer(listener, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { entry.writeMetrics(writer) }))
+	server := newServer(listener, intake.WithoutBody(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { entry.writeMetrics(writer) })))
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
