--- a/intake/conn.go
+++ b/intake/conn.go
@@ -139,7 +139,7 @@
 	switch {
 	case conn.expired && !conn.busy:
 		state.Phase, state.Since = greengageroute.ConnectionBusy, 0 // it closes already
-	case conn.busy && (conn.bodyStalled.Load() || conn.stalledChecks.Load() >= stalledWriteChecks):
+	case conn.busy && (conn.bodyStalled.Load() || conn.unread()):
 		state.Phase = greengageroute.ConnectionStalled
 	case conn.busy:
 		state.Phase = greengageroute.ConnectionBusy
@@ -149,6 +149,11 @@
 	return state
 }
 
+// unread reports whether the caller reads nothing of what is being written.
+func (conn *Conn) unread() bool {
+	return conn.writing.Load() && conn.stalledChecks.Load() >= stalledWriteChecks
+}
+
 // check ends a write without progress. It is called once a second, and a process that is
 // suspended makes no checks.
 func (conn *Conn) check() (stalled bool) {
--- a/intake/holding.go
+++ b/intake/holding.go
@@ -130,6 +130,9 @@
 		holding.budget.link(holding)
 	}
 	holding.reading = reading
+	if holding.conn != nil {
+		holding.conn.bodyStalled.Store(false)
+	}
 	return holding.ended
 }
 
@@ -137,7 +140,7 @@
 func (holding *Holding) heldBytes() greengageroute.HeldBytes {
 	return greengageroute.HeldBytes{
 		Held: holding.held, Moved: holding.pace.Moved(holding.transferred()),
-		Waits: holding.reading || holding.conn != nil && holding.conn.stalledChecks.Load() >= stalledWriteChecks,
+		Waits: holding.reading || holding.conn != nil && holding.conn.unread(),
 	}
 }
 
