--- a/serve/connections_test.go
+++ b/intake/listener_test.go
@@ -1,7 +1,8 @@
-package serve
+package intake
 
 import (
 	"bufio"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -14,12 +15,12 @@
 const testRequest = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok"
 
 // trackedServer serves requests that take the given time, and counts them.
-func trackedServer(t *testing.T, work time.Duration, handled *atomic.Int64) *connTracker {
-	tracker, err := listenTCP("127.0.0.1:0")
+func trackedServer(t *testing.T, work time.Duration, handled *atomic.Int64) *Listener {
+	tracker, err := Listen("tcp4", "127.0.0.1:0", 1000, new(expvar.Map).Init())
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := newServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	server := tracker.Configure(&http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		handled.Add(1)
 		_, _ = io.Copy(io.Discard, request.Body) // a cut body ends the request's context
 		select {
@@ -28,14 +29,13 @@
 		case <-request.Context().Done():
 			panic(http.ErrAbortHandler)
 		}
-	}))
-	server.ConnState = tracker.connState
+	})})
 	go func() { _ = server.Serve(tracker) }() // returns an error when the listener is closed
 	t.Cleanup(func() { server.Close() })
 	return tracker
 }
 
-func dial(t *testing.T, tracker *connTracker) (net.Conn, *bufio.Reader) {
+func dial(t *testing.T, tracker *Listener) (net.Conn, *bufio.Reader) {
 	conn, err := net.Dial("tcp4", tracker.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -74,7 +74,7 @@
 	for handled.Load() < 2 {
 		time.Sleep(time.Millisecond)
 	}
-	done := tracker.stop()
+	done := tracker.Stop()
 	for name, reader := range map[string]*bufio.Reader{"unused": unusedReader, "kept": keptReader} {
 		if _, err := reader.ReadByte(); err != io.EOF {
 			t.Errorf("the %s connection ends with %v, want EOF", name, err)
@@ -107,10 +107,73 @@
 			})
 		}
 		time.Sleep(20 * time.Millisecond)
-		<-tracker.stop()
+		<-tracker.Stop()
 		callers.Wait()
 		if handled.Load() != answered.Load() {
 			t.Errorf("%d requests were handled, %d answered", handled.Load(), answered.Load())
 		}
 	}
 }
+
+// TestBoundClosesIdleConnections guards against connections that nobody uses and that keep
+// callers out, and against more open connections than the descriptors allow.
+func TestBoundClosesIdleConnections(t *testing.T) {
+	var handled atomic.Int64
+	tracker := trackedServer(t, time.Millisecond, &handled)
+	tracker.SetMaxConns(8)
+	for range 40 {
+		idle, reader := dial(t, tracker)
+		if !exchange(idle, reader) {
+			t.Fatal("a new connection is not served at the bound")
+		}
+	}
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	if open := len(tracker.conns); open > 9 {
+		t.Errorf("%d connections are open, want at most 8 and one that is closing", open)
+	}
+}
+
+// TestUnreadAnswerEndsItsConnection guards against answers that are held without end for a
+// caller that doesn't read, and against ending one that reads slowly.
+func TestUnreadAnswerEndsItsConnection(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		reads bool
+		ends  bool
+	}{{"read slowly", true, false}, {"not read", false, true}} {
+		t.Run(test.name, func(t *testing.T) {
+			listener, err := Listen("tcp4", "127.0.0.1:0", 10, new(expvar.Map).Init())
+			if err != nil {
+				t.Fatal(err)
+			}
+			written := make(chan error, 1)
+			server := listener.Configure(&http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				_, err := writer.Write(make([]byte, 64<<20))
+				written <- err
+			})})
+			go func() { _ = server.Serve(listener) }() // returns an error when the listener is closed
+			defer server.Close()
+			conn, reader := dial(t, listener)
+			_, _ = io.WriteString(conn, testRequest) // a failure shows in the answer
+			buffer := make([]byte, 1<<20)
+			for range writeStallLimit + 5 {
+				if test.reads {
+					_, _ = io.ReadFull(reader, buffer) // a cut answer shows in the handler's error
+				}
+				time.Sleep(20 * time.Millisecond)
+				listener.Check()
+			}
+			select {
+			case err := <-written:
+				if !test.ends || err == nil {
+					t.Errorf("the write ended with %v", err)
+				}
+			case <-time.After(500 * time.Millisecond):
+				if test.ends {
+					t.Error("the write goes on")
+				}
+			}
+		})
+	}
+}
