Intake: cut answers are reset, slow bodies count as stalled at the bound

Found in review, by reading: a connection that is closed since its caller doesn't read ended regularly, which a caller with HTTP/1.0 takes for the end of the answer, and its unsent bytes stayed in the kernel; it is reset now. A crowd that sends a byte every two seconds was never chosen at the bound of connections, and kept all others out for 30 s. HEAD reserved the body that GET would have. Eviction made new lists for each request that it ended.

--- a/bodybudget.go
+++ b/bodybudget.go
@@ -7,7 +7,7 @@
 	// SmallBody is the length up to which a body draws on the reserved part of the budget.
 	SmallBody = 16 << 10
 	// smallReserveShare is the part of the budget that only small bodies may take. It has
-	// room for a small body on each of the connections that MaxCallerConnections allows.
+	// room for a small body on each of the connections that NewConnectionBounds allows.
 	smallReserveShare = 4
 	// evictionRatio is how many times the bytes that moved within the last two seconds a
 	// request holds at least if it is ended in favour of others. A body of 4 MB that arrives
--- a/bodypace.go
+++ b/bodypace.go
@@ -36,8 +36,11 @@
 // Moved returns how many bytes came within the last one to two seconds.
 func (pace BodyPace) Moved(received int64) int64 { return received - pace.received + pace.movedNow }
 
-// Pausing reports whether the body has brought nothing for more than a moment.
-func (pace BodyPace) Pausing() bool { return pace.silent >= bodyPause }
+// Pausing reports whether the body has brought nothing for more than a moment, or less than the
+// minimum rate in the last two seconds. It decides only which connection is closed at the bound.
+func (pace BodyPace) Pausing() bool {
+	return pace.silent >= bodyPause || pace.checks >= bodyPause && pace.moved+pace.movedNow < minBodyRate
+}
 
 // Stalled reports whether the body has stopped arriving.
 func (pace BodyPace) Stalled() bool { return pace.silent >= bodyStallLimit }
--- a/edge/answerbody.go
+++ b/edge/answerbody.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"strconv"
 
 	"greengageroute.example/greengageroute/intake"
@@ -37,7 +38,7 @@
 // what is held for callers.
 func (exchange *exchange) readAnswer(answer *upstream.Answer) ([]byte, error) {
 	length, err := strconv.Atoi(answer.Header.Get("Content-Length"))
-	if err != nil || length < 0 || length > maxAnswerBytes {
+	if err != nil || length < 0 || length > maxAnswerBytes || exchange.Method == http.MethodHead {
 		answer.Body = &chargedReader{source: answer.Body, holding: &exchange.holding}
 		return readAnswer(answer)
 	}
@@ -48,7 +49,7 @@
 	}
 	body := make([]byte, length)
 	_, err = io.ReadFull(answer.Body, body)
-	if errors.Is(err, io.EOF) { // the answer to HEAD has the length of another one's body
+	if errors.Is(err, io.EOF) { // an answer with status 304 has the length of another one's body
 		return nil, nil
 	}
 	return body, err
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -41,7 +41,7 @@
 var (
 	// longAgo is a deadline in the past.
 	longAgo = time.Unix(1, 0)
-	// endedCounters count callers that were ended or refused.
+	// endedCounters count requests and connections that were ended or refused by a bound.
 	endedCounters = []string{CountOverBudget, CountEvicted, CountBodiesStalled, CountBodiesSlow, CountConnectionsClosed, CountConnectionsRefused, CountWritesStalled}
 )
 
@@ -66,7 +66,7 @@
 	return budget.used
 }
 
-// endedCallers returns how many callers outside the limits were ended or refused so far.
+// endedCallers returns how many requests and connections were ended or refused so far.
 func (budget *Budget) endedCallers() (ended int64) {
 	for _, name := range endedCounters {
 		if count, counted := budget.counters.Get(name).(*expvar.Int); counted {
@@ -115,9 +115,10 @@
 // makeRoom ends requests until another one fits that holds some bytes and takes more. It
 // reports whether it fits. The caller holds mu.
 func (budget *Budget) makeRoom(held, more int64) bool {
+	var holdings []*Holding
+	var requests []greengageroute.HeldBytes
 	for !budget.limits.Fits(budget.used, held, more) {
-		var holdings []*Holding
-		var requests []greengageroute.HeldBytes
+		holdings, requests = holdings[:0], requests[:0]
 		for holding := budget.first; holding != nil; holding = holding.next {
 			holdings = append(holdings, holding)
 			requests = append(requests, holding.heldBytes())
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -73,6 +73,8 @@
 		}
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// A caller with HTTP/1.0 takes a regular close for the end of the answer.
+		_ = conn.SetLinger(0)
 		_ = conn.Close() // what follows would not be read either
 	}
 	return written, err
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -118,6 +118,7 @@
 	}
 	conn := conns[index]
 	if states[index].Phase == greengageroute.ConnectionStalled {
+		_ = conn.SetLinger(0) // an answer that was cut off must not look complete
 		_ = conn.Conn.Close()
 	} else {
 		conn.expireIfIdle() // a request that was just read is still served
@@ -179,7 +180,7 @@
 }
 
 // RunChecks checks a budget and listeners once a second until the context ends, and logs when
-// callers outside the limits were ended since the last check.
+// requests or connections were ended or refused by their bounds since the last check.
 func RunChecks(ctx context.Context, budget *Budget, log logr.Logger, listeners ...*Listener) {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
@@ -194,7 +195,7 @@
 				listener.Check()
 			}
 			if ended := budget.endedCallers(); ended != counted {
-				log.Info("callers outside the limits", "ended", ended-counted, "held-bytes", budget.Used())
+				log.Info("requests or connections were ended or refused by the bounds for callers", "count", ended-counted, "held-bytes", budget.Used())
 				counted = ended
 			}
 		}
