Review: admission, cold turns, planner

Found in review, by reading: a replica taken as the alternative got no turn if it was cold; hedges of streams that may have run, and begun streams that another entry forwards, were subject to admission; a wrong length of a prompt could make an entry refuse all requests for its model; a model that the last shift didn't know had replicas formed and dissolved in turn; a shift counted members that were lost; targets never moved back; deadlines that are too short counted as overload; the record of a cold target was dropped while it wasn't used. Spares are staged anew by demand.

--- a/balance.go
+++ b/balance.go
@@ -229,8 +229,9 @@
 
 // ChooseTarget returns the index of a target with a low expected response time, or -1 if there is
 // none or all are limited. Targets that have just rejected a request as full are chosen only if all
-// have. Of two targets at random whose expected times are alike, the better one is chosen: entries that know the same loads would otherwise all choose the same target. RandomInt
-// returns a number below the given one.
+// have. Of two targets at random whose expected times are alike, the better one is chosen: entries
+// that know the same loads would otherwise all choose the same target. The function randomInt
+// returns a random number below the given one.
 func ChooseTarget(candidates []TargetCandidate, randomInt func(below int) int) int {
 	allFull := true
 	for _, candidate := range candidates {
--- a/control/coldcentres.go
+++ b/control/coldcentres.go
@@ -13,14 +13,9 @@
 // Now reads the clock that the times of the view's targets come from.
 func (directory *Directory) Now() time.Time { return directory.clock.Now() }
 
-// MarkDataCentreCold has all targets of a data centre count as cold from now on for the time
-// that their pools' targets are cold after their start, whatever their rows say: they got
-// no requests for long.
-func (directory *Directory) MarkDataCentreCold(dataCentre string) {
-	directory.update(func() { directory.markCold(dataCentre, directory.clock.Now()) })
-}
-
-// markCold is MarkDataCentreCold within an update.
+// markCold has all targets of a data centre count as cold from now on for the time that their
+// pools' targets are cold after their start, whatever their rows say: they got no requests for
+// long. The caller holds the lock.
 func (directory *Directory) markCold(dataCentre string, now time.Time) {
 	maps.DeleteFunc(directory.coldCentres, func(_ string, since time.Time) bool { return now.Sub(since) > coldCentreTTL })
 	directory.coldCentres[dataCentre] = now
--- a/control/coldcentres_test.go
+++ b/control/coldcentres_test.go
@@ -77,7 +77,7 @@
 		elsewhere.ID, elsewhere.DataCentre = "i-2", "b"
 		plain.ID, plain.Pool = "i-3", "ledger"
 		directory.Apply([]greengageroute.Target{coldRow(5, 1, 7, 0), elsewhere, plain}, nil, time.Time{})
-		directory.MarkDataCentreCold("a")
+		directory.update(func() { directory.markCold("a", directory.clock.Now()) })
 		time.Sleep(time.Second)
 		directory.Apply([]greengageroute.Target{coldRow(6, 2, 7, 0)}, nil, time.Time{})
 		for id, want := range map[string]time.Duration{"i-1": 2 * time.Second, "i-2": 0, "i-3": 0} {
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -160,6 +160,7 @@
 		rejectedAsFull  bool                        // the last target that was tried rejected the request as full
 		mayHaveRun      bool                        // a target may have run the request
 		forwarded       bool                        // another entry, which reaches no target, sent the request
+		resumed         bool                        // the request names the event after which its stream goes on
 		cause           greengageroute.CrashCause   // stands for the request in the quarantine
 		partCauses      []greengageroute.CrashCause // stand for the parts of its prompt, but the last
 		headerSent      bool                        // status and header were sent to the caller
@@ -318,6 +319,7 @@
 func (service *Service) serve(exchange *exchange) {
 	writer, httpRequest := exchange.writer, exchange.httpRequest
 	exchange.service, exchange.arrived, exchange.routes = service, time.Now(), service.Config.Routes()
+	exchange.resumed = exchange.LastEventID != ""
 	service.Counters.Add(CountRequests, 1)
 	service.hasTraffic.Store(true)
 	exchange.holding.Begin(httpRequest.Context(), service.Budget, writer)
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -66,11 +66,11 @@
 }
 
 // recordLengths records the lengths of a request and its complete answer.
-func (records *overloadRecords) recordLengths(key overloadKey, promptTokens, answerTokens int) {
+func (records *overloadRecords) recordLengths(key overloadKey, engine *greengageroute.Engine, promptTokens, answerTokens int) {
 	records.mu.Lock()
 	defer records.mu.Unlock()
 	model := records.model(key)
-	model.lengths = model.lengths.WithAnswer(promptTokens, answerTokens)
+	model.lengths = model.lengths.WithAnswer(engine, promptTokens, answerTokens)
 }
 
 // withLengths returns a model with the measured lengths of its requests.
@@ -139,10 +139,16 @@
 	return overloadKey{exchange.pool.Name, exchange.Model}
 }
 
+// hasBegun reports whether events of the stream were sent to the caller, by this entry or by the
+// one that forwards the request.
+func (exchange *exchange) hasBegun() bool {
+	return exchange.headerSent || exchange.forwarded && exchange.resumed
+}
+
 // admit decides whether a stream is sent to the source, or to its alternative. A stream that
 // has begun, or may have run, is sent regardless of the load: a refusal would end it for good.
 func (exchange *exchange) admit(chosen source) (source, *Refusal) {
-	if chosen.engine == nil || exchange.route.LatencyObjective <= 0 || exchange.headerSent || exchange.mayHaveRun {
+	if chosen.engine == nil || exchange.route.LatencyObjective <= 0 || exchange.hasBegun() || exchange.mayHaveRun || exchange.attemptsPending > 0 {
 		return chosen, nil
 	}
 	records, key, now := exchange.service.overload, exchange.overloadKey(), time.Now()
@@ -152,10 +158,16 @@
 	}
 	decision := exchange.overloadInput(chosen, now).Decide()
 	if !decision.IsSent() && chosen.alternative != nil {
-		chosen = *chosen.alternative
-		decision = exchange.overloadInput(chosen, now).Decide()
+		other := *chosen.alternative
+		// A cold target's turn was taken for the first choice alone.
+		if second := exchange.overloadInput(other, now).Decide(); second.IsSent() && exchange.takeColdTurn(other.replica.Head()) {
+			chosen, decision = other, second
+		}
+	}
+	// A deadline that is too short for an idle replica says nothing about the load.
+	if decision.Outcome != greengageroute.OverloadRefusedDeadline || decision.IsFull {
+		records.recordDecision(key, greengageroute.OverloadLevel(exchange.priority, exchange.overUsual), decision.IsSent(), now)
 	}
-	records.recordDecision(key, greengageroute.OverloadLevel(exchange.priority, exchange.overUsual), decision.IsSent(), now)
 	exchange.recordDecision(chosen, decision)
 	if decision.IsSent() {
 		return chosen, nil
--- a/edge/streamattempt.go
+++ b/edge/streamattempt.go
@@ -50,7 +50,7 @@
 		lastEvent: now, sentAt: now, resumes: exchange.headerSent, unresponsiveAfter: time.Hour,
 	}
 	if source.engine != nil {
-		attempt.attempt.Urgency = exchange.routes.Urgency(exchange.pool.Name, exchange.priority, attempt.resumes)
+		attempt.attempt.Urgency = exchange.routes.Urgency(exchange.pool.Name, exchange.priority, exchange.hasBegun())
 	}
 	attempt.done = service.tracker.Begin(head.ID, exchange.PromptTokens)
 	attempt.inPrefill.Store(true)
@@ -226,7 +226,7 @@
 		return
 	}
 	attempt.finishPrefill()
-	if attempt.progress.Pieces() == 1 && !attempt.resumes && attempt.suspicion == "" && attempt.source.load.Running < attempt.source.engine.Slots {
+	if attempt.progress.Pieces() == 1 && !attempt.resumes && !exchange.resumed && attempt.suspicion == "" && attempt.source.load.Running < attempt.source.engine.Slots {
 		exchange.service.overload.recordFirstToken(exchange.overloadKey(), now.Sub(attempt.sentAt), attempt.source.timeToFirstToken)
 	}
 	if !hasNoGap {
--- a/edge/tracker.go
+++ b/edge/tracker.go
@@ -294,7 +294,7 @@
 				// A request that was sent is no sign of life.
 				idle := min(time.Since(stats.LastReceived), recordTTL).Milliseconds()
 				loads = append(loads, mesh.Load{Target: id, Running: stats.Running, PrefillTokens: stats.PrefillTokens, IdleMillis: idle})
-			} else if time.Since(stats.LastActivity) > recordTTL {
+			} else if time.Since(stats.LastActivity) > recordTTL && time.Since(stats.cold.since) > recordTTL {
 				delete(shard.targets, id)
 			}
 		}
--- a/formation.go
+++ b/formation.go
@@ -135,7 +135,9 @@
 		releases  map[string][]release // by target id
 		// shares are the targets planned for each model since the last shift by demand; nil
 		// before the first.
-		shares    map[string]float64
+		shares map[string]float64
+		// unshifted are the targets that each model had before the first shift.
+		unshifted map[string]float64
 		shiftedAt time.Time
 	}
 )
@@ -258,6 +260,7 @@
 // few. It returns the assignments that changed.
 func (formation *Formation) Update(view PoolView) []Assignment {
 	view = view.Indexed()
+	formation.dropOutdatedShares(view.Engine)
 	formation.adoptOpen(view)
 	formation.recordOpened(view)
 	changed := formation.repair(view)
--- a/formationshift.go
+++ b/formationshift.go
@@ -32,6 +32,7 @@
 		EngineModel
 		ModelDemand
 		replicas int
+		gained   bool // it has more targets than before the first shift
 	}
 )
 
@@ -40,9 +41,19 @@
 	return use.Running / float64(max(use.replicas, 1)*max(slots, 1))
 }
 
-// shouldGiveTo reports whether targets of the model should serve the other one.
+// shouldGiveTo reports whether targets of the model should serve the other one: a busier one with
+// more urgent requests, or one that gave them before.
 func (use modelUse) shouldGiveTo(other modelUse, slots int) bool {
-	return use.HasRank && other.HasRank && other.Rank < use.Rank && other.of(slots) >= max(shiftUse, shiftRatio*use.of(slots))
+	isUrgent := use.HasRank && other.HasRank && other.Rank < use.Rank
+	return (isUrgent || use.gained && other.HasRank) && other.of(slots) >= max(shiftUse, shiftRatio*use.of(slots))
+}
+
+// dropOutdatedShares forgets what the last shift planned if it lacks a model that the engine has
+// now: it doesn't say how many targets that one should have.
+func (formation *Formation) dropOutdatedShares(engine *Engine) {
+	if formation.shares != nil && slices.ContainsFunc(engine.Models, func(model EngineModel) bool { return formation.shares[model.Name] == 0 }) {
+		formation.shares, formation.unshifted = nil, nil
+	}
 }
 
 // share returns a model's weight when targets are divided among the models: that of the
@@ -93,6 +104,9 @@
 		if gained == 0 || donor.of(view.Engine.Slots) > min(shiftUse, recipient.of(view.Engine.Slots)) {
 			return len(used) > 0
 		}
+		if formation.unshifted == nil {
+			formation.unshifted = formation.targetsByModel(view.Engine)
+		}
 		formation.unassign(func(assignment Assignment) bool { return assignment.Name == replica.Name })
 		formation.dissolved.Add(replica.Name)
 		used.Add(replica.Domain)
@@ -117,7 +131,9 @@
 				replicas++
 			}
 		}
-		uses = append(uses, modelUse{model, demand, replicas})
+		before, shifted := formation.unshifted[model.Name]
+		gained := shifted && float64(replicas*model.Size) > before
+		uses = append(uses, modelUse{EngineModel: model, ModelDemand: demand, replicas: replicas, gained: gained})
 	}
 	if len(uses) < 2 {
 		return donor, recipient, false
@@ -143,10 +159,10 @@
 	slices.SortFunc(candidates, func(a, b Assignment) int { return cmp.Compare(a.Name, b.Name) })
 	serves := false
 	for _, candidate := range candidates {
-		if used.Has(candidate.Domain) || byDataCentre[view.Targets[candidate.Members[0]].DataCentre] < 2 {
+		if used.Has(candidate.Domain) || view.recentlyListed(candidate.Domain) || byDataCentre[view.Targets[candidate.Members[0]].DataCentre] < 2 {
 			continue
 		}
-		targets := donor.Size + len(formation.free(view, candidate.Domain, nil)) - reserveSize(sizes[candidate.Domain], 1)
+		targets := len(formation.free(view, candidate.Domain, nil)) - reserveSize(sizes[candidate.Domain], 1) + len(view.survivors(candidate))
 		count, formed := targets/recipient.Size, view.allFormed(candidate)
 		if count > gained || count == gained && count > 0 && serves && !formed {
 			replica, gained, serves = candidate, count, formed
--- a/formationspares.go
+++ b/formationspares.go
@@ -20,6 +20,11 @@
 	// power of how much below: in bursts of 1.7 times the usual load, others take their work.
 	idleUse      = 0.4
 	idleUsePower = 4
+	// minIdleValue keeps the order by members and spares for models without requests.
+	minIdleValue = 1e-3
+	// restageRatio is the ratio between the expected losses of two models from which a spare of
+	// one is staged for the other by their demand: that takes 12 to 16 s.
+	restageRatio = 2
 )
 
 // preload is the order to a spare to load its staged model.
@@ -125,7 +130,7 @@
 			continue
 		}
 		empty := len(target.Staged) == 0
-		surplus := spares[wanted.Name] == 0 && members[wanted.Name] > 0 && len(target.Staged) > 0 && spares[target.Staged[0]] > 1
+		surplus := members[wanted.Name] > 0 && len(target.Staged) > 0 && formation.isSurplus(view, domain, target.Staged[0], wanted.Name, spares)
 		unused := len(target.Staged) > 0 && members[target.Staged[0]] == 0 && members[wanted.Name] > 0
 		if empty || surplus || unused {
 			return TargetOrder{Kind: OrderStage, Target: target, Model: wanted.Name}, true
@@ -134,6 +139,16 @@
 	return TargetOrder{}, false
 }
 
+// isSurplus reports whether a staged spare of a model should be staged for the wanted one: if that
+// has none, and by the demand also if it is missed much more.
+func (formation *Formation) isSurplus(view PoolView, domain, staged, wanted string, spares map[string]int) bool {
+	if spares[staged] < 2 || staged == wanted {
+		return false
+	}
+	missed, left := formation.expectedLoss(view, domain, wanted, spares[wanted]), formation.expectedLoss(view, domain, staged, spares[staged]-1)
+	return spares[wanted] == 0 || len(view.Demand) > 0 && missed >= restageRatio*left
+}
+
 // membersIn returns how many members the replicas of each model have in a domain.
 func (formation *Formation) membersIn(domain string) map[string]int {
 	members := map[string]int{}
@@ -166,7 +181,7 @@
 	value := 1 / float64(max(len(assigned), 1))
 	if demand, known := view.Demand[model]; known {
 		use := modelUse{ModelDemand: demand, replicas: serving}.of(view.Engine.Slots)
-		value *= math.Pow(min(use/idleUse, 1), idleUsePower)
+		value *= max(math.Pow(min(use/idleUse, 1), idleUsePower), minIdleValue)
 	}
 	return value
 }
--- a/requestlengths.go
+++ b/requestlengths.go
@@ -6,6 +6,9 @@
 	minLengthSamples = 16
 	// maxLengthSamples is about the number of answers that the means are over.
 	maxLengthSamples = 256
+	// maxLengthFactor bounds a sample, as a multiple of the published mean: callers state the
+	// lengths of prompts, and a wrong one must not make the entry refuse all others.
+	maxLengthFactor = 8
 )
 
 // RequestLengths are the mean lengths of a model's requests, measured on complete answers. The
@@ -16,8 +19,14 @@
 	samples        int
 }
 
-// WithAnswer returns the lengths after a complete answer.
-func (lengths RequestLengths) WithAnswer(promptTokens, answerTokens int) RequestLengths {
+// WithAnswer returns the lengths after a complete answer of an engine. An answer whose lengths
+// aren't known doesn't count.
+func (lengths RequestLengths) WithAnswer(engine *Engine, promptTokens, answerTokens int) RequestLengths {
+	if promptTokens <= 0 || answerTokens <= 0 {
+		return lengths
+	}
+	promptTokens = boundLength(promptTokens, engine.MeanPromptTokens)
+	answerTokens = boundLength(answerTokens, engine.MeanAnswerTokens)
 	lengths.samples = min(lengths.samples+1, maxLengthSamples)
 	weight := 1 / float64(lengths.samples)
 	lengths.prompt += weight * (float64(promptTokens) - lengths.prompt)
@@ -32,3 +41,10 @@
 	}
 	return model
 }
+
+func boundLength(tokens, mean int) int {
+	if mean <= 0 {
+		return tokens
+	}
+	return min(tokens, maxLengthFactor*mean)
+}
--- a/usualrate.go
+++ b/usualrate.go
@@ -60,7 +60,7 @@
 // WithRequest returns the rate after a request, and whether the request is within it, given the
 // growth of the other workspaces' rates.
 func (rate UsualRate) WithRequest(now time.Time, growthOfOthers float64) (next UsualRate, isUsual bool) {
-	if rate.began.IsZero() {
+	if rate.began.IsZero() || rate.IsIdle(now) {
 		return UsualRate{began: now, at: now, usual: 1, recent: 1, allowance: minUsualBurst}, true
 	}
 	elapsed, perSecond := now.Sub(rate.at), usualFactor*growthOfOthers*rate.usualPerSecond(now)
