Admission: a longer Retry-After while many are refused

Retry-After now grows by 8 s for each unit of the refused share instead of 2, up to a third of the remaining time.

--- a/overloadinput.go
+++ b/overloadinput.go
@@ -62,7 +62,7 @@
 	MinOverloadRetryAfter = 200 * time.Millisecond
 	// overloadSpan is the Retry-After time for the share of refused requests 1. Bursts last
 	// for 3 to 14 s; a caller that returns within one adds to it and is late anyway.
-	overloadSpan = 2 * time.Second
+	overloadSpan = 8 * time.Second
 	// maxRetryAfterShare is the part of the remaining time that callers honour as
 	// Retry-After.
 	maxRetryAfterShare = 1.0 / 3
