Planner: spares by members while a model is idle

While a model is known to use under 0.35 of its slots, spares are staged by members alone, as before.

--- a/formationrepair.go
+++ b/formationrepair.go
@@ -154,7 +154,7 @@
 		return slices.ContainsFunc(view.Targets[id].Staged, func(staged string) bool {
 			model, known := view.Engine.Model(staged)
 			return known && model.Size > len(damaged.Members) &&
-				formation.replicaValue(view, staged) >= formation.replicaValue(view, damaged.Model)
+				formation.replicaValue(view, staged) > formation.replicaValue(view, damaged.Model)
 		})
 	})
 }
--- a/formationspares.go
+++ b/formationspares.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -16,15 +15,9 @@
 	// preloadTimeout limits how long a spare is sent the order to load its model. A
 	// target that can't load the model alone is left as it is after that.
 	preloadTimeout = 4 * time.Second
-	// idleUse is the share of slots in use below which a model's replicas are missed less, by a
-	// power of how much below: in bursts of 1.7 times the usual load, others take their work.
-	idleUse      = 0.4
-	idleUsePower = 4
-	// minIdleValue keeps the order by members and spares for models without requests.
-	minIdleValue = 1e-3
-	// restageRatio is the ratio between the expected losses of two models from which a spare of
-	// one is staged for the other by their demand: that takes 12 to 16 s.
-	restageRatio = 2
+	// idleUse is the share of a model's slots in use below which its replicas aren't missed: in
+	// bursts of 1.7 times the usual load, others take their work.
+	idleUse = 0.35
 )
 
 // preload is the order to a spare to load its staged model.
@@ -93,12 +86,13 @@
 		free := formation.free(view, name, nil)
 		spares := map[string]int{}
 		for _, target := range free {
+			if target.Staging != "" {
+				spares[target.Staging]++ // in place of what is staged
+				continue
+			}
 			for _, model := range target.Staged {
 				spares[model]++
 			}
-			if target.Staging != "" {
-				spares[target.Staging]++
-			}
 		}
 		for len(orders) < limit {
 			order, found := formation.stagingOrder(view, name, free, spares)
@@ -107,6 +101,9 @@
 			}
 			orders = append(orders, order)
 			spares[order.Model]++
+			for _, model := range order.Target.Staged {
+				spares[model]--
+			}
 			free = slices.DeleteFunc(free, func(target Target) bool { return target.ID == order.Target.ID })
 		}
 	}
@@ -139,16 +136,6 @@
 	return TargetOrder{}, false
 }
 
-// isSurplus reports whether a staged spare of a model should be staged for the wanted one: if that
-// has none, and by the demand also if it is missed much more.
-func (formation *Formation) isSurplus(view PoolView, domain, staged, wanted string, spares map[string]int) bool {
-	if spares[staged] < 2 || staged == wanted {
-		return false
-	}
-	missed, left := formation.expectedLoss(view, domain, wanted, spares[wanted]), formation.expectedLoss(view, domain, staged, spares[staged]-1)
-	return spares[wanted] == 0 || len(view.Demand) > 0 && missed >= restageRatio*left
-}
-
 // membersIn returns how many members the replicas of each model have in a domain.
 func (formation *Formation) membersIn(domain string) map[string]int {
 	members := map[string]int{}
@@ -166,22 +153,42 @@
 	return float64(formation.membersIn(domain)[model]) / float64(1+spares) * formation.replicaValue(view, model)
 }
 
-// replicaValue compares what callers lose without one of a model's replicas: it is the share of
-// all of them that it makes up, and less if their slots are known to be idle.
+// replicaValue compares what callers lose without one of a model's replicas: the share of all of
+// them that it makes up, as long as no model is known to be idle.
 func (formation *Formation) replicaValue(view PoolView, model string) float64 {
-	assigned, serving := Set[string]{}, 0
+	if formation.anyIdle(view) {
+		return 1
+	}
+	return 1 / float64(max(formation.replicasOf(model), 1))
+}
+
+// anyIdle reports whether a model is known to use few of its slots. Others take the work of its
+// replicas.
+func (formation *Formation) anyIdle(view PoolView) bool {
+	return slices.ContainsFunc(view.Engine.Models, func(model EngineModel) bool {
+		demand, known := view.Demand[model.Name]
+		use := modelUse{ModelDemand: demand, replicas: formation.replicasOf(model.Name)}
+		return known && use.of(view.Engine.Slots) < idleUse
+	})
+}
+
+// replicasOf returns how many replicas of a model are assigned or being repaired.
+func (formation *Formation) replicasOf(model string) int {
+	replicas := Set[string]{}
 	for _, assignment := range slices.Concat(formation.repairing, formation.Assignments) {
-		if assignment.Model != model || !assigned.Add(assignment.Name) {
-			continue
-		}
-		if assignment.Opened && view.allFormed(assignment) {
-			serving++
+		if assignment.Model == model {
+			replicas.Add(assignment.Name)
 		}
 	}
-	value := 1 / float64(max(len(assigned), 1))
-	if demand, known := view.Demand[model]; known {
-		use := modelUse{ModelDemand: demand, replicas: serving}.of(view.Engine.Slots)
-		value *= max(math.Pow(min(use/idleUse, 1), idleUsePower), minIdleValue)
+	return len(replicas)
+}
+
+// isSurplus reports whether a staged spare of a model should be staged for the wanted one: if that
+// has none, or, as a model is known to be idle, if it is missed more by the members of both.
+func (formation *Formation) isSurplus(view PoolView, domain, staged, wanted string, spares map[string]int) bool {
+	if spares[staged] < 2 || staged == wanted {
+		return false
 	}
-	return value
+	missed, left := formation.expectedLoss(view, domain, wanted, spares[wanted]), formation.expectedLoss(view, domain, staged, spares[staged]-1)
+	return spares[wanted] == 0 || formation.anyIdle(view) && missed > left
 }
