--- a/formationshift.go
+++ b/formationshift.go
@@ -8,9 +8,11 @@
 
 const (
 	// shiftUse is the share of a model's slots in use from which other models give targets to
-	// it, and up to which a model may be left after it gave some: bursts reach 1.7 times the
-	// usual load.
+	// it: bursts reach 1.7 times the usual load.
 	shiftUse = 0.5
+	// giverUse is the share up to which a model may be left after it gave targets. With up to
+	// half of its slots in use its callers wait much longer for each other's prompts.
+	giverUse = 0.3
 	// shiftRatio is the least ratio between the uses of the two models. A target that changes
 	// its model loads weights for 12 to 16 s, so small differences aren't followed.
 	shiftRatio = 1.5
@@ -101,7 +103,7 @@
 		replica, gained := formation.shiftReplica(view, donor.EngineModel, recipient.EngineModel, used)
 		donor.replicas--
 		recipient.replicas += gained
-		if gained == 0 || donor.of(view.Engine.Slots) > min(shiftUse, recipient.of(view.Engine.Slots)) {
+		if gained == 0 || donor.of(view.Engine.Slots) > giverUse {
 			return len(used) > 0
 		}
 		if formation.unshifted == nil {
