--- a/formationshift.go
+++ b/formationshift.go
@@ -10,9 +10,9 @@
 	// shiftUse is the share of a model's slots in use from which other models give targets to
 	// it: bursts reach 1.7 times the usual load.
 	shiftUse = 0.5
-	// giverUse is the share up to which a model may be left after it gave targets. With up to
-	// half of its slots in use its callers wait much longer for each other's prompts.
-	giverUse = 0.3
+	// giverUse is the share up to which a model may be left after it gave targets. The use of
+	// slots doesn't show how long its callers wait for each other's prompts.
+	giverUse = 0.35
 	// shiftRatio is the least ratio between the uses of the two models. A target that changes
 	// its model loads weights for 12 to 16 s, so small differences aren't followed.
 	shiftRatio = 1.5
