Admission: by rank only where the operator ranks streams; demand: peaks

Admission by rank, deadline and work, urgencies and measured lengths now take effect for pools whose streams come on routes of different priorities.

The planner now looks at the peak of the last minute.

--- a/control/demand.go
+++ b/control/demand.go
@@ -17,6 +17,9 @@
 	// maxDemandGap is the longest gap between two observations. After a longer one, as when
 	// this entry didn't plan, the mean begins anew.
 	maxDemandGap = 2 * time.Second
+	// peakDecay is the time constant of the highest mean: the load rises and falls in waves of
+	// some seconds, and weights are loaded for longer.
+	peakDecay = time.Minute
 	// rankTTL is how long the most urgent rank of a model's requests counts.
 	rankTTL = time.Minute
 )
@@ -43,7 +46,7 @@
 
 	poolDemand struct {
 		since, observedAt time.Time
-		running           map[string]float64 // mean, by model
+		running, peak     map[string]float64 // mean and its highest value lately, by model
 		ranks             map[string]seenRank
 	}
 
@@ -66,9 +69,10 @@
 	defer demand.mu.Unlock()
 	observed, known := demand.pools[pool]
 	if !known || now.Sub(observed.observedAt) > maxDemandGap {
-		observed = &poolDemand{since: now, running: map[string]float64{}, ranks: map[string]seenRank{}}
+		observed = &poolDemand{since: now, running: map[string]float64{}, peak: map[string]float64{}, ranks: map[string]seenRank{}}
 		demand.pools[pool] = observed
 	}
+	kept := math.Exp(-now.Sub(observed.observedAt).Seconds() / peakDecay.Seconds())
 	weight := 1 - math.Exp(-now.Sub(observed.observedAt).Seconds()/demandDecay.Seconds())
 	observed.observedAt = now
 	result := map[string]greengageroute.ModelDemand{}
@@ -78,12 +82,13 @@
 			running += loads[replica.Head().ID].Running
 		}
 		observed.running[model.Name] += weight * (float64(running) - observed.running[model.Name])
+		observed.peak[model.Name] = max(observed.peak[model.Name]*kept, observed.running[model.Name])
 		if rank, requested := ranks[model.Name]; requested {
 			observed.recordRank(model.Name, rank, now)
 		}
 		seen, ranked := observed.ranks[model.Name]
 		result[model.Name] = greengageroute.ModelDemand{
-			Running: observed.running[model.Name], Rank: seen.rank, HasRank: ranked && now.Sub(seen.at) < rankTTL,
+			Running: observed.running[model.Name], Peak: observed.peak[model.Name], Rank: seen.rank, HasRank: ranked && now.Sub(seen.at) < rankTTL,
 		}
 	}
 	if now.Sub(observed.since) < minDemandTime {
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -145,12 +145,25 @@
 	return exchange.headerSent || exchange.forwarded && exchange.resumed
 }
 
+// refuseLate refuses a stream of a pool whose streams aren't ranked if its predicted time to the
+// first token is far over its objective.
+func (exchange *exchange) refuseLate(chosen source) *Refusal {
+	objective := exchange.route.LatencyObjective
+	if chosen.timeToFirstToken <= time.Duration(greengageroute.OverloadFactor*float64(objective)) {
+		return nil
+	}
+	return unavailable("the replicas are at capacity", max(chosen.timeToFirstToken-objective, minOverloadRetryAfter))
+}
+
 // admit decides whether a stream is sent to the source, or to its alternative. A stream that
 // has begun, or may have run, is sent regardless of the load: a refusal would end it for good.
 func (exchange *exchange) admit(chosen source) (source, *Refusal) {
 	if chosen.engine == nil || exchange.route.LatencyObjective <= 0 || exchange.hasBegun() || exchange.mayHaveRun || exchange.attemptsPending > 0 {
 		return chosen, nil
 	}
+	if !exchange.routes.RanksStreams(exchange.pool.Name) {
+		return chosen, exchange.refuseLate(chosen)
+	}
 	records, key, now := exchange.service.overload, exchange.overloadKey(), time.Now()
 	if !exchange.decided {
 		exchange.decided = true
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -89,7 +89,9 @@
 		return source{}, false
 	}
 	service := exchange.service
-	model = service.overload.withLengths(exchange.overloadKey(), model)
+	if exchange.routes.RanksStreams(exchange.pool.Name) {
+		model = service.overload.withLengths(exchange.overloadKey(), model)
+	}
 	loads, limits := service.Peers.Loads(), service.Peers.Limits()
 	var candidates []greengageroute.ReplicaCandidate
 	var waits []time.Duration
--- a/formationshift.go
+++ b/formationshift.go
@@ -25,6 +25,7 @@
 	// ModelDemand is what callers ask of a model.
 	ModelDemand struct {
 		Running float64 // requests in progress at all entries, mean over some seconds
+		Peak    float64 // the highest mean of the last minute or so
 		Rank    int     // of the most urgent route requested lately
 		HasRank bool    // a request for the model was seen lately
 	}
--- a/formationspares.go
+++ b/formationspares.go
@@ -15,9 +15,9 @@
 	// preloadTimeout limits how long a spare is sent the order to load its model. A
 	// target that can't load the model alone is left as it is after that.
 	preloadTimeout = 4 * time.Second
-	// idleUse is the share of a model's slots in use below which its replicas aren't missed: in
-	// bursts of 1.7 times the usual load, others take their work.
-	idleUse = 0.35
+	// idleUse is the share of a model's slots in use, at its peak lately, below which its replicas
+	// aren't missed: in bursts of 1.7 times the usual load, others take their work.
+	idleUse = 0.4
 )
 
 type (
@@ -188,7 +188,7 @@
 	values := replicaValues{of: map[string]float64{}}
 	for name, names := range replicas {
 		demand, known := view.Demand[name]
-		use := modelUse{ModelDemand: demand, replicas: len(names)}
+		use := modelUse{ModelDemand: ModelDemand{Running: max(demand.Peak, demand.Running)}, replicas: len(names)}
 		values.anyIdle = values.anyIdle || known && use.of(view.Engine.Slots) < idleUse
 		values.of[name] = 1 / float64(max(len(names), 1))
 	}
--- a/overloadinput.go
+++ b/overloadinput.go
@@ -9,9 +9,9 @@
 	// HealthySlowdown is the ratio of a healthy replica's inter-event gaps to the time of
 	// an iteration that only decodes. The gaps include prefill.
 	HealthySlowdown = 1.6
-	// overloadFactor is the limit of the predicted time to first token on a replica with
+	// OverloadFactor is the limit of the predicted time to first token on a replica with
 	// free slots, as a multiple of the objective. Beyond it the queue is looked at.
-	overloadFactor = 1.5
+	OverloadFactor = 1.5
 	// minQueueingShare is the part of the objective that a request may always spend in the
 	// queue, so that long prompts aren't starved.
 	minQueueingShare = 0.25
@@ -128,7 +128,7 @@
 // with free slots.
 func (input OverloadInput) meetsFactor() bool {
 	candidate := ReplicaCandidate{Load: input.Load, Slowdown: input.Slowdown}
-	return candidate.TimeToFirstToken(input.Engine, input.Model, input.PromptTokens) <= time.Duration(overloadFactor*float64(input.Objective))
+	return candidate.TimeToFirstToken(input.Engine, input.Model, input.PromptTokens) <= time.Duration(OverloadFactor*float64(input.Objective))
 }
 
 // queueing predicts the time spent waiting for other requests: for a slot, while the
--- a/routetable.go
+++ b/routetable.go
@@ -25,6 +25,7 @@
 		keyOwners   map[string]KeyOwner
 		requiresKey bool
 		ranks       map[string][]int // of streams by pool, the most urgent first
+		ranked      Set[string]      // see RanksStreams
 	}
 
 	// Route maps requests of a host and path prefix to pools.
@@ -86,7 +87,7 @@
 	for _, route := range routes {
 		table.hosts[route.Host] = insertByPrefix(table.hosts[route.Host], route)
 	}
-	table.ranks = streamRanks(routes, keyOwners)
+	table.ranks, table.ranked = streamRanks(routes, keyOwners), rankedPools(routes)
 	return table
 }
 
--- a/urgency.go
+++ b/urgency.go
@@ -3,8 +3,6 @@
 import "slices"
 
 const (
-	// defaultUrgency is what targets assume for a request that names none.
-	defaultUrgency = 5
 	// minUrgency and maxUrgency bound what is sent. 0 stands for none.
 	minUrgency, maxUrgency = 1, 9
 )
@@ -35,18 +33,35 @@
 	return ranks
 }
 
-// Urgency returns the urgency of a stream for its target, 0 for the target's default: that
-// of new streams of a pool whose ranks don't differ. A resumed stream goes before new ones of
-// its rank.
+// rankedPools returns the pools whose streams come on routes of different ranks.
+func rankedPools(routes []Route) Set[string] {
+	ranked, first := Set[string]{}, map[string]int{}
+	for _, route := range routes {
+		for _, share := range route.Pools {
+			rank, known := first[share.Pool]
+			switch {
+			case route.Kind != Streaming:
+			case !known:
+				first[share.Pool] = route.Priority
+			case rank != route.Priority:
+				ranked.Add(share.Pool)
+			}
+		}
+	}
+	return ranked
+}
+
+// RanksStreams reports whether the operator ranks the streams of a pool, by routes of different
+// priorities. Only then admission is by rank, deadline and work, and streams have urgencies.
+func (table *RouteTable) RanksStreams(pool string) bool { return table.ranked.Has(pool) }
+
+// Urgency returns the urgency of a stream for its target, 0 for the target's default: that of
+// all streams of a pool that aren't ranked. A resumed stream goes before new ones of its rank.
 func (table *RouteTable) Urgency(pool string, rank int, resumed bool) int {
-	ranks := table.ranks[pool]
-	urgency := 0
-	switch {
-	case len(ranks) > 1:
-		urgency = min(2*(1+max(slices.Index(ranks, rank), 0)), maxUrgency)
-	case resumed:
-		urgency = defaultUrgency
+	if !table.RanksStreams(pool) {
+		return 0
 	}
+	urgency := min(2*(1+max(slices.Index(table.ranks[pool], rank), 0)), maxUrgency)
 	if resumed {
 		urgency = max(urgency-1, minUrgency)
 	}
