--- a/control/demand.go
+++ b/control/demand.go
@@ -46,6 +46,7 @@
 
 	poolDemand struct {
 		since, observedAt time.Time
+		isIdle            bool               // no request was observed yet
 		running, peak     map[string]float64 // mean and its highest value lately, by model
 		ranks             map[string]seenRank
 	}
@@ -69,18 +70,23 @@
 	defer demand.mu.Unlock()
 	observed, known := demand.pools[pool]
 	if !known || now.Sub(observed.observedAt) > maxDemandGap {
-		observed = &poolDemand{since: now, running: map[string]float64{}, peak: map[string]float64{}, ranks: map[string]seenRank{}}
+		observed = &poolDemand{since: now, isIdle: true, running: map[string]float64{}, peak: map[string]float64{}, ranks: map[string]seenRank{}}
 		demand.pools[pool] = observed
 	}
 	kept := math.Exp(-now.Sub(observed.observedAt).Seconds() / peakDecay.Seconds())
 	weight := 1 - math.Exp(-now.Sub(observed.observedAt).Seconds()/demandDecay.Seconds())
+	if observed.isIdle {
+		weight = 1 // the mean begins with the first requests
+	}
 	observed.observedAt = now
+	total := 0
 	result := map[string]greengageroute.ModelDemand{}
 	for _, model := range engine.Models {
 		running := 0
 		for _, replica := range demand.directory.View().Replicas(pool, model.Name) {
 			running += loads[replica.Head().ID].Running
 		}
+		total += running
 		observed.running[model.Name] += weight * (float64(running) - observed.running[model.Name])
 		observed.peak[model.Name] = max(observed.peak[model.Name]*kept, observed.running[model.Name])
 		if rank, requested := ranks[model.Name]; requested {
@@ -91,6 +97,9 @@
 			Running: observed.running[model.Name], Peak: observed.peak[model.Name], Rank: seen.rank, HasRank: ranked && now.Sub(seen.at) < rankTTL,
 		}
 	}
+	if observed.isIdle = observed.isIdle && total == 0; observed.isIdle {
+		observed.since = now // before the first request nothing is known of the demand
+	}
 	if now.Sub(observed.since) < minDemandTime {
 		return nil
 	}
--- a/control/demand_test.go
+++ b/control/demand_test.go
@@ -43,6 +43,7 @@
 			lowestPeak      float64
 			hasRank         bool
 		}{
+			{"no requests yet", 0, 20 * time.Second, 0, 0, 0, false},
 			{"too short", 10, 5 * time.Second, 0, 0, 0, false},
 			{"steady", 10, 5 * time.Second, 10, 10, 10, true},
 			{"short burst", 20, time.Second, 11, 12, 11, true},
