--- a/edge/coldload_test.go
+++ b/edge/coldload_test.go
@@ -96,11 +96,13 @@
 	fleet.list(nil, heads, 0)
 	time.Sleep(1400 * time.Millisecond)
 	back = time.Now()
+	fleet.mu.Lock()
 	for index := range fleet.targets[:load.cold] {
 		target := &fleet.targets[index]
 		target.StartUnixMilli, target.Membership.Epoch, target.ColdRemaining = 9, 2, coldTime
 		target.Revision.Version, target.Statement = 2, 1
 	}
+	fleet.mu.Unlock()
 	fleet.list(fleet.targets[:load.cold], nil, coldRowDelay)
 	return back
 }
