Admission: nothing is recorded for pools that aren't ranked; planner: replicas counted in one place

Found on reading the change again: offsets and lengths were measured, under a lock, on each stream of pools whose admission doesn't use them, and the shift counted replicas beside targetsByModel. Behaviour is the same.

--- a/edge/hedgedstream.go
+++ b/edge/hedgedstream.go
@@ -353,7 +353,7 @@
 // recordLengths records the lengths of a request that its target answered completely.
 func (stream *hedgedStream) recordLengths(attempt *streamAttempt) {
 	exchange, engine := stream.exchange, attempt.source.engine
-	if engine != nil && attempt.answer.Status == http.StatusOK && !exchange.resumed {
+	if engine != nil && exchange.isRanked() && attempt.answer.Status == http.StatusOK && !exchange.resumed {
 		exchange.service.overload.recordLengths(exchange.overloadKey(), engine, exchange.PromptTokens, exchange.timing.events*max(engine.StepsPerIteration, 1))
 	}
 }
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -139,6 +139,10 @@
 	return overloadKey{exchange.pool.Name, exchange.Model}
 }
 
+// isRanked reports whether the operator ranks the streams of the request's pool. Otherwise
+// nothing is recorded for the admission by rank.
+func (exchange *exchange) isRanked() bool { return exchange.routes.RanksStreams(exchange.pool.Name) }
+
 // hasBegun reports whether events of the stream were sent to the caller, by this entry or by the
 // one that forwards the request.
 func (exchange *exchange) hasBegun() bool {
@@ -161,7 +165,7 @@
 	if chosen.engine == nil || exchange.route.LatencyObjective <= 0 || exchange.hasBegun() || exchange.mayHaveRun || exchange.attemptsPending > 0 {
 		return chosen, nil
 	}
-	if !exchange.routes.RanksStreams(exchange.pool.Name) {
+	if !exchange.isRanked() {
 		return chosen, exchange.refuseLate(chosen)
 	}
 	records, key, now := exchange.service.overload, exchange.overloadKey(), time.Now()
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -89,7 +89,7 @@
 		return source{}, false
 	}
 	service := exchange.service
-	if exchange.routes.RanksStreams(exchange.pool.Name) {
+	if exchange.isRanked() {
 		model = service.overload.withLengths(exchange.overloadKey(), model)
 	}
 	loads, limits := service.Peers.Loads(), service.Peers.Limits()
--- a/edge/streamattempt.go
+++ b/edge/streamattempt.go
@@ -226,7 +226,7 @@
 		return
 	}
 	attempt.finishPrefill()
-	if attempt.progress.Pieces() == 1 && !attempt.resumes && !exchange.resumed && attempt.suspicion == "" && attempt.source.load.Running < attempt.source.engine.Slots {
+	if exchange.isRanked() && attempt.progress.Pieces() == 1 && !attempt.resumes && !exchange.resumed && attempt.suspicion == "" && attempt.source.load.Running < attempt.source.engine.Slots {
 		exchange.service.overload.recordFirstToken(exchange.overloadKey(), now.Sub(attempt.sentAt), attempt.source.timeToFirstToken)
 	}
 	if !hasNoGap {
--- a/formationshift.go
+++ b/formationshift.go
@@ -123,20 +123,16 @@
 // all of several models is known.
 func (formation *Formation) shiftPair(view PoolView) (donor, recipient modelUse, found bool) {
 	var uses []modelUse
+	targets := formation.targetsByModel(view.Engine)
 	for _, model := range view.Engine.Models {
 		demand, known := view.Demand[model.Name]
 		if !known {
 			return donor, recipient, false
 		}
-		replicas := 0
-		for _, assignment := range formation.Assignments {
-			if assignment.Model == model.Name {
-				replicas++
-			}
-		}
 		before, shifted := formation.unshifted[model.Name]
-		gained := shifted && float64(replicas*model.Size) > before
-		uses = append(uses, modelUse{EngineModel: model, ModelDemand: demand, replicas: replicas, gained: gained})
+		uses = append(uses, modelUse{
+			EngineModel: model, ModelDemand: demand, replicas: int(targets[model.Name]) / model.Size, gained: shifted && targets[model.Name] > before,
+		})
 	}
 	if len(uses) < 2 {
 		return donor, recipient, false
