Directory: rows count in the order in which their targets wrote them

Callers of a replica would lose their streams, and a target would be in two groups at once (TWO): a row that its target had given up writing arrived at the store after a later one, and showed a member of a serving replica as free. The planner gave it to another one.

Cause: within one era of the store, rows were ordered by the store's version alone, which is the order of their arrival.

Change: a row that its target wrote before what is known of it (by its own count of rows, or its start time) doesn't count, as one of a restored store didn't already. If nothing later comes for 5 s it does, so that a row of another writer with a high count can't hide the target for good.

TestLateRowsDontCount fails in four of seven cases on the code before.

--- a/control/directory.go
+++ b/control/directory.go
@@ -29,9 +29,9 @@
 	// absentTTL is how long a target that is no longer listed is remembered: its
 	// replica's members may have to be released from it.
 	absentTTL = time.Minute
-	// outdatedTTL is how long a row of a restored store doesn't count that is older than
-	// what this entry knows of the target. A live target writes its row again meanwhile,
-	// and the row of one that has ended lapses.
+	// outdatedTTL is how long a row doesn't count that its target wrote before what this entry
+	// knows of it: one of a restored store, or one that arrived late. A live target writes its
+	// row again meanwhile, and the row of one that has ended lapses.
 	outdatedTTL = 5 * time.Second
 	// leavingTTL is how long an unlisted target counts as leaving: longer than it may go on
 	// serving, cut off from the store.
@@ -53,7 +53,7 @@
 		// unlisted are members that are no longer listed. This also happens to targets
 		// that only lost the store: their replicas may still be complete.
 		unlisted      map[string]datedTarget
-		outdated      map[string]datedTarget // as rows of a restored store show them, which don't count yet
+		outdated      map[string]datedTarget // as rows show them that are older than what is known, and don't count yet
 		unreachable   map[mesh.TargetInstance]time.Time
 		responded     map[mesh.TargetInstance]time.Time // when targets that were found unreachable responded again
 		slow          map[mesh.TargetInstance]time.Time
@@ -158,11 +158,7 @@
 		listed := greengageroute.NewSet(undecodable...)
 		for _, target := range targets {
 			listed.Add(target.ID)
-			if directory.outweighs(target) {
-				directory.keepKnown(target)
-			} else {
-				directory.put(target)
-			}
+			directory.putUnlessOutdated(target)
 		}
 		for id := range directory.targets {
 			if !listed.Has(id) {
@@ -178,7 +174,7 @@
 func (directory *Directory) Apply(written []greengageroute.Target, removed []string, dropAt time.Time) {
 	directory.update(func() {
 		for _, target := range written {
-			directory.put(target)
+			directory.putUnlessOutdated(target)
 		}
 		for _, id := range removed {
 			delete(directory.outdated, id)
@@ -200,23 +196,29 @@
 	}
 }
 
-// outweighs reports whether the target wrote what this entry knows of it, listed or not,
-// after the row that a restored store shows.
-func (directory *Directory) outweighs(copied greengageroute.Target) bool {
-	known, found := directory.targets[copied.ID]
-	if !found {
-		removed, remembered := directory.absent[copied.ID]
-		known, found = removed.target, remembered
+// putUnlessOutdated applies a row, unless its target wrote what this entry knows of it, listed or
+// not, after that row.
+func (directory *Directory) putUnlessOutdated(row greengageroute.Target) {
+	known := directory.lastRow(row.ID)
+	isCopy := known.Revision.Era < row.Revision.Era && !row.StatedAfter(known)
+	isLate := known.Revision.Era == row.Revision.Era && row.StatedBefore(known)
+	if known.ID != "" && (isCopy || isLate) {
+		directory.keepKnown(row)
+		return
 	}
-	return found && known.Revision.Era < copied.Revision.Era && !copied.StatedAfter(known)
+	directory.put(row)
 }
 
-// keepKnown keeps what this entry knows of a target instead of a restored store's row.
-func (directory *Directory) keepKnown(copied greengageroute.Target) {
-	delete(directory.dropAt, copied.ID)
-	if _, waits := directory.outdated[copied.ID]; !waits {
-		directory.outdated[copied.ID] = datedTarget{copied, directory.clock.Now()}
+// keepKnown keeps what this entry knows of a target instead of an outdated row. That one counts
+// if the target writes no later one for outdatedTTL: then what is known may have been written
+// by another writer.
+func (directory *Directory) keepKnown(row greengageroute.Target) {
+	delete(directory.dropAt, row.ID)
+	since := directory.clock.Now()
+	if waiting, waits := directory.outdated[row.ID]; waits {
+		since = waiting.since
 	}
+	directory.outdated[row.ID] = datedTarget{row, since}
 }
 
 func (directory *Directory) put(target greengageroute.Target) {
--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -243,6 +243,53 @@
 	})
 }
 
+// TestLateRowsDontCount guards against targets that are taken for free, or for live, because of a
+// row that they wrote before the last one and that arrived at the store after it.
+func TestLateRowsDontCount(t *testing.T) {
+	row := func(born, sequence int, address string) string {
+		return fmt.Sprintf(`{"service":"ledger","address":%q,"zone":"a","state":"ready","slots":6,"born":%d,"sequence":%d}`, address, born, sequence)
+	}
+	const before, now = "10.0.0.1:80", "10.0.0.2:80"
+	tests := []struct {
+		name    string
+		rows    []string
+		removed bool // the row was removed before the last one arrived
+		want    string
+		later   string // 8 s later, if nobody writes the row again
+	}{
+		{"a later row", []string{row(7, 4, before), row(7, 5, now)}, false, now, now},
+		{"a late row", []string{row(7, 5, now), row(7, 4, before)}, false, now, before},
+		{"two late rows", []string{row(7, 5, now), row(7, 3, before), row(7, 4, before)}, false, now, before},
+		{"a late row and a later one", []string{row(7, 5, before), row(7, 4, before), row(7, 6, now)}, false, now, now},
+		{"a late row of an earlier start", []string{row(8, 1, now), row(7, 4, before)}, false, now, before},
+		{"another start", []string{row(7, 5, before), row(8, 1, now)}, false, now, now},
+		{"a late row of a target that has ended", []string{row(7, 5, now), row(7, 4, before)}, true, "", before},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			follow(t, func(store *fakeStore, _ *fakeConn, follower *Follower) {
+				check := func(when, want string) {
+					t.Helper()
+					if target, _ := follower.directory.View().Target("i-1"); target.Address != want {
+						t.Errorf("%s the target is listed at %q, want %q", when, target.Address, want)
+					}
+				}
+				for i, value := range test.rows {
+					if test.removed && i == len(test.rows)-1 {
+						store.remove("servers", "i-1")
+						time.Sleep(200 * time.Millisecond)
+					}
+					store.put("servers", "i-1", value)
+					time.Sleep(200 * time.Millisecond)
+				}
+				check("at once", test.want)
+				time.Sleep(8 * time.Second)
+				check("8 s later", test.later)
+			})
+		})
+	}
+}
+
 func TestListedTargets(t *testing.T) {
 	follow(t, func(store *fakeStore, conn *fakeConn, follower *Follower) {
 		listed := func(id string) bool {
--- a/control/groupmodel_test.go
+++ b/control/groupmodel_test.go
@@ -42,8 +42,10 @@
 		members   []string // of its replica
 		former    []modelReplica
 		silent    bool
+		suspended bool // silent, and its clock stands still
 		unlisted  bool
-		stalledAt time.Time // of a head that serves and lacks a member
+		earlier   *greengageroute.Target // the row before the last one
+		stalledAt time.Time              // of a head that serves and lacks a member
 		seenEpoch uint64
 	}
 
@@ -58,6 +60,7 @@
 		clock      *modelClock
 		directory  *Directory
 		planner    *Planner
+		before     *Planner // the planner that had the lease before
 		formation  *greengageroute.Formation
 		engine     *greengageroute.Engine
 		targets    map[string]*modelTarget
@@ -125,6 +128,7 @@
 // replacePlanner has a new planner take over, which knows what is stored.
 func (world *modelWorld) replacePlanner() {
 	world.fence++
+	world.before = world.planner
 	lease := NewLease(&fakeConn{fakeStore: world.store}, "entry", true, world.clock, logr.Discard())
 	lease.held = greengageroute.HeldLease{Fence: world.fence, RenewedAt: world.clock.now, Term: 1000 * time.Hour}
 	stall := modelStall
@@ -135,6 +139,21 @@
 		Lease: lease, OrderSender: world, Activity: fakeActivity{}, Directory: world.directory, HasTraffic: func() bool { return true },
 		Confirm: func([]mesh.TargetInstance) {}, Isolated: func() bool { return false }, StallTimeout: stall, Clock: world.clock, Counters: new(expvar.Map).Init(), Log: logr.Discard(),
 	})
+	world.buildFormation()
+}
+
+// returnPlanner has the planner of before take the lease again.
+func (world *modelWorld) returnPlanner() {
+	world.fence++
+	world.planner, world.before = world.before, world.planner
+	world.planner.Lease.held = greengageroute.HeldLease{Fence: world.fence, RenewedAt: world.clock.now, Term: 1000 * time.Hour}
+	world.planner.forgetAbsentHeads()
+	clear(world.planner.storedHeads)
+	world.buildFormation()
+}
+
+// buildFormation has the planner begin its term.
+func (world *modelWorld) buildFormation() {
 	view := world.planner.poolView("llm", world.engine, world.directory.View())
 	heads, err := world.planner.readHeads(context.Background(), "llm")
 	if err != nil {
@@ -286,6 +305,7 @@
 		switch {
 		case whole:
 			head.stalledAt = time.Time{}
+		case head.suspended:
 		case head.stalledAt.IsZero():
 			head.stalledAt = world.clock.now
 		case world.clock.now.Sub(head.stalledAt) >= modelStall:
@@ -308,6 +328,18 @@
 	row := target.Target
 	world.revision++
 	row.Revision, row.Statement = greengageroute.StoreRevision{Version: world.revision}, world.revision
+	if known, listed := world.directory.View().Target(id); listed {
+		target.earlier = &known
+	}
+	world.directory.Apply([]greengageroute.Target{row}, nil, time.Time{})
+}
+
+// publishLate has the row before the last one arrive at the store again, as a write does that its
+// target has given up.
+func (world *modelWorld) publishLate(id string) {
+	row := *world.targets[id].earlier
+	world.revision++
+	row.Revision = greengageroute.StoreRevision{Version: world.revision}
 	world.directory.Apply([]greengageroute.Target{row}, nil, time.Time{})
 }
 
@@ -334,13 +366,16 @@
 	}
 	limited("4 s pass", 4, func(world *modelWorld) { world.advance(modelAdvance) })
 	limited("planner", 1, (*modelWorld).replacePlanner)
+	if world.used["planner"] > 0 {
+		limited("first planner", 1, (*modelWorld).returnPlanner)
+	}
 	for _, id := range []string{"a", "b"} {
 		target := world.targets[id]
 		instance := mesh.TargetInstance{ID: id, StartUnixMilli: 1}
 		switch {
 		case target.silent:
 			events = append(events, modelEvent{id + " goes on", func(world *modelWorld) {
-				world.targets[id].silent = false
+				world.targets[id].silent, world.targets[id].suspended = false, false
 				world.directory.MarkResponding(instance)
 			}})
 		case target.unlisted:
@@ -353,6 +388,10 @@
 				world.targets[id].silent = true
 				world.directory.MarkUnreachable(instance)
 			})
+			limited(id+" is suspended", 1, func(world *modelWorld) {
+				world.targets[id].silent, world.targets[id].suspended = true, true
+				world.directory.MarkUnreachable(instance)
+			})
 			limited(id+" is cut off from the list", 1, func(world *modelWorld) {
 				world.targets[id].unlisted = true
 				world.directory.Apply(nil, []string{id}, time.Time{})
@@ -361,6 +400,11 @@
 			})
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(world.targets)) {
+		if world.targets[id].earlier != nil {
+			limited("earlier row of "+id, 1, func(world *modelWorld) { world.publishLate(id) })
+		}
+	}
 	for i, order := range world.late {
 		if !world.targets[order.Target.ID].silent {
 			events = append(events, modelEvent{"late " + order.String(), func(world *modelWorld) {
@@ -382,7 +426,7 @@
 	text := strings.Builder{}
 	for _, id := range slices.Sorted(maps.Keys(world.targets)) {
 		target := world.targets[id]
-		fmt.Fprint(&text, id, target.Membership, target.silent, target.unlisted, target.former, world.age(target.stalledAt), ";")
+		fmt.Fprint(&text, id, target.Membership, target.silent, target.suspended, target.unlisted, target.former, world.age(target.stalledAt), ";")
 	}
 	view := world.planner.poolView("llm", world.engine, world.directory.View())
 	for _, id := range slices.Sorted(maps.Keys(view.Targets)) {
@@ -481,8 +525,21 @@
 	world.add("b", "r1", 1, 1, greengageroute.MemberReady, "a", "b")
 }
 
+// formedLately is a replica that serves, and whose members wrote rows before they joined it.
+func formedLately(world *modelWorld) {
+	world.add("a", "", 0, 0, "")
+	world.add("b", "", 0, 0, "")
+	world.heads = []greengageroute.ReplicaHead{{Replica: "r1", Epoch: 1, ID: "a", Address: "a"}}
+	world.afterRows = func() {
+		oneReplica(world)
+		world.publish("a")
+		world.publish("b")
+	}
+}
+
 // TestGroupsUnderAllInterleavings walks all sequences of planning rounds, lost, late and
-// unheard orders, rows, silences, losses of the list and changes of the planner, and guards
+// unheard orders, rows, late rows, silences, suspensions, losses of the list and changes of the
+// planner, and guards
 // against members that join another replica while their head serves, and replicas that open
 // without a member.
 func TestGroupsUnderAllInterleavings(t *testing.T) {
@@ -494,6 +551,7 @@
 		{"a replica serves", oneReplica, 5},
 		{"a member is left in an earlier epoch", twoEpochs, 4},
 		{"a replica is about to open", notOpen, 4},
+		{"a replica has formed lately", formedLately, 4},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
--- a/storerevision_test.go
+++ b/storerevision_test.go
@@ -43,3 +43,29 @@
 		})
 	}
 }
+
+// TestStatedBefore guards against rows that arrive at the store after later ones of their target.
+func TestStatedBefore(t *testing.T) {
+	row := func(start int64, statement uint64) greengageroute.Target {
+		return greengageroute.Target{StartUnixMilli: start, Statement: statement}
+	}
+	tests := []struct {
+		name       string
+		row, known greengageroute.Target
+		want       bool
+	}{
+		{"earlier", row(5, 3), row(5, 4), true},
+		{"the same", row(5, 4), row(5, 4), false},
+		{"later", row(5, 5), row(5, 4), false},
+		{"the target doesn't count", row(5, 0), row(5, 4), false},
+		{"of an earlier start", row(4, 9), row(5, 1), true},
+		{"of a later start", row(6, 1), row(5, 9), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.row.StatedBefore(test.known); got != test.want {
+				t.Errorf("stated before: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/target.go
+++ b/target.go
@@ -124,6 +124,16 @@
 	}
 }
 
+// StatedBefore reports whether the target wrote its row before another one, by its own count. The
+// store goes by the order in which rows arrive, and a write that its target has given up may
+// arrive after the next one.
+func (target Target) StatedBefore(other Target) bool {
+	if target.StartUnixMilli != other.StartUnixMilli {
+		return target.StartUnixMilli < other.StartUnixMilli
+	}
+	return target.Statement > 0 && target.Statement < other.Statement
+}
+
 // HasStaged reports whether the model's weights are staged on the target's host.
 func (target Target) HasStaged(model string) bool {
 	for _, staged := range target.Staged {
