Planner: replicas of an earlier planner that don't serve form again under a new epoch

Cause: epochs tell the orders of two planners apart, but a planner that takes over went on with epochs of the one before. Orders of that one may still arrive, and rows of targets that don't reach the store are as old as its orders.

Change: a replica that isn't known to serve, or whose head isn't open, is never joined or opened under an epoch of an earlier planner; its members join again under a new epoch of this one.

--- a/control/groupmodel_test.go
+++ b/control/groupmodel_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"expvar"
+	"flag"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -28,6 +30,13 @@
 	modelStall   = 6 * time.Second
 	modelAdvance = 4 * time.Second // more than a silence, less than the time in which a head breaks
 	modelRound   = time.Second     // between two rounds
+	// modelHeartbeats is after which a target that reaches the store has written its row again.
+	modelHeartbeats = 8 * time.Second
+)
+
+var (
+	sequences     = flag.Uint64("sequences", 200, "random sequences of events to follow")
+	firstSequence = flag.Uint64("first-sequence", 1, "seed of the first sequence")
 )
 
 type (
@@ -45,6 +54,7 @@
 		suspended bool // silent, and its clock stands still
 		unlisted  bool
 		earlier   *greengageroute.Target // the row before the last one
+		published time.Time              // when the last row was written
 		stalledAt time.Time              // of a head that serves and lacks a member
 		seenEpoch uint64
 	}
@@ -71,10 +81,13 @@
 		fence      uint64
 		fate       fate
 		used       map[string]int // how often each limited event has happened
+		repeats    int            // how many times as often as usual it may happen
 		violations []string
+		troubled   []string // ids of the targets that fall silent
 		guard      modelGuard
 		heads      []greengageroute.ReplicaHead // known from before
 		afterRows  func()                       // changes targets after the rows were written
+		prelude    int                          // rounds, each with its rows, before the first event
 	}
 
 	// modelGuard switches off one of the planner's guards, as a test does it from outside.
@@ -97,7 +110,7 @@
 
 func newModelWorld(guard modelGuard, build func(world *modelWorld)) *modelWorld {
 	world := &modelWorld{
-		clock: &modelClock{now: time.Unix(1000, 0)}, targets: map[string]*modelTarget{}, everReady: map[string]bool{}, used: map[string]int{}, guard: guard,
+		clock: &modelClock{now: time.Unix(1000, 0)}, targets: map[string]*modelTarget{}, everReady: map[string]bool{}, used: map[string]int{}, repeats: 1, troubled: []string{"a", "b"}, guard: guard,
 		engine: &greengageroute.Engine{LoadsPerSecond: 10, ConcurrentLoads: 10, Models: []greengageroute.EngineModel{{Name: "m", Size: 2, Share: 1}, {Name: "n", Size: 9, Share: 0.01}}},
 		store:  newFakeStore(),
 	}
@@ -111,6 +124,12 @@
 	}
 	world.clock.now = world.clock.now.Add(time.Minute)
 	world.replacePlanner()
+	world.guard = modelGuard{stall: guard.stall}
+	for range world.prelude {
+		world.plan(fateAnswered)
+		world.publishAll()
+	}
+	world.guard = guard
 	return world
 }
 
@@ -182,12 +201,8 @@
 		if !world.planner.maySend(order, world.formation, "llm") {
 			continue
 		}
-		select {
-		case <-world.planner.wake:
-		default:
-		}
 		world.planner.send(context.Background(), order, view)
-		<-world.planner.wake // once the result is recorded
+		world.planner.sending.Wait()
 	}
 	if world.guard.afterRound != nil {
 		world.guard.afterRound(world)
@@ -317,6 +332,11 @@
 func (world *modelWorld) advance(length time.Duration) {
 	world.clock.now = world.clock.now.Add(length)
 	world.checkHeads()
+	for _, id := range slices.Sorted(maps.Keys(world.targets)) {
+		if world.clock.now.Sub(world.targets[id].published) >= modelHeartbeats {
+			world.publish(id)
+		}
+	}
 }
 
 // publish has the list show a target as it is.
@@ -326,6 +346,7 @@
 		return
 	}
 	row := target.Target
+	target.published = world.clock.now
 	world.revision++
 	row.Revision, row.Statement = greengageroute.StoreRevision{Version: world.revision}, world.revision
 	if known, listed := world.directory.View().Target(id); listed {
@@ -334,6 +355,12 @@
 	world.directory.Apply([]greengageroute.Target{row}, nil, time.Time{})
 }
 
+func (world *modelWorld) publishAll() {
+	for _, id := range slices.Sorted(maps.Keys(world.targets)) {
+		world.publish(id)
+	}
+}
+
 // publishLate has the row before the last one arrive at the store again, as a write does that its
 // target has given up.
 func (world *modelWorld) publishLate(id string) {
@@ -350,14 +377,10 @@
 		{"plan, unheard", func(world *modelWorld) { world.plan(fateUnheard) }},
 		{"plan, lost", func(world *modelWorld) { world.plan(fateLost) }},
 		{"plan, late", func(world *modelWorld) { world.plan(fateLate) }},
-		{"rows", func(world *modelWorld) {
-			for _, id := range slices.Sorted(maps.Keys(world.targets)) {
-				world.publish(id)
-			}
-		}},
+		{"rows", (*modelWorld).publishAll},
 	}
 	limited := func(name string, limit int, run func(world *modelWorld)) {
-		if world.used[name] < limit {
+		if world.used[name] < limit*world.repeats {
 			events = append(events, modelEvent{name, func(world *modelWorld) {
 				world.used[name]++
 				run(world)
@@ -369,7 +392,7 @@
 	if world.used["planner"] > 0 {
 		limited("first planner", 1, (*modelWorld).returnPlanner)
 	}
-	for _, id := range []string{"a", "b"} {
+	for _, id := range world.troubled {
 		target := world.targets[id]
 		instance := mesh.TargetInstance{ID: id, StartUnixMilli: 1}
 		switch {
@@ -519,12 +542,18 @@
 	world.afterRows = func() { world.add("a", "r1", 2, 0, greengageroute.MemberOpen, "a", "c") }
 }
 
-// notOpen is a replica whose members have all formed.
-func notOpen(world *modelWorld) {
+// inherited is a replica whose members have all formed for an earlier planner.
+func inherited(world *modelWorld) {
 	world.add("a", "r1", 1, 0, greengageroute.MemberReady, "a", "b")
 	world.add("b", "r1", 1, 1, greengageroute.MemberReady, "a", "b")
 }
 
+// notOpen is a replica whose members have all formed.
+func notOpen(world *modelWorld) {
+	inherited(world)
+	world.prelude = 2
+}
+
 // formedLately is a replica that serves, and whose members wrote rows before they joined it.
 func formedLately(world *modelWorld) {
 	world.add("a", "", 0, 0, "")
@@ -547,19 +576,17 @@
 		name  string
 		build func(world *modelWorld)
 		depth int
-		// events are the only ones, by prefix, of sequences that are longer; nil: all
-		events []string
 	}{
-		{"a replica serves", oneReplica, 5, nil},
-		{"a member is left in an earlier epoch", twoEpochs, 4, nil},
-		{"a replica is about to open", notOpen, 4, nil},
-		{"a replica has formed lately", formedLately, 4, nil},
-		{"a head opens late and falls silent", notOpen, 10, []string{"plan, answered", "plan, late", "late open", "b is silent", "b goes", "a is silent", "4 s"}},
+		{"a replica serves", oneReplica, 5},
+		{"a member is left in an earlier epoch", twoEpochs, 4},
+		{"a replica is about to open", notOpen, 4},
+		{"a replica has formed lately", formedLately, 4},
+		{"a replica is about to open as the planner changes", inherited, 4},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			started := time.Now()
-			sequence, violation, states := explore(modelGuard{events: test.events}, test.build, test.depth)
+			sequence, violation, states := explore(modelGuard{}, test.build, test.depth)
 			t.Logf("%d states to depth %d in %s", states, test.depth, time.Since(started).Round(time.Millisecond))
 			if violation != "" {
 				t.Errorf("%s after %q", violation, sequence)
@@ -568,6 +595,84 @@
 	}
 }
 
+// TestSequencesThatBrokeRules repeats sequences of events that random ones and the walk found, and
+// guards against targets that join another replica while their head serves. Events are named by
+// the beginning of their names; those that don't occur any more are left out.
+func TestSequencesThatBrokeRules(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		build  func(world *modelWorld)
+		events []string
+	}{
+		{"a row of a member arrives after a later one", formedLately, []string{"b is cut off", "earlier row of a", "plan, answered"}},
+		{"a head that refused to close opens late and falls silent", notOpen, []string{
+			"plan, late", "b is silent", "4 s", "plan, answered", "b goes on", "plan, answered", "late open", "a is silent", "4 s", "plan, answered",
+		}},
+		{"a member that moved on is opened with by its old row", twoReplicas, []string{
+			"b is silent", "4 s", "plan, late", "b goes on", "c is silent", "late close r1", "rows", "planner", "a is cut off", "4 s", "plan, answered", "plan, answered",
+			"first planner", "a is listed", "e is cut off", "b is cut off", "plan, unheard", "rows", "plan, answered", "a is cut off", "b is listed", "plan, unheard", "plan, late", "plan, answered", "plan, answered",
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			world := newModelWorld(modelGuard{}, test.build)
+			for _, prefix := range test.events {
+				events := world.events()
+				if i := slices.IndexFunc(events, func(event modelEvent) bool { return strings.HasPrefix(event.name, prefix) }); i >= 0 {
+					events[i].run(world)
+				}
+			}
+			if len(world.violations) > 0 {
+				t.Error(world.violations)
+			}
+		})
+	}
+}
+
+// twoReplicas are two replicas that serve, and a spare.
+func twoReplicas(world *modelWorld) {
+	oneReplica(world)
+	world.add("c", "r2", 2, 0, greengageroute.MemberOpen, "c", "d")
+	world.add("d", "r2", 2, 1, greengageroute.MemberReady, "c", "d")
+	world.add("e", "", 0, 0, "")
+	world.repeats, world.troubled = 4, []string{"a", "b", "c", "d", "e"}
+}
+
+// TestGroupsInRandomSequences follows long random sequences of the same events on two replicas and
+// a spare, and guards against faults that need more of them than a walk reaches. To run more:
+//
+//	go test ./control -run GroupsInRandomSequences -sequences 100000
+func TestGroupsInRandomSequences(t *testing.T) {
+	for worker := range uint64(4) {
+		t.Run(fmt.Sprint(worker), func(t *testing.T) {
+			t.Parallel()
+			for seed := worker; seed < *sequences; seed += 4 {
+				if names, violation := followSequence(*firstSequence + seed); violation != "" {
+					t.Fatalf("-first-sequence %d: %s after %q", *firstSequence+seed, violation, names)
+				}
+			}
+		})
+	}
+}
+
+// followSequence runs a random sequence of events. It returns their names and the first rule
+// broken.
+func followSequence(seed uint64) (names []string, violation string) {
+	world, random := newModelWorld(modelGuard{}, twoReplicas), rand.New(rand.NewPCG(seed, 1))
+	for range 60 {
+		events := slices.DeleteFunc(world.events(), func(event modelEvent) bool { return strings.HasSuffix(event.name, "is suspended") })
+		event := events[random.IntN(len(events))]
+		if random.IntN(3) == 0 {
+			event = events[0] // a round that is answered
+		}
+		names = append(names, event.name)
+		event.run(world)
+		if len(world.violations) > 0 {
+			return names, world.violations[0]
+		}
+	}
+	return names, ""
+}
+
 // leaveUnheard has the planner believe that closed heads have left their replicas.
 func leaveUnheard(view *greengageroute.PoolView) {
 	for id, target := range view.Targets {
@@ -605,11 +710,11 @@
 		}}, oneReplica, 9},
 		{modelGuard{name: "a head that may have opened leaves first", events: []string{"plan, answered", "b ", "planner"}, beforePlan: func(_ *modelWorld, view *greengageroute.PoolView) {
 			leaveUnheard(view)
-		}}, notOpen, 8},
+		}}, notOpen, 10},
 		{modelGuard{name: "an order to open is pending, and the head leaves first", events: []string{"plan, answered", "b "}, beforePlan: func(_ *modelWorld, view *greengageroute.PoolView) {
 			leaveUnheard(view)
 			view.PendingOpens = nil
-		}}, notOpen, 5},
+		}}, notOpen, 9},
 	} {
 		t.Run(test.guard.name, func(t *testing.T) {
 			t.Parallel()
--- a/formationadoption.go
+++ b/formationadoption.go
@@ -172,3 +172,12 @@
 		formation.recordHead(replica)
 	}
 }
+
+// isInherited reports whether an assignment has the epoch of an earlier planner and isn't known to
+// serve, or its head isn't open. Orders of that planner may still be on their way, and a member
+// whose row is old may have left: such a replica forms again under an epoch of this planner.
+func (formation *Formation) isInherited(assignment Assignment, view PoolView) bool {
+	head, listed := view.Targets[assignment.Members[0]]
+	isReady := listed && head.Membership.BelongsTo(assignment.Name, assignment.Epoch) && head.Membership.State == MemberReady
+	return assignment.Epoch <= formation.firstEpoch && (!assignment.Opened || isReady)
+}
--- a/formationorders.go
+++ b/formationorders.go
@@ -31,6 +31,9 @@
 }
 
 func (formation *Formation) ordersFor(assignment Assignment, view PoolView, closed map[ReplicaKey]bool) []TargetOrder {
+	if formation.isInherited(assignment, view) {
+		return nil
+	}
 	var joins, headJoins, frees []TargetOrder
 	formed, blocked := 0, false
 	for _, id := range assignment.Members {
--- a/formationrepair.go
+++ b/formationrepair.go
@@ -100,11 +100,11 @@
 	}
 }
 
-// takeDamaged removes the assignments that need repair and returns them.
+// takeDamaged removes the assignments that need repair, or a new epoch, and returns them.
 func (formation *Formation) takeDamaged(view PoolView) []damagedAssignment {
 	var damaged []damagedAssignment
 	formation.unassign(func(assignment Assignment) bool {
-		if !view.needsRepair(assignment) {
+		if !view.needsRepair(assignment) && !formation.isInherited(assignment, view) {
 			return false
 		}
 		damaged = append(damaged, damagedAssignment{Assignment: assignment, survivors: view.survivors(assignment)})
