Planner: members join again only once the next planner can know of it

A target would be given to another replica while the head of its former epoch serves, silent (TWO): a planner had members join again under their replica's name beside a silent head and ended before it had stored who they were. The next planner took them for members of the new epoch alone.

Cause: releases are stored before they are sent, moves under the replica's own name weren't (docs/design/groups.md named the gap of 0.25 s). Members stored as released were told apart by their ids alone, not by the replica that they left.

Change: such a join waits for the write that names it, which goes out at once instead of after 0.25 s; stored releases are kept by member, name and epoch.

--- a/control/groupmodel_test.go
+++ b/control/groupmodel_test.go
@@ -612,6 +612,10 @@
 			"b is silent", "4 s", "plan, late", "b goes on", "c is silent", "late close r1", "rows", "planner", "a is cut off", "4 s", "plan, answered", "plan, answered",
 			"first planner", "a is listed", "e is cut off", "b is cut off", "plan, unheard", "rows", "plan, answered", "a is cut off", "b is listed", "plan, unheard", "plan, late", "plan, answered", "plan, answered",
 		}},
+		{"a planner ends before it stored whom it had join again", twoReplicas, []string{
+			"c is silent", "plan, answered", "plan, answered", "planner", "plan, late", "plan, answered", "plan, answered", "d is silent", "c goes on", "a is silent", "plan, answered",
+			"late leave r2", "plan, answered", "rows", "b is cut off", "plan, answered", "first planner", "plan, answered", "b is listed", "plan, answered", "plan, answered",
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			world := newModelWorld(modelGuard{}, test.build)
--- a/control/heads.go
+++ b/control/heads.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -20,11 +21,19 @@
 	headsWriteInterval = 250 * time.Millisecond
 )
 
-// oddHeads is a row of heads that no planner has written.
-type oddHeads struct {
-	version uint64
-	since   time.Time // when it was first read
-}
+type (
+	// oddHeads is a row of heads that no planner has written.
+	oddHeads struct {
+		version uint64
+		since   time.Time // when it was first read
+	}
+
+	// storedRelease is a member that the stored heads name as released from a replica.
+	storedRelease struct {
+		target string
+		key    greengageroute.ReplicaKey
+	}
+)
 
 // readHeads returns the heads that the previous planner stored. If they can't be decoded, it
 // returns an error until every head whose members a planner released by then is broken, and
@@ -92,19 +101,22 @@
 		clear(planner.storedReleases)
 		planner.headsWriteFailed, planner.storedHeadsEra = false, era
 	}
-	if planner.headsWriting || planner.storedHeads[view.Pool] == string(encoded) || now.Sub(planner.headsStoredAt) < headsWriteInterval {
+	releases := map[storedRelease]bool{}
+	isUrgent := false // orders wait for the write
+	for _, head := range heads {
+		for _, member := range head.Released {
+			release := storedRelease{member.ID, greengageroute.ReplicaKey{Name: head.Replica, Epoch: head.Epoch}}
+			isUrgent = isUrgent || !planner.storedReleases[view.Pool][release]
+			releases[release] = true
+		}
+	}
+	if planner.headsWriting || planner.storedHeads[view.Pool] == string(encoded) || !isUrgent && now.Sub(planner.headsStoredAt) < headsWriteInterval {
 		planner.mu.Unlock()
 		return
 	}
 	planner.headsWriting = true
 	planner.mu.Unlock()
 	planner.storedHeads[view.Pool], planner.headsStoredAt = string(encoded), now
-	releases := greengageroute.Set[string]{}
-	for _, head := range heads {
-		for _, member := range head.Released {
-			releases.Add(member.ID)
-		}
-	}
 	go func() {
 		_, err := planner.Lease.store.Commit(ctx, platform.Write{
 			Table: controlTable, Key: headsPrefix + view.Pool, Value: encoded, Unconditional: true,
@@ -118,19 +130,22 @@
 			return
 		}
 		planner.storedReleases[view.Pool] = releases
+		if isUrgent {
+			planner.Wake()
+		}
 	}()
 }
 
-// maySend reports whether an order may be sent. A member is released only after the next
-// planner can know of it: the list then shows that it is in no replica, while its head may
-// still serve.
+// maySend reports whether an order may be sent. A member is released, or joins again under a newer
+// epoch, only after the next planner can know of it: the list then shows that it isn't in the replica
+// of before, whose head may still serve.
 func (planner *Planner) maySend(order greengageroute.TargetOrder, formation *greengageroute.Formation, pool string) bool {
-	if !formation.IsRelease(order) {
-		return true
-	}
+	released := formation.ReleasedBy(order)
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
-	return planner.storedReleases[pool].Has(order.Target.ID)
+	return !slices.ContainsFunc(released, func(key greengageroute.ReplicaKey) bool {
+		return !planner.storedReleases[pool][storedRelease{order.Target.ID, key}]
+	})
 }
 
 // forgetAbsentHeads forgets what earlier orders told of absent heads, since another planner may
--- a/control/planner.go
+++ b/control/planner.go
@@ -158,8 +158,8 @@
 		storedHeads    map[string]string // heads as last written, by pool
 		storedHeadsEra uint64            // of the store, when they were written
 		headsStoredAt  time.Time
-		storedReleases map[string]greengageroute.Set[string] // members named as released by the stored heads, by pool
-		loadStarts     []time.Time                           // start times of the loads of the last second
+		storedReleases map[string]map[storedRelease]bool // members named as released by the stored heads, by pool
+		loadStarts     []time.Time                       // start times of the loads of the last second
 	}
 
 	sentOrder struct {
@@ -211,7 +211,7 @@
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staging: map[string]stagingModel{},
 		loggedStates: map[string]string{}, unknownHeads: map[string]datedTarget{}, oddHeads: map[string]oddHeads{}, pendingOpens: map[string]pendingOpen{}, storedHeads: map[string]string{},
 		absentHeads: map[replicaID]absentHead{}, lostMembers: map[replicaID]lostMember{},
-		storedReleases: map[string]greengageroute.Set[string]{}, left: map[string]leftReplica{},
+		storedReleases: map[string]map[storedRelease]bool{}, left: map[string]leftReplica{},
 	}
 }
 
@@ -357,8 +357,8 @@
 		planner.Log.Info("replica assigned", "replica", assignment.Name, "epoch", assignment.Epoch, "model", assignment.Model,
 			"domain", assignment.Domain, "members", strings.Join(assignment.Members, ","))
 	}
-	planner.storeHeads(ctx, view, formation)
 	orders := formation.Orders(view)
+	planner.storeHeads(ctx, view, formation)
 	for _, order := range orders {
 		if planner.maySend(order, formation, view.Pool) {
 			planner.send(ctx, order, view)
--- a/formationrelease.go
+++ b/formationrelease.go
@@ -113,11 +113,17 @@
 	}
 }
 
-// IsRelease reports whether an order has a member leave a replica whose head may serve.
-func (formation *Formation) IsRelease(order TargetOrder) bool {
-	return order.Kind == OrderLeave && slices.ContainsFunc(formation.releases[order.Target.ID], func(released release) bool {
-		return released.member.key() == order.Key()
-	})
+// ReleasedBy returns the replicas whose heads may serve and which a target leaves by an order, or
+// by joining again under a newer epoch.
+func (formation *Formation) ReleasedBy(order TargetOrder) (keys []ReplicaKey) {
+	for _, released := range formation.releases[order.Target.ID] {
+		leaves := order.Kind == OrderLeave && released.member.key() == order.Key()
+		joinsAgain := order.Kind == OrderJoin && released.member.Replica == order.Replica && released.member.Epoch < order.Epoch
+		if leaves || joinsAgain {
+			keys = append(keys, released.member.key())
+		}
+	}
+	return keys
 }
 
 // dropReleases forgets the releases of targets that have ended, and those from replicas whose
