--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -230,6 +230,28 @@
 	}
 }
 
+// holdRows has single rows of random targets arrive late at the store until the deadline, on its
+// own beside the other faults.
+func (soak *soak) holdRows(random *rand.Rand, deadline time.Time) {
+	for time.Now().Before(deadline) {
+		target, delay := soak.modelTargets[random.IntN(len(soak.modelTargets))], time.Duration(200+random.IntN(3000))*time.Millisecond
+		soak.logFault("the next row of %s arrives %s late", target.ID, delay)
+		target.HoldNextRow(delay)
+		time.Sleep(time.Duration(100+random.IntN(900)) * time.Millisecond)
+	}
+}
+
+// holdOrders has single orders to random targets carried out late until the deadline, on its own
+// beside the other faults.
+func (soak *soak) holdOrders(random *rand.Rand, deadline time.Time) {
+	for time.Now().Before(deadline) {
+		target, delay := soak.modelTargets[random.IntN(len(soak.modelTargets))], time.Duration(300+random.IntN(2700))*time.Millisecond
+		soak.logFault("the next order to %s isn't answered, and carried out %s late", target.ID, delay)
+		target.HoldNextOrder(delay)
+		time.Sleep(time.Duration(100+random.IntN(1900)) * time.Millisecond)
+	}
+}
+
 // restart stops an entry with the signal and starts it again.
 func (soak *soak) restart(entry *entryProcess, signal syscall.Signal) {
 	_ = entry.cmd.Process.Signal(syscall.SIGCONT)
@@ -368,6 +390,8 @@
 				callers.Go(func() { soak.addOddRows(rand.New(rand.NewPCG(seed, 60)), deadline) })
 				callers.Go(func() { soak.restoreStore(rand.New(rand.NewPCG(seed, 30)), deadline) })
 				callers.Go(func() { soak.troubleTargets(rand.New(rand.NewPCG(seed, 40)), deadline) })
+				callers.Go(func() { soak.holdRows(rand.New(rand.NewPCG(seed, 70)), deadline) })
+				callers.Go(func() { soak.holdOrders(rand.New(rand.NewPCG(seed, 80)), deadline) })
 			}
 			for time.Now().Before(deadline) {
 				soak.injectFault(&pendingUndos)
