Planner: a head that stands still keeps its members until it goes on

Callers of a replica whose head was suspended for longer than a few seconds would have their streams run at a replica whose members had joined another one (TWO): members were given away stall_ms + 3 s after a loss, by the planner's clock. The clock of a suspended process doesn't run: it hasn't noticed the loss, and is open as it goes on.

Change: an order that a target's address took the connection for, and that was neither answered nor reset, shows that the head's process exists. The time until it must be broken counts from the last such order, for as long as the head has been absent for less than 30 s. Once it goes on it answers, and its word decides. A VM that is suspended as a whole answers no connection, as a lost one; docs say so.

Cost: where a process stands still for good and its host goes on taking connections, and no spares are at hand, its members wait for up to 30 s instead of about 11 s.

--- a/control/headstate.go
+++ b/control/headstate.go
@@ -141,25 +141,29 @@
 }
 
 // absentHeadStates returns when absent heads of a pool said that they don't serve their
-// replicas, and which of the others are suspected. Findings about a head are void once it is
-// listed again. The caller holds the lock.
-func (planner *Planner) absentHeadStates(pool string, targets map[string]greengageroute.Target) (closedAt map[greengageroute.ReplicaKey]time.Time, suspected map[greengageroute.ReplicaKey]bool) {
-	closedAt, suspected = map[greengageroute.ReplicaKey]time.Time{}, map[greengageroute.ReplicaKey]bool{}
+// replicas or last stood still, and which of them are suspected. Findings about a head are void
+// once it is listed again. The caller holds the lock.
+func (planner *Planner) absentHeadStates(pool string, targets map[string]greengageroute.Target) (closedAt, stoodStillAt map[greengageroute.ReplicaKey]time.Time, suspected map[greengageroute.ReplicaKey]bool) {
+	closedAt, stoodStillAt, suspected = map[greengageroute.ReplicaKey]time.Time{}, map[greengageroute.ReplicaKey]time.Time{}, map[greengageroute.ReplicaKey]bool{}
 	for id, head := range planner.absentHeads {
 		if id.pool != pool {
 			continue
 		}
-		_, listed := targets[head.id]
-		switch {
-		case listed:
+		if _, listed := targets[head.id]; listed {
 			delete(planner.absentHeads, id)
+			continue
+		}
+		if !head.stoodStillAt.IsZero() {
+			stoodStillAt[id.ReplicaKey] = head.stoodStillAt
+		}
+		switch {
 		case !head.closedAt.IsZero():
 			closedAt[id.ReplicaKey] = head.closedAt
 		case head.unansweredOrders >= unansweredOrderLimit && !planner.Activity.Active(head.id, activityWindow):
 			suspected[id.ReplicaKey] = true
 		}
 	}
-	return closedAt, suspected
+	return closedAt, stoodStillAt, suspected
 }
 
 // recordResponse records a head's response to an order to open or close. A head
@@ -189,15 +193,23 @@
 // unlisted head doesn't serve, under the epoch of the order alone, once it has left, or has
 // refused to since it isn't a member. That it has closed, or refused to close, says nothing about
 // later: an order to open that is still on its way may open it. It is suspected once it has left
-// orders unanswered while no entry has received data from it either.
+// orders unanswered while no entry has received data from it either. One that took the connection
+// stands still.
 func (planner *Planner) recordCloseResult(order greengageroute.TargetOrder, err error) {
 	var refused *greengageroute.OrderRefusedError
 	var heldBack *greengageroute.BackoffError
+	var unanswered *greengageroute.OrderUnansweredError
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
 	id := replicaIDOfOrder(order)
 	head := planner.absentHeads[id]
 	head.id = order.Target.ID
+	if errors.As(err, &unanswered) {
+		if head.stoodStillAt.IsZero() {
+			planner.recordFinding(CountHeadsStandingStill, "absent head stands still: it takes connections, and doesn't respond", order)
+		}
+		head.stoodStillAt = planner.Clock.Now()
+	}
 	switch {
 	case errors.As(err, &heldBack): // not sent
 	case order.Kind == greengageroute.OrderLeave && (err == nil || errors.As(err, &refused) && refused.TellsState()):
--- a/control/planner.go
+++ b/control/planner.go
@@ -69,6 +69,8 @@
 	// those that said that they don't serve.
 	CountHeadsSuspected = "absent-heads-suspected"
 	CountHeadsClosed    = "absent-heads-closed"
+	// CountHeadsStandingStill counts absent heads that took connections without responding.
+	CountHeadsStandingStill = "absent-heads-standing-still"
 )
 
 type (
@@ -180,6 +182,7 @@
 		id               string
 		unansweredOrders int       // in a row
 		closedAt         time.Time // when it last said that it doesn't serve
+		stoodStillAt     time.Time // when it last took a connection without responding
 	}
 
 	// lostMember is a member that has left its replica, which is without it from then on.
@@ -310,7 +313,7 @@
 		}
 		targets[target.ID] = target
 	}
-	closedAt, suspected := planner.absentHeadStates(name, targets)
+	closedAt, stoodStillAt, suspected := planner.absentHeadStates(name, targets)
 	absent, absentSince := maps.Clone(view.Absent), maps.Clone(view.AbsentSince)
 	maps.DeleteFunc(planner.unknownHeads, func(id string, _ datedTarget) bool {
 		_, listed := view.Target(id)
@@ -323,7 +326,7 @@
 	}
 	return greengageroute.PoolView{
 		Pool: name, Engine: engine, Targets: targets, HasTraffic: planner.HasTraffic(), Now: now,
-		Absent: absent, AbsentSince: absentSince, ClosedAt: closedAt, SuspectedHeads: suspected, Busy: busy,
+		Absent: absent, AbsentSince: absentSince, ClosedAt: closedAt, StoodStillAt: stoodStillAt, SuspectedHeads: suspected, Busy: busy,
 		Demand: demand, MemberLostAt: planner.memberLostAt(name, targets), StallTimeout: planner.StallTimeout, PendingOpens: planner.pendingOpensIn(targets),
 		Left: planner.leftReplicasOf(targets),
 	}.Indexed()
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -57,19 +57,23 @@
 		responses         []error
 		relisted          bool // the head is listed again afterwards, then unlisted once more
 		closed, suspected bool
+		stoodStill        bool
 	}{
-		{"the head left", fakeActivity{}, []error{nil}, false, true, false},
-		{"the head refused because it isn't a member", fakeActivity{}, []error{&greengageroute.OrderRefusedError{Status: 409}}, false, true, false},
-		{"the head turned the order away because it is busy", fakeActivity{}, []error{&greengageroute.OrderRefusedError{Status: 503}}, false, false, false},
-		{"orders were held back because the head asked for a backoff", fakeActivity{}, []error{&greengageroute.BackoffError{}, &greengageroute.BackoffError{}, &greengageroute.BackoffError{}}, false, false, false},
-		{"the head failed", fakeActivity{}, []error{&greengageroute.OrderRefusedError{Status: 500}, &greengageroute.OrderRefusedError{Status: 500}}, false, false, false},
-		{"one order is unanswered, the next turned away", fakeActivity{}, []error{errors.New("unanswered"), &greengageroute.OrderRefusedError{Status: 503}, errors.New("unanswered")}, false, false, false},
-		{"one order is unanswered", fakeActivity{}, []error{errors.New("unanswered")}, false, false, false},
-		{"orders are unanswered", fakeActivity{}, []error{errors.New("unanswered"), errors.New("unanswered")}, false, false, true},
-		{"orders are unanswered, and the head goes on", fakeActivity{}, []error{errors.New("unanswered"), errors.New("unanswered"), &greengageroute.OrderRefusedError{Status: 503}}, false, false, false},
-		{"orders are unanswered, but an entry hears from the head", fakeActivity{active: true}, []error{errors.New("unanswered"), errors.New("unanswered")}, false, false, false},
-		{"orders are unanswered, but the whole data centre is unreachable", fakeActivity{cutOff: true}, []error{errors.New("unanswered"), errors.New("unanswered")}, false, false, false},
-		{"the head left, was listed again and may serve since", fakeActivity{}, []error{nil}, true, false, false},
+		{"the head left", fakeActivity{}, []error{nil}, false, true, false, false},
+		{"the head refused because it isn't a member", fakeActivity{}, []error{&greengageroute.OrderRefusedError{Status: 409}}, false, true, false, false},
+		{"the head turned the order away because it is busy", fakeActivity{}, []error{&greengageroute.OrderRefusedError{Status: 503}}, false, false, false, false},
+		{"orders were held back because the head asked for a backoff", fakeActivity{}, []error{&greengageroute.BackoffError{}, &greengageroute.BackoffError{}, &greengageroute.BackoffError{}}, false, false, false, false},
+		{"the head failed", fakeActivity{}, []error{&greengageroute.OrderRefusedError{Status: 500}, &greengageroute.OrderRefusedError{Status: 500}}, false, false, false, false},
+		{"one order is unanswered, the next turned away", fakeActivity{}, []error{errors.New("unanswered"), &greengageroute.OrderRefusedError{Status: 503}, errors.New("unanswered")}, false, false, false, false},
+		{"one order is unanswered", fakeActivity{}, []error{errors.New("unanswered")}, false, false, false, false},
+		{"orders are unanswered", fakeActivity{}, []error{errors.New("unanswered"), errors.New("unanswered")}, false, false, true, false},
+		{"orders are unanswered, and the head goes on", fakeActivity{}, []error{errors.New("unanswered"), errors.New("unanswered"), &greengageroute.OrderRefusedError{Status: 503}}, false, false, false, false},
+		{"orders are unanswered, but an entry hears from the head", fakeActivity{active: true}, []error{errors.New("unanswered"), errors.New("unanswered")}, false, false, false, false},
+		{"orders are unanswered, but the whole data centre is unreachable", fakeActivity{cutOff: true}, []error{errors.New("unanswered"), errors.New("unanswered")}, false, false, false, false},
+		{"the head left, was listed again and may serve since", fakeActivity{}, []error{nil}, true, false, false, false},
+		{"orders are unanswered, and the head took the connections", fakeActivity{}, []error{&greengageroute.OrderUnansweredError{}, &greengageroute.OrderUnansweredError{}}, false, false, true, true},
+		{"the head took one connection, but the whole data centre is unreachable", fakeActivity{cutOff: true}, []error{&greengageroute.OrderUnansweredError{}}, false, false, false, true},
+		{"the head stood still, and was listed again", fakeActivity{}, []error{&greengageroute.OrderUnansweredError{}}, true, false, false, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -89,6 +93,9 @@
 			if suspected := view.SuspectedHeads[leaving.Key()]; suspected != test.suspected {
 				t.Errorf("head suspected: %t, want %t", suspected, test.suspected)
 			}
+			if _, stoodStill := view.StoodStillAt[leaving.Key()]; stoodStill != test.stoodStill {
+				t.Errorf("head recorded as one that stood still: %t, want %t", stoodStill, test.stoodStill)
+			}
 		})
 	}
 }
--- a/formation.go
+++ b/formation.go
@@ -68,6 +68,9 @@
 		SuspectedHeads map[ReplicaKey]bool
 		// MemberLostAt is when a replica was first known to be without one of its members.
 		MemberLostAt map[ReplicaKey]time.Time
+		// StoodStillAt is when the absent head of a replica last took a connection without
+		// answering: its process exists, and its clock may have stood still until then.
+		StoodStillAt map[ReplicaKey]time.Time
 		// StallTimeout is after which a head that has lost a member is broken, by its own
 		// clock; 0 if unknown.
 		StallTimeout time.Duration
--- a/formationrelease.go
+++ b/formationrelease.go
@@ -17,6 +17,9 @@
 	// broken: its VM may be suspended for as long as a target may be silent, and its clock
 	// may be slow.
 	stallMargin = 3 * time.Second
+	// suspensionLimit is how long a head that takes connections without answering counts as
+	// suspended, from when it became absent.
+	suspensionLimit = 30 * time.Second
 	// releasedRank stands for the rank of a released member. It isn't the head's.
 	releasedRank = 1
 )
@@ -33,7 +36,7 @@
 // again under their replica's own name only.
 func (formation *Formation) absentConstraintOf(target Target, member Membership, replica string, view PoolView) constraint {
 	key := member.key()
-	if formation.leftByHead(target, member, view) || view.hasBroken(key) {
+	if formation.leftByHead(target, member, view) || formation.hasBroken(key, view) {
 		return constraint{}
 	}
 	if view.SuspectedHeads[key] && replica == member.Replica {
@@ -66,10 +69,18 @@
 }
 
 // hasBroken reports whether the replica has been without a member for so long that its head,
-// if it still runs, is broken.
-func (view PoolView) hasBroken(key ReplicaKey) bool {
-	lostAt, lost := view.MemberLostAt[key]
-	return lost && view.StallTimeout > 0 && view.Now.Sub(lostAt) >= TimeToBreak(view.StallTimeout)
+// if it still runs, is broken. A head may notice the loss late: it counts from when the head last
+// stood still.
+func (formation *Formation) hasBroken(key ReplicaKey, view PoolView) bool {
+	since, lost := view.MemberLostAt[key]
+	if !lost || view.StallTimeout <= 0 {
+		return false
+	}
+	id := formation.heads[key]
+	if stoodStillAt := view.StoodStillAt[key]; stoodStillAt.After(since) && view.Now.Sub(view.AbsentSince[id]) < suspensionLimit {
+		since = stoodStillAt
+	}
+	return view.Now.Sub(since) >= TimeToBreak(view.StallTimeout)
 }
 
 // TimeToBreak returns how long after it has lost a member a head is broken for certain.
--- a/formationrelease_test.go
+++ b/formationrelease_test.go
@@ -51,6 +51,21 @@
 			view.MemberLostAt[key] = view.Now.Add(-time.Hour)
 			view.StallTimeout = 0
 		}, false, false},
+		{"a member left so long ago, and it stood still a moment ago", func(view *PoolView, key ReplicaKey, head string) {
+			view.MemberLostAt[key] = view.Now.Add(-view.StallTimeout - stallMargin)
+			view.AbsentSince[head] = view.MemberLostAt[key]
+			view.StoodStillAt = map[ReplicaKey]time.Time{key: view.Now.Add(-time.Second)}
+		}, false, false},
+		{"it stood still so long ago that it is broken", func(view *PoolView, key ReplicaKey, head string) {
+			view.MemberLostAt[key] = view.Now.Add(-suspensionLimit / 2)
+			view.AbsentSince[head] = view.MemberLostAt[key]
+			view.StoodStillAt = map[ReplicaKey]time.Time{key: view.Now.Add(-view.StallTimeout - stallMargin)}
+		}, true, true},
+		{"it has stood still for longer than a suspension", func(view *PoolView, key ReplicaKey, head string) {
+			view.MemberLostAt[key] = view.Now.Add(-suspensionLimit / 2)
+			view.AbsentSince[head] = view.Now.Add(-suspensionLimit)
+			view.StoodStillAt = map[ReplicaKey]time.Time{key: view.Now}
+		}, true, true},
 		{"it is forgotten", func(view *PoolView, _ ReplicaKey, head string) { delete(view.Absent, head) }, false, false},
 	}
 	for _, test := range tests {
--- a/targetorder.go
+++ b/targetorder.go
@@ -36,6 +36,11 @@
 		Target string
 		Status int
 	}
+
+	// OrderUnansweredError reports that a target accepted the connection over which an order
+	// was sent, and neither responded nor closed it in time: its process exists and stands
+	// still. It may carry the order out once it goes on.
+	OrderUnansweredError struct{ Target string }
 )
 
 // Key returns the replica that the order names.
@@ -64,6 +69,10 @@
 	return fmt.Sprintf("%s %s at %d of %s on %s %s", order.Kind, order.Replica, order.Epoch, order.Model, order.Target.ID, strings.Join(order.Members, ","))
 }
 
+func (err *OrderUnansweredError) Error() string {
+	return fmt.Sprintf("target %q accepted the connection and didn't respond; it may still execute the order", err.Target)
+}
+
 func (err *OrderRefusedError) Error() string {
 	return fmt.Sprintf("target %q refused the order with HTTP status %d; its state must be read again", err.Target, err.Status)
 }
