Planner: the row of an absent head goes before the time since a loss

A head that the entries don't reach may go on writing rows.

Change: a row received more than stall_ms after the loss that shows the head open or closing under that epoch starts the time anew. A row that shows it broken under that epoch frees its members at once.

Evidence: six cases of TestSilentHeadKeepsItsMembers; three fail before (broken, open and closing since), the other three guard the limits of the rule. Not tried with real processes.

--- a/formationrelease.go
+++ b/formationrelease.go
@@ -53,14 +53,15 @@
 }
 
 // leftByHead reports whether the absent head of a target's replica said that it doesn't serve
-// it, or that it has joined another one since.
+// it or is broken, or that it has joined another one since.
 func (formation *Formation) leftByHead(target Target, member Membership, view PoolView) bool {
 	if closedAt, found := view.ClosedAt[member.key()]; found && closedAt.After(target.ListedSince) {
 		return true
 	}
 	id, known := formation.heads[member.key()]
 	head, found := view.Absent[id]
-	return known && found && head.Membership.Epoch > member.Epoch
+	isBroken := head.Membership.key() == member.key() && head.Membership.State == MemberBroken
+	return known && found && (isBroken || head.Membership.Epoch > member.Epoch)
 }
 
 func (view PoolView) hasLostMember(key ReplicaKey) bool {
@@ -70,13 +71,18 @@
 
 // hasBroken reports whether the replica has been without a member for so long that its head,
 // if it still runs, is broken. A head may notice the loss late: it counts from when the head last
-// stood still.
+// stood still, or wrote that it serves although it should have been broken.
 func (formation *Formation) hasBroken(key ReplicaKey, view PoolView) bool {
 	since, lost := view.MemberLostAt[key]
 	if !lost || view.StallTimeout <= 0 {
 		return false
 	}
 	id := formation.heads[key]
+	head := view.Absent[id]
+	serves := head.Membership.key() == key && (head.Membership.State == MemberOpen || head.Membership.State == MemberClosing)
+	if serves && head.StatedAt.Sub(since) > view.StallTimeout {
+		since = head.StatedAt
+	}
 	if stoodStillAt := view.StoodStillAt[key]; stoodStillAt.After(since) && view.Now.Sub(view.AbsentSince[id]) < suspensionLimit {
 		since = stoodStillAt
 	}
--- a/formationrelease_test.go
+++ b/formationrelease_test.go
@@ -51,6 +51,41 @@
 			view.MemberLostAt[key] = view.Now.Add(-time.Hour)
 			view.StallTimeout = 0
 		}, false, false},
+		{"its row shows it broken", func(view *PoolView, key ReplicaKey, head string) {
+			target := view.Absent[head]
+			target.Membership.State = MemberBroken
+			view.Absent[head] = target
+		}, true, true},
+		{"its row shows it broken under another epoch", func(view *PoolView, key ReplicaKey, head string) {
+			target := view.Absent[head]
+			target.Membership.State = MemberBroken
+			target.Membership.Epoch--
+			view.Absent[head] = target
+		}, false, false},
+		{"a member left long ago, and its row has shown it open since", func(view *PoolView, key ReplicaKey, head string) {
+			view.MemberLostAt[key] = view.Now.Add(-view.StallTimeout - stallMargin)
+			target := view.Absent[head]
+			target.Membership.State, target.StatedAt = MemberOpen, view.Now.Add(-time.Second)
+			view.Absent[head] = target
+		}, false, false},
+		{"a member left long ago, and its row has shown it closing since", func(view *PoolView, key ReplicaKey, head string) {
+			view.MemberLostAt[key] = view.Now.Add(-view.StallTimeout - stallMargin)
+			target := view.Absent[head]
+			target.Membership.State, target.StatedAt = MemberClosing, view.Now.Add(-time.Second)
+			view.Absent[head] = target
+		}, false, false},
+		{"its row showed it open while it stood still", func(view *PoolView, key ReplicaKey, head string) {
+			view.MemberLostAt[key] = view.Now.Add(-view.StallTimeout - stallMargin)
+			target := view.Absent[head]
+			target.Membership.State, target.StatedAt = MemberOpen, view.MemberLostAt[key].Add(view.StallTimeout)
+			view.Absent[head] = target
+		}, true, true},
+		{"a member left long ago, and its row has shown it closed since", func(view *PoolView, key ReplicaKey, head string) {
+			view.MemberLostAt[key] = view.Now.Add(-view.StallTimeout - stallMargin)
+			target := view.Absent[head]
+			target.Membership.State, target.StatedAt = MemberReady, view.Now
+			view.Absent[head] = target
+		}, true, true},
 		{"a member left so long ago, and it stood still a moment ago", func(view *PoolView, key ReplicaKey, head string) {
 			view.MemberLostAt[key] = view.Now.Add(-view.StallTimeout - stallMargin)
 			view.AbsentSince[head] = view.MemberLostAt[key]
