Planner: members that time alone has freed leave before they join another replica

A head counts as broken some seconds after a loss without a word of its own. Where it isn't, as in a VM that was suspended as a whole, the members that joined another replica in one step were in two at once (TWO).

Change: each such member is told to leave, and joins another replica, or one of its own to load weights, once it has accepted or its row shows it in none. Under the replica's own name it joins as before.

--- a/formationorders.go
+++ b/formationorders.go
@@ -5,7 +5,7 @@
 	mustStay    bool
 	mustClose   bool // the head has to be sent an order to close
 	mustRelease bool // one of the members has to leave, so that the head breaks
-	mustLeave   bool // the target is a closed head, which has to leave
+	mustLeave   bool // the target has to leave before it joins another replica
 	head        Target
 	member      Membership // of the target
 }
@@ -45,7 +45,7 @@
 			continue
 		}
 		constraint := formation.constraintOf(target, assignment.Name, view)
-		blocked = blocked || constraint.mustStay
+		blocked = blocked || constraint.mustStay || constraint.mustLeave
 		frees = append(frees, formation.freeingOrders(target, constraint, view, closed)...)
 		join := TargetOrder{
 			Kind: OrderJoin, Target: target, Replica: assignment.Name, Epoch: assignment.Epoch,
@@ -75,7 +75,7 @@
 func (formation *Formation) freeingOrders(target Target, constraint constraint, view PoolView, closed map[ReplicaKey]bool) []TargetOrder {
 	key := constraint.member.key()
 	if constraint.mustLeave {
-		return []TargetOrder{{Kind: OrderLeave, Target: target, Replica: key.Name, Epoch: key.Epoch}}
+		return []TargetOrder{leaveOrder(target, constraint.member)}
 	}
 	if !constraint.mustClose && !constraint.mustRelease || closed[key] {
 		return nil
@@ -86,7 +86,7 @@
 		orders = append(orders, closeOrder(constraint.head, constraint.member, !view.complete(constraint.head)))
 	} else if constraint.mustClose {
 		// A head that only closed might be opened by an order of before, unseen.
-		orders = append(orders, TargetOrder{Kind: OrderLeave, Target: constraint.head, Replica: key.Name, Epoch: key.Epoch})
+		orders = append(orders, leaveOrder(constraint.head, constraint.member))
 	}
 	if constraint.mustRelease {
 		orders = append(orders, formation.releaseOrder(target, constraint.member))
@@ -177,6 +177,10 @@
 	return TargetOrder{Kind: OrderClose, Target: head, Replica: member.Replica, Epoch: member.Epoch, Immediate: immediate}
 }
 
+func leaveOrder(target Target, member Membership) TargetOrder {
+	return TargetOrder{Kind: OrderLeave, Target: target, Replica: member.Replica, Epoch: member.Epoch}
+}
+
 // closeAbandoned returns orders that close the open heads of replicas without an
 // assignment.
 func (formation *Formation) closeAbandoned(view PoolView, closed map[ReplicaKey]bool) []TargetOrder {
--- a/formationrelease.go
+++ b/formationrelease.go
@@ -33,12 +33,17 @@
 // absentConstraintOf is constraintOf for a target whose head is absent. The head may serve
 // without being seen until it says that it doesn't, or until it has been without a member for
 // so long that it is broken. An order without response tells neither: it lets the members join
-// again under their replica's own name only.
+// again under their replica's own name only. A member that time alone has freed leaves before it
+// joins another replica: then it is in none, whatever the head does.
 func (formation *Formation) absentConstraintOf(target Target, member Membership, replica string, view PoolView) constraint {
 	key := member.key()
-	if formation.leftByHead(target, member, view) || formation.hasBroken(key, view) {
+	if formation.leftByHead(target, member, view) {
 		return constraint{}
 	}
+	if formation.hasBroken(key, view) {
+		leaves := replica != member.Replica && target.Membership.key() == key && !view.hasLeft(target)
+		return constraint{mustLeave: leaves, member: member}
+	}
 	if view.SuspectedHeads[key] && replica == member.Replica {
 		return constraint{}
 	}
@@ -107,7 +112,7 @@
 // releaseOrder returns an order to a member to leave its replica.
 func (formation *Formation) releaseOrder(target Target, member Membership) TargetOrder {
 	formation.recordRelease(target.ID, target.StartUnixMilli, member)
-	return TargetOrder{Kind: OrderLeave, Target: target, Replica: member.Replica, Epoch: member.Epoch}
+	return leaveOrder(target, member)
 }
 
 // recordMoves records the targets that are ordered to join again under their replica's name
--- a/formationrelease_test.go
+++ b/formationrelease_test.go
@@ -1,6 +1,7 @@
 package greengageroute
 
 import (
+	"cmp"
 	"slices"
 	"testing"
 	"time"
@@ -51,12 +52,12 @@
 			view.MemberLostAt[key] = view.Now.Add(-time.Hour)
 			view.StallTimeout = 0
 		}, false, false},
-		{"its row shows it broken", func(view *PoolView, key ReplicaKey, head string) {
+		{"its row shows it broken", func(view *PoolView, _ ReplicaKey, head string) {
 			target := view.Absent[head]
 			target.Membership.State = MemberBroken
 			view.Absent[head] = target
 		}, true, true},
-		{"its row shows it broken under another epoch", func(view *PoolView, key ReplicaKey, head string) {
+		{"its row shows it broken under another epoch", func(view *PoolView, _ ReplicaKey, head string) {
 			target := view.Absent[head]
 			target.Membership.State = MemberBroken
 			target.Membership.Epoch--
@@ -119,6 +120,57 @@
 	}
 }
 
+// TestMembersFreedByTimeLeaveFirst guards against members that are in two replicas at once because
+// the head of the first one, which must be broken by the planner's clock, isn't.
+func TestMembersFreedByTimeLeaveFirst(t *testing.T) {
+	longAgo := func(view *PoolView, key ReplicaKey, _ Target) {
+		view.MemberLostAt[key] = view.Now.Add(-view.StallTimeout - stallMargin)
+	}
+	tests := []struct {
+		name    string
+		change  func(view *PoolView, key ReplicaKey, member Target)
+		replica string // that the member is to join; empty: its own
+		leaves  bool
+	}{
+		{"another replica", longAgo, "other", true},
+		{"a replica of its own to load weights", longAgo, preloadPrefix, true},
+		{"the same replica", longAgo, "", false},
+		{"the head said that it doesn't serve", func(view *PoolView, key ReplicaKey, _ Target) { view.ClosedAt[key] = view.Now }, "other", false},
+		{"it has left", func(view *PoolView, key ReplicaKey, member Target) {
+			longAgo(view, key, member)
+			view.Left = map[string]ReplicaKey{member.ID: key}
+		}, "other", false},
+		{"it left another epoch", func(view *PoolView, key ReplicaKey, member Target) {
+			longAgo(view, key, member)
+			view.Left = map[string]ReplicaKey{member.ID: {key.Name, key.Epoch - 1}}
+		}, "other", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pool, formation, assignment := newSilentHeadPool(t)
+			view := pool.view(true)
+			member := view.Targets[assignment.Members[1]]
+			test.change(&view, assignment.key(), member)
+			replica := cmp.Or(test.replica, assignment.Name)
+			if found := formation.constraintOf(member, replica, view); found.mustStay || found.mustLeave != test.leaves {
+				t.Errorf("has to stay: %t, to leave first: %t, want false and %t", found.mustStay, found.mustLeave, test.leaves)
+			}
+			next := Assignment{Name: replica, Epoch: 9_000_000, Model: assignment.Model, Members: []string{member.ID}}
+			want := OrderJoin
+			if test.leaves {
+				want = OrderLeave
+			}
+			if orders := formation.ordersFor(next, view, map[ReplicaKey]bool{}); len(orders) != 1 || orders[0].Kind != want || orders[0].Target.ID != member.ID {
+				t.Errorf("the orders are %v, want one to %s", orders, want)
+			}
+			member.Membership.Model = "other"
+			if order, found := formation.preloadOrder(member, view); test.replica == preloadPrefix && (!found || order.Kind != want) {
+				t.Errorf("the order before it loads weights is %v, want one to %s", order, want)
+			}
+		})
+	}
+}
+
 // A head or another member falls silent for a moment, and no spare is at hand. The replica gets
 // no order, so that it serves as soon as the member goes on.
 func TestSilentMemberWithoutSparesStays(t *testing.T) {
@@ -153,9 +205,12 @@
 	}
 	started := pool.now
 	pool.run(formation, silenceTolerance+6*time.Second+stallMargin+3*time.Second, true)
-	left := map[string]time.Time{}
+	left, former := map[string]time.Time{}, map[string]string{}
 	for i, order := range pool.orders {
 		at, member := pool.orderedAt[i], order.Target.Membership
+		if order.Kind == OrderLeave {
+			former[order.Target.ID] = order.Replica
+		}
 		_, known := left[member.Replica]
 		switch {
 		case order.Kind == OrderLeave && order.Target.ID == heads[order.Replica]:
@@ -165,8 +220,10 @@
 				t.Errorf("a member was told to leave after %s, want at least %s", at.Sub(started), silenceTolerance)
 			}
 		case order.Kind == OrderJoin && heads[member.Replica] != "" && order.Replica != member.Replica:
-			if !known || at.Sub(left[member.Replica]) < 6*time.Second+stallMargin {
-				t.Errorf("%s joined another replica at %s; of its own one a member left at %s", order.Target.ID, at.Sub(started), left[member.Replica].Sub(started))
+			t.Errorf("%s joined another replica at %s, before it left its own one", order.Target.ID, at.Sub(started))
+		case order.Kind == OrderJoin && former[order.Target.ID] != "" && order.Replica != former[order.Target.ID]:
+			if leftAt, known := left[former[order.Target.ID]]; !known || at.Sub(leftAt) < 6*time.Second+stallMargin {
+				t.Errorf("%s joined another replica at %s; of its own one a member left at %s", order.Target.ID, at.Sub(started), leftAt.Sub(started))
 			}
 		}
 	}
--- a/formationspares.go
+++ b/formationspares.go
@@ -61,9 +61,16 @@
 		_, known := view.Engine.Model(staged)
 		return known
 	})
-	if index < 0 || target.Staging != "" || target.Membership.Model == target.Staged[index] || formation.constraintOf(target, preloadPrefix, view).mustStay {
+	if index < 0 || target.Staging != "" || target.Membership.Model == target.Staged[index] {
 		return TargetOrder{}, false
 	}
+	constraint := formation.constraintOf(target, preloadPrefix, view)
+	switch {
+	case constraint.mustStay:
+		return TargetOrder{}, false
+	case constraint.mustLeave:
+		return leaveOrder(target, constraint.member), true
+	}
 	model := target.Staged[index]
 	ordered, known := formation.preloads[target.ID]
 	if !known || ordered.startUnixMilli != target.StartUnixMilli || ordered.model != model {
--- a/integration/suspendedheads_test.go
+++ b/integration/suspendedheads_test.go
@@ -19,6 +19,7 @@
 		{"both heads", suspend, suspend},
 		{"a head, and another one is killed", suspend, killTarget},
 		{"a head, and another one restarts", suspend, (*standin.Target).RestartAtOnce},
+		{"none, and both are killed", killTarget, killTarget},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
