--- a/formationrelease.go
+++ b/formationrelease.go
@@ -17,6 +17,9 @@
 	// broken: its VM may be suspended for as long as a target may be silent, and its clock
 	// may be slow.
 	stallMargin = 3 * time.Second
+	// suspensionLimit is how long a head that takes connections without answering counts as
+	// suspended, from when it became absent.
+	suspensionLimit = 30 * time.Second
 	// releasedRank stands for the rank of a released member. It isn't the head's.
 	releasedRank = 1
 )
@@ -30,12 +33,17 @@
 // absentConstraintOf is constraintOf for a target whose head is absent. The head may serve
 // without being seen until it says that it doesn't, or until it has been without a member for
 // so long that it is broken. An order without response tells neither: it lets the members join
-// again under their replica's own name only.
+// again under their replica's own name only. A member that time alone has freed leaves before it
+// joins another replica: then it is in none, whatever the head does.
 func (formation *Formation) absentConstraintOf(target Target, member Membership, replica string, view PoolView) constraint {
 	key := member.key()
-	if formation.leftByHead(target, member, view) || view.hasBroken(key) {
+	if formation.leftByHead(target, member, view) {
 		return constraint{}
 	}
+	if formation.hasBroken(key, view) {
+		leaves := replica != member.Replica && target.Membership.key() == key && !view.hasLeft(target)
+		return constraint{mustLeave: leaves, member: member}
+	}
 	if view.SuspectedHeads[key] && replica == member.Replica {
 		return constraint{}
 	}
@@ -50,14 +58,15 @@
 }
 
 // leftByHead reports whether the absent head of a target's replica said that it doesn't serve
-// it, or that it has joined another one since.
+// it or is broken, or that it has joined another one since.
 func (formation *Formation) leftByHead(target Target, member Membership, view PoolView) bool {
 	if closedAt, found := view.ClosedAt[member.key()]; found && closedAt.After(target.ListedSince) {
 		return true
 	}
 	id, known := formation.heads[member.key()]
 	head, found := view.Absent[id]
-	return known && found && head.Membership.Epoch > member.Epoch
+	isBroken := head.Membership.key() == member.key() && head.Membership.State == MemberBroken
+	return known && found && (isBroken || head.Membership.Epoch > member.Epoch)
 }
 
 func (view PoolView) hasLostMember(key ReplicaKey) bool {
@@ -66,10 +75,23 @@
 }
 
 // hasBroken reports whether the replica has been without a member for so long that its head,
-// if it still runs, is broken.
-func (view PoolView) hasBroken(key ReplicaKey) bool {
-	lostAt, lost := view.MemberLostAt[key]
-	return lost && view.StallTimeout > 0 && view.Now.Sub(lostAt) >= TimeToBreak(view.StallTimeout)
+// if it still runs, is broken. A head may notice the loss late: it counts from when the head last
+// stood still, or wrote that it serves although it should have been broken.
+func (formation *Formation) hasBroken(key ReplicaKey, view PoolView) bool {
+	since, lost := view.MemberLostAt[key]
+	if !lost || view.StallTimeout <= 0 {
+		return false
+	}
+	id := formation.heads[key]
+	head := view.Absent[id]
+	serves := head.Membership.key() == key && (head.Membership.State == MemberOpen || head.Membership.State == MemberClosing)
+	if serves && head.StatedAt.Sub(since) > view.StallTimeout {
+		since = head.StatedAt
+	}
+	if stoodStillAt := view.StoodStillAt[key]; stoodStillAt.After(since) && view.Now.Sub(view.AbsentSince[id]) < suspensionLimit {
+		since = stoodStillAt
+	}
+	return view.Now.Sub(since) >= TimeToBreak(view.StallTimeout)
 }
 
 // TimeToBreak returns how long after it has lost a member a head is broken for certain.
@@ -90,7 +112,7 @@
 // releaseOrder returns an order to a member to leave its replica.
 func (formation *Formation) releaseOrder(target Target, member Membership) TargetOrder {
 	formation.recordRelease(target.ID, target.StartUnixMilli, member)
-	return TargetOrder{Kind: OrderLeave, Target: target, Replica: member.Replica, Epoch: member.Epoch}
+	return leaveOrder(target, member)
 }
 
 // recordMoves records the targets that are ordered to join again under their replica's name
