Planner: reloaded settings change its bounds

It read stall_ms and heartbeat_ms once, at the start of the process; all other bounds follow.

Change: Reload sets the planner's bounds too.

Evidence: TestSettingsInForceAreShown fails in three of three cases without it.

--- a/control/heads.go
+++ b/control/heads.go
@@ -54,13 +54,16 @@
 // outlastsStall reports whether a row that can't be decoded has stood for longer than heads
 // without one of their members go on.
 func (planner *Planner) outlastsStall(pool string, version uint64) bool {
+	planner.mu.Lock()
+	stall := planner.StallTimeout
+	planner.mu.Unlock()
 	now := planner.Clock.Now()
 	odd, known := planner.oddHeads[pool]
 	if !known || odd.version != version {
 		odd = oddHeads{version, now}
 		planner.oddHeads[pool] = odd
 	}
-	return planner.StallTimeout > 0 && now.Sub(odd.since) > greengageroute.TimeToBreak(planner.StallTimeout)
+	return stall > 0 && now.Sub(odd.since) > greengageroute.TimeToBreak(stall)
 }
 
 // recordUnknownHeads keeps the addresses of heads that this entry hasn't seen listed.
--- a/control/planner.go
+++ b/control/planner.go
@@ -257,6 +257,13 @@
 	}
 }
 
+// SetBounds changes the planner's bounds.
+func (planner *Planner) SetBounds(bounds greengageroute.Bounds) {
+	planner.mu.Lock()
+	defer planner.mu.Unlock()
+	planner.FormationDelay, planner.StallTimeout = bounds.HeartbeatInterval, bounds.StallTimeout
+}
+
 // Wake triggers another planning round. It does not block.
 func (planner *Planner) Wake() {
 	select {
@@ -377,11 +384,14 @@
 // together are listed within about a heartbeat of each other; replicas formed from
 // the first of them would serve only the first models.
 func (planner *Planner) listStable(view greengageroute.PoolView) bool {
+	planner.mu.Lock()
+	delay := planner.FormationDelay
+	planner.mu.Unlock()
 	now := planner.Clock.Now()
 	if len(view.Targets) != planner.targetCount {
 		planner.targetCount, planner.countChangedAt = len(view.Targets), now
 	}
-	return view.HasTraffic || planner.targetCount > 0 && now.Sub(planner.countChangedAt) >= planner.FormationDelay
+	return view.HasTraffic || planner.targetCount > 0 && now.Sub(planner.countChangedAt) >= delay
 }
 
 // logPoolState logs the state of a pool when it has changed.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -261,6 +261,7 @@
 	}
 	entry.counters.Add(CountSettingsReloaded, 1)
 	entry.service.SetBounds(deployment.Bounds)
+	entry.planner.SetBounds(deployment.Bounds)
 	entry.service.SetRegions(deployment.Regions)
 	limitMemory(deployment)
 	entry.budget.SetLimits(greengageroute.NewBodyBudget(deployment.Limits))
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -11,7 +11,8 @@
 )
 
 // TestSettingsInForceAreShown guards against operators who can't tell which entries
-// follow the old settings and which the new ones.
+// follow the old settings and which the new ones, and against a planner that goes on by the old
+// ones.
 func TestSettingsInForceAreShown(t *testing.T) {
 	deployment := greengageroute.Deployment{
 		Name: "entry", DataCentre: "a", IP: "127.0.0.1", CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", StoreAddress: "127.0.0.1:1",
@@ -29,18 +30,25 @@
 	for _, test := range []struct {
 		name    string
 		digest  string
+		stall   time.Duration // in force afterwards
 		err     error
 		metrics []string
 	}{
-		{"valid", "second", nil, []string{"settings-digest second\n", "settings-reloaded 1\n"}},
-		{"invalid", "third", errors.New("faulty"), []string{"settings-digest second\n", "settings-reloaded 1\n", "settings-refused 1\n"}},
-		{"valid again", "fourth", nil, []string{"settings-digest fourth\n", "settings-reloaded 2\n"}},
+		{"valid", "second", 9 * time.Second, nil, []string{"settings-digest second\n", "settings-reloaded 1\n"}},
+		{"invalid", "third", 9 * time.Second, errors.New("faulty"), []string{"settings-digest second\n", "settings-reloaded 1\n", "settings-refused 1\n"}},
+		{"valid again", "fourth", 6 * time.Second, nil, []string{"settings-digest fourth\n", "settings-reloaded 2\n"}},
 	} {
 		changed := deployment
-		changed.Digest = test.digest
+		changed.Digest, changed.Bounds.StallTimeout = test.digest, test.stall
+		if test.err != nil {
+			changed.Bounds.StallTimeout = time.Second
+		}
 		entry.Reload(changed, test.err)
 		var text strings.Builder
 		entry.writeMetrics(&text)
+		if entry.planner.StallTimeout != test.stall {
+			t.Errorf("%s: the planner goes by a stall time of %s, want %s", test.name, entry.planner.StallTimeout, test.stall)
+		}
 		for _, line := range test.metrics {
 			if !strings.Contains(text.String(), line) {
 				t.Errorf("%s: the metrics lack %q:\n%s", test.name, line, text.String())
