Planner: findings about members end with the term of the lease

At the start of a term it forgot what it knew of absent heads, but neither the members lost nor the targets that left.

Change: it forgets these too. A release that still stands is in the store, and its order is sent again. Pending orders to open stay, since they hold members.

Evidence: TestFindingsEndWithTheLease finds both kept before.

--- a/control/heads.go
+++ b/control/heads.go
@@ -136,11 +136,14 @@
 	return planner.storedReleases[pool].Has(order.Target.ID)
 }
 
-// forgetAbsentHeads forgets what earlier orders told of absent heads, since another planner may
-// have opened them, and the heads that the formations of before were restored with.
+// forgetAbsentHeads forgets what earlier orders told of absent heads and their members, since
+// another planner may have opened the heads and had the members join again, and the heads that the
+// formations of before were restored with. Orders to open that may still be carried out stay.
 func (planner *Planner) forgetAbsentHeads() {
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
 	clear(planner.absentHeads)
 	clear(planner.unknownHeads)
+	clear(planner.lostMembers)
+	clear(planner.left)
 }
--- a/control/release_test.go
+++ b/control/release_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,6 +55,38 @@
 	}
 }
 
+// TestFindingsEndWithTheLease guards against members that are taken from a serving head, since this
+// planner had them leave, or heard that the head had left, before another one held the lease and
+// had them join again.
+func TestFindingsEndWithTheLease(t *testing.T) {
+	target := func(id string) greengageroute.Target {
+		member := greengageroute.Membership{Replica: "r1", Epoch: 7, Model: "m", Rank: 1, State: greengageroute.MemberReady}
+		return greengageroute.Target{ID: id, Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1, Membership: member}
+	}
+	order := func(kind greengageroute.OrderKind, id string) greengageroute.TargetOrder {
+		return greengageroute.TargetOrder{Kind: kind, Target: target(id), Replica: "r1", Epoch: 7}
+	}
+	planner, directory := newTestPlanner(fakeActivity{})
+	directory.Replace([]greengageroute.Target{target("i-member")}, time.Time{})
+	for _, err := range []error{errors.New("unanswered"), &greengageroute.OrderUnansweredError{}} {
+		planner.recordResult(order(greengageroute.OrderLeave, "i-head"), err)
+	}
+	planner.recordResult(order(greengageroute.OrderLeave, "i-member"), nil)
+	opening := order(greengageroute.OrderOpen, "i-opening")
+	planner.pendingOpens["i-opening"] = pendingOpen{key: opening.Key()}
+	counts := func() []int {
+		view := planner.poolView("llm", nil, directory.View())
+		return []int{len(view.SuspectedHeads), len(view.StoodStillAt), len(view.MemberLostAt), len(view.Left), len(view.PendingOpens)}
+	}
+	if found := counts(); !slices.Equal(found, []int{1, 1, 1, 1, 1}) {
+		t.Errorf("heads suspected, standing still, members lost, targets that left, and pending opens: %d, want 1 of each", found)
+	}
+	planner.forgetAbsentHeads()
+	if found := counts(); !slices.Equal(found, []int{0, 0, 0, 0, 1}) {
+		t.Errorf("heads suspected, standing still, members lost, targets that left, and pending opens of an earlier term: %d, want the last only", found)
+	}
+}
+
 // TestReleaseIsStoredFirst guards against a next planner that takes a released member for free,
 // since this one ended before it had stored the release.
 func TestReleaseIsStoredFirst(t *testing.T) {
