--- a/control/heads.go
+++ b/control/heads.go
@@ -63,13 +63,16 @@
 // outlastsStall reports whether a row that can't be decoded has stood for longer than heads
 // without one of their members go on.
 func (planner *Planner) outlastsStall(pool string, version uint64) bool {
+	planner.mu.Lock()
+	stall := planner.StallTimeout
+	planner.mu.Unlock()
 	now := planner.Clock.Now()
 	odd, known := planner.oddHeads[pool]
 	if !known || odd.version != version {
 		odd = oddHeads{version, now}
 		planner.oddHeads[pool] = odd
 	}
-	return planner.StallTimeout > 0 && now.Sub(odd.since) > greengageroute.TimeToBreak(planner.StallTimeout)
+	return stall > 0 && now.Sub(odd.since) > greengageroute.TimeToBreak(stall)
 }
 
 // recordUnknownHeads keeps the addresses of heads that this entry hasn't seen listed.
@@ -148,11 +151,14 @@
 	})
 }
 
-// forgetAbsentHeads forgets what earlier orders told of absent heads, since another planner may
-// have opened them, and the heads that the formations of before were restored with.
+// forgetAbsentHeads forgets what earlier orders told of absent heads and their members, since
+// another planner may have opened the heads and had the members join again, and the heads that the
+// formations of before were restored with. Orders to open that may still be carried out stay.
 func (planner *Planner) forgetAbsentHeads() {
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
 	clear(planner.absentHeads)
 	clear(planner.unknownHeads)
+	clear(planner.lostMembers)
+	clear(planner.left)
 }
