Streams: long events are charged to the budget for what is held for callers

A faulty target that sends events without end used up the memory of the entry that called it, and the requests of the entry's other callers ended with it.

Cause: each stream kept two events of up to 1 MB, nothing charged them to the budget that bounds bodies and answers, and their buffers stayed for the rest of the stream.

An event beyond 4 KB now has a buffer of its own, which is reserved before it grows and returned as soon as the event was forwarded. While such an event is being read, it is held to the pace of a body: of those that have stopped, the one that holds most ends in favour of others, and one that brings nothing for 20 s ends. Only the attempt ends, so that a resumable stream goes on elsewhere.

--- a/edge/call.go
+++ b/edge/call.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -35,7 +34,7 @@
 func readAnswer(answer *upstream.Answer) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
-		err = fmt.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
+		err = &upstream.TooLongError{What: "the answer", Bytes: len(body), Limit: maxAnswerBytes}
 	}
 	return body, err
 }
--- a/edge/eventreader_test.go
+++ b/edge/eventreader_test.go
@@ -3,12 +3,16 @@
 import (
 	"bytes"
 	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/intake"
 )
 
 // lineLengths are the lengths of data lines around one and two times the reader's buffer.
@@ -28,11 +32,11 @@
 			first, second := longEvent(1, length, lineEnd), longEvent(2, length, lineEnd)
 			text := first + second
 			for cut := range len(text) + 1 {
-				reader := newEventReader(io.MultiReader(strings.NewReader(text[:cut]), failingReader{}))
+				reader := newEventReader(io.MultiReader(strings.NewReader(text[:cut]), failingReader{}), &intake.Holding{})
 				var complete []byte
 				event, err := reader.next()
 				for ; err == nil; event, err = reader.next() {
-					complete = append(complete, event...)
+					complete = append(complete, event.text...)
 				}
 				var want string
 				switch {
@@ -67,3 +71,93 @@
 		})
 	}
 }
+
+// TestStoppedEventIsEndedForAnother guards against faulty targets whose long events stay in the
+// memory of an entry, and against streams that end for another one although they go on.
+func TestStoppedEventIsEndedForAnother(t *testing.T) {
+	long := longEvent(1, 300<<10, "\n")
+	for _, test := range []struct {
+		name          string
+		event         string // of the first stream
+		checks        int    // before another stream's long event
+		ended, fitted bool
+	}{
+		{"an event that has just come", long[:len(long)-2], 0, false, false},
+		{"an event that has stopped", long[:len(long)-2], 3, true, true},
+		{"an event that nobody waits for", long[:len(long)-2], 25, true, true},
+		{"small events", strings.Repeat(longEvent(1, 1<<10, "\n"), 300), 25, false, true},
+		{"an event that waits for its caller", long, 3, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			budget := intake.NewBudget(greengageroute.BodyBudget{Total: 700 << 10, SmallReserve: 100 << 10}, new(expvar.Map).Init())
+			var first, second intake.Holding
+			var cause error
+			first.BeginEvents(t.Context(), budget, nil, func(err error) { cause = err })
+			second.BeginEvents(t.Context(), budget, nil, func(error) {})
+			body, target := io.Pipe()
+			read := make(chan error)
+			go func() {
+				reader := newEventReader(body, &first)
+				event, err := reader.next()
+				for err == nil && event.charged == 0 {
+					event, err = reader.next()
+				}
+				read <- err
+			}()
+			if _, err := io.WriteString(target, test.event); err != nil {
+				t.Fatal(err)
+			}
+			if test.event == long {
+				<-read
+			}
+			for range test.checks {
+				budget.Check()
+			}
+			another, err := newEventReader(strings.NewReader(longEvent(1, 500<<10, "\n")), &second).next()
+			if fitted := err == nil; fitted != test.fitted || (cause != nil) != test.ended || cause != nil && !isOverBudget(cause) {
+				t.Errorf("another event: %v, the first one ended for %v; want it to fit: %t, ended: %t", err, cause, test.fitted, test.ended)
+			}
+			another.release(&second)
+			if test.event != long {
+				target.Close()
+				<-read
+			}
+			first.Release()
+			if used := budget.Used(); used != 0 {
+				t.Errorf("%d bytes are held after the streams", used)
+			}
+		})
+	}
+}
+
+// BenchmarkEvents measures the reading of a stream's events within a budget.
+func BenchmarkEvents(b *testing.B) {
+	for _, length := range []int{100, 2 << 10, 8 << 10, 64 << 10} {
+		b.Run(fmt.Sprintf("%d bytes", length), func(b *testing.B) {
+			budget := intake.NewBudget(greengageroute.NewBodyBudget(greengageroute.VMLimits{MemoryMB: 136}), new(expvar.Map).Init())
+			var holding intake.Holding
+			holding.BeginEvents(b.Context(), budget, nil, func(error) {})
+			reader := newEventReader(&repeatingReader{text: longEvent(1, length, "\n")}, &holding)
+			b.ReportAllocs()
+			for b.Loop() {
+				event, err := reader.next()
+				if err != nil {
+					b.Fatal(err)
+				}
+				event.release(&holding)
+			}
+		})
+	}
+}
+
+// repeatingReader repeats a text.
+type repeatingReader struct {
+	text string
+	at   int
+}
+
+func (reader *repeatingReader) Read(into []byte) (int, error) {
+	count := copy(into, reader.text[reader.at:])
+	reader.at = (reader.at + count) % len(reader.text)
+	return count, nil
+}
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -221,6 +221,9 @@
 	// CountEndsUnconfirmed those whose target didn't confirm that they are complete.
 	CountUnframedAnswers = "answers-without-length"
 	CountEndsUnconfirmed = "answer-ends-unconfirmed"
+	// CountEventsEnded counts attempts of streams that were ended by the budget for what is held
+	// for callers.
+	CountEventsEnded = "stream-attempts-over-budget"
 	// CountForwarded counts requests sent to other entries because no target responds to
 	// this one, and CountHelped those of other entries.
 	CountForwarded = "requests-forwarded-to-entries"
--- a/edge/hedgedstream.go
+++ b/edge/hedgedstream.go
@@ -74,7 +74,7 @@
 	// end.
 	streamMessage struct {
 		attempt *streamAttempt
-		event   []byte // valid until the next message is received
+		event   streamEvent // valid until the next message is received
 		ended   bool
 		rest    []byte // after the last event
 		err     error  // why the attempt ended; nil for a regular end
@@ -151,7 +151,7 @@
 		case message.ended:
 			stream.recordEnd(message)
 			message.attempt.close(false)
-		case message.event == nil:
+		case message.event.text == nil:
 			stream.recordAnswer(message.attempt)
 		}
 	}
@@ -172,13 +172,16 @@
 	switch {
 	case message.ended:
 		return stream.receiveEnd(ctx, message)
-	case message.event == nil:
+	case message.event.text == nil:
 		stream.recordAnswer(message.attempt)
 		return false, nil
 	case message.attempt.cancelled:
+		message.event.release(&message.attempt.events)
 		return false, nil
 	default:
-		return false, stream.forwardEvent(message.attempt, message.event)
+		err = stream.forwardEvent(message.attempt, message.event.text)
+		message.event.release(&message.attempt.events)
+		return false, err
 	}
 }
 
@@ -283,6 +286,10 @@
 	}
 	var notSent *upstream.NotSentError
 	switch {
+	case isOverBudget(cause):
+		exchange.service.Counters.Add(CountEventsEnded, 1)
+		stream.reason = cause.Error()
+		return
 	case errors.As(cause, &notSent):
 		stream.reason = "the replica is unreachable"
 	case errors.Is(cause, errNotRun):
--- a/edge/streamattempt.go
+++ b/edge/streamattempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/intake"
 	"greengageroute.example/greengageroute/upstream"
 )
 
@@ -24,6 +25,7 @@
 		request           greengageroute.Request
 		attempt           greengageroute.Attempt
 		answer            *upstream.Answer // set before the first message
+		events            intake.Holding   // bytes of long events
 		cancel            context.CancelCauseFunc
 		done              func() // tells the tracker that the attempt has ended
 		prefillTimer      *time.Timer
@@ -85,6 +87,8 @@
 // start sends the request and receives the answer until it ends or the context does.
 func (attempt *streamAttempt) start(ctx context.Context) {
 	ctx, attempt.cancel = context.WithCancelCause(ctx)
+	exchange := attempt.stream.exchange
+	attempt.events.BeginEvents(exchange.httpRequest.Context(), exchange.service.Budget, exchange.writer, attempt.cancel)
 	go func() {
 		rest, err := attempt.receive(ctx)
 		attempt.stream.messages <- streamMessage{attempt: attempt, ended: true, rest: rest, err: err}
@@ -102,6 +106,7 @@
 	if attempt.answer != nil {
 		attempt.answer.Close(complete)
 	}
+	attempt.events.Release()
 	attempt.cancel(nil)
 	if attempt.prefillTimer != nil {
 		attempt.prefillTimer.Stop()
@@ -129,13 +134,15 @@
 	case attempt.resumes && !attempt.isEventStream():
 		return nil, errNotEvents
 	}
-	reader := newEventReader(answer.Body)
+	reader := newEventReader(answer.Body, &attempt.events)
 	for {
 		event, err := reader.next()
-		if errors.Is(err, io.EOF) {
-			return event, nil
-		}
-		if err != nil {
+		switch {
+		case errors.Is(err, io.EOF):
+			return event.text, nil
+		case err != nil && ctx.Err() != nil:
+			return nil, context.Cause(ctx)
+		case err != nil:
 			return nil, err
 		}
 		select {
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -20,6 +20,9 @@
 	// arrived too slowly.
 	CountBodiesStalled = "bodies-stalled"
 	CountBodiesSlow    = "bodies-too-slow"
+	// CountEventsStalled counts long events of targets that stopped arriving, or arrived too
+	// slowly.
+	CountEventsStalled = "events-stalled"
 	// GaugeHeld is how many bytes are held for callers.
 	GaugeHeld = "budget-bytes-held"
 )
@@ -141,7 +144,7 @@
 	holding.interrupt()
 }
 
-// Check ends bodies that stall or arrive too slowly. It is to be called once a second.
+// Check ends bodies and events that stall or arrive too slowly. It is to be called once a second.
 func (budget *Budget) Check() {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
@@ -149,11 +152,14 @@
 	for holding := budget.first; holding != nil; holding = next {
 		next = holding.next
 		holding.pace = holding.pace.WithCheck(holding.transferred())
-		if holding.conn != nil {
+		if holding.conn != nil && !holding.isOfEvents() {
 			holding.conn.bodyStalled.Store(holding.reading && holding.pace.Pausing())
 		}
 		switch {
 		case !holding.reading:
+		case holding.isOfEvents() && (holding.pace.Stalled() || holding.pace.TooSlow()):
+			budget.counters.Add(CountEventsStalled, 1)
+			budget.end(holding, errEventStalled)
 		case holding.pace.Stalled():
 			budget.counters.Add(CountBodiesStalled, 1)
 			budget.end(holding, errStalled)
--- a/intake/holding.go
+++ b/intake/holding.go
@@ -48,7 +48,8 @@
 		held           int64
 		ended          error
 		pace           greengageroute.BodyPace
-		received       atomic.Int64 // bytes of the body
+		received       atomic.Int64      // bytes of the body, or of the event
+		cancel         func(cause error) // of events: ends their attempt
 	}
 
 	connKey struct{}
@@ -144,22 +145,33 @@
 	}
 }
 
-// transferred returns the bytes that moved between the caller and this process.
+// isOfEvents reports whether the bytes come from a target, not from the caller.
+func (holding *Holding) isOfEvents() bool { return holding.cancel != nil }
+
+// transferred returns the bytes that moved between the caller and this process, or those of the
+// event that a target sends.
 func (holding *Holding) transferred() int64 {
 	bytes := holding.received.Load()
-	if holding.conn != nil {
+	if holding.conn != nil && !holding.isOfEvents() {
 		bytes += holding.conn.written.Load()
 	}
 	return bytes
 }
 
-// interrupt has reads of the body fail, or writes of the answer.
+// interrupt has reads of the body fail, or writes of the answer. Of events it ends the attempt,
+// and the caller's connection only if nothing is read there.
 func (holding *Holding) interrupt() {
+	if holding.isOfEvents() {
+		holding.cancel(holding.ended)
+		if holding.conn == nil || !holding.conn.unread() {
+			return
+		}
+	}
 	if holding.writer == nil {
 		return
 	}
 	controller := http.NewResponseController(holding.writer)
-	if holding.reading {
+	if holding.reading && !holding.isOfEvents() {
 		_ = controller.SetReadDeadline(longAgo) // fails once the connection is closed
 		return
 	}
--- a/integration/hostilecallers_test.go
+++ b/integration/hostilecallers_test.go
@@ -195,6 +195,19 @@
 	eventually(t, startTimeout, "an ordinary request is answered", target.serves)
 }
 
+// startLimitedEntry starts an entry with the limits of a small VM.
+func (deployment *deployment) startLimitedEntry(descriptors int) *entryProcess {
+	entry := deployment.startEntry("entry-0")
+	_ = entry.cmd.Process.Kill()
+	<-entry.exited
+	settings := strings.Replace(readFile(deployment.t, entry.settingsPath), "limits.memory_mb=206", fmt.Sprintf("limits.memory_mb=%d\nlimits.file_descriptors=%d", hostileMemoryMB, descriptors), 1)
+	writeFile(deployment.t, entry.settingsPath, settings)
+	deployment.startProcess(entry)
+	deployment.entries = append(deployment.entries, entry)
+	deployment.waitReady()
+	return entry
+}
+
 // startHostileEntry starts an entry of the users' platform with the limits of a small VM.
 func startHostileEntry(t *testing.T) (*deployment, hostileTarget) {
 	deployment := newEmptyDeployment(t)
@@ -204,14 +217,7 @@
 	for i := range 2 {
 		deployment.plainTargets = append(deployment.plainTargets, deployment.startTarget(fmt.Sprintf("i-plain-%d", i), "ledger", ""))
 	}
-	entry := deployment.startEntry("entry-0")
-	_ = entry.cmd.Process.Kill()
-	<-entry.exited
-	settings := strings.Replace(readFile(t, entry.settingsPath), "limits.memory_mb=206", fmt.Sprintf("limits.memory_mb=%d\nlimits.file_descriptors=%d", hostileMemoryMB, hostileDescriptors), 1)
-	writeFile(t, entry.settingsPath, settings)
-	deployment.startProcess(entry)
-	deployment.entries = append(deployment.entries, entry)
-	deployment.waitReady()
+	entry := deployment.startLimitedEntry(hostileDescriptors)
 	return deployment, hostileTarget{
 		address: entry.callerAddress, pid: entry.cmd.Process.Pid, exited: entry.exited,
 		head:     "POST /post/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-1\r\n" + platform.HeaderAttemptID + ": hostile\r\n",
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -91,6 +91,13 @@
 		Cause  error
 	}
 
+	// TooLongError reports that a target sent more than an answer may have.
+	TooLongError struct {
+		What  string // the part that is too long
+		Bytes int    // received before the rest was left unread
+		Limit int
+	}
+
 	// limitedReader reads from a connection until the limit of the response's head is
 	// used up.
 	limitedReader struct {
@@ -125,14 +132,16 @@
 // Unwrap returns the cause.
 func (err *AnswerLostError) Unwrap() error { return err.Cause }
 
-var errHeadTooLong = errors.New("the head of the response is longer than " + strconv.Itoa(maxHeadBytes) + " bytes")
+func (err *TooLongError) Error() string {
+	return err.What + " is longer than " + strconv.Itoa(err.Limit) + " bytes"
+}
 
 func (limit *limitedReader) Read(buffer []byte) (int, error) {
 	if limit.unlimited {
 		return limit.conn.Read(buffer)
 	}
 	if limit.remaining <= 0 {
-		return 0, errHeadTooLong
+		return 0, &TooLongError{What: "the head of the response", Bytes: maxHeadBytes, Limit: maxHeadBytes}
 	}
 	read, err := limit.conn.Read(buffer[:min(len(buffer), limit.remaining)])
 	limit.remaining -= read
@@ -217,7 +226,7 @@
 		}
 		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes))
 		if err == nil && skipped == maxForeignBytes {
-			err = errors.New("the answer to another request is longer than " + strconv.Itoa(maxForeignBytes) + " bytes")
+			err = &TooLongError{What: "the answer to another request", Bytes: maxForeignBytes, Limit: maxForeignBytes}
 		}
 		if err != nil {
 			return nil, lost(err)
