Targets whose answers are too long are chosen only if there is no other

Callers of a target that sent a head, an event or an answer to another request without end got 502 or a broken-off stream, and so did the next ones: the target went on being chosen.

Cause: only calls counted their failures against a target. Of a stream the target was only checked for a crash, which shows nothing of one that accepts connections.

If all are faulty, all are used as before. Other entries learn nothing of it, and what comes through another entry counts against no target.

--- a/balance.go
+++ b/balance.go
@@ -44,6 +44,9 @@
 	// outsideSharePenalty is added for a replica that the entry doesn't prefer, up to
 	// twice as much by its rank, so that entries whose shares are full spread too.
 	outsideSharePenalty = 30 * time.Millisecond
+	// faultPenalty is added for a target whose answers broke the protocol. It is used if there is
+	// no other that responds.
+	faultPenalty = time.Minute
 )
 
 type (
@@ -58,6 +61,7 @@
 		HasIdleConnection bool          // there is an idle connection to its head
 		SharePenalty      time.Duration // positive if the entry prefers other replicas
 		Limited           bool          // its head gets no more requests now, by the limit that it names or as it asked for a backoff
+		Faulty            bool          // answers of its head broke the protocol
 	}
 
 	// TargetCandidate is a target of a plain service with the load and health known
@@ -72,6 +76,7 @@
 		Local             bool
 		HasIdleConnection bool // there is an idle connection to it
 		Limited           bool // it gets no more requests now, by the limit that it names or as it asked for a backoff
+		Faulty            bool // its answers broke the protocol
 	}
 )
 
@@ -149,6 +154,9 @@
 		if candidate.Suspected {
 			cost += suspicionDelay + engine.LongestIteration(model, candidate.Load)
 		}
+		if candidate.Faulty {
+			cost += faultPenalty
+		}
 		if candidate.Unresponsive {
 			cost += time.Hour
 		}
@@ -171,7 +179,11 @@
 		if candidate.Limited || candidate.Unresponsive || candidate.Load.Running >= engine.Slots {
 			continue
 		}
-		if timeToFirstToken := candidate.TimeToFirstToken(engine, model, promptTokens); index < 0 || timeToFirstToken < expected {
+		if index >= 0 && candidate.Faulty && !candidates[index].Faulty {
+			continue
+		}
+		timeToFirstToken := candidate.TimeToFirstToken(engine, model, promptTokens)
+		if index < 0 || candidates[index].Faulty && !candidate.Faulty || timeToFirstToken < expected {
 			index, expected = i, timeToFirstToken
 		}
 	}
@@ -204,6 +216,9 @@
 	if !candidate.HasIdleConnection {
 		expected += targetConnectPenalty.Seconds()
 	}
+	if candidate.Faulty {
+		expected += faultPenalty.Seconds()
+	}
 	return time.Duration(expected*float64(time.Second)) + candidate.Full
 }
 
--- a/balance_test.go
+++ b/balance_test.go
@@ -115,6 +115,8 @@
 		{"a straggler only if it is far less loaded", []ReplicaCandidate{{Slowdown: 5}, {Load: EngineLoad{Running: 10}}}, 1},
 		{"an unresponsive replica last", []ReplicaCandidate{{Unresponsive: true}, {Load: EngineLoad{Running: 26, PrefillTokens: 20_000}}}, 1},
 		{"an unresponsive replica if there is no other", []ReplicaCandidate{{Unresponsive: true}}, 0},
+		{"a faulty replica if the others are unresponsive", []ReplicaCandidate{{Unresponsive: true}, {Faulty: true}}, 1},
+		{"not a faulty replica", []ReplicaCandidate{{Faulty: true}, {Load: EngineLoad{Running: 60}}}, 1},
 		{"not a suspected replica", []ReplicaCandidate{{Suspected: true}, {Load: EngineLoad{Running: 20}}}, 1},
 		{"a suspected replica if the others are full", []ReplicaCandidate{{Suspected: true}, {Load: EngineLoad{Running: 60}}}, 0},
 		{"a suspected replica before an unresponsive one", []ReplicaCandidate{{Suspected: true}, {Unresponsive: true}}, 0},
@@ -143,6 +145,8 @@
 		{"none", nil, -1},
 		{"the idle target", []TargetCandidate{{Running: 5, Latency: meanLatency}, {Latency: meanLatency}}, 1},
 		{"not the failing target", []TargetCandidate{{Latency: meanLatency, Failures: 0.4}, {Running: 1, Latency: meanLatency}}, 1},
+		{"not the faulty target", []TargetCandidate{{Latency: meanLatency, Faulty: true}, {Running: 20, Latency: meanLatency}}, 1},
+		{"the faulty target if there is no other", []TargetCandidate{{Latency: meanLatency, Faulty: true}}, 0},
 		{"not the slow target", []TargetCandidate{{Latency: 5 * meanLatency}, {Running: 2, Latency: meanLatency}}, 1},
 	}
 	for _, test := range tests {
--- a/edge/call.go
+++ b/edge/call.go
@@ -99,6 +99,7 @@
 			Failures: stats.Failures, Full: stats.fullness.Remaining(time.Now()), Local: target.DataCentre == service.DataCentre,
 			HasIdleConnection: service.Sender.HasIdleConnection(target, exchange.route.Kind == greengageroute.NonIdempotent),
 			Limited:           wait > 0,
+			Faulty:            stats.isFaulty(target),
 		})
 	}
 	exchange.recordLimitWaits(len(candidates), waits)
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -224,6 +224,8 @@
 	// CountEventsEnded counts attempts of streams that were ended by the budget for what is held
 	// for callers.
 	CountEventsEnded = "stream-attempts-over-budget"
+	// CountAnswersTooLong counts answers with a part that is longer than the protocol allows.
+	CountAnswersTooLong = "answers-too-long"
 	// CountForwarded counts requests sent to other entries because no target responds to
 	// this one, and CountHelped those of other entries.
 	CountForwarded = "requests-forwarded-to-entries"
--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -190,6 +190,7 @@
 		return
 	}
 	if !attempt.fromEntry {
+		exchange.recordTooLong(attempt.target, result.err)
 		exchange.recordSent(attempt.target)
 		exchange.rejectedAsFull = result.isRejection()
 		exchange.mayHaveRun = exchange.mayHaveRun || result.answer == nil || !result.answer.NotRun
@@ -276,6 +277,7 @@
 		return err
 	}
 	exchange.recordSound()
+	exchange.service.tracker.RecordSound(attempt.target.ID, attempt.sentAt)
 	return nil
 }
 
--- a/edge/hedgedstream.go
+++ b/edge/hedgedstream.go
@@ -301,6 +301,7 @@
 	if attempt.fromEntry {
 		return
 	}
+	exchange.recordTooLong(attempt.head(), cause)
 	switch {
 	case notSent != nil:
 		exchange.service.probeHead(attempt.head())
@@ -354,6 +355,9 @@
 	if !attempt.progress.IsSound() {
 		stream.exchange.recordSound()
 	}
+	if !attempt.fromEntry {
+		stream.exchange.service.tracker.RecordSound(attempt.head().ID, attempt.sentAt)
+	}
 	return true, nil
 }
 
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -118,6 +118,7 @@
 			Local: head.DataCentre == service.DataCentre, Unresponsive: unresponsive, HasIdleConnection: service.Sender.HasIdleConnection(head, false),
 			Suspected: service.isSuspected(head),
 			Limited:   backoff > 0 || limit > 0 && !exchange.headerSent,
+			Faulty:    stats.isFaulty(head),
 		})
 	}
 	exchange.recordLimitWaits(len(candidates), waits)
--- a/edge/streamattempt.go
+++ b/edge/streamattempt.go
@@ -219,7 +219,7 @@
 func (attempt *streamAttempt) recordProgress(now time.Time) {
 	exchange := attempt.stream.exchange
 	tracker, head := exchange.service.tracker, attempt.head().ID
-	tracker.RecordEvent(head, now)
+	tracker.RecordEvent(head, attempt.progress.IsSound(), now)
 	tracker.RecordActivity(attempt.head().Pool, now)
 	hasNoGap, wasSound := attempt.progress.Pieces() == 0, attempt.progress.IsSound()
 	attempt.progress = attempt.progress.WithPiece(now)
--- a/edge/tracker.go
+++ b/edge/tracker.go
@@ -65,6 +65,7 @@
 		sentAt          time.Time // of the last request
 		cold            coldRecord
 		fullness        greengageroute.TargetFullness
+		faults          greengageroute.TargetFaults
 	}
 )
 
@@ -113,9 +114,15 @@
 	tracker.update(id, func(stats *TargetStats) { stats.PrefillTokens -= promptTokens })
 }
 
-// RecordEvent records the arrival of a stream's event from a target.
-func (tracker *Tracker) RecordEvent(id string, now time.Time) {
-	tracker.update(id, func(stats *TargetStats) { stats.LastActivity, stats.LastReceived = now, now })
+// RecordEvent records the arrival of an event from a target, whose stream may have shown before
+// that it goes on as it should.
+func (tracker *Tracker) RecordEvent(id string, sound bool, now time.Time) {
+	tracker.update(id, func(stats *TargetStats) {
+		stats.LastActivity, stats.LastReceived = now, now
+		if sound {
+			stats.faults = stats.faults.WithSound(now)
+		}
+	})
 }
 
 // RecordEventGap records an inter-event gap, as a multiple of the published
--- a/integration/endlessanswers_test.go
+++ b/integration/endlessanswers_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -37,6 +38,8 @@
 	// lasts is set where the target's answer goes on within the protocol, or the target is
 	// silent: it may take until the callers' deadline.
 	lasts bool
+	// tooLong is the part that is too long by the entry's log; empty if the budget may decide.
+	tooLong string
 }
 
 const (
@@ -59,19 +62,19 @@
 			sendAll(conn, fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", head, 8<<20, strings.Repeat("x", 7<<20)))
 			awaitClose(conn)
 		}},
-		{name: "head of one line", path: "/chat/x", send: flood("X-Long: ", strings.Repeat("x", 64<<10))},
-		{name: "head of many lines", path: "/chat/x", send: flood("", strings.Repeat("X-Line: "+strings.Repeat("x", 54)+"\r\n", 1<<10))},
+		{name: "head of one line", path: "/chat/x", tooLong: "the head of the response", send: flood("X-Long: ", strings.Repeat("x", 64<<10))},
+		{name: "head of many lines", path: "/chat/x", tooLong: "the head of the response", send: flood("", strings.Repeat("X-Line: "+strings.Repeat("x", 54)+"\r\n", 1<<10))},
 		{name: "interim answers", path: "/chat/x", send: func(conn net.Conn, _ string) {
 			flood("", strings.Repeat("HTTP/1.1 103 Early Hints\r\nX-Line: x\r\n\r\n", 1<<10))(conn, "")
 		}},
 		{name: "trailer", path: "/chat/x", send: flood(chunked+chunk(firstEvent)+"0\r\n", strings.Repeat("X-Line: "+strings.Repeat("x", 54)+"\r\n", 1<<10))},
 		{name: "chunk extension", path: "/chat/x", send: flood(chunked+chunk(firstEvent)+"1;", strings.Repeat("x", 64<<10))},
-		{name: "answer to another request", path: "/chat/x", send: func(conn net.Conn, _ string) {
+		{name: "answer to another request", path: "/chat/x", tooLong: "the answer to another request", send: func(conn net.Conn, _ string) {
 			flood(chunked, chunk(line))(conn, "HTTP/1.1 200 OK\r\n"+platform.HeaderAttemptID+": other\r\n")
 		}},
-		{name: "stream without events", path: "/chat/x", send: flood("\r\n", strings.Repeat("x", 64<<10))},
-		{name: "event without end, one line", path: "/chat/x", send: flood(events+firstEvent, strings.Repeat("x", 64<<10))},
-		{name: "event without end, many lines", path: "/chat/x", send: flood(events+firstEvent, lines)},
+		{name: "stream without events", path: "/chat/x", tooLong: "an event", send: flood("\r\n", strings.Repeat("x", 64<<10))},
+		{name: "event without end, one line", path: "/chat/x", tooLong: "an event", send: flood(events+firstEvent, strings.Repeat("x", 64<<10))},
+		{name: "event without end, many lines", path: "/chat/x", tooLong: "an event", send: flood(events+firstEvent, lines)},
 		{name: "event that stops", path: "/chat/x", lasts: true, send: func(conn net.Conn, head string) {
 			sendAll(conn, []byte(head+events+firstEvent), []byte(strings.Repeat("x", largestEvent-1<<10)))
 			awaitClose(conn)
@@ -211,6 +214,9 @@
 			if answered < ordinary {
 				t.Errorf("%d of %d ordinary requests answered", answered, ordinary)
 			}
+			if log := readFile(t, entry.logPath); test.tooLong != "" && (!strings.Contains(log, "answer too long") || !strings.Contains(log, strconv.Quote(test.tooLong))) {
+				t.Errorf("the log names no answer with %s that is too long", test.tooLong)
+			}
 			limit := endlessDeadline
 			if test.lasts {
 				limit += endMargin
