--- a/integration/endlessanswers_test.go
+++ b/integration/endlessanswers_test.go
@@ -40,6 +40,9 @@
 	lasts bool
 	// tooLong is the part that is too long by the entry's log; empty if the budget may decide.
 	tooLong string
+	// losesMembers is set for replicas of two, half of which lose a member: their streams are
+	// hedged, with two answers being read.
+	losesMembers bool
 }
 
 const (
@@ -79,6 +82,10 @@
 			sendAll(conn, []byte(head+events+firstEvent), []byte(strings.Repeat("x", largestEvent-1<<10)))
 			awaitClose(conn)
 		}},
+		{name: "event that stops, hedged", path: "/chat/x", lasts: true, losesMembers: true, send: func(conn net.Conn, head string) {
+			sendAll(conn, []byte(head+events+"data: token\n\n"), []byte(strings.Repeat("x", largestEvent-1<<10)))
+			awaitClose(conn)
+		}},
 		{name: "largest events", path: "/chat/x", lasts: true, send: sendEvents(func(int) int { return largestEvent - 1<<10 })},
 		{name: "streams by the hundred whose events grow", path: "/chat/x", callers: 300, lasts: true, send: sendEvents(func(id int) int { return min(16<<id, largestEvent-1<<10) })},
 		{name: "reports, orders and health checks", path: "/chat/x", everywhere: true, lasts: true, send: flood(chunked, chunk(line))},
@@ -117,7 +124,7 @@
 
 // startEndlessDeployment starts an entry with the limits of a small VM, with replicas and plain
 // targets that are sound for now.
-func startEndlessDeployment(t *testing.T) *deployment {
+func startEndlessDeployment(t *testing.T, replicaSize int) *deployment {
 	deployment := newEmptyDeployment(t)
 	config := platformConfig(3, "key-1")
 	routes := config["routes"].([]any)
@@ -127,9 +134,9 @@
 	config["services"] = append(services, map[string]any{"name": "books", "health_path": standin.HealthPath})
 	engine := services[1].(map[string]any)["engine"].(map[string]any)
 	engine["slots"] = 400
-	engine["models"].([]any)[0].(map[string]any)["size"] = 1
+	engine["models"].([]any)[0].(map[string]any)["size"] = replicaSize
 	deployment.store.Put("op", "config", config)
-	for i := range 4 {
+	for i := range 4 * replicaSize {
 		deployment.modelTargets = append(deployment.modelTargets, deployment.startTarget(fmt.Sprintf("i-model-%d", i), "llm", "d0"))
 	}
 	for i := range 2 {
@@ -137,6 +144,7 @@
 		deployment.plainTargets = append(deployment.plainTargets, deployment.startTarget(fmt.Sprintf("i-plain-%d", i), "ledger", ""))
 	}
 	deployment.requireStream(deployment.startLimitedEntry(endlessDescriptors))
+	deployment.waitFor("the replicas have opened", func() bool { return len(deployment.heads()) >= 2 })
 	return deployment
 }
 
@@ -166,7 +174,11 @@
 	together := endlessCase{name: "all of these at once", path: "/chat/x", lasts: true, send: sendAny("/chat/x", endlessAnswers)}
 	for _, test := range append(slices.Clone(endlessAnswers), together) {
 		t.Run(test.name, func(t *testing.T) {
-			deployment := startEndlessDeployment(t)
+			replicaSize := 1
+			if test.losesMembers {
+				replicaSize = 2
+			}
+			deployment := startEndlessDeployment(t, replicaSize)
 			entry := deployment.entries[0]
 			for _, target := range deployment.modelTargets {
 				target.SetTrouble(standin.Trouble{Kind: standin.SendRaw, Share: 1, Send: test.send, Everywhere: test.everywhere})
@@ -184,6 +196,12 @@
 					longest = max(longest, took)
 				})
 			}
+			if test.losesMembers {
+				time.Sleep(endlessDeadline / 6) // the crowd has its first events
+				for _, head := range deployment.heads()[:2] {
+					deployment.followers(head)[0].Hang(0)
+				}
+			}
 			ended := make(chan struct{})
 			go func() { crowd.Wait(); close(ended) }()
 			ordinary, answered, slowest := 0, 0, time.Duration(0)
@@ -217,6 +235,9 @@
 			if log := readFile(t, entry.logPath); test.tooLong != "" && (!strings.Contains(log, "answer too long") || !strings.Contains(log, strconv.Quote(test.tooLong))) {
 				t.Errorf("the log names no answer with %s that is too long", test.tooLong)
 			}
+			if log := readFile(t, entry.logPath); test.losesMembers && !strings.Contains(log, "stream's replica suspected") {
+				t.Error("no stream was suspected")
+			}
 			limit := endlessDeadline
 			if test.lasts {
 				limit += endMargin
