Entry: a port that is still held is waited for at the start

Callers got no connection at an entry whose port another process still held as the entry started: the process ended with 'address already in use'. If all machines return at once and whoever runs the entries doesn't start them again, or counts processes that end, none serves. Metrics weren't served at all by an entry whose metrics port was held for a moment.

The entry now tries again for up to 10 s while an address is in use or isn't available on the VM, says so in its log at once and counts it (binds-delayed). Other errors, and a stop, end it as before.

--- a/cmd/greengageroute/entry.go
+++ b/cmd/greengageroute/entry.go
@@ -61,7 +61,7 @@
 	if metricsAddress != "" {
 		metricsAddress = deployment.IP + metricsAddress
 	}
-	instance, err := serve.New(deployment, metricsAddress, os.Stdout)
+	instance, err := serve.New(ctx, deployment, metricsAddress, os.Stdout)
 	if err != nil {
 		return err
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -79,6 +79,9 @@
 	CountStoreReads       = "store-reads"
 	CountSettingsReloaded = "settings-reloaded"
 	CountSettingsRefused  = "settings-refused"
+	// CountBindsDelayed counts addresses that were held, or not available, when the entry
+	// first tried to listen there.
+	CountBindsDelayed = "binds-delayed"
 )
 
 type (
@@ -117,9 +120,9 @@
 	}
 )
 
-// New opens the entry's sockets; Run serves them. The metrics are served at
-// metricsAddress, unless it is empty.
-func New(deployment greengageroute.Deployment, metricsAddress string, logOutput io.Writer) (*Entry, error) {
+// New opens the entry's sockets; Run serves them. It waits for addresses that another process
+// still holds. The metrics are served at metricsAddress, unless it is empty.
+func New(ctx context.Context, deployment greengageroute.Deployment, metricsAddress string, logOutput io.Writer) (*Entry, error) {
 	debug.SetGCPercent(gcPercent)
 	limitMemory(deployment)
 	clock := greengageroute.BootClock{}
@@ -135,7 +138,10 @@
 	entry.peerUpstream = upstream.NewClient(count("entry-connections"))
 	entry.lease = control.NewLease(entry.store, deployment.Name, deployment.FirstStart, clock, entry.log)
 	var err error
-	entry.node, err = mesh.Listen(deployment.Name, deployment.DataCentre, fmt.Sprintf("%s:%d", deployment.IP, deployment.PeerPort), deployment.Limits.CPUShare, clock, count("peer-datagrams-failed"))
+	peerAddress := fmt.Sprintf("%s:%d", deployment.IP, deployment.PeerPort)
+	entry.node, err = bind(ctx, entry, peerAddress, func() (*mesh.Node, error) {
+		return mesh.Listen(deployment.Name, deployment.DataCentre, peerAddress, deployment.Limits.CPUShare, clock, count("peer-datagrams-failed"))
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -155,16 +161,22 @@
 		Peers: entry.node, Prober: entry.prober, Sender: entry.upstream, PeerSender: entry.peerUpstream, Budget: entry.budget, Counters: entry.counters, Latencies: entry.latencies, Log: entry.log, MayTryQuarantined: entry.holdsLease,
 	})
 	connections := greengageroute.NewConnectionBounds(deployment.Limits)
-	if entry.callerListener, err = intake.Listen("tcp4", deployment.CallerAddress, connections.Callers, entry.counters); err != nil {
+	if entry.callerListener, err = entry.listen(ctx, deployment.CallerAddress, connections.Callers); err != nil {
 		return nil, trace.Wrap(err, "listening for callers on %s", deployment.CallerAddress)
 	}
-	if entry.peerListener, err = intake.Listen("tcp4", entry.node.Address(), connections.Entries, entry.counters); err != nil {
+	if entry.peerListener, err = entry.listen(ctx, entry.node.Address(), connections.Entries); err != nil {
 		return nil, trace.Wrap(err, "listening for other entries on %s", entry.node.Address())
 	}
-	entry.readyListener, err = intake.Listen("tcp4", deployment.ReadyAddress, maxControlConns, entry.counters)
+	entry.readyListener, err = entry.listen(ctx, deployment.ReadyAddress, maxControlConns)
 	return entry, trace.Wrap(err, "listening for the health check on %s", deployment.ReadyAddress)
 }
 
+func (entry *Entry) listen(ctx context.Context, address string, maxConns int) (*intake.Listener, error) {
+	return bind(ctx, entry, address, func() (*intake.Listener, error) {
+		return intake.Listen("tcp4", address, maxConns, entry.counters)
+	})
+}
+
 // systemHasTraffic reports whether any entry has received requests. Unless this is
 // the first start of the whole system, requests may have come before this entry was
 // started, and it always returns true.
@@ -347,7 +359,7 @@
 	if entry.metricsAddress == "" {
 		return
 	}
-	listener, err := intake.Listen("tcp4", entry.metricsAddress, maxControlConns, entry.counters)
+	listener, err := entry.listen(ctx, entry.metricsAddress, maxControlConns)
 	if err != nil {
 		entry.log.Error(err, "metrics not served: can't listen", "address", entry.metricsAddress)
 		return
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -18,10 +18,10 @@
 		Limits: greengageroute.VMLimits{CPUShare: 1, MemoryMB: 200}, Digest: "first",
 		Bounds: greengageroute.Bounds{RevocationTime: 5 * time.Second, RetryWindow: 10 * time.Second},
 	}
-	entry, err := New(deployment, "", io.Discard)
+	entry, err := New(t.Context(), deployment, "", io.Discard)
 	for attempt := 0; err != nil && attempt < 20; attempt++ {
 		// The UDP port that the system chose may be taken as a TCP port.
-		entry, err = New(deployment, "", io.Discard)
+		entry, err = New(t.Context(), deployment, "", io.Discard)
 	}
 	if err != nil {
 		t.Fatal(err)
