Mesh: entries find each other among rows of entries that have ended

After a return of all machines, chats were refused at all entries for as long as anyone looked: nobody took the planner's lease. The rows of entries that never return stay in the store. In a fleet with relays an entry that starts knows the others from these rows alone and sends only to the two that would be the relays of its data centre. If those have ended it tries the next two 1.5 s later, but after 3 s the first two are tried again: with four or more such rows in front, no entry ever hears of another, none counts as a relay, and only relays may plan. Removed machines are the first in rank if the planner's machine is the one that is lost each time.

An entry that hears nobody of a data centre, 1.5 s after it learned of its entries, now sends to all of them, to each once in 3 s: an entry to those of its own data centre, a relay to those of another. The first that are heard elect the relays as before.

TestRelaysAreFoundAmongStaleRows and the play 'half of a fleet with relays replaced' failed before.

--- a/integration/return_test.go
+++ b/integration/return_test.go
@@ -40,6 +40,7 @@
 	// slowLoadTime is longer than recoveryBound: what the hosts have staged has to be used.
 	slowLoadTime = 16 * time.Second
 	powerOffTime = 2 * time.Second
+	never        = 1000 * time.Second
 
 	returnRequestInterval = 20 * time.Millisecond
 	returnRequestTimeout  = 7 * time.Second
@@ -58,6 +59,7 @@
 		name             string
 		entries, targets span
 		store            time.Duration // when the store is back; 0: it never was away
+		fleet            int           // entries; 0: by flag
 		targetsPerDomain int           // 0: 10
 		moreDomains      int           // beside the first
 		loadsPerSecond   int           // 0: 20
@@ -119,6 +121,7 @@
 		{name: "all one by one, store last", entries: span{0, 6 * second}, targets: span{0, 6 * second}, store: 7 * second},
 		{name: "half of the entries at other addresses", moves: true, store: 2 * second},
 		{name: "half of the entries replaced", replaces: true, store: 2 * second},
+		{name: "half of a fleet with relays replaced", fleet: 24, replaces: true},
 		{name: "ports held", portsHeld: 3 * second},
 		{name: "rows of the planner lost", losesControl: true, store: 2 * second},
 		{name: "empty hosts", hostsAreEmpty: true, loadTime: 5 * second, entries: span{0, 3 * second}, targets: span{0, 3 * second}},
@@ -181,7 +184,7 @@
 	for i := range 2 {
 		play.plainTargets = append(play.plainTargets, play.startTarget(fmt.Sprintf("i-plain-%d", i), "ledger", ""))
 	}
-	for i := range *returnEntries {
+	for i := range cmp.Or(play.test.fleet, *returnEntries) {
 		play.entries = append(play.entries, play.startEntryIn(string(rune('a'+i%*returnCentres)), fmt.Sprint("entry-", i)))
 	}
 	play.waitReady()
@@ -239,9 +242,15 @@
 		delay := max(play.test.targets.at(i, len(targets)), play.test.store+heartbeat)
 		after(delay, func() { targets[index].PowerOn(!play.test.hostsAreEmpty) })
 	}
+	var names []string
+	for _, entry := range play.entries {
+		names = append(names, entry.name)
+	}
+	slices.Sort(names)
 	for i, index := range play.random.Perm(len(play.entries)) {
 		entry := play.entries[index]
-		play.prepareEntry(entry, i%2 == 0)
+		// Of equal VMs, the first by name are the relays.
+		play.prepareEntry(entry, slices.Index(names, entry.name) < (len(names)+1)/2)
 		delay := play.test.entries.at(i, len(play.entries))
 		if play.test.portsHeld > 0 {
 			_, peers, _ := strings.Cut(peerPort.FindString(readFile(play.t, entry.settingsPath)), "=")
@@ -262,8 +271,8 @@
 	replace := func(setting, value string) { settings = strings.Replace(settings, setting, value, 1) }
 	replace("bootstrap=true", "bootstrap=false")
 	if moves && play.test.replaces {
-		replace("node_name="+entry.name, "node_name="+entry.name+"-new")
-		entry.name += "-new"
+		replace("node_name="+entry.name, "node_name=late-"+entry.name)
+		entry.name = "late-" + entry.name
 	}
 	if moves && (play.test.replaces || play.test.moves) {
 		callers, ready, peers := freeTCP(play.t), freeTCP(play.t), freeUDP(play.t)
@@ -346,8 +355,8 @@
 	return response.StatusCode
 }
 
-// timesToShare returns how long after a time a request of each kind was first served, and from
-// when on a share was served of those that were sent within a second.
+// timesToShare returns how long after a time a share was served of the requests of each kind that
+// were sent within a second, or never, and whether all kinds were.
 func (play *returnPlay) timesToShare(from time.Time, share float64) (times []time.Duration, met bool) {
 	play.mu.Lock()
 	requests := slices.Clone(play.requests)
@@ -355,7 +364,7 @@
 	slices.SortFunc(requests, func(a, b returnedRequest) int { return a.sentAt.Compare(b.sentAt) })
 	met = true
 	for _, kind := range returnKinds {
-		reached := time.Duration(-1)
+		reached := never
 		var window []returnedRequest
 		for _, request := range requests {
 			if request.kind != kind || request.sentAt.Before(from) {
@@ -372,7 +381,7 @@
 			window = window[1:]
 		}
 		times = append(times, reached.Round(10*time.Millisecond))
-		met = met && reached >= 0
+		met = met && reached < never
 	}
 	return times, met
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -640,6 +640,45 @@
 	}
 }
 
+// TestRelaysAreFoundAmongStaleRows guards against entries that, when all start again, send for
+// ever to those that would be the relays and have ended, so that none hears of another.
+func TestRelaysAreFoundAmongStaleRows(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		lost        int // first entries of a data centre by rank
+		dataCentres int // that have lost them
+	}{
+		{"relays of one", 2, 1}, {"four of one", 4, 1}, {"half of one", 10, 1}, {"most of one", 18, 1}, {"half of both", 10, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var running []*testEntry
+			for i, entry := range newFleet(t) {
+				if i%2 < test.dataCentres && i/2 < test.lost {
+					_ = entry.conn.Close()
+					continue
+				}
+				running = append(running, entry)
+				go entry.Run(ctx, entry, entry)
+			}
+			for _, dataCentre := range []string{"a", "b"} {
+				waitUntil(t, "data centre "+dataCentre+" has its relays", func() bool {
+					return len(slices.DeleteFunc(slices.Clone(running), func(entry *testEntry) bool {
+						return entry.self.DataCentre != dataCentre || !entry.IsRelay()
+					})) == relaysPerDataCentre
+				})
+			}
+			for _, entry := range running {
+				waitUntil(t, entry.self.From+" knows the load of all others", func() bool {
+					return entry.Node.Loads()["i-1"].Running == len(running)-1 && entry.LiveEntries() == len(running)
+				})
+			}
+		})
+	}
+}
+
 // Both relays of a data centre can't reach the store but another of its entries can:
 // all entries ask that entry.
 func TestEntriesAskStoreReaders(t *testing.T) {
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -101,7 +101,10 @@
 	rank := node.rank(now)
 	ranked := node.rankedEntries(node.self.DataCentre, now)
 	relays := ranked[:min(relaysPerDataCentre, len(ranked))]
-	messages := []outgoing{{ownMessage, message, node.markContacted(now, func(other *peer) bool { return containsPeer(other, relays) })}}
+	unheard := node.unheardDataCentres(now)
+	messages := []outgoing{{ownMessage, message, node.markContacted(now, func(other *peer) bool {
+		return containsPeer(other, relays) || node.inDataCentre(other) && unheard.Has(other.own.DataCentre) && other.retryDue(now)
+	})}}
 	node.reportedLoads = message.Loads
 	node.reportedLimits, node.limitsReportedAt = message.Limits, now
 	if rank >= relaysPerDataCentre {
@@ -114,7 +117,9 @@
 	summary.HasTraffic = summary.HasTraffic || node.anyPeerHasTraffic()
 	summary.Limits = node.sumLimits(slices.Clone(message.Limits), now, node.inDataCentre)
 	summary.Loads, summary.LiveEntries = node.sumLoads(message.Loads, now, node.inDataCentre), node.countLiveLocal(now)
-	messages = append(messages, outgoing{summaryMessage, node.withHelpers(summary, now), node.markContacted(now, func(other *peer) bool { return node.isRemoteRelay(other, now) })})
+	messages = append(messages, outgoing{summaryMessage, node.withHelpers(summary, now), node.markContacted(now, func(other *peer) bool {
+		return node.isRemoteRelay(other, now) || !node.inDataCentre(other) && unheard.Has(other.own.DataCentre) && other.retryDue(now)
+	})})
 	if rank > 0 && node.firstRelayActive(now) {
 		return messages
 	}
@@ -154,10 +159,34 @@
 func (node *Node) reachableAddresses(now time.Time, wanted func(*peer) bool) []netip.AddrPort {
 	return node.markContacted(now, func(other *peer) bool {
 		serves := other.mayBeLive(now) || other.own.Leaving && other.responds(now)
-		return wanted(other) && (serves || now.Sub(other.sentAt) > unresponsiveSendInterval)
+		return wanted(other) && (serves || other.retryDue(now))
 	})
 }
 
+// retryDue reports whether nothing was sent to a peer for unresponsiveSendInterval.
+func (other *peer) retryDue(now time.Time) bool {
+	return now.Sub(other.sentAt) > unresponsiveSendInterval
+}
+
+// unheardDataCentres returns the data centres of peers of which none responds, once the relays
+// had the time to. The store may list many entries that have ended, and those that would be the
+// relays among them: this entry then sends to all of the data centre in turn.
+func (node *Node) unheardDataCentres(now time.Time) greengageroute.Set[string] {
+	unheard := greengageroute.Set[string]{}
+	if node.discoveringPeers(now) {
+		return unheard
+	}
+	for _, other := range node.peers {
+		unheard.Add(other.own.DataCentre)
+	}
+	for _, other := range node.peers {
+		if other.responds(now) {
+			delete(unheard, other.own.DataCentre)
+		}
+	}
+	return unheard
+}
+
 // markContacted returns the addresses of the wanted peers and records that a message
 // is sent to them.
 func (node *Node) markContacted(now time.Time, wanted func(*peer) bool) []netip.AddrPort {
