Entry: phases of a start are logged and among the metrics

After a restart nobody could tell from an entry what its start waited for: only the config, the lease and the orders had a line.

Each entry now logs 'start phase reached' and shows start-ms-PHASE for: registered, config-known, list-known, ready, planner-known, replica-open, answered. 'lease taken' names the holder, the one before and for how long its row was unchanged, and a registration that fails is logged at the usual level. The check of the health probe is unchanged, in a function of its own.

TestReturnOfAllMachines prints the phases of its entries.

--- a/control/lease.go
+++ b/control/lease.go
@@ -261,7 +261,8 @@
 	takenAt := lease.held.TakenAt
 	if lease.held.Fence != next.Fence {
 		takenAt = revision
-		lease.log.Info("lease taken", "fence", next.Fence)
+		before := lease.observed
+		lease.log.Info("lease taken", "fence", next.Fence, "holder", lease.holder, "holder-before", before.Row.Holder, "unchanged-ms", started.Sub(before.UnchangedSince).Milliseconds())
 	}
 	lease.row, lease.revision, lease.rowCurrent, lease.maxFence = next, revision, true, max(lease.maxFence, next.Fence)
 	lease.held = greengageroute.HeldLease{Fence: next.Fence, RenewedAt: started, Term: leaseTerm, TakenAt: takenAt}
--- a/integration/return_test.go
+++ b/integration/return_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -396,12 +397,40 @@
 	return float64(served) / float64(max(len(requests), 1))
 }
 
+// startPhases returns the median and the longest time after its start at which an entry reached
+// each phase of its last start.
+func (play *returnPlay) startPhases() (lines []string) {
+	times := map[string][]int{}
+	for _, entry := range play.entries {
+		last := map[string]int{}
+		for line := range strings.Lines(readFile(play.t, entry.logPath)) {
+			var phase struct {
+				Phase string `json:"phase"`
+				After int    `json:"after-ms"`
+			}
+			if json.Unmarshal([]byte(line), &phase) == nil && phase.Phase != "" {
+				last[phase.Phase] = phase.After
+			}
+		}
+		for phase, after := range last {
+			times[phase] = append(times[phase], after)
+		}
+	}
+	for phase, after := range times {
+		slices.Sort(after)
+		lines = append(lines, fmt.Sprintf("%s %d, %d (%d entries)", phase, after[len(after)/2], after[len(after)-1], len(after)))
+	}
+	slices.Sort(lines)
+	return lines
+}
+
 // check checks that enough requests were served once the time allowed was over, and all along
 // that targets were asked for nothing that they may not do.
 func (play *returnPlay) check(returnedAt time.Time) {
 	quarter, recovered := play.timesToShare(returnedAt, recoveredShare)
 	most, _ := play.timesToShare(returnedAt, mostServed)
 	play.t.Logf("after the return: a quarter served after %v, %.1f after %v (%v)", quarter, mostServed, most, returnKinds)
+	play.t.Logf("phases of starts, median and longest in ms: %s", strings.Join(play.startPhases(), "; "))
 	for i, kind := range returnKinds {
 		late := slices.DeleteFunc(slices.Clone(play.requests), func(request returnedRequest) bool {
 			return request.kind != kind || request.sentAt.Sub(returnedAt) < recoveryBound
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -45,7 +45,7 @@
 			entry.keepRegistered(ctx, value, era)
 			return
 		}
-		entry.log.V(1).Info("entry not registered in the store yet; retrying", "cause", err.Error())
+		entry.log.Info("entry not registered in the store yet; retrying", "cause", err.Error())
 		greengageroute.Sleep(ctx, registerRetryInterval+rand.N(registerRetryInterval))
 		if ctx.Err() != nil {
 			return
@@ -276,7 +276,12 @@
 func (entry *Entry) Quarantined() []greengageroute.QuarantineVerdict { return entry.service.Verdicts() }
 
 // LeaseUpdated implements mesh.Sink.
-func (entry *Entry) LeaseUpdated(update mesh.LeaseUpdate) { entry.lease.ReceiveUpdate(update) }
+func (entry *Entry) LeaseUpdated(update mesh.LeaseUpdate) {
+	if update.Holder != "" {
+		entry.plannerKnown.Store(true)
+	}
+	entry.lease.ReceiveUpdate(update)
+}
 
 // TotalLoads implements control.DemandSource.
 func (entry *Entry) TotalLoads() map[string]greengageroute.EngineLoad { return entry.node.TotalLoads() }
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -108,6 +108,9 @@
 		stopping     atomic.Bool
 		// registered is closed when the entry has written its row and read the others.
 		registered chan struct{}
+		startedAt  time.Time
+		// plannerKnown is set once another entry was heard of that holds the planner's lease.
+		plannerKnown atomic.Bool
 
 		settingsDigest atomic.Value // string: of the settings in force
 		settingsSince  atomic.Int64 // when they came into force, in Unix seconds of the time of day
@@ -128,7 +131,7 @@
 	clock := greengageroute.BootClock{}
 	sink := &logSink{output: logOutput}
 	entry := &Entry{
-		deployment: deployment, counters: new(expvar.Map).Init(), registered: make(chan struct{}), latencies: edge.NewLatencyHistograms(), logSink: sink,
+		deployment: deployment, startedAt: time.Now(), counters: new(expvar.Map).Init(), registered: make(chan struct{}), latencies: edge.NewLatencyHistograms(), logSink: sink,
 		log: newLogger(sink), store: platform.NewStore(deployment.StoreAddress), directory: control.NewDirectory(clock), metricsAddress: metricsAddress,
 	}
 	entry.budget = intake.NewBudget(greengageroute.NewBodyBudget(deployment.Limits), entry.counters)
@@ -227,6 +230,7 @@
 	for _, loop := range []func(context.Context){
 		entry.afterRegistration(entry.follower.RunConfig), entry.afterRegistration(entry.follower.RunList), entry.register, entry.keepVerdicts, entry.sweep, entry.serveMetrics, entry.prober.RunLinkChecks,
 		func(ctx context.Context) { entry.node.Run(ctx, entry, entry) },
+		func(ctx context.Context) { entry.followStart(ctx, entry.startPhases()) },
 		func(ctx context.Context) {
 			intake.RunChecks(ctx, entry.budget, entry.log, entry.callerListener, entry.peerListener, entry.readyListener)
 		},
@@ -331,13 +335,17 @@
 
 // handleReady handles the load balancer's health check.
 func (entry *Entry) handleReady(writer http.ResponseWriter, _ *http.Request) {
-	if entry.stopping.Load() || !entry.service.ConfigFresh() || !entry.directory.View().Listed {
+	if !entry.isReady() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	writer.WriteHeader(http.StatusOK)
 }
 
+func (entry *Entry) isReady() bool {
+	return !entry.stopping.Load() && entry.service.ConfigFresh() && entry.directory.View().Listed
+}
+
 // sweep periodically closes idle connections and drops expired directory entries.
 func (entry *Entry) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
