Chats: the waits for a group since the last token count together

A caller whose only group refused each request, or failed it, while probes found it healthy waited without end: each pick of a group began the class's deadline anew, and a refusal takes nothing from the retry budget. An engine with answers of status 500 without end has this effect.

The waits since the last token now count together against the class's deadline; time that a group spends on the request doesn't count.

--- a/caller/chatrun.go
+++ b/caller/chatrun.go
@@ -32,7 +32,8 @@
 		generateRequest target.GenerateRequest
 		prefixKey       string
 		tokenDelivered  bool
-		hasFailed       bool // at a group
+		hasFailed       bool          // at a group
+		waited          time.Duration // for groups, since the last token
 
 		choice       greengageroute.GroupChoice
 		group        greengageroute.Group
@@ -92,7 +93,7 @@
 	if !wasSound && run.progress.IsSound() {
 		run.recordSound()
 	}
-	run.generateRequest.From = chunk.Offset + 1
+	run.generateRequest.From, run.waited = chunk.Offset+1, 0
 	run.service.counters.Add(CountTokens, 1)
 }
 
@@ -122,12 +123,13 @@
 	}
 }
 
-// pickGroup waits for an available group until the class's deadline. For half of
-// that time an isolated request accepts only a group that runs no other request. A group that
-// failed is available again once a later probe has found it whole in the same boots: it was only
-// silent, and may be the only one.
+// pickGroup waits for an available group until the class's deadline, in which the waits since the
+// last token count together. For half of that time an isolated request accepts only a group that
+// runs no other request. A group that failed is available again once a later probe has found it
+// whole in the same boots: it was only silent, and may be the only one.
 func (run *chatRun) pickGroup(ctx context.Context) (greengageroute.Group, error) {
-	start := time.Now()
+	start := time.Now().Add(-run.waited)
+	defer func() { run.waited = time.Since(start) }()
 	for {
 		now := time.Now()
 		decision := run.service.quarantine.Check(run.causes.request, run.causes.parts, false, now)
