Engines' answers: long lines are charged, tokens past the requested ones are refused

Callers saw: an engine that sent tokens of just under 1 MB, or one token again and again, had the entry hold up to 17 lines of 1 MB for each stream, charged to no budget, until the entry ran out of memory. One that sent tokens past max_tokens, or the same token, kept its callers for good.

A line over 4 KB is now charged to the budget for what is held for callers, with the copies of it, until the caller has taken its token, one long line a stream at a time; its buffer isn't kept. A token that finds no room ends its own stream (503 over-budget) and says nothing of the group. Tokens past the requested number are a failed connection. A connection that stalls after something arrived since the last token counts as failed; one on which nothing came (a slow engine) doesn't, as before. Answers over a bound are counted (answers-too-long) and logged.

--- a/caller/chatrun.go
+++ b/caller/chatrun.go
@@ -76,6 +76,8 @@
 			return chunk, err
 		case ctx.Err() != nil:
 			return target.Chunk{}, trace.Wrap(ctx.Err())
+		case isOverBudget(err): // says nothing of the group
+			return target.Chunk{}, bodyError(err)
 		}
 		if err := run.failover(ctx, err); err != nil {
 			return target.Chunk{}, err
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -113,6 +113,12 @@
 	return trace.BadParameter("the body is incomplete (%v); send all of it", err)
 }
 
+// isOverBudget reports whether an answer was not read because of the budget.
+func isOverBudget(err error) bool {
+	var refused *intake.Refusal
+	return errors.As(err, &refused)
+}
+
 // parseCompletion decodes and checks a chat completion request.
 func parseCompletion(raw []byte) (Completion, error) {
 	var completion Completion
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -18,6 +18,7 @@
 	CountVMsTaken            = "vms-taken"
 	CountVMsGivenBack        = "vms-given-back"
 	CountSupplyRefused       = "supply-refused"
+	CountTooLong             = "answers-too-long"
 	CountCallersDisconnected = "callers-gone"
 	CountForwardRefused      = "forward-refused-" // followed by the error code
 	CountRefused             = "refused-"         // followed by the request class
--- a/entry/datapath_test.go
+++ b/entry/datapath_test.go
@@ -46,11 +46,11 @@
 	entry.ConfigAccepted(config)
 	// The test loads the engine and sets the fleet itself, without the planner, since
 	// only the data path is measured.
-	if err := target.NewClient().SendOrder(context.Background(), greengageroute.EngineOrder{VM: "vm-1", Address: address, Group: "p-0", Generation: 1000}); err != nil {
+	if err := target.NewClient(nil, nil).SendOrder(context.Background(), greengageroute.EngineOrder{VM: "vm-1", Address: address, Group: "p-0", Generation: 1000}); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(10 * time.Millisecond)
-	report, err := target.NewClient().Probe(context.Background(), address)
+	report, err := target.NewClient(nil, nil).Probe(context.Background(), address)
 	if err != nil || !report.Loaded {
 		t.Fatalf("the engine did not load: %+v, %v", report, err)
 	}
@@ -71,7 +71,7 @@
 // first token.
 func (path *dataPath) callEngine(tokens int) (time.Duration, error) {
 	request := target.GenerateRequest{ID: "d", Model: "p", Prompt: "x", MaxTokens: tokens, Group: "p-0", Generation: 1000}
-	client := target.NewClient()
+	client := target.NewClient(nil, nil)
 	began := time.Now()
 	stream, err := client.Generate(context.Background(), strings.TrimPrefix(path.engine.URL, "http://"), request, func() time.Time { return time.Now().Add(time.Hour) }, func() {})
 	if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,6 +67,7 @@
 		budget         *intake.Budget
 		server         *http.Server
 		stopping       atomic.Bool
+		tooLongLogged  atomic.Int64 // Unix second of the last log line on an answer that was too long
 		forwards       runningForwards
 		ready          atomic.Bool
 		lifetime       context.Context // ends when Run does
@@ -89,13 +90,13 @@
 		settings: settings, log: log, counters: new(expvar.Map).Init(),
 		table: client, vmList: client, configs: table.NewConfigs(client), fleets: table.NewFleets(client),
 		contracts: table.NewContracts(client), supplier: client,
-		lease:   table.NewLease(client, "plan/"+settings.DataCentre, settings.Name, settings.LeaseTerm, target.OrderTimeout),
-		targets: target.NewClient(),
-		router:  greengageroute.NewRouter(), inFlight: caller.NewInFlightRequests(),
+		lease:  table.NewLease(client, "plan/"+settings.DataCentre, settings.Name, settings.LeaseTerm, target.OrderTimeout),
+		router: greengageroute.NewRouter(), inFlight: caller.NewInFlightRequests(),
 		eventKey: eventKey, leaving: newLeavingVMs(), health: newHealthTable(),
 	}
 	limits := greengageroute.VMLimits{MemoryMB: settings.MemoryMB, FileDescriptors: settings.FileDescriptors}
 	entry.budget = intake.NewBudget(greengageroute.NewBodyBudget(limits), entry.counters)
+	entry.targets = target.NewClient(entry.budget, entry.recordTooLong)
 	entry.quarantine = greengageroute.NewQuarantine(entry.logQuarantine)
 	entry.probeResults = greengageroute.NewProbeResults(entry.handleUnhealthyGroup)
 	entry.chatAdmission = greengageroute.NewAdmission(0, entry.countRefused)
@@ -121,6 +122,15 @@
 	return entry, nil
 }
 
+// recordTooLong counts an answer that exceeded a bound of its length, and logs one a second.
+func (entry *Entry) recordTooLong(address string, err error) {
+	entry.counters.Add(CountTooLong, 1)
+	if second := time.Now().Unix(); entry.tooLongLogged.Swap(second) == second {
+		return
+	}
+	entry.log.Info("answer too long", "target", address, "error", err.Error())
+}
+
 func (entry *Entry) countRefused(class string) { entry.counters.Add(CountRefused+class, 1) }
 
 // PeerAddress returns the address at which other entries reach this entry.
--- a/entry/links_test.go
+++ b/entry/links_test.go
@@ -36,7 +36,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			var condemned []string
-			entry := &Entry{targets: target.NewClient(), counters: new(expvar.Map).Init(), health: newHealthTable(), documents: newDocuments("ne")}
+			entry := &Entry{targets: target.NewClient(nil, nil), counters: new(expvar.Map).Init(), health: newHealthTable(), documents: newDocuments("ne")}
 			entry.probeResults = greengageroute.NewProbeResults(func(result greengageroute.ProbeResult) { condemned = append(condemned, result.Group) })
 			failed := greengageroute.Group{Name: "failed", Generation: 1, Members: []greengageroute.Member{{VM: "vm-0", Address: silent, Boot: "boot"}}}
 			groups := []greengageroute.Group{failed}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -55,6 +55,8 @@
 		Leaving     bool   `json:"leaving"`
 		CrashPrompt string `json:"poison"`    // a prompt that contains this text crashes the engine; none if empty
 		AbortAfter  int    `json:"cut-after"` // tokens after which the response is aborted; never if 0
+		// Endless is of the paths report, order and generate.
+		Endless EndlessAnswers `json:"endless,omitempty"`
 	}
 
 	// StreamRecord is one response that the engine started.
@@ -98,7 +100,7 @@
 	mux.HandleFunc("POST /generate", engine.handleGenerate)
 	mux.Handle("POST /control/faults", &engine.faults)
 	mux.HandleFunc("GET /control/served", engine.handleServed)
-	return mux
+	return withEndless(func() EndlessAnswers { return engine.faults.get().Endless }, mux)
 }
 
 func (engine *Engine) handleReport(writer http.ResponseWriter, _ *http.Request) {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -22,10 +22,11 @@
 
 	// PlatformFaults are the faults that can be injected into the platform.
 	PlatformFaults struct {
-		Down          bool   `json:"down"`
-		Delay         Millis `json:"delay"`
-		DropResponses int    `json:"lose-replies"` // number of the next commits that are applied without a response
-		DropKeyPrefix string `json:"lose-key"`     // limits DropResponses to commits that write a key with this prefix
+		Down          bool           `json:"down"`
+		Delay         Millis         `json:"delay"`
+		DropResponses int            `json:"lose-replies"` // number of the next commits that are applied without a response
+		DropKeyPrefix string         `json:"lose-key"`     // limits DropResponses to commits that write a key with this prefix
+		Endless       EndlessAnswers `json:"endless,omitempty"`
 	}
 
 	// PlatformCounts holds the numbers of requests that the platform has processed.
@@ -56,7 +57,7 @@
 	protocol.HandleFunc("POST /supply/give-back", platform.handleGiveBack)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /control/idle", platform.handleAddRentable)
-	mux.Handle("/", platform.withFaults(protocol))
+	mux.Handle("/", platform.withFaults(withEndless(func() EndlessAnswers { return platform.faults.get().Endless }, protocol)))
 	mux.Handle("POST /control/faults", &platform.faults)
 	mux.HandleFunc("POST /control/vms", platform.handleSetVM)
 	mux.HandleFunc("GET /control/counts", platform.handleCounts)
--- a/standin/service.go
+++ b/standin/service.go
@@ -29,9 +29,10 @@
 
 	// ServiceFaults are the faults that can be injected into a target.
 	ServiceFaults struct {
-		DelayBefore   Millis `json:"before"`       // before a call is recorded
-		DelayAfter    Millis `json:"after"`        // between the record and the response
-		DropResponses int    `json:"lose-answers"` // number of the next calls that are recorded without a response
+		DelayBefore   Millis         `json:"before"`       // before a call is recorded
+		DelayAfter    Millis         `json:"after"`        // between the record and the response
+		DropResponses int            `json:"lose-answers"` // number of the next calls that are recorded without a response
+		Endless       EndlessAnswers `json:"endless,omitempty"`
 	}
 )
 
@@ -81,7 +82,7 @@
 	mux.HandleFunc("GET /outcomes/{key}", service.handleOutcome)
 	mux.Handle("POST /control/faults", &service.faults)
 	mux.HandleFunc("GET /control/records", service.handleRecords)
-	return mux
+	return withEndless(func() EndlessAnswers { return service.faults.get().Endless }, mux)
 }
 
 func (service *Service) handlePost(writer http.ResponseWriter, request *http.Request) {
--- a/target/service_test.go
+++ b/target/service_test.go
@@ -31,7 +31,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			address := serveOnce(t, test.response)
-			_, err := NewClient().Call(context.Background(), address, ServiceCall{Method: http.MethodPost, Path: "/x", Key: "k"})
+			_, err := NewClient(nil, nil).Call(context.Background(), address, ServiceCall{Method: http.MethodPost, Path: "/x", Key: "k"})
 			var lost *AnswerLostError
 			if errors.As(err, &lost) == test.whole || test.whole && err != nil {
 				t.Errorf("got error %v, want the answer whole: %t", err, test.whole)
--- a/target/stream.go
+++ b/target/stream.go
@@ -1,16 +1,17 @@
 package target
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
+	"greengageroute.example/greengageroute/intake"
 )
 
 const (
@@ -41,7 +42,8 @@
 		nextOffset  int              // offset of the next token
 		onReconnect func()
 		connection  *connection
-		failures    int // failed connections since the last token
+		failures    int           // failed connections since the last token
+		used        chan struct{} // of the line last taken, nil if it was short
 	}
 
 	// connection reads one HTTP response line by line.
@@ -49,12 +51,17 @@
 		cancel context.CancelFunc
 		opened chan error // result of the request, once the header is received
 		lines  chan line
+		budget *intake.Budget
+		reader atomic.Pointer[lineReader] // nil until the header is received
+		// repeated reports whether the last line was a duplicate. Only the stream uses it.
+		repeated bool
 	}
 
 	// line is a chunk, or the error that ended the connection.
 	line struct {
 		chunk Chunk
 		err   error
+		used  chan struct{} // closed once the token of a long line has been used; nil for others
 	}
 )
 
@@ -71,8 +78,10 @@
 }
 
 // Next returns the next token, ErrAnswerComplete after the last, or the error that
-// ended the answer.
+// ended the answer: an *intake.Refusal if a token doesn't fit into the budget. The token before
+// is no longer charged.
 func (stream *Stream) Next(ctx context.Context) (Chunk, error) {
+	stream.freeLine()
 	stall := time.NewTimer(StallTimeout)
 	defer stall.Stop()
 	for {
@@ -83,13 +92,20 @@
 		case <-stall.C:
 		case line := <-stream.connection.lines:
 			cause = stream.accept(line)
+			stream.used = line.used
+			stream.connection.repeated = errors.Is(cause, errDuplicate)
 			if cause == nil || errors.Is(cause, ErrAnswerComplete) {
 				return line.chunk, cause
 			}
 		}
 		if errors.Is(cause, errDuplicate) {
+			stream.freeLine()
 			continue
 		}
+		var refused *intake.Refusal
+		if errors.As(cause, &refused) {
+			return Chunk{}, refused
+		}
 		if err := stream.reconnect(ctx, cause); err != nil {
 			return Chunk{}, err
 		}
@@ -113,12 +129,22 @@
 		return errDuplicate
 	case chunk.Offset > stream.nextOffset:
 		return fmt.Errorf("received token %d, expected token %d", chunk.Offset, stream.nextOffset)
+	case stream.request.MaxTokens > 0 && chunk.Offset >= stream.request.MaxTokens:
+		return &TooLongError{What: "the answer", Limit: stream.request.MaxTokens, Unit: "tokens"}
 	}
 	stream.nextOffset++
 	stream.failures = 0
 	return nil
 }
 
+// freeLine returns what the line last taken holds.
+func (stream *Stream) freeLine() {
+	if stream.used != nil {
+		close(stream.used)
+		stream.used = nil
+	}
+}
+
 // reconnect probes the engine over a new connection and resumes the answer after
 // the last token. It fails if the engine doesn't respond or has left the group.
 func (stream *Stream) reconnect(ctx context.Context, cause error) error {
@@ -126,6 +152,7 @@
 	if ctx.Err() != nil {
 		return trace.Wrap(context.Cause(ctx))
 	}
+	stream.client.countTooLong(stream.address, cause)
 	report, err := stream.client.ProbeNewConnection(ctx, stream.address)
 	if err != nil {
 		return &AnswerLostError{Address: stream.address, Cause: cause}
@@ -133,7 +160,7 @@
 	if !report.LoadedFor(stream.request.Group, stream.request.Generation) {
 		return &AnswerLostError{Address: stream.address, Cause: errors.New("the engine left the group")}
 	}
-	if !errors.Is(cause, errStalled) {
+	if !errors.Is(cause, errStalled) || stream.connection.isFaulty() {
 		stream.failures++
 	}
 	if stream.failures > maxReconnects {
@@ -153,7 +180,7 @@
 		return trace.Wrap(err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	stream.connection = &connection{cancel: cancel, opened: make(chan error, 1), lines: make(chan line, bufferedLines)}
+	stream.connection = &connection{cancel: cancel, opened: make(chan error, 1), lines: make(chan line, bufferedLines), budget: stream.client.budget}
 	go stream.connection.read(ctx, httpClient, stream.address, body{bytes: encoded, deadline: stream.deadline()})
 	stall := time.NewTimer(StallTimeout)
 	defer stall.Stop()
@@ -185,20 +212,40 @@
 		return
 	}
 	defer response.Body.Close()
-	scanner := bufio.NewScanner(response.Body)
-	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
-	for scanner.Scan() {
+	reader := newLineReader(response.Body, connection.budget)
+	connection.reader.Store(reader)
+	defer reader.free()
+	for {
 		var received line
-		received.err = json.Unmarshal(scanner.Bytes(), &received.chunk)
+		text, err := reader.next()
+		if received.err = err; err == nil {
+			received.err = json.Unmarshal(text, &received.chunk)
+		} else if errors.Is(err, io.EOF) {
+			received.err = io.ErrUnexpectedEOF
+		}
+		if reader.held != nil {
+			received.used = make(chan struct{})
+		}
 		if !connection.put(ctx, received) || received.err != nil {
 			return
 		}
+		if reader.held != nil {
+			// One long line at a time, so that what a stream holds is bounded.
+			select {
+			case <-received.used:
+			case <-ctx.Done():
+				return
+			}
+			reader.free()
+		}
 	}
-	err = scanner.Err()
-	if err == nil {
-		err = io.ErrUnexpectedEOF
-	}
-	connection.put(ctx, line{err: err})
+}
+
+// isFaulty reports whether the engine has sent something since the last token, unlike one that
+// is slow.
+func (connection *connection) isFaulty() bool {
+	reader := connection.reader.Load()
+	return connection.repeated || reader != nil && reader.unfinished.Load()
 }
 
 func (connection *connection) put(ctx context.Context, received line) bool {
--- a/target/target.go
+++ b/target/target.go
@@ -4,11 +4,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"greengageroute.example/greengageroute/intake"
 )
 
 const (
@@ -25,7 +28,6 @@
 
 	maxReportBytes = 16 << 20
 	maxHeaderBytes = 64 << 10
-	maxLineBytes   = 1 << 20
 )
 
 type (
@@ -35,6 +37,8 @@
 		unpooled   *http.Client // opens a connection for each call
 		probePool  *http.Client // reuses connections; for probes only
 		probeBytes atomic.Int64 // sent and received by probes over probePool
+		budget     *intake.Budget
+		onTooLong  func(address string, err error)
 	}
 
 	// countingConn counts the bytes sent and received over a connection.
@@ -49,8 +53,8 @@
 		Model      string `json:"model"`
 		Prompt     string `json:"prompt"`
 		Seed       uint64 `json:"seed"`
-		From       int    `json:"from"` // offset of the first requested token
-		MaxTokens  int    `json:"max-tokens"`
+		From       int    `json:"from"`       // offset of the first requested token
+		MaxTokens  int    `json:"max-tokens"` // of the whole answer; 0 for no limit
 		Priority   int    `json:"priority"`
 		Group      string `json:"group"`
 		Generation uint64 `json:"number"` // of the group's assignment
@@ -86,8 +90,20 @@
 		Address string
 		Cause   error
 	}
+
+	// TooLongError reports an answer, or a part of one, that exceeds a bound of its length and
+	// was not read on.
+	TooLongError struct {
+		What  string
+		Limit int
+		Unit  string
+	}
 )
 
+func (err *TooLongError) Error() string {
+	return fmt.Sprintf("%s is longer than %d %s", err.What, err.Limit, err.Unit)
+}
+
 func (err *RefusedError) Error() string {
 	return fmt.Sprintf("target %s refused with status %d: %s", err.Address, err.Status, err.Reason)
 }
@@ -106,10 +122,16 @@
 // Unwrap returns the cause.
 func (err *AnswerLostError) Unwrap() error { return err.Cause }
 
-// NewClient returns a client with its own pool of connections.
-func NewClient() *Client {
+// NewClient returns a client with its own pool of connections. What answers hold is charged to
+// the budget, unless it is nil. onTooLong, unless it is nil, is called for each answer that
+// exceeds a bound of its length.
+func NewClient(budget *intake.Budget, onTooLong func(address string, err error)) *Client {
+	if onTooLong == nil {
+		onTooLong = func(string, error) {}
+	}
 	dialer := &net.Dialer{Timeout: DialTimeout}
 	client := &Client{
+		budget: budget, onTooLong: onTooLong,
 		pooled:   &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}},
 		unpooled: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}},
 	}
@@ -124,6 +146,14 @@
 	return client
 }
 
+// countTooLong reports an answer that was too long.
+func (client *Client) countTooLong(address string, err error) {
+	var tooLong *TooLongError
+	if errors.As(err, &tooLong) {
+		client.onTooLong(address, err)
+	}
+}
+
 // ProbeTraffic returns the number of bytes that probes sent and received over
 // reused connections, without TCP and IP headers.
 func (client *Client) ProbeTraffic() int64 { return client.probeBytes.Load() }
