Services' answers: bytes are charged as they arrive

Callers saw: targets of a plain service that sent bodies without end had the entry read up to 4 MB, in buffers of up to twice that, for each of 512 calls at once, charged to no budget. The entry ran out of memory, and the requests of its other callers ended with it.

An answer is now charged to the budget as its buffer grows, and for the caller, with the copies that the store's row takes, once it is complete. One that finds no room ends its own request (503 over-budget), isn't tried at a second target and says nothing of the first. Answers over 4 MB are counted as the engines' are.

TestServicesAnswersWithoutEnd shows the bounds on one answer.

--- a/caller/call.go
+++ b/caller/call.go
@@ -17,6 +17,15 @@
 	"greengageroute.example/greengageroute/target"
 )
 
+const (
+	// minChargedAnswer is the length up to which answers are not charged to the budget. They are
+	// bounded by the number of connections.
+	minChargedAnswer = 4 << 10
+	// storedCopies is how many copies of an answer there are at most while it is stored or read
+	// from the store.
+	storedCopies = 4
+)
+
 var idempotencyKeyPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,128}$`)
 
 type (
@@ -135,7 +144,10 @@
 		}
 		answer, err := service.targets.Call(ctx, address, request.call)
 		if err == nil {
-			return answer, nil
+			return answer, holdAnswer(ctx, answer, 1)
+		}
+		if isOverBudget(err) { // says nothing of the target
+			return greengageroute.Answer{}, bodyError(err)
 		}
 		lastErr = err
 		if ctx.Err() != nil {
@@ -151,6 +163,17 @@
 	}
 }
 
+// holdAnswer charges an answer, of which there are some copies, until the request ends.
+func holdAnswer(ctx context.Context, answer greengageroute.Answer, copies int64) error {
+	if len(answer.Body) <= minChargedAnswer {
+		return nil
+	}
+	if err := exchangeFrom(ctx).holding.Reserve(int64(len(answer.Body)) * copies); err != nil {
+		return bodyError(err)
+	}
+	return nil
+}
+
 // Action implements the caller service of the design.
 func (service *Service) Action(ctx context.Context, payload *gencaller.ActionPayload) (*gencaller.ActionOutcome, error) {
 	workspace, err := service.authenticate(payload.Authorization)
@@ -168,6 +191,9 @@
 	outcome := &gencaller.ActionOutcome{Outcome: stored.Outcome()}
 	switch stored.Outcome() {
 	case greengageroute.OutcomeDone:
+		if err := holdAnswer(ctx, stored.Answer, storedCopies); err != nil {
+			return nil, err
+		}
 		text := string(stored.Answer.Body)
 		outcome.Status, outcome.ContentType, outcome.Answer = &stored.Answer.Status, &stored.Answer.ContentType, &text
 	case greengageroute.OutcomeUnknown:
--- a/caller/claim.go
+++ b/caller/claim.go
@@ -109,6 +109,9 @@
 		callCtx, cancel := context.WithTimeout(ctx, request.service.Timeout)
 		answer, err := service.targets.Call(callCtx, address, request.call)
 		cancel()
+		if err == nil {
+			err = holdAnswer(ctx, answer, storedCopies)
+		}
 		var unreachable *target.UnreachableError
 		switch {
 		case err == nil:
@@ -189,6 +192,9 @@
 	queryCtx, cancel := context.WithTimeout(ctx, target.OrderTimeout)
 	defer cancel()
 	answer, known, err := service.targets.Outcome(queryCtx, stored.Target, declared.OutcomePath, stored.Key)
+	if err == nil {
+		err = holdAnswer(ctx, answer, storedCopies)
+	}
 	if err != nil || !known {
 		return stored
 	}
--- a/integration/endlessanswers_test.go
+++ b/integration/endlessanswers_test.go
@@ -96,6 +96,10 @@
 	} {
 		tests = append(tests, endlessCase{engine: standin.EndlessAnswers{"generate": kind}, send: "chat"})
 	}
+	for _, kind := range []string{standin.EndlessHeadLine, standin.EndlessChunks, standin.EndlessError, standin.EndlessUnframed} {
+		tests = append(tests, endlessCase{service: standin.EndlessAnswers{"stock": kind}, send: "stock"})
+	}
+	tests = append(tests, endlessCase{service: standin.EndlessAnswers{"deposits": standin.EndlessChunks, "outcomes": standin.EndlessChunks}, send: "deposit"})
 	for _, test := range tests {
 		t.Run(test.send+":"+describe("engine", test.engine)+describe("service", test.service)+describe("platform", test.platform), test.run)
 	}
--- a/standin/endless.go
+++ b/standin/endless.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -47,10 +48,7 @@
 			next.ServeHTTP(writer, request)
 			return
 		}
-		var body json.RawMessage
-		if request.ContentLength != 0 && !readJSON(writer, request, &body) {
-			return
-		}
+		_, _ = io.Copy(io.Discard, io.LimitReader(request.Body, maxControlBytes)) // only its end matters
 		conn, _, err := http.NewResponseController(writer).Hijack()
 		if err != nil {
 			http.Error(writer, err.Error(), http.StatusInternalServerError)
--- a/target/service.go
+++ b/target/service.go
@@ -4,17 +4,21 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
 
 	"github.com/gravitational/trace"
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/intake"
 )
 
-// maxAnswerBytes is the maximum length of a service's answer.
-const maxAnswerBytes = 4 << 20
+const (
+	// maxAnswerBytes is the maximum length of a service's answer.
+	maxAnswerBytes = 4 << 20
+	// answerBufferBytes is the length up to which answers are not charged to the budget.
+	answerBufferBytes = 4 << 10
+)
 
 type (
 	// ServiceCall is a call to a plain service.
@@ -34,7 +38,8 @@
 // Call forwards a call to a target of a plain service. A call with a key uses a
 // new connection: if none can be made, nothing has reached the target, and the
 // error is an *UnreachableError. Answers with any status are returned without an
-// error, if they have a length or chunks.
+// error, if they have a length or chunks. The cause of an *AnswerLostError is an *intake.Refusal
+// if the answer doesn't fit into the budget.
 func (client *Client) Call(ctx context.Context, address string, call ServiceCall) (greengageroute.Answer, error) {
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
@@ -51,19 +56,46 @@
 		return greengageroute.Answer{}, classifyError(address, err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = fmt.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
-	}
+	body, err := client.readAnswer(response.Body)
 	if err == nil && greengageroute.EndsWithConnection(response) {
 		err = errNoLength
 	}
 	if err != nil {
+		client.countTooLong(address, err)
 		return greengageroute.Answer{}, &AnswerLostError{Address: address, Cause: err}
 	}
 	return greengageroute.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// readAnswer reads an answer that is delivered as a whole. What it takes is charged to the budget
+// until it is complete; then it is for the caller to charge.
+func (client *Client) readAnswer(source io.Reader) ([]byte, error) {
+	var held intake.Holding
+	held.Begin(context.Background(), client.budget, nil)
+	defer held.Release()
+	body := make([]byte, 0, answerBufferBytes)
+	for {
+		if len(body) == cap(body) {
+			size := min(2*cap(body), maxAnswerBytes+1)
+			if err := held.Reserve(int64(size)); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		count, err := source.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		if len(body) > maxAnswerBytes {
+			return nil, &TooLongError{What: "the answer", Limit: maxAnswerBytes, Unit: "bytes"}
+		}
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // Outcome queries a target for the outcome of the action with an idempotency key.
 // known is false if the target has no record of the key, which does not prove that
 // the action will never run.
--- a/target/service_test.go
+++ b/target/service_test.go
@@ -4,10 +4,16 @@
 	"bufio"
 	"context"
 	"errors"
+	"expvar"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/intake"
 )
 
 // TestCutAnswersOfServicesAreLost guards against a part of an answer that is taken for the
@@ -40,6 +46,34 @@
 	}
 }
 
+// TestServicesAnswersWithoutEnd guards against an answer without end that takes more than its
+// part of the budget, or stays charged.
+func TestServicesAnswersWithoutEnd(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		bytes    int
+		budgetMB int64
+		want     any // nil: the answer
+	}{
+		{"short, no budget", answerBufferBytes - 1, 0, nil},
+		{"longest", maxAnswerBytes, 16, nil},
+		{"too long", maxAnswerBytes + 1, 16, new(*TooLongError)},
+		{"over the budget", maxAnswerBytes, 1, new(*intake.Refusal)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			address := serveOnce(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", test.bytes, strings.Repeat("x", test.bytes)))
+			budget := intake.NewBudget(greengageroute.BodyBudget{Total: test.budgetMB << 20}, new(expvar.Map).Init())
+			answer, err := NewClient(budget, nil).Call(t.Context(), address, ServiceCall{Method: http.MethodGet, Path: "/x"})
+			if test.want == nil && (err != nil || len(answer.Body) != test.bytes) || test.want != nil && !errors.As(err, test.want) {
+				t.Errorf("got %d bytes and error %v, want %d and %T", len(answer.Body), err, test.bytes, test.want)
+			}
+			if used := budget.Used(); used != 0 {
+				t.Errorf("%d bytes are charged after the answer", used)
+			}
+		})
+	}
+}
+
 // serveOnce answers each connection's first request and closes it.
 func serveOnce(t *testing.T, response string) (address string) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
