Chats: the text of an answer that isn't streamed is charged

Callers saw: with an engine that sends tokens of just under 1 MB, the answers of requests without "stream" were collected in the entry without a bound but max_tokens times 1 MB, charged to no budget. The text is now charged, with the copies that its document takes, as its buffer grows beyond 4 KB; ordinary answers stay below. What an entry collects for another one's request counts against its own budget too.

--- a/caller/chatanswer.go
+++ b/caller/chatanswer.go
@@ -14,6 +14,10 @@
 	"greengageroute.example/greengageroute/target"
 )
 
+// documentCopies is how many copies of an answer its document takes at most: the text in two
+// buffers while it grows, and encoded in two.
+const documentCopies = 4
+
 type (
 	// chatAnswer is the answer to a chat completion, streamed token by token or
 	// collected into one document.
@@ -56,6 +60,7 @@
 	defer answer.finish()
 	var text strings.Builder
 	text.WriteString(answer.firstChunk.Text)
+	charged := minChargedAnswer
 	for !answer.complete {
 		chunk, err := answer.run.next(answer.ctx)
 		switch {
@@ -67,6 +72,13 @@
 		default:
 			text.WriteString(chunk.Text)
 		}
+		if grown := text.Cap() - charged; grown > 0 {
+			if err := exchangeFrom(answer.ctx).holding.Reserve(int64(grown) * documentCopies); err != nil {
+				answer.service.counters.Add(CountAnswersAborted, 1)
+				return nil, bodyError(err)
+			}
+			charged = text.Cap()
+		}
 	}
 	encoded, err := json.Marshal(completionAnswer{
 		ID: answer.id, Object: "chat.completion", Model: answer.run.generateRequest.Model,
--- a/caller/claim_test.go
+++ b/caller/claim_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 	greengageroute "greengageroute.example/greengageroute"
 	gencaller "greengageroute.example/greengageroute/gen/caller"
+	"greengageroute.example/greengageroute/intake"
 	"greengageroute.example/greengageroute/table"
 	"greengageroute.example/greengageroute/target"
 )
@@ -197,7 +198,7 @@
 
 func depositAttempt(service *Service, key, body string, first bool) string {
 	request := &http.Request{Method: http.MethodPost, URL: &url.URL{Path: "/services/ledger/deposits"}}
-	ctx := context.WithValue(context.Background(), exchangeKey{}, &exchange{request: request})
+	ctx := context.WithValue(context.Background(), exchangeKey{}, &exchange{holding: &intake.Holding{}, request: request})
 	bearer := "Bearer key"
 	payload := &gencaller.CallPayload{Authorization: &bearer, IdempotencyKey: &key, FirstAttempt: &first, Service: "ledger", Path: "deposits"}
 	_, _, err := service.Call(ctx, payload, bodyOf(body))
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -40,7 +40,7 @@
 	exchange struct {
 		http.ResponseWriter
 		request    *http.Request
-		holding    intake.Holding // bytes held for the caller
+		holding    *intake.Holding // bytes held for the caller
 		bodyRead   bool
 		status     int
 		retryAfter time.Duration
@@ -91,7 +91,7 @@
 // ends.
 func WithExchange(budget *intake.Budget, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		exchange := &exchange{ResponseWriter: writer, request: request}
+		exchange := &exchange{ResponseWriter: writer, request: request, holding: &intake.Holding{}}
 		exchange.holding.Begin(request.Context(), budget, writer)
 		defer exchange.holding.Release()
 		ctx := context.WithValue(request.Context(), exchangeKey{}, exchange)
@@ -99,6 +99,12 @@
 	})
 }
 
+// WithHolding returns the context of a request that another entry has read and forwarded, for
+// which what is held is charged to a holding.
+func WithHolding(ctx context.Context, holding *intake.Holding) context.Context {
+	return context.WithValue(ctx, exchangeKey{}, &exchange{request: &http.Request{Method: http.MethodGet}, holding: holding})
+}
+
 // WithBufferedBody is middleware within WithExchange that reads the bodies of requests below a
 // path, for handlers that decode them without a bound.
 func WithBufferedBody(prefix string, next http.Handler) http.Handler {
@@ -125,7 +131,7 @@
 func exchangeFrom(ctx context.Context) *exchange {
 	found, ok := ctx.Value(exchangeKey{}).(*exchange)
 	if !ok {
-		return &exchange{request: &http.Request{Method: http.MethodGet}}
+		return &exchange{request: &http.Request{Method: http.MethodGet}, holding: &intake.Holding{}}
 	}
 	return found
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -93,7 +93,7 @@
 		_ = writeHeader(peer.ForwardHeader{Status: status, Refusal: refusal}) // if this fails, the forwarding entry sees a truncated stream
 		return
 	}
-	result, response, err := entry.callerService.AnswerForwarded(ctx, request.Workspace, request.Body, request.LastEventID)
+	result, response, err := entry.callerService.AnswerForwarded(caller.WithHolding(ctx, &holding), request.Workspace, request.Body, request.LastEventID)
 	if err != nil {
 		status, refusal := caller.EncodeRefusal(err)
 		_ = writeHeader(peer.ForwardHeader{Status: status, Refusal: refusal}) // if this fails, the forwarding entry sees a truncated stream
--- a/integration/endlessanswers_test.go
+++ b/integration/endlessanswers_test.go
@@ -96,6 +96,7 @@
 	} {
 		tests = append(tests, endlessCase{engine: standin.EndlessAnswers{"generate": kind}, send: "chat"})
 	}
+	tests = append(tests, endlessCase{engine: standin.EndlessAnswers{"generate": standin.EndlessLongTokens}, send: "document"})
 	for _, kind := range []string{standin.EndlessHeadLine, standin.EndlessChunks, standin.EndlessError, standin.EndlessUnframed} {
 		tests = append(tests, endlessCase{service: standin.EndlessAnswers{"stock": kind}, send: "stock"})
 	}
