Probes: a report of an engine is at most 64 KB long

Callers saw: engines that answered probes without end had each probe decode up to 16 MB, twice with the second connection, for all engines at once, and the entry ran out of memory. A report has seven short fields; it is bounded at 64 KB, and a longer one is counted (answers-too-long) and a missed probe, as before.

TestAnswersWithoutEnd, twelve engines, reports and answers to orders without end, an entry with memory-mb: 136: peak of resident memory 778 MB before (bound 136 MB: failed), 30 MB after.

--- a/integration/endlessanswers_test.go
+++ b/integration/endlessanswers_test.go
@@ -23,6 +23,8 @@
 	// endlessClass is the deadline of the callers' class, which bounds their wait in the queue
 	// and their waits for a group.
 	endlessClass = 3 * time.Second
+	// smallEntryEngines is the number of engines, of which one serves and the others are probed.
+	smallEntryEngines = 12
 	// ordinaryDeadline bounds a request at another target.
 	ordinaryDeadline = 5 * time.Second
 )
@@ -41,7 +43,7 @@
 // startSmallEntry starts a cluster of engines and services whose one entry has the memory of
 // the smallest VM.
 func startSmallEntry(t *testing.T) (*cluster, hostileTarget) {
-	cluster := prepareCluster(t, clusterOptions{dataCentres: []string{"ne"}, entries: 1, engines: 1, vmsPerGroup: 1, groups: 1, services: 2, tokenInterval: time.Millisecond})
+	cluster := prepareCluster(t, clusterOptions{dataCentres: []string{"ne"}, entries: 1, engines: smallEntryEngines, vmsPerGroup: 1, groups: 1, services: 2, tokenInterval: time.Millisecond})
 	entry := cluster.entries[0]
 	settings := entry.args[len(entry.args)-1]
 	writeFile(t, settings, readFile(t, settings)+fmt.Sprintf("memory-mb: %d\n", hostileMemoryMB))
@@ -101,6 +103,7 @@
 		tests = append(tests, endlessCase{service: standin.EndlessAnswers{"stock": kind}, send: "stock"})
 	}
 	tests = append(tests, endlessCase{service: standin.EndlessAnswers{"deposits": standin.EndlessChunks, "outcomes": standin.EndlessChunks}, send: "deposit"})
+	tests = append(tests, endlessCase{engine: standin.EndlessAnswers{"report": standin.EndlessRow, "order": standin.EndlessRow}, send: "chat"})
 	for _, test := range tests {
 		t.Run(test.send+":"+describe("engine", test.engine)+describe("service", test.service)+describe("platform", test.platform), test.run)
 	}
@@ -119,7 +122,9 @@
 	cluster, target := startSmallEntry(t)
 	entry := cluster.entries[0]
 	before := target.peakMemoryMB(t)
-	cluster.setFaults(cluster.engines[0].directAddress, standin.EngineFaults{Endless: test.engine})
+	for _, engine := range cluster.engines {
+		cluster.setFaults(engine.directAddress, standin.EngineFaults{Endless: test.engine})
+	}
 	for _, address := range cluster.serviceAddresses {
 		cluster.setFaults(address, standin.ServiceFaults{Endless: test.service})
 	}
--- a/target/engine.go
+++ b/target/engine.go
@@ -42,7 +42,12 @@
 		return report, err
 	}
 	defer response.Body.Close()
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&report); err != nil {
+	limited := &io.LimitedReader{R: response.Body, N: maxReportBytes}
+	if err := json.NewDecoder(limited).Decode(&report); err != nil {
+		if limited.N <= 0 {
+			err = &TooLongError{What: "the report", Limit: maxReportBytes, Unit: "bytes"}
+			client.countTooLong(address, err)
+		}
 		return report, &AnswerLostError{Address: address, Cause: err}
 	}
 	return report, nil
--- a/target/target.go
+++ b/target/target.go
@@ -26,7 +26,7 @@
 	// probed over a new connection.
 	StallTimeout = time.Second
 
-	maxReportBytes = 16 << 20
+	maxReportBytes = 64 << 10
 	maxHeaderBytes = 64 << 10
 )
 
