Entry: the product's own entry limits its garbage as on the users' platform

Measured: the budget for what is held for callers supposes that the heap grows by two fifths between two collections. The entry of the users' platform sets that, the product's own one ran with the runtime's defaults and no memory limit: up to twice what it holds.

The command entry now sets both from memory-mb.

--- a/cmd/greengageroute/entry.go
+++ b/cmd/greengageroute/entry.go
@@ -39,6 +39,7 @@
 			if err != nil {
 				return err
 			}
+			settings.Limits().LimitMemory()
 			instance, err := entry.New(settings, newLog())
 			if err != nil {
 				return err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -94,7 +94,7 @@
 		router: greengageroute.NewRouter(), inFlight: caller.NewInFlightRequests(),
 		eventKey: eventKey, leaving: newLeavingVMs(), health: newHealthTable(),
 	}
-	limits := greengageroute.VMLimits{MemoryMB: settings.MemoryMB, FileDescriptors: settings.FileDescriptors}
+	limits := settings.Limits()
 	entry.budget = intake.NewBudget(greengageroute.NewBodyBudget(limits), entry.counters)
 	entry.targets = target.NewClient(entry.budget, entry.recordTooLong)
 	entry.quarantine = greengageroute.NewQuarantine(entry.logQuarantine)
--- a/settings.go
+++ b/settings.go
@@ -70,6 +70,11 @@
 	return settings
 }
 
+// Limits returns the resources of the entry's VM that the settings name.
+func (settings Settings) Limits() VMLimits {
+	return VMLimits{MemoryMB: settings.MemoryMB, FileDescriptors: settings.FileDescriptors}
+}
+
 func orElse(value, fallback time.Duration) time.Duration {
 	if value == 0 {
 		return fallback
