Table: responses of the platform are bounded, long ones are read one at a time

Callers saw: a platform that answered reads without end had each of the entry's reads decode up to 64 MB, a caller's each; the entry ran out of memory.

A response is at most 8 MB long (the row of an action with an answer of 4 MB fits), the one to a commit 64 KB, a page has no more rows than asked for, a list 32,768 VMs. Past 64 KB a response waits until no other long one is read, so that together they hold as much as one. The answer of an action that is read from the store is charged to its caller.

--- a/caller/claim.go
+++ b/caller/claim.go
@@ -41,7 +41,7 @@
 		stored = service.awaitOutcome(ctx, stored)
 		switch stored.Outcome() {
 		case greengageroute.OutcomeDone:
-			return stored.Answer, nil
+			return stored.Answer, holdAnswer(ctx, stored.Answer, 1)
 		case greengageroute.OutcomeUnknown:
 			service.counters.Add(CountActionsUnknown, 1)
 			return greengageroute.Answer{}, unknownOutcome(request.call.Key)
--- a/integration/endlessanswers_test.go
+++ b/integration/endlessanswers_test.go
@@ -104,6 +104,9 @@
 	}
 	tests = append(tests, endlessCase{service: standin.EndlessAnswers{"deposits": standin.EndlessChunks, "outcomes": standin.EndlessChunks}, send: "deposit"})
 	tests = append(tests, endlessCase{engine: standin.EndlessAnswers{"report": standin.EndlessRow, "order": standin.EndlessRow}, send: "chat"})
+	for _, kind := range []string{standin.EndlessRow, standin.EndlessRows} {
+		tests = append(tests, endlessCase{platform: standin.EndlessAnswers{"rows": kind, "scan": kind, "vms": kind, "commit": kind}, send: "action"})
+	}
 	for _, test := range tests {
 		t.Run(test.send+":"+describe("engine", test.engine)+describe("service", test.service)+describe("platform", test.platform), test.run)
 	}
--- a/table/client.go
+++ b/table/client.go
@@ -17,10 +17,9 @@
 )
 
 const (
-	maxResponseBytes = 64 << 20
-	maxHeaderBytes   = 64 << 10
-	readTimeout      = 2 * time.Second
-	commitTimeout    = 2 * time.Second
+	maxHeaderBytes = 64 << 10
+	readTimeout    = 2 * time.Second
+	commitTimeout  = 2 * time.Second
 )
 
 type (
@@ -29,6 +28,7 @@
 	Client struct {
 		baseURL string
 		http    *http.Client
+		turn    chan struct{} // of long responses
 	}
 
 	// CommitRequest is the body of POST /commit.
@@ -61,13 +61,13 @@
 		MaxIdleConnsPerHost: 16, MaxResponseHeaderBytes: maxHeaderBytes,
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 	}
-	return &Client{baseURL: "http://" + address, http: &http.Client{Transport: transport}}
+	return &Client{baseURL: "http://" + address, http: &http.Client{Transport: transport}, turn: make(chan struct{}, 1)}
 }
 
 // Read implements Table.
 func (client *Client) Read(ctx context.Context, key string) (Row, error) {
 	var row Row
-	err := client.get(ctx, "/rows?key="+url.QueryEscape(key), &row)
+	err := client.get(ctx, "/rows?key="+url.QueryEscape(key), func(decoder *json.Decoder) error { return decoder.Decode(&row) })
 	return row, trace.Wrap(err, "reading row %q", key)
 }
 
@@ -75,18 +75,24 @@
 func (client *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
 	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
 	var rows []Row
-	err := client.get(ctx, "/scan?"+query.Encode(), &rows)
+	err := client.get(ctx, "/scan?"+query.Encode(), func(decoder *json.Decoder) (err error) {
+		rows, err = decodeList[Row](decoder, limit)
+		return err
+	})
 	return rows, trace.Wrap(err, "scanning rows %q", prefix)
 }
 
 // VMs implements VMList.
 func (client *Client) VMs(ctx context.Context, dataCentre string) ([]greengageroute.VM, error) {
 	var vms []greengageroute.VM
-	err := client.get(ctx, "/vms?data-centre="+url.QueryEscape(dataCentre), &vms)
+	err := client.get(ctx, "/vms?data-centre="+url.QueryEscape(dataCentre), func(decoder *json.Decoder) (err error) {
+		vms, err = decodeList[greengageroute.VM](decoder, maxListedVMs)
+		return err
+	})
 	return vms, trace.Wrap(err, "listing the VMs of %q", dataCentre)
 }
 
-func (client *Client) get(ctx context.Context, path string, into any) error {
+func (client *Client) get(ctx context.Context, path string, decode func(*json.Decoder) error) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, client.baseURL+path, nil)
@@ -101,7 +107,9 @@
 	if response.StatusCode != http.StatusOK {
 		return &UnavailableError{Cause: errors.New(response.Status)}
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(into); err != nil {
+	reader := &responseReader{ctx: ctx, source: response.Body, turn: client.turn}
+	defer reader.close()
+	if err := decode(json.NewDecoder(reader)); err != nil {
 		return &UnavailableError{Cause: err}
 	}
 	return nil
@@ -156,7 +164,7 @@
 	switch response.StatusCode {
 	case http.StatusOK:
 		var reply CommitReply
-		if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&reply); err != nil {
+		if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&reply); err != nil {
 			return &UncertainError{Cause: err}
 		}
 		if reply.Conflict != "" {
