Peers: replies and the headers of forwarded answers are bounded

Any reply could take 16 MB, the length of a whole configuration.

The header is at most 64 KB, and the stream is cancelled when it isn't decoded; a reply without a document is at most 1 MB, a call 5 MB (a forwarded body is at most 4 MB).

--- a/peer/message.go
+++ b/peer/message.go
@@ -14,9 +14,15 @@
 )
 
 const (
-	// maxMessageBytes limits one message; the largest holds all files of a
+	// maxDocumentBytes limits a reply with a document; the largest holds all files of a
 	// configuration.
-	maxMessageBytes = 16 << 20
+	maxDocumentBytes = 16 << 20
+	// maxReplyBytes limits another reply; the largest lists all members.
+	maxReplyBytes = 1 << 20
+	// maxCallBytes limits a call; the largest forwards a request with a body of 4 MB.
+	maxCallBytes = 5 << 20
+	// maxForwardHeaderBytes limits what precedes the body of a forwarded answer.
+	maxForwardHeaderBytes = 64 << 10
 )
 
 // States of a member. At the same incarnation, a later state overrides an earlier
@@ -191,13 +197,21 @@
 	return message, nil
 }
 
-func readMessage(reader io.Reader) (Message, error) {
-	bytes, err := io.ReadAll(io.LimitReader(reader, maxMessageBytes+1))
+// replyLimit returns the longest reply to the message.
+func (message Message) replyLimit() int {
+	if message.FetchConfig != nil || message.FetchFleet != nil {
+		return maxDocumentBytes
+	}
+	return maxReplyBytes
+}
+
+func readMessage(reader io.Reader, limit int) (Message, error) {
+	bytes, err := io.ReadAll(io.LimitReader(reader, int64(limit)+1))
 	if err != nil {
 		return Message{}, trace.Wrap(err)
 	}
-	if len(bytes) > maxMessageBytes {
-		return Message{}, trace.LimitExceeded("peer message is longer than %d bytes", maxMessageBytes)
+	if len(bytes) > limit {
+		return Message{}, trace.LimitExceeded("peer message is longer than %d bytes", limit)
 	}
 	return Decode(bytes)
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -126,7 +126,7 @@
 func (node *Node) serveStream(ctx context.Context, connection *quic.Conn, stream *quic.Stream) {
 	defer stream.Close()
 	_ = stream.SetDeadline(time.Now().Add(streamTimeout))
-	message, err := readMessage(stream)
+	message, err := readMessage(stream, maxCallBytes)
 	if err != nil || message.From.Name != commonName(connection) {
 		node.onMalformed()
 		stream.CancelRead(codeMalformed)
@@ -206,8 +206,9 @@
 	if err := stream.Close(); err != nil {
 		return header, nil, trace.Wrap(err)
 	}
-	decoder := cbor.NewDecoder(stream)
+	decoder := cbor.NewDecoder(io.LimitReader(stream, maxForwardHeaderBytes))
 	if err := decoder.Decode(&header); err != nil {
+		stream.CancelRead(0)
 		return header, nil, trace.Wrap(err, "reading the response header of entry %s", address)
 	}
 	return header, io.MultiReader(decoder.Buffered(), stream), nil
@@ -234,7 +235,7 @@
 	if err := stream.Close(); err != nil {
 		return Message{}, err
 	}
-	reply, err := readMessage(stream)
+	reply, err := readMessage(stream, message.replyLimit())
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
