--- a/caller/claim.go
+++ b/caller/claim.go
@@ -41,7 +41,7 @@
 		stored = service.awaitOutcome(ctx, stored)
 		switch stored.Outcome() {
 		case greengageroute.OutcomeDone:
-			return stored.Answer, nil
+			return stored.Answer, holdAnswer(ctx, stored.Answer, 1)
 		case greengageroute.OutcomeUnknown:
 			service.counters.Add(CountActionsUnknown, 1)
 			return greengageroute.Answer{}, unknownOutcome(request.call.Key)
@@ -109,6 +109,9 @@
 		callCtx, cancel := context.WithTimeout(ctx, request.service.Timeout)
 		answer, err := service.targets.Call(callCtx, address, request.call)
 		cancel()
+		if err == nil {
+			err = holdAnswer(ctx, answer, storedCopies)
+		}
 		var unreachable *target.UnreachableError
 		switch {
 		case err == nil:
@@ -189,6 +192,9 @@
 	queryCtx, cancel := context.WithTimeout(ctx, target.OrderTimeout)
 	defer cancel()
 	answer, known, err := service.targets.Outcome(queryCtx, stored.Target, declared.OutcomePath, stored.Key)
+	if err == nil {
+		err = holdAnswer(ctx, answer, storedCopies)
+	}
 	if err != nil || !known {
 		return stored
 	}
