--- a/control/planner.go
+++ b/control/planner.go
@@ -160,8 +160,8 @@
 		storedHeads    map[string]string // heads as last written, by pool
 		storedHeadsEra uint64            // of the store, when they were written
 		headsStoredAt  time.Time
-		storedReleases map[string]greengageroute.Set[string] // members named as released by the stored heads, by pool
-		loadStarts     []time.Time                           // start times of the loads of the last second
+		storedReleases map[string]map[storedRelease]bool // members named as released by the stored heads, by pool
+		loadStarts     []time.Time                       // start times of the loads of the last second
 	}
 
 	sentOrder struct {
@@ -182,6 +182,7 @@
 		id               string
 		unansweredOrders int       // in a row
 		closedAt         time.Time // when it last said that it doesn't serve
+		unansweredAt     time.Time // when it last left an order unanswered
 		stoodStillAt     time.Time // when it last took a connection without responding
 	}
 
@@ -214,7 +215,7 @@
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staging: map[string]stagingModel{},
 		loggedStates: map[string]string{}, unknownHeads: map[string]datedTarget{}, oddHeads: map[string]oddHeads{}, pendingOpens: map[string]pendingOpen{}, storedHeads: map[string]string{},
 		absentHeads: map[replicaID]absentHead{}, lostMembers: map[replicaID]lostMember{},
-		storedReleases: map[string]greengageroute.Set[string]{}, left: map[string]leftReplica{},
+		storedReleases: map[string]map[storedRelease]bool{}, left: map[string]leftReplica{},
 	}
 }
 
@@ -320,7 +321,6 @@
 		}
 		targets[target.ID] = target
 	}
-	closedAt, stoodStillAt, suspected := planner.absentHeadStates(name, targets)
 	absent, absentSince := maps.Clone(view.Absent), maps.Clone(view.AbsentSince)
 	maps.DeleteFunc(planner.unknownHeads, func(id string, _ datedTarget) bool {
 		_, listed := view.Target(id)
@@ -331,12 +331,14 @@
 			absent[id], absentSince[id] = head.target, head.since
 		}
 	}
-	return greengageroute.PoolView{
+	poolView := greengageroute.PoolView{
 		Pool: name, Engine: engine, Targets: targets, HasTraffic: planner.HasTraffic(), Now: now,
-		Absent: absent, AbsentSince: absentSince, ClosedAt: closedAt, StoodStillAt: stoodStillAt, SuspectedHeads: suspected, Busy: busy,
+		Absent: absent, AbsentSince: absentSince, Busy: busy,
 		Demand: demand, MemberLostAt: planner.memberLostAt(name, targets), StallTimeout: planner.StallTimeout, PendingOpens: planner.pendingOpensIn(targets),
 		Left: planner.leftReplicasOf(targets),
-	}.Indexed()
+	}
+	planner.addAbsentHeadStates(&poolView)
+	return poolView.Indexed()
 }
 
 func (planner *Planner) planPool(ctx context.Context, view greengageroute.PoolView) {
@@ -367,8 +369,8 @@
 		planner.Log.Info("replica assigned", "replica", assignment.Name, "epoch", assignment.Epoch, "model", assignment.Model,
 			"domain", assignment.Domain, "members", strings.Join(assignment.Members, ","))
 	}
-	planner.storeHeads(ctx, view, formation)
 	orders := formation.Orders(view)
+	planner.storeHeads(ctx, view, formation)
 	for _, order := range orders {
 		if planner.maySend(order, formation, view.Pool) {
 			planner.send(ctx, order, view)
--- a/formationrelease.go
+++ b/formationrelease.go
@@ -76,22 +76,32 @@
 
 // hasBroken reports whether the replica has been without a member for so long that its head,
 // if it still runs, is broken. A head may notice the loss late: it counts from when the head last
-// stood still, or wrote that it serves although it should have been broken.
+// stood still or was present, or wrote that it serves although it should have been broken. A head
+// whose address is known has to leave an order unanswered after that time: it may have been
+// suspended since.
 func (formation *Formation) hasBroken(key ReplicaKey, view PoolView) bool {
 	since, lost := view.MemberLostAt[key]
 	if !lost || view.StallTimeout <= 0 {
 		return false
 	}
 	id := formation.heads[key]
-	head := view.Absent[id]
+	head, known := view.Absent[id]
 	serves := head.Membership.key() == key && (head.Membership.State == MemberOpen || head.Membership.State == MemberClosing)
 	if serves && head.StatedAt.Sub(since) > view.StallTimeout {
 		since = head.StatedAt
 	}
-	if stoodStillAt := view.StoodStillAt[key]; stoodStillAt.After(since) && view.Now.Sub(view.AbsentSince[id]) < suspensionLimit {
+	absentSince := view.AbsentSince[id]
+	if stoodStillAt := view.StoodStillAt[key]; stoodStillAt.After(since) && view.Now.Sub(absentSince) < suspensionLimit {
 		since = stoodStillAt
 	}
-	return view.Now.Sub(since) >= TimeToBreak(view.StallTimeout)
+	if known && absentSince.After(since) {
+		since = absentSince
+	}
+	asked := view.Now
+	if known {
+		asked = view.UnansweredAt[key]
+	}
+	return asked.Sub(since) >= TimeToBreak(view.StallTimeout)
 }
 
 // TimeToBreak returns how long after it has lost a member a head is broken for certain.
@@ -135,11 +145,17 @@
 	}
 }
 
-// IsRelease reports whether an order has a member leave a replica whose head may serve.
-func (formation *Formation) IsRelease(order TargetOrder) bool {
-	return order.Kind == OrderLeave && slices.ContainsFunc(formation.releases[order.Target.ID], func(released release) bool {
-		return released.member.key() == order.Key()
-	})
+// ReleasedBy returns the replicas whose heads may serve and which a target leaves by an order, or
+// by joining again under a newer epoch.
+func (formation *Formation) ReleasedBy(order TargetOrder) (keys []ReplicaKey) {
+	for _, released := range formation.releases[order.Target.ID] {
+		leaves := order.Kind == OrderLeave && released.member.key() == order.Key()
+		joinsAgain := order.Kind == OrderJoin && released.member.Replica == order.Replica && released.member.Epoch < order.Epoch
+		if leaves || joinsAgain {
+			keys = append(keys, released.member.key())
+		}
+	}
+	return keys
 }
 
 // dropReleases forgets the releases of targets that have ended, and those from replicas whose
