Lease: updates from before a restoration of the store don't count

Cause: an entry that released the lease goes on telling the others so. Once the store came back from a copy from before the release, the row there never stood unchanged for a term: each update of the earlier era replaced what an entry had observed of it, and each read replaced the update. With two entries that had released it, this held for all.

Change: an update of an earlier era of the store raises the fence, and counts for nothing else. The holder of before writes its row again, or loses the lease within its term.

--- a/control/lease.go
+++ b/control/lease.go
@@ -108,7 +108,8 @@
 	return mesh.LeaseUpdate{Holder: row.Holder, Fence: row.Fence, Renewals: row.Renewals, Era: row.Era}
 }
 
-// ReceiveUpdate records an update of the holder that reports a renewal or the release.
+// ReceiveUpdate records an update of the holder that reports a renewal or the release. One from
+// before a restoration of the store says nothing about the row that is there now.
 func (lease *Lease) ReceiveUpdate(update mesh.LeaseUpdate) {
 	lease.mu.Lock()
 	defer lease.mu.Unlock()
@@ -118,6 +119,9 @@
 		return
 	}
 	lease.maxFence = max(lease.maxFence, row.Fence)
+	if row.Era > 0 && row.Era < lease.era {
+		return
+	}
 	if row.Fence > lease.observed.Row.Fence || row.Fence == lease.observed.Row.Fence && row.Renewals > lease.observed.Row.Renewals {
 		lease.observed = greengageroute.ObservedLease{Row: row, UnchangedSince: now}
 	}
--- a/control/lease_test.go
+++ b/control/lease_test.go
@@ -234,6 +234,43 @@
 	}
 }
 
+// TestReleasedLeaseAfterTheStoreIsRestored guards against a fleet without a planner for good: the
+// store comes back from a copy from before the lease was released, and the entries that released
+// it go on saying so.
+func TestReleasedLeaseAfterTheStoreIsRestored(t *testing.T) {
+	for releases := range 4 {
+		t.Run(fmt.Sprint("releases ", releases), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				contenders := newContenders(3)
+				store := contenders[0].conn.fakeStore
+				for range 30 {
+					step(contenders)
+				}
+				copied := store.backup()
+				for range releases {
+					for range 30 {
+						step(contenders)
+					}
+					for _, i := range holders(contenders) {
+						if err := contenders[i].lease.Release(t.Context()); err != nil {
+							t.Fatal(err)
+						}
+					}
+				}
+				store.restore(copied)
+				restored := time.Now()
+				for len(holders(contenders)) == 0 && time.Since(restored) < 30*time.Second {
+					step(contenders)
+				}
+				if took := time.Since(restored); took > 2*leaseTerm {
+					t.Errorf("nobody held the lease for %s, want within two terms", took)
+				}
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
 // TestHolderKeepsItsLeaseAsTheStoreIsRestored guards against replicas that aren't repaired
 // for a whole term although the planner has been running all the while.
 func TestHolderKeepsItsLeaseAsTheStoreIsRestored(t *testing.T) {
