Plain services: a target that failed a call comes last for a time

Callers saw: on the product's own interface each idempotent call of a workspace went to the same first target, also while that one failed every call, by answers without end or otherwise. A tenth of the calls may be retried; the others got 502 although another target was sound. An action at the faulty target ended with an unknown outcome.

A target that fails a call comes last for 1 s, doubled with each failure in a row up to 30 s, and is then tried by one call; a success ends that. Calls that the caller or the budget ended don't count.

--- a/caller/call.go
+++ b/caller/call.go
@@ -58,6 +58,7 @@
 		return nil, nil, service.refuseUnsent(request, err.Error(), err)
 	}
 	defer release()
+	request.targets = service.targetRests.Order(request.targets, time.Now())
 	var answer greengageroute.Answer
 	if request.call.Key == "" {
 		answer, err = service.callWithRetries(ctx, request)
@@ -142,7 +143,9 @@
 		if i > 0 && !service.retryBudget.AllowRetry() {
 			break
 		}
+		sentAt := time.Now()
 		answer, err := service.targets.Call(ctx, address, request.call)
+		service.recordCall(request, address, sentAt, err)
 		if err == nil {
 			return answer, holdAnswer(ctx, answer, 1)
 		}
@@ -163,6 +166,19 @@
 	}
 }
 
+// recordCall records how a call at a target ended. Calls that the caller or the budget ended say
+// nothing of the target.
+func (service *Service) recordCall(request serviceRequest, address string, sentAt time.Time, err error) {
+	switch {
+	case err == nil:
+		service.targetRests.RecordSuccess(address)
+	case errors.Is(err, context.Canceled) || isOverBudget(err):
+	case service.targetRests.RecordFailure(address, sentAt, time.Now()):
+		service.counters.Add(CountTargetsRested, 1)
+		service.log.Info("service target failed; others come first", "service", request.service.Name, "target", address, "error", err.Error())
+	}
+}
+
 // holdAnswer charges an answer, of which there are some copies, until the request ends.
 func holdAnswer(ctx context.Context, answer greengageroute.Answer, copies int64) error {
 	if len(answer.Body) <= minChargedAnswer {
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -75,6 +75,7 @@
 		router        *greengageroute.Router
 		inFlight      *InFlightRequests
 		retryBudget   *RetryBudget
+		targetRests   *greengageroute.TargetRests
 		tokenLimiter  *TokenLimiter
 		eventKey      EventKey
 		counters      *expvar.Map
@@ -111,6 +112,7 @@
 	CountActionsUnknown = "caller-actions-unknown"
 	CountDenied         = "caller-denied"
 	CountForwarded      = "caller-forwarded"
+	CountTargetsRested  = "caller-targets-rested"
 )
 
 // New returns a service with the given dependencies.
@@ -118,6 +120,6 @@
 	return &Service{
 		entry: dependencies.Entry, state: dependencies.State, targets: dependencies.Targets, actions: dependencies.Actions,
 		chatAdmission: dependencies.ChatAdmission, callAdmission: dependencies.CallAdmission, quarantine: dependencies.Quarantine, router: dependencies.Router,
-		inFlight: dependencies.InFlight, retryBudget: NewRetryBudget(), tokenLimiter: NewTokenLimiter(), eventKey: dependencies.EventKey, counters: dependencies.Counters, log: dependencies.Log,
+		inFlight: dependencies.InFlight, retryBudget: NewRetryBudget(), targetRests: greengageroute.NewTargetRests(), tokenLimiter: NewTokenLimiter(), eventKey: dependencies.EventKey, counters: dependencies.Counters, log: dependencies.Log,
 	}
 }
--- a/caller/claim.go
+++ b/caller/claim.go
@@ -107,8 +107,10 @@
 			stored = advanced
 		}
 		callCtx, cancel := context.WithTimeout(ctx, request.service.Timeout)
+		sentAt := time.Now()
 		answer, err := service.targets.Call(callCtx, address, request.call)
 		cancel()
+		service.recordCall(request, address, sentAt, err)
 		if err == nil {
 			err = holdAnswer(ctx, answer, storedCopies)
 		}
