Chats: a group that fails requests comes last for a time, though probes find it healthy

Callers saw: an engine whose reports are healthy and whose answers are none, such as answers without end, was picked again after each probe: every chat that came then met it, and each took one of the bounded retries.

Where another group is available, a group that failed a request comes last for 1 s, doubled with each failure in a row up to 30 s, and is then tried by one chat; an answer that goes well ends that. Refusals below status 500 (the group has changed) and failures that probes found don't count.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -75,7 +75,8 @@
 		router        *greengageroute.Router
 		inFlight      *InFlightRequests
 		retryBudget   *RetryBudget
-		targetRests   *greengageroute.TargetRests
+		targetRests   *greengageroute.TargetRests // by address
+		groupRests    *greengageroute.TargetRests // by assignment
 		tokenLimiter  *TokenLimiter
 		eventKey      EventKey
 		counters      *expvar.Map
@@ -120,6 +121,6 @@
 	return &Service{
 		entry: dependencies.Entry, state: dependencies.State, targets: dependencies.Targets, actions: dependencies.Actions,
 		chatAdmission: dependencies.ChatAdmission, callAdmission: dependencies.CallAdmission, quarantine: dependencies.Quarantine, router: dependencies.Router,
-		inFlight: dependencies.InFlight, retryBudget: NewRetryBudget(), targetRests: greengageroute.NewTargetRests(), tokenLimiter: NewTokenLimiter(), eventKey: dependencies.EventKey, counters: dependencies.Counters, log: dependencies.Log,
+		inFlight: dependencies.InFlight, retryBudget: NewRetryBudget(), targetRests: greengageroute.NewTargetRests(), groupRests: greengageroute.NewTargetRests(), tokenLimiter: NewTokenLimiter(), eventKey: dependencies.EventKey, counters: dependencies.Counters, log: dependencies.Log,
 	}
 }
--- a/caller/chatrun.go
+++ b/caller/chatrun.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -34,6 +35,7 @@
 		tokenDelivered  bool
 		hasFailed       bool          // at a group
 		waited          time.Duration // for groups, since the last token
+		sentAt          time.Time     // to the group
 
 		choice       greengageroute.GroupChoice
 		group        greengageroute.Group
@@ -142,8 +144,12 @@
 		if decision.State == greengageroute.QuarantineIsolated && now.Sub(start) < run.class.Deadline/2 {
 			candidates = run.idleCandidates(candidates)
 		}
+		candidates = run.withoutRests(candidates, now)
 		if run.choice = run.service.router.Pick(run.prefixKey, candidates, now); run.choice.Index >= 0 {
-			return candidates[run.choice.Index].Group, nil
+			group := candidates[run.choice.Index].Group
+			run.service.groupRests.Try(group.Assignment(), now)
+			run.sentAt = now
+			return group, nil
 		}
 		if now.Sub(start) > run.class.Deadline {
 			return greengageroute.Group{}, noGroup(run.generateRequest.Model)
@@ -156,6 +162,37 @@
 	}
 }
 
+// withoutRests returns the candidates that don't rest after failures, or all if they all do.
+func (run *chatRun) withoutRests(candidates []greengageroute.GroupCandidate, now time.Time) []greengageroute.GroupCandidate {
+	if !run.service.groupRests.Any() {
+		return candidates
+	}
+	var others []greengageroute.GroupCandidate
+	for _, candidate := range candidates {
+		if !run.service.groupRests.Rests(candidate.Group.Assignment(), now) {
+			others = append(others, candidate)
+		}
+	}
+	if len(others) == 0 {
+		return candidates
+	}
+	return others
+}
+
+// restGroup has the group come after others if the failure shows that it is faulty although
+// probes find it healthy.
+func (run *chatRun) restGroup(assignment string, cause error) {
+	var refused *target.RefusedError
+	var lost *GroupLostError
+	if errors.As(cause, &lost) || errors.As(cause, &refused) && refused.Status < http.StatusInternalServerError {
+		return
+	}
+	if run.service.groupRests.RecordFailure(assignment, run.sentAt, time.Now()) {
+		run.service.counters.Add(CountTargetsRested, 1)
+		run.service.log.Info("group failed; others come first", "group", run.group.Name, "error", cause.Error())
+	}
+}
+
 // idleCandidates returns the candidates that run no request, so that a crash by
 // an isolated request fails no other request.
 func (run *chatRun) idleCandidates(candidates []greengageroute.GroupCandidate) []greengageroute.GroupCandidate {
@@ -172,6 +209,7 @@
 	run.service.counters.Add(CountFailovers, 1)
 	assignment := group.Assignment()
 	run.hasFailed = true
+	run.restGroup(assignment, cause)
 	var refused *target.RefusedError
 	if errors.As(cause, &refused) {
 		// The group changed before this entry learnt of it. Nothing crashed.
--- a/caller/quarantine.go
+++ b/caller/quarantine.go
@@ -42,8 +42,9 @@
 	}
 }
 
-// recordSound records that the request crashes no groups.
+// recordSound records that the request crashes no groups, and that its group serves.
 func (run *chatRun) recordSound() {
+	run.service.groupRests.RecordSuccess(run.group.Assignment())
 	if suspected := run.service.quarantine.RecordSound(run.causes.request, run.causes.parts, time.Now()); len(suspected) > 0 {
 		run.service.state.ReportSound(suspected)
 	}
--- a/targetrests.go
+++ b/targetrests.go
@@ -1,21 +1,21 @@
 package greengageroute
 
 import (
-	"slices"
+	"maps"
 	"sync"
 	"time"
 )
 
 const (
-	// firstTargetRest is how long a target of a plain service comes last after a failed call.
+	// firstTargetRest is how long a target comes last after a failed call.
 	// The rest doubles with each failure in a row up to maxTargetRest.
 	firstTargetRest = time.Second
 	maxTargetRest   = 30 * time.Second
 )
 
 type (
-	// TargetRests orders the targets of plain services by how calls at them ended: targets that
-	// failed rest for a time, and are then tried by one call. It is safe for use by several
+	// TargetRests tells which targets come after others, by how calls at them ended: a target
+	// that failed rests for a time, and is then tried by one call. It is safe for use by several
 	// goroutines.
 	TargetRests struct {
 		mu    sync.Mutex
@@ -40,6 +40,7 @@
 	if known && sentAt.Before(rest.until.Add(-rest.duration)) {
 		return false
 	}
+	maps.DeleteFunc(rests.rests, func(_ string, other targetRest) bool { return now.Sub(other.until) > maxTargetRest })
 	duration := min(max(2*rest.duration, firstTargetRest), maxTargetRest)
 	rests.rests[target] = targetRest{duration: duration, until: now.Add(duration)}
 	return !known
@@ -52,25 +53,45 @@
 	delete(rests.rests, target)
 }
 
-// Order returns the targets with those that rest at the end. A target whose rest is over keeps
-// its place for this call and rests on for others until the call has ended or the rest passed
-// once more.
-func (rests *TargetRests) Order(targets []string, now time.Time) []string {
+// Rests reports whether a target is to come after others.
+func (rests *TargetRests) Rests(target string, now time.Time) bool {
 	rests.mu.Lock()
 	defer rests.mu.Unlock()
-	ordered := slices.Clone(targets)
-	isResting := func(target string) int {
-		if rest, known := rests.rests[target]; known && now.Before(rest.until) {
-			return 1
-		}
-		return 0
+	return rests.rests[target].isOn(now)
+}
+
+// Any reports whether any target rests or is to be tried after a rest.
+func (rests *TargetRests) Any() bool {
+	rests.mu.Lock()
+	defer rests.mu.Unlock()
+	return len(rests.rests) > 0
+}
+
+// Try records that a target gets a call. If its rest is over, it rests on for others until the
+// call has ended or the rest passed once more.
+func (rests *TargetRests) Try(target string, now time.Time) {
+	rests.mu.Lock()
+	defer rests.mu.Unlock()
+	if rest, known := rests.rests[target]; known && !rest.isOn(now) {
+		rest.until = now.Add(rest.duration)
+		rests.rests[target] = rest
 	}
-	slices.SortStableFunc(ordered, func(a, b string) int { return isResting(a) - isResting(b) })
-	if len(ordered) > 0 {
-		if rest, known := rests.rests[ordered[0]]; known && !now.Before(rest.until) {
-			rest.until = now.Add(rest.duration)
-			rests.rests[ordered[0]] = rest
+}
+
+// Order returns the targets with those that rest at the end, for a call that tries the first.
+func (rests *TargetRests) Order(targets []string, now time.Time) []string {
+	var sound, resting []string
+	for _, target := range targets {
+		if rests.Rests(target, now) {
+			resting = append(resting, target)
+		} else {
+			sound = append(sound, target)
 		}
 	}
-	return ordered
+	if len(sound) > 0 {
+		rests.Try(sound[0], now)
+	}
+	return append(sound, resting...)
 }
+
+func (rest targetRest) isOn(now time.Time) bool { return now.Before(rest.until) }
