Commands: an entry's answer is bounded

An entry that answered an operator's command without end had the command decode it until memory ran out. An answer is at most 64 MB long, an error 1 MB as before. TestEntrysAnswerWithoutEnd: before, 128 MB were read without an error; now an error after 64 MB.

--- a/cmd/greengageroute/admin.go
+++ b/cmd/greengageroute/admin.go
@@ -23,6 +23,8 @@
 const (
 	tokenVariable = "GREENGAGEROUTE_TOKEN"
 	maxErrorBytes = 1 << 20
+	// maxAnswerBytes limits an entry's answer; the longest lists a page of the audit trail.
+	maxAnswerBytes = 64 << 20
 )
 
 type (
@@ -34,7 +36,7 @@
 	}
 
 	// errorStatusDoer turns a response with an error status into an error: the
-	// caller.Refusal that the entry sent.
+	// caller.Refusal that the entry sent. It bounds the others.
 	errorStatusDoer struct{ next goahttp.Doer }
 )
 
@@ -90,6 +92,7 @@
 		}
 	}
 	if response.StatusCode < http.StatusBadRequest {
+		response.Body = http.MaxBytesReader(nil, response.Body, maxAnswerBytes)
 		return response, nil
 	}
 	defer response.Body.Close()
