Streams: a replica that opens during the search isn't missed

A begun stream that waited for a replica went on up to 300 ms late: one that opened between the search and the end of it counted as seen, so that the next search came only after 250 ms.

Cause: the view recorded as searched was read after the search. It is read before it now.

TestBegunStreamsWaitForAReplica showed it as a flake: 2 of 600 runs on and 3 of 600 before this change ended after 1.8 s instead of 1.5 s; 0 of 1,600 after it.

--- a/edge/streamsearch.go
+++ b/edge/streamsearch.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"greengageroute.example/greengageroute/control"
 )
 
 // startNext starts an attempt if none runs, or if all that run are suspected and the stream
@@ -26,6 +28,7 @@
 	if (hedges || !stream.waitingSince.IsZero()) && !stream.searchDue() {
 		return nil
 	}
+	searched := exchange.service.Directory.View() // it may change meanwhile
 	err := stream.startAttempt(ctx, hedges)
 	switch {
 	case err == nil:
@@ -34,11 +37,11 @@
 	case errors.Is(err, errUnconfirmed):
 		return nil
 	case hedges:
-		stream.pause()
+		stream.pause(searched)
 		return nil
 	case stream.mayWait(err):
 		stream.recordWait(err)
-		stream.pause()
+		stream.pause(searched)
 		return nil
 	default:
 		return err
@@ -62,10 +65,11 @@
 	return view != stream.searchedView || time.Since(stream.searchedAt) >= replicaSearchInterval
 }
 
-// pause lets targets that were unreachable be tried again once their backoffs have ended.
-func (stream *hedgedStream) pause() {
+// pause records that no replica was found in a view, and lets targets that were unreachable be tried
+// again once their backoffs have ended.
+func (stream *hedgedStream) pause(searched *control.View) {
 	now := time.Now()
-	stream.searchedView, stream.searchedAt = stream.exchange.service.Directory.View(), now
+	stream.searchedView, stream.searchedAt = searched, now
 	for key, backoff := range stream.unreachable {
 		if !backoff.Holds(now) {
 			delete(stream.tried, key)
