--- a/serve/serve.go
+++ b/serve/serve.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,12 +47,6 @@
 	// peerRereadDelay is the minimum delay before the entries are read a second time.
 	// Entries that started at the same time have registered by then.
 	peerRereadDelay = 2 * time.Second
-	// memoryLimitRatio is the part of the VM's memory that is the runtime's soft memory
-	// limit: near it the garbage collector runs more often.
-	memoryLimitRatio = 0.6
-	// gcPercent is the growth of the heap at which garbage is collected. It is low
-	// because memory is billed by its peak.
-	gcPercent = 40
 	// listenerCloseDelay is how long new connections are accepted after SIGTERM: the
 	// load balancer removes an entry after two failed health checks, a second apart.
 	listenerCloseDelay = 2500 * time.Millisecond
@@ -126,8 +119,7 @@
 // New opens the entry's sockets; Run serves them. It waits for addresses that another process
 // still holds. The metrics are served at metricsAddress, unless it is empty.
 func New(ctx context.Context, deployment greengageroute.Deployment, metricsAddress string, logOutput io.Writer) (*Entry, error) {
-	debug.SetGCPercent(gcPercent)
-	limitMemory(deployment)
+	deployment.Limits.LimitMemory()
 	clock := greengageroute.BootClock{}
 	sink := &logSink{output: logOutput}
 	entry := &Entry{
@@ -279,7 +271,7 @@
 	entry.service.SetBounds(deployment.Bounds)
 	entry.planner.SetBounds(deployment.Bounds)
 	entry.service.SetRegions(deployment.Regions)
-	limitMemory(deployment)
+	deployment.Limits.LimitMemory()
 	entry.budget.SetLimits(greengageroute.NewBodyBudget(deployment.Limits))
 	connections := greengageroute.NewConnectionBounds(deployment.Limits)
 	entry.callerListener.SetMaxConns(connections.Callers)
@@ -289,10 +281,6 @@
 		"revoke-ms", deployment.Bounds.RevocationTime.Milliseconds(), "moved", deployment.CallerAddress != entry.deployment.CallerAddress)
 }
 
-func limitMemory(deployment greengageroute.Deployment) {
-	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(deployment.Limits.MemoryMB) * (1 << 20)))
-}
-
 func newServer(listener *intake.Listener, handler http.Handler) *http.Server {
 	return listener.Configure(&http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
