Tests: machines return while the rows of their targets still stand

Four more orders of TestReturnOfAllMachines, in which the rows from before stand as the entries return; the play begins once both models serve, as a load that had begun with the times of the return delayed it.

--- a/integration/return_test.go
+++ b/integration/return_test.go
@@ -69,6 +69,7 @@
 		moves            bool          // half of the entries return at other addresses
 		replaces         bool          // half of the entries never return; others do under other names
 		portsHeld        time.Duration // by another process, from the entries' return on
+		rowLapse         time.Duration // until the rows of targets lapse; 0: before any machine returns
 		losesControl     bool          // the store has lost the rows of the planner
 	}
 
@@ -117,6 +118,10 @@
 		{name: "store last", store: 6 * second},
 		{name: "entries first", targets: span{5 * second, 5 * second}},
 		{name: "targets first", entries: span{5 * second, 5 * second}},
+		{name: "rows stand", rowLapse: 10 * second},
+		{name: "rows stand, entries first", rowLapse: 10 * second, targets: span{5 * second, 5 * second}},
+		{name: "rows stand, targets one by one", rowLapse: 4 * second, targets: span{0, 8 * second}},
+		{name: "rows stand, store last", rowLapse: 20 * second, store: 6 * second, targets: span{0, 8 * second}},
 		{name: "targets one by one", targets: span{0, 8 * second}},
 		{name: "entries one by one", entries: span{0, 8 * second}},
 		{name: "all one by one, store last", entries: span{0, 6 * second}, targets: span{0, 6 * second}, store: 7 * second},
@@ -189,7 +194,11 @@
 		play.entries = append(play.entries, play.startEntryIn(string(rune('a'+i%*returnCentres)), fmt.Sprint("entry-", i)))
 	}
 	play.waitReady()
-	play.requireStream(play.entries[0])
+	for _, kind := range returnKinds {
+		play.waitFor("requests of all kinds are served", func() bool {
+			return kind.send(http.DefaultClient, play.balancedEntries()[0], play.nextAttemptID()) == http.StatusOK
+		})
+	}
 	play.peers.SetLoadTimes(load, staged)
 }
 
@@ -211,7 +220,7 @@
 		_ = entry.cmd.Process.Kill()
 	}
 	for _, target := range play.targets() {
-		target.PowerOff()
+		target.PowerOff(cmp.Or(play.test.rowLapse, standin.RowLapse))
 	}
 	if play.test.store > 0 {
 		play.store.SetFaults(standin.Faults{Hang: true})
