--- a/integration/endlessanswers_test.go
+++ b/integration/endlessanswers_test.go
@@ -94,7 +94,7 @@
 	t.Parallel()
 	var tests []endlessCase
 	for _, kind := range []string{
-		standin.EndlessHead, standin.EndlessError, standin.EndlessToken, standin.EndlessTokens, standin.EndlessLongTokens, standin.EndlessRepeats, standin.EndlessSilence,
+		standin.EndlessHead, standin.EndlessInterim, standin.EndlessError, standin.EndlessEmptyLines, standin.EndlessTrailer, standin.EndlessToken, standin.EndlessTokens, standin.EndlessLongTokens, standin.EndlessRepeats, standin.EndlessSilence,
 	} {
 		tests = append(tests, endlessCase{engine: standin.EndlessAnswers{"generate": kind}, send: "chat"})
 	}
