Planner: an inherited replica with a slow member opens, and keeps the loads under way

After a change of the planner callers of a replica that was about to open got no answers there for as long as one of its members was slow and no spare was free, and a member that was loading weights began anew (12 s instead of the rest of it).

Cause: a replica of an earlier planner is only opened under a new epoch, and a repair without spares left it under the old one; members that were joining with a load were sent another join.

Change: a replica whose members have all formed takes the new epoch with those that it has, slow ones too; while a member loads, it waits. One with a leaving member or one that isn't listed waits until that is replaced or gone (12 s at most for the second).

--- a/formationadoption.go
+++ b/formationadoption.go
@@ -181,3 +181,22 @@
 	isReady := listed && head.Membership.BelongsTo(assignment.Name, assignment.Epoch) && head.Membership.State == MemberReady
 	return assignment.Epoch <= formation.firstEpoch && (!assignment.Opened || isReady)
 }
+
+// needsNewEpoch reports whether an inherited replica may form again now: loads of its members that
+// are under way would begin anew.
+func (formation *Formation) needsNewEpoch(assignment Assignment, view PoolView) bool {
+	return formation.isInherited(assignment, view) && !slices.ContainsFunc(assignment.Members, func(id string) bool {
+		target := view.Targets[id]
+		return target.Membership.BelongsTo(assignment.Name, assignment.Epoch) && target.joinsWithLoad()
+	})
+}
+
+// takesNewEpoch reports whether an inherited replica forms again with the members that it has, some
+// of which may be slow. The row of one that isn't listed may be old.
+func (formation *Formation) takesNewEpoch(damaged damagedAssignment, view PoolView) bool {
+	return formation.needsNewEpoch(damaged.Assignment, view) && view.allFormed(damaged.Assignment) &&
+		!slices.ContainsFunc(damaged.Members, func(id string) bool {
+			target := view.Targets[id]
+			return target.Unlisted || target.State == TargetLeaving
+		})
+}
--- a/formationadoption_test.go
+++ b/formationadoption_test.go
@@ -293,3 +293,34 @@
 		})
 	}
 }
+
+// TestInheritedReplicaOpens guards against a replica that an earlier planner formed and that stays
+// closed, or whose members load again, after a change of the planner.
+func TestInheritedReplicaOpens(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(pool *simulatedPool, member *simulatedTarget)
+		within time.Duration
+	}{
+		{"all members are ready", func(*simulatedPool, *simulatedTarget) {}, time.Second},
+		{"a member is slow", func(_ *simulatedPool, member *simulatedTarget) { member.State = TargetSlow }, time.Second},
+		{"a member loads weights", func(pool *simulatedPool, member *simulatedTarget) {
+			member.Membership.State, member.Staged, member.joinEnd = MemberJoining, nil, pool.now.Add(2*time.Second)
+		}, 3 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			pool, before := newSmallModelPool(t, 3)
+			for _, spare := range before.free(pool.view(true), "d0", nil) {
+				delete(pool.targets, spare.ID)
+			}
+			replica := before.Assignments[0]
+			pool.targets[replica.Members[0]].Membership.State = MemberReady
+			test.change(pool, pool.targets[replica.Members[1]])
+			formation := NewFormation(pool.view(true), 1_000_000)
+			pool.run(formation, test.within, true)
+			if open := pool.openByModel()["small"]; open != 1 {
+				t.Errorf("%d replicas are open after %s, want 1", open, test.within)
+			}
+		})
+	}
+}
--- a/formationrepair.go
+++ b/formationrepair.go
@@ -46,6 +46,13 @@
 		return view.mayReturn(assignment) && view.Busy.Has(assignment.Members[0])
 	})
 	damaged = slices.DeleteFunc(damaged, func(assignment damagedAssignment) bool { return fill(assignment, joinCostStaged) })
+	damaged = slices.DeleteFunc(damaged, func(assignment damagedAssignment) bool {
+		if !formation.takesNewEpoch(assignment, view) {
+			return false
+		}
+		assignment.survivors = assignment.Members
+		return fill(assignment, joinCostStaged)
+	})
 	leave(func(assignment damagedAssignment) bool {
 		return view.allFormed(assignment.Assignment) || view.awaitsSilent(assignment.Assignment)
 	})
@@ -104,7 +111,7 @@
 func (formation *Formation) takeDamaged(view PoolView) []damagedAssignment {
 	var damaged []damagedAssignment
 	formation.unassign(func(assignment Assignment) bool {
-		if !view.needsRepair(assignment) && !formation.isInherited(assignment, view) {
+		if !view.needsRepair(assignment) && !formation.needsNewEpoch(assignment, view) {
 			return false
 		}
 		damaged = append(damaged, damagedAssignment{Assignment: assignment, survivors: view.survivors(assignment)})
