Planner: a late write of the heads doesn't replace a later one

While the store refused writes, the planner sent one in each round as soon as a release waited for it.

Cause: the row was written unconditionally, and is what the next planner goes by. A failed write made every release urgent again.

Change: the row is written over the version that this planner knows, which it reads again after a write that failed; a failed write is tried again after 0.25 s. What was stored in an earlier term of the lease counts for nothing in the next one.

Evidence: found by review.

--- a/control/heads.go
+++ b/control/heads.go
@@ -99,6 +99,10 @@
 	}
 	now, era := planner.Clock.Now(), planner.Lease.Era()
 	planner.mu.Lock()
+	if planner.headsWriteFailed && now.Sub(planner.headsStoredAt) < headsWriteInterval {
+		planner.mu.Unlock()
+		return
+	}
 	if planner.headsWriteFailed || era != planner.storedHeadsEra {
 		clear(planner.storedHeads)
 		clear(planner.storedReleases)
@@ -118,15 +122,17 @@
 		return
 	}
 	planner.headsWriting = true
+	term := planner.headsTerm
 	planner.mu.Unlock()
 	planner.storedHeads[view.Pool], planner.headsStoredAt = string(encoded), now
 	go func() {
-		_, err := planner.Lease.store.Commit(ctx, platform.Write{
-			Table: controlTable, Key: headsPrefix + view.Pool, Value: encoded, Unconditional: true,
-		})
+		err := planner.writeHeads(ctx, view.Pool, encoded)
 		planner.mu.Lock()
 		defer planner.mu.Unlock()
 		planner.headsWriting = false
+		if term != planner.headsTerm {
+			return
+		}
 		if err != nil {
 			planner.Log.Info("replica heads not stored; trying again", "pool", view.Pool, "cause", err.Error())
 			planner.headsWriteFailed = true
@@ -139,6 +145,34 @@
 	}()
 }
 
+// writeHeads writes a pool's row of heads over the version that this planner knows. A write that
+// was given up may arrive late: it must not replace a later one.
+func (planner *Planner) writeHeads(ctx context.Context, pool string, encoded []byte) error {
+	planner.mu.Lock()
+	version, known := planner.headsVersions[pool]
+	delete(planner.headsVersions, pool)
+	planner.mu.Unlock()
+	if !known {
+		rows, err := planner.Lease.store.Read(ctx, controlTable)
+		if err != nil {
+			return err
+		}
+		for _, row := range rows.Rows {
+			if row.Key == headsPrefix+pool {
+				version = row.Version
+			}
+		}
+	}
+	revision, err := planner.Lease.store.Commit(ctx, platform.Write{Table: controlTable, Key: headsPrefix + pool, Value: encoded, ExpectedVersion: version})
+	if err != nil {
+		return err
+	}
+	planner.mu.Lock()
+	defer planner.mu.Unlock()
+	planner.headsVersions[pool] = revision.Version
+	return nil
+}
+
 // maySend reports whether an order may be sent. A member is released, or joins again under a newer
 // epoch, only after the next planner can know of it: the list then shows that it isn't in the replica
 // of before, whose head may still serve.
@@ -161,4 +195,8 @@
 	clear(planner.unknownHeads)
 	clear(planner.lostMembers)
 	clear(planner.left)
+	clear(planner.storedHeads)
+	clear(planner.storedReleases)
+	clear(planner.headsVersions)
+	planner.headsTerm++
 }
--- a/control/planner.go
+++ b/control/planner.go
@@ -160,6 +160,8 @@
 		storedHeads    map[string]string // heads as last written, by pool
 		storedHeadsEra uint64            // of the store, when they were written
 		headsStoredAt  time.Time
+		headsTerm      uint64                            // counts the terms of the lease
+		headsVersions  map[string]uint64                 // of the rows of heads in the store, by pool; missing if unknown
 		storedReleases map[string]map[storedRelease]bool // members named as released by the stored heads, by pool
 		loadStarts     []time.Time                       // start times of the loads of the last second
 	}
@@ -215,7 +217,7 @@
 		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staging: map[string]stagingModel{},
 		loggedStates: map[string]string{}, unknownHeads: map[string]datedTarget{}, oddHeads: map[string]oddHeads{}, pendingOpens: map[string]pendingOpen{}, storedHeads: map[string]string{},
 		absentHeads: map[replicaID]absentHead{}, lostMembers: map[replicaID]lostMember{},
-		storedReleases: map[string]map[storedRelease]bool{}, left: map[string]leftReplica{},
+		storedReleases: map[string]map[storedRelease]bool{}, headsVersions: map[string]uint64{}, left: map[string]leftReplica{},
 	}
 }
 
--- a/control/release_test.go
+++ b/control/release_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/platform"
+	"greengageroute.example/greengageroute/table"
 )
 
 // TestReplicaHasLostMemberOnlyWithCertainty guards against members that join another replica
@@ -170,3 +172,63 @@
 		})
 	}
 }
+
+// lateStore answers the first write without an error only once it is released.
+type lateStore struct {
+	*fakeConn
+	held   []platform.Write
+	writes int
+}
+
+func (store *lateStore) Commit(ctx context.Context, writes ...platform.Write) (greengageroute.StoreRevision, error) {
+	if store.writes++; store.writes == 1 {
+		store.held = writes
+		return greengageroute.StoreRevision{}, &table.UncertainError{Cause: errors.New("the response was lost")}
+	}
+	return store.fakeConn.Commit(ctx, writes...)
+}
+
+// TestLateWriteOfHeadsDoesntCount guards against a next planner that takes released members for
+// free, since a write that the planner before had given up replaced the one that named them, and
+// against a store that is written to in every round while it refuses.
+func TestLateWriteOfHeadsDoesntCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		planner, directory := newTestPlanner(fakeActivity{})
+		store := &lateStore{fakeConn: planner.Lease.store.(*fakeConn)}
+		planner.Lease.store = store
+		engine := &greengageroute.Engine{Models: []greengageroute.EngineModel{{Name: "m", Size: 1, Share: 1}}}
+		write := func(epoch uint64) {
+			target := greengageroute.Target{ID: "i-head", Pool: "llm", State: greengageroute.TargetReady, StartUnixMilli: 1}
+			target.Membership = greengageroute.Membership{Replica: "r1", Epoch: epoch, Model: "m", State: greengageroute.MemberOpen}
+			target.Revision.Version, target.Statement = epoch, epoch
+			directory.Replace([]greengageroute.Target{target}, time.Time{})
+			view := planner.poolView("llm", engine, directory.View())
+			planner.storeHeads(t.Context(), view, greengageroute.NewFormation(view, 100))
+			time.Sleep(headsWriteInterval)
+		}
+		write(6)
+		write(7)
+		if _, err := store.commit(store.held); err == nil {
+			t.Error("the first write is carried out after the second one")
+		}
+		if heads, err := planner.readHeads(t.Context(), "llm"); err != nil || len(heads) != 1 || heads[0].Epoch != 7 {
+			t.Errorf("the stored heads are %v, %v, want those of epoch 7", heads, err)
+		}
+		store.put("control", "heads-llm", "[]")
+		write(8)
+		write(8)
+		if heads, err := planner.readHeads(t.Context(), "llm"); err != nil || len(heads) != 1 || heads[0].Epoch != 8 {
+			t.Errorf("the stored heads are %v, %v, want those of epoch 8 after another writer's row", heads, err)
+		}
+		store.set(func(conn *fakeConn) { conn.down = true })
+		before := store.writes
+		for range 20 {
+			view := planner.poolView("llm", engine, directory.View())
+			planner.storeHeads(t.Context(), view, greengageroute.NewFormation(greengageroute.PoolView{}, 100))
+			time.Sleep(50 * time.Millisecond)
+		}
+		if writes := store.writes - before; writes > 4 {
+			t.Errorf("%d writes in a second to a store that refuses, want 4 at most", writes)
+		}
+	})
+}
