Directory: rows older by the store's version are no late rows; a clock set back

Rows that are older by the store's own version are left out as before. A row of an earlier start counts as soon as a second one of that start follows.

--- a/control/directory.go
+++ b/control/directory.go
@@ -200,22 +200,33 @@
 // not, after that row.
 func (directory *Directory) putUnlessOutdated(row greengageroute.Target) {
 	known := directory.lastRow(row.ID)
+	if known.ID != "" && row.Revision.Before(known.Revision) {
+		directory.put(row)
+		return
+	}
 	isCopy := known.Revision.Era < row.Revision.Era && !row.StatedAfter(known)
 	isLate := known.Revision.Era == row.Revision.Era && row.StatedBefore(known)
-	if known.ID != "" && (isCopy || isLate) {
+	if known.ID != "" && (isCopy || isLate && !directory.continues(row, known)) {
 		directory.keepKnown(row)
 		return
 	}
 	directory.put(row)
 }
 
+// continues reports whether a row follows another one of the same, seemingly earlier start: the
+// target's clock was set back and it started again. A late row is followed by none.
+func (directory *Directory) continues(row, known greengageroute.Target) bool {
+	waiting, waits := directory.outdated[row.ID]
+	return waits && row.StartUnixMilli != known.StartUnixMilli && row.StartUnixMilli == waiting.target.StartUnixMilli && row.Statement > waiting.target.Statement
+}
+
 // keepKnown keeps what this entry knows of a target instead of an outdated row. That one counts
 // if the target writes no later one for outdatedTTL: then what is known may have been written
 // by another writer.
 func (directory *Directory) keepKnown(row greengageroute.Target) {
 	delete(directory.dropAt, row.ID)
 	since := directory.clock.Now()
-	if waiting, waits := directory.outdated[row.ID]; waits {
+	if waiting, waits := directory.outdated[row.ID]; waits && waiting.target.StartUnixMilli == row.StartUnixMilli {
 		since = waiting.since
 	}
 	directory.outdated[row.ID] = datedTarget{row, since}
--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -262,6 +262,7 @@
 		{"two late rows", []string{row(7, 5, now), row(7, 3, before), row(7, 4, before)}, false, now, before},
 		{"a late row and a later one", []string{row(7, 5, before), row(7, 4, before), row(7, 6, now)}, false, now, now},
 		{"a late row of an earlier start", []string{row(8, 1, now), row(7, 4, before)}, false, now, before},
+		{"a start with the clock set back", []string{row(8, 5, before), row(7, 1, before), row(7, 2, now)}, false, now, now},
 		{"another start", []string{row(7, 5, before), row(8, 1, now)}, false, now, now},
 		{"a late row of a target that has ended", []string{row(7, 5, now), row(7, 4, before)}, true, "", before},
 	}
