Entry: all addresses of a start are waited for within one time-out

Four addresses are opened in turn; held for good, they took up to 40 s until the process ended. The time counts from the start of the process. Found by review.

--- a/serve/bind.go
+++ b/serve/bind.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// bindTimeout is how long an entry waits for an address that another process still holds, or
-	// that its VM doesn't have yet. Then the process ends, and whoever runs it starts it again.
+	// bindTimeout is how long after its start an entry waits for addresses that another process
+	// still holds, or that its VM doesn't have yet. Then the process ends, and whoever runs it starts it again.
 	bindTimeout = 10 * time.Second
 	// bindRetryInterval is the interval between attempts.
 	bindRetryInterval = 100 * time.Millisecond
@@ -27,7 +27,7 @@
 		if err == nil && waits {
 			entry.log.Info("address is free", "address", address, "waited", waited.String())
 		}
-		if err == nil || !mayBeFreed(err) || waited >= bindTimeout || ctx.Err() != nil {
+		if err == nil || !mayBeFreed(err) || time.Since(entry.startedAt) >= bindTimeout || ctx.Err() != nil {
 			return socket, err
 		}
 		if !waits {
--- a/serve/bind_test.go
+++ b/serve/bind_test.go
@@ -32,7 +32,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				sink := &logSink{output: io.Discard}
-				entry := &Entry{log: newLogger(sink), logSink: sink, counters: new(expvar.Map).Init()}
+				entry := &Entry{startedAt: time.Now(), log: newLogger(sink), logSink: sink, counters: new(expvar.Map).Init()}
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				if test.stopped > 0 {
