Tests: heads that are asked, and sequences whose events occur

The simulated pool took every absent head for one that had just left an order unanswered; it counts only orders that reach a crashed head now, and tests that make up a view say when the head was asked. A recorded sequence fails if one of its events doesn't occur any more.

--- a/control/groupmodel_test.go
+++ b/control/groupmodel_test.go
@@ -611,7 +611,7 @@
 
 // TestSequencesThatBrokeRules repeats sequences of events that random ones and the walk found, and
 // guards against targets that join another replica while their head serves. Events are named by
-// the beginning of their names; those that don't occur any more are left out.
+// the beginning of their names.
 func TestSequencesThatBrokeRules(t *testing.T) {
 	for _, test := range []struct {
 		name   string
@@ -635,9 +635,11 @@
 			world := newModelWorld(modelGuard{}, test.build)
 			for _, prefix := range test.events {
 				events := world.events()
-				if i := slices.IndexFunc(events, func(event modelEvent) bool { return strings.HasPrefix(event.name, prefix) }); i >= 0 {
-					events[i].run(world)
+				i := slices.IndexFunc(events, func(event modelEvent) bool { return strings.HasPrefix(event.name, prefix) })
+				if i < 0 {
+					t.Fatalf("there is no event %q", prefix)
 				}
+				events[i].run(world)
 			}
 			if len(world.violations) > 0 {
 				t.Error(world.violations)
--- a/formation_test.go
+++ b/formation_test.go
@@ -24,9 +24,11 @@
 		formed     map[string]Set[string]   // members that have formed, by replica and epoch
 		heads      map[ReplicaKey]string    // as named by the orders to join
 		lostAt     map[ReplicaKey]time.Time // when a member first accepted an order to leave
-		busy       Set[string]              // targets with requests in progress
-		sent       []TargetOrder            // all orders, carried out or not
-		demand     map[string]ModelDemand
+		// unansweredAt is when a crashed head last left an order to close or leave unanswered.
+		unansweredAt map[ReplicaKey]time.Time
+		busy         Set[string]   // targets with requests in progress
+		sent         []TargetOrder // all orders, carried out or not
+		demand       map[string]ModelDemand
 	}
 
 	// simulatedTarget is one target with its true state.
@@ -53,7 +55,7 @@
 
 func newSimulatedPool(t *testing.T, domains, perDomain int) *simulatedPool {
 	pool := &simulatedPool{
-		t: t, engine: testEngine, targets: map[string]*simulatedTarget{}, now: time.Unix(1000, 0), formed: map[string]Set[string]{}, heads: map[ReplicaKey]string{}, lostAt: map[ReplicaKey]time.Time{},
+		t: t, engine: testEngine, targets: map[string]*simulatedTarget{}, now: time.Unix(1000, 0), formed: map[string]Set[string]{}, heads: map[ReplicaKey]string{}, lostAt: map[ReplicaKey]time.Time{}, unansweredAt: map[ReplicaKey]time.Time{},
 	}
 	for domain := range domains {
 		for index := range perDomain {
@@ -71,7 +73,7 @@
 	view := PoolView{
 		Pool: "llm", Engine: pool.engine, Targets: map[string]Target{}, Absent: map[string]Target{},
 		ClosedAt: map[ReplicaKey]time.Time{}, Now: pool.now, HasTraffic: hasTraffic,
-		AbsentSince: map[string]time.Time{}, SuspectedHeads: map[ReplicaKey]bool{}, UnansweredAt: map[ReplicaKey]time.Time{}, MemberLostAt: maps.Clone(pool.lostAt), StallTimeout: 6 * time.Second,
+		AbsentSince: map[string]time.Time{}, SuspectedHeads: map[ReplicaKey]bool{}, UnansweredAt: maps.Clone(pool.unansweredAt), MemberLostAt: maps.Clone(pool.lostAt), StallTimeout: 6 * time.Second,
 		Busy: pool.busy, Demand: pool.demand,
 	}
 	for id, target := range pool.targets {
@@ -88,9 +90,6 @@
 		if head, known := pool.targets[id]; known && head.crashed {
 			view.SuspectedHeads[key] = true
 		}
-		if _, absent := view.Absent[id]; absent {
-			view.UnansweredAt[key] = pool.now
-		}
 	}
 	return view
 }
@@ -100,6 +99,9 @@
 	target := pool.targets[order.Target.ID]
 	pool.sent = append(pool.sent, order)
 	if target.crashed {
+		if order.Kind == OrderLeave || order.Kind == OrderClose {
+			pool.unansweredAt[order.Key()] = pool.now
+		}
 		return
 	}
 	pool.orders, pool.orderedAt = append(pool.orders, order), append(pool.orderedAt, pool.now)
--- a/formationrelease_test.go
+++ b/formationrelease_test.go
@@ -116,7 +116,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			pool, formation, assignment := newSilentHeadPool(t)
 			view := pool.view(true)
-			test.change(&view, ReplicaKey{assignment.Name, assignment.Epoch}, assignment.Members[0])
+			view.UnansweredAt[assignment.key()] = view.Now
+			test.change(&view, assignment.key(), assignment.Members[0])
 			member := view.Targets[assignment.Members[1]]
 			if free := !formation.constraintOf(member, assignment.Name, view).mustStay; free != test.ownFreed {
 				t.Errorf("may join again under the own name: %t, want %t", free, test.ownFreed)
@@ -157,6 +158,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			pool, formation, assignment := newSilentHeadPool(t)
 			view := pool.view(true)
+			view.UnansweredAt[assignment.key()] = view.Now
 			member := view.Targets[assignment.Members[1]]
 			test.change(&view, assignment.key(), member)
 			replica := cmp.Or(test.replica, assignment.Name)
@@ -275,7 +277,7 @@
 	if !next.isHeld(member.Target, view) {
 		t.Error("the next planner takes a released member for free")
 	}
-	view.MemberLostAt[key] = view.Now.Add(-view.StallTimeout - stallMargin)
+	view.MemberLostAt[key], view.UnansweredAt[key] = view.Now.Add(-view.StallTimeout-stallMargin), view.Now
 	if next.isHeld(member.Target, view) {
 		t.Error("a released member is held although its head must be broken")
 	}
@@ -338,6 +340,7 @@
 		t.Error("the next planner doesn't know that the member has a former head")
 	}
 	pool.now = pool.now.Add(6*time.Second + stallMargin)
+	pool.unansweredAt[former] = pool.now
 	if formation.constraintOf(member.Target, "other", pool.view(true)).mustStay {
 		t.Error("the member has to stay although its former head must be broken")
 	}
