--- a/control/groupmodel_test.go
+++ b/control/groupmodel_test.go
@@ -168,7 +168,7 @@
 	world.fence++
 	world.planner, world.before = world.before, world.planner
 	world.planner.Lease.held = greengageroute.HeldLease{Fence: world.fence, RenewedAt: world.clock.now, Term: 1000 * time.Hour}
-	world.planner.forgetAbsentHeads()
+	world.planner.forgetFindings()
 	clear(world.planner.storedHeads)
 	world.buildFormation()
 }
--- a/control/heads.go
+++ b/control/heads.go
@@ -43,6 +43,9 @@
 	if err != nil {
 		return nil, err
 	}
+	planner.mu.Lock()
+	planner.headsVersions[pool] = headsVersion(rows, pool)
+	planner.mu.Unlock()
 	for _, row := range rows.Rows {
 		if row.Key != headsPrefix+pool {
 			continue
@@ -157,11 +160,7 @@
 		if err != nil {
 			return err
 		}
-		for _, row := range rows.Rows {
-			if row.Key == headsPrefix+pool {
-				version = row.Version
-			}
-		}
+		version = headsVersion(rows, pool)
 	}
 	revision, err := planner.Lease.store.Commit(ctx, platform.Write{Table: controlTable, Key: headsPrefix + pool, Value: encoded, ExpectedVersion: version})
 	if err != nil {
@@ -173,6 +172,16 @@
 	return nil
 }
 
+// headsVersion returns the version of a pool's row of heads, 0 if there is none.
+func headsVersion(rows platform.Rows, pool string) uint64 {
+	for _, row := range rows.Rows {
+		if row.Key == headsPrefix+pool {
+			return row.Version
+		}
+	}
+	return 0
+}
+
 // maySend reports whether an order may be sent. A member is released, or joins again under a newer
 // epoch, only after the next planner can know of it: the list then shows that it isn't in the replica
 // of before, whose head may still serve.
@@ -185,10 +194,10 @@
 	})
 }
 
-// forgetAbsentHeads forgets what earlier orders told of absent heads and their members, since
+// forgetFindings forgets what earlier orders told of absent heads and their members, since
 // another planner may have opened the heads and had the members join again, and the heads that the
 // formations of before were restored with. Orders to open that may still be carried out stay.
-func (planner *Planner) forgetAbsentHeads() {
+func (planner *Planner) forgetFindings() {
 	planner.mu.Lock()
 	defer planner.mu.Unlock()
 	clear(planner.absentHeads)
--- a/control/planner.go
+++ b/control/planner.go
@@ -289,7 +289,7 @@
 	if held.Fence != planner.fence {
 		planner.fence = held.Fence
 		clear(planner.formations)
-		planner.forgetAbsentHeads()
+		planner.forgetFindings()
 	}
 	for name, pool := range routes.Pools {
 		if pool.Engine != nil && len(pool.Engine.Models) > 0 {
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -481,7 +481,7 @@
 		if since, absent := absentFor(); !absent || since > 0 {
 			t.Errorf("the head that has just fallen silent counts as absent: %t, for %s", absent, since)
 		}
-		planner.forgetAbsentHeads()
+		planner.forgetFindings()
 		if len(planner.unknownHeads) > 0 {
 			t.Errorf("%d heads of an earlier formation are remembered, want none", len(planner.unknownHeads))
 		}
--- a/control/release_test.go
+++ b/control/release_test.go
@@ -83,7 +83,7 @@
 	if found := counts(); !slices.Equal(found, []int{1, 1, 1, 1, 1}) {
 		t.Errorf("heads suspected, standing still, members lost, targets that left, and pending opens: %d, want 1 of each", found)
 	}
-	planner.forgetAbsentHeads()
+	planner.forgetFindings()
 	if found := counts(); !slices.Equal(found, []int{0, 0, 0, 0, 1}) {
 		t.Errorf("heads suspected, standing still, members lost, targets that left, and pending opens of an earlier term: %d, want the last only", found)
 	}
