--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -9,6 +9,7 @@
 var cases = map[string]func(*world) (broken bool, err error){
 	"6": manyFields,
 	"7": slowBodies,
+	"8": hedgedTwice,
 }
 
 func main() {
