--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases are the cases by the names of their folders. Each reports whether the rule was broken.
@@ -32,6 +34,13 @@
 		return exitFailed
 	}
 	defer world.close()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-ended
+		world.close()
+		os.Exit(exitFailed)
+	}()
 	broken, err := play(world)
 	switch {
 	case err != nil:
