Ask a target for its state before it joins a replica (TWO)

What callers and targets saw: members of two groups that served joined others while their heads were open, so that a target was in two groups at once. Reproduced with real processes: all entries are killed and started again, and the store comes back from a copy of before the groups formed; targets write their rows again 2 s later.

Cause: the planner believed a row that was behind its target, and asked nobody. An entry that has just started knows no later row to compare it with.

Fix: before an order to join, the planner reads the report of the target and of the listed head of the replica that it leaves. The order isn't sent if they differ from the list, and names the number of accepted orders, so that the target refuses it after another one.

The random sequences have orders that take time and targets that restart. Two cases of TestGroupGuardsAreNeeded prove their guards without the check, which prevents the same faults there; they found no sequence otherwise.

--- a/control/groupmodel_test.go
+++ b/control/groupmodel_test.go
@@ -34,6 +34,9 @@
 	modelHeartbeats = 8 * time.Second
 	// modelSuspension is the longest suspension.
 	modelSuspension = 20 * time.Second
+	// Times of joins and orders to open, as long as a round or longer.
+	modelJoinTime      = 1600 * time.Millisecond
+	modelFormationTime = 1500 * time.Millisecond
 )
 
 var (
@@ -59,6 +62,9 @@
 		published time.Time              // when the last row was written
 		stalledAt time.Time              // of a head that serves and lacks a member
 		seenEpoch uint64
+		readyAt   time.Time // when its join ends; zero if none is under way
+		opensAt   time.Time // when it opens after an order; zero if it had none
+		accepted  uint64    // orders that began something since the start
 	}
 
 	// modelReplica is a replica that a target was a member of.
@@ -90,6 +96,10 @@
 		heads      []greengageroute.ReplicaHead // known from before
 		afterRows  func()                       // changes targets after the rows were written
 		prelude    int                          // rounds, each with its rows, before the first event
+		takesTime  bool                         // joins and orders to open and close take time, and targets restart
+		// refusesForming has heads refuse other orders to open and close between an order to open
+		// and its end.
+		refusesForming bool
 	}
 
 	// modelGuard switches off one of the planner's guards, as a test does it from outside.
@@ -99,6 +109,9 @@
 		stall      time.Duration           // that the planner believes in; 0: the true one
 		afterRound func(world *modelWorld) // changes what the planner has recorded
 		beforePlan func(world *modelWorld, view *greengageroute.PoolView)
+		// unchecked has joins sent without a look at the targets' state, which prevents some of the
+		// same faults.
+		unchecked bool
 	}
 
 	// modelEvent is something that may happen next.
@@ -126,7 +139,7 @@
 	}
 	world.clock.now = world.clock.now.Add(time.Minute)
 	world.replacePlanner()
-	world.guard = modelGuard{stall: guard.stall}
+	world.guard = modelGuard{stall: guard.stall, unchecked: guard.unchecked}
 	for range world.prelude {
 		world.plan(fateAnswered)
 		world.publishAll()
@@ -156,8 +169,12 @@
 	if world.guard.stall > 0 {
 		stall = world.guard.stall
 	}
+	var sender OrderSender = world
+	if !world.guard.unchecked {
+		sender = NewStateCheck(world, world, world.clock)
+	}
 	world.planner = NewPlanner(PlannerOptions{
-		Lease: lease, OrderSender: world, Activity: fakeActivity{}, Directory: world.directory, HasTraffic: func() bool { return true },
+		Lease: lease, OrderSender: sender, Activity: fakeActivity{}, Directory: world.directory, HasTraffic: func() bool { return true },
 		Confirm: func([]mesh.TargetInstance) {}, Isolated: func() bool { return false }, StallTimeout: stall, Clock: world.clock, Counters: new(expvar.Map).Init(), Log: logr.Discard(),
 	})
 	world.buildFormation()
@@ -249,8 +266,32 @@
 	}
 }
 
+// Report implements Reporter. It isn't lost with the orders of a round.
+func (world *modelWorld) Report(_ context.Context, known greengageroute.Target, _ time.Duration) (greengageroute.TargetReport, error) {
+	target := world.targets[known.ID]
+	if target.silent {
+		return greengageroute.TargetReport{}, errors.New("no response")
+	}
+	accepted := target.accepted
+	return greengageroute.TargetReport{StartUnixMilli: target.StartUnixMilli, Membership: target.Membership, AcceptedOrders: &accepted}, nil
+}
+
 // execute carries out an order as a target does, and checks the rules on groups.
 func (world *modelWorld) execute(order greengageroute.TargetOrder) int {
+	target := world.targets[order.Target.ID]
+	if order.Expected != nil && *order.Expected != target.accepted {
+		return 409
+	}
+	status := world.begin(order)
+	if status == 202 {
+		target.accepted++
+	}
+	world.checkHeads()
+	return status
+}
+
+// begin carries out an order if the target's state allows it.
+func (world *modelWorld) begin(order greengageroute.TargetOrder) int {
 	target := world.targets[order.Target.ID]
 	member := target.Membership
 	belongs := member.BelongsTo(order.Replica, order.Epoch)
@@ -259,24 +300,31 @@
 		switch {
 		case order.Epoch < target.seenEpoch || belongs && !slices.Equal(target.members, order.Members):
 			return 412
-		case !belongs:
-			world.join(target, order)
+		case belongs:
+			return 200
 		}
+		world.join(target, order)
 	case greengageroute.OrderOpen:
-		if !belongs || member.State != greengageroute.MemberReady {
+		if !belongs || member.State != greengageroute.MemberReady || world.refusesForming && !target.opensAt.IsZero() {
 			return 409
 		}
-		for _, id := range target.members {
-			if !world.everReady[fmt.Sprint(id, order.Replica, order.Epoch)] {
-				world.violations = append(world.violations, fmt.Sprintf("PARTIAL: %s opens, and %s was never ready", target.ID, id))
+		if world.takesTime {
+			if !target.opensAt.IsZero() {
+				return 200
 			}
+			target.opensAt = world.clock.now.Add(modelFormationTime)
+			return 202
 		}
-		target.Membership.State = greengageroute.MemberOpen
+		world.open(target)
 	case greengageroute.OrderClose:
-		if !belongs || member.State != greengageroute.MemberOpen {
+		if !belongs || member.State != greengageroute.MemberOpen && target.opensAt.IsZero() || world.refusesForming && !target.opensAt.IsZero() {
 			return 409
 		}
+		target.opensAt = time.Time{}
 		target.Membership.State = greengageroute.MemberReady
+		if world.takesTime && member.State == greengageroute.MemberOpen && !order.Immediate {
+			target.Membership.State = greengageroute.MemberClosing
+		}
 	case greengageroute.OrderLeave:
 		if !belongs {
 			return 409
@@ -284,22 +332,71 @@
 		target.leave()
 		target.Membership, target.members = greengageroute.Membership{}, nil
 	}
-	world.checkHeads()
 	return 202
 }
 
+// open has a head serve.
+func (world *modelWorld) open(target *modelTarget) {
+	member := target.Membership
+	target.opensAt = time.Time{}
+	for _, id := range target.members {
+		if !world.everReady[fmt.Sprint(id, member.Replica, member.Epoch)] {
+			world.violations = append(world.violations, fmt.Sprintf("PARTIAL: %s opens, and %s was never ready", target.ID, id))
+		}
+	}
+	target.Membership.State = greengageroute.MemberOpen
+}
+
 func (target *modelTarget) leave() {
 	if member := target.Membership; member.Replica != "" {
 		target.former = append(target.former, modelReplica{greengageroute.ReplicaKey{Name: member.Replica, Epoch: member.Epoch}, target.members})
 	}
+	target.readyAt, target.opensAt = time.Time{}, time.Time{}
+}
+
+// restart ends the process of a target and starts another one, whose row isn't written yet. Orders
+// that the earlier one hasn't carried out end with it.
+func (world *modelWorld) restart(id string) {
+	target := world.targets[id]
+	target.leave()
+	target.Membership, target.members, target.former, target.seenEpoch, target.accepted = greengageroute.Membership{}, nil, nil, 0, 0
+	target.StartUnixMilli++
+	target.earlier, target.unlisted = nil, false
+	world.late = slices.DeleteFunc(world.late, func(order greengageroute.TargetOrder) bool { return order.Target.ID == id })
+	world.checkHeads()
+}
+
+// endOrders ends joins, and orders to open and close, whose time has passed.
+func (world *modelWorld) endOrders() {
+	for _, id := range slices.Sorted(maps.Keys(world.targets)) {
+		target := world.targets[id]
+		now := world.clock.now
+		if !target.suspended.IsZero() {
+			continue
+		}
+		if !target.readyAt.IsZero() && !now.Before(target.readyAt) {
+			target.readyAt = time.Time{}
+			target.Membership.State = greengageroute.MemberReady
+			world.everReady[fmt.Sprint(target.ID, target.Membership.Replica, target.Membership.Epoch)] = true
+		}
+		if !target.opensAt.IsZero() && !now.Before(target.opensAt) {
+			world.open(target)
+		}
+		if target.Membership.State == greengageroute.MemberClosing && world.used[id+" closes"]%3 == 2 {
+			target.Membership.State = greengageroute.MemberReady
+		}
+		if target.Membership.State == greengageroute.MemberClosing {
+			world.used[id+" closes"]++
+		}
+	}
 }
 
-// join has a target join a replica. The join ends at once.
+// join has a target join a replica. The join ends at once, unless joins take time.
 func (world *modelWorld) join(target *modelTarget, order greengageroute.TargetOrder) {
 	target.leave()
 	for _, former := range target.former {
 		head := world.targets[former.members[0]]
-		serves := head.Membership.BelongsTo(former.key.Name, former.key.Epoch) && head.Membership.State == greengageroute.MemberOpen
+		serves := head.Membership.BelongsTo(former.key.Name, former.key.Epoch) && (head.Membership.State == greengageroute.MemberOpen || head.Membership.State == greengageroute.MemberClosing)
 		if former.key.Name != order.Replica && serves {
 			world.violations = append(world.violations, fmt.Sprintf("TWO: %s joins %s while %s serves %v", target.ID, order.Replica, head.ID, former.key))
 		}
@@ -308,6 +405,10 @@
 		Replica: order.Replica, Epoch: order.Epoch, Model: order.Model, Rank: slices.Index(order.Members, target.ID), State: greengageroute.MemberReady,
 	}
 	target.members, target.seenEpoch = order.Members, order.Epoch
+	if world.takesTime {
+		target.Membership.State, target.readyAt = greengageroute.MemberJoining, world.clock.now.Add(modelJoinTime)
+		return
+	}
 	world.everReady[fmt.Sprint(target.ID, order.Replica, order.Epoch)] = true
 }
 
@@ -315,7 +416,7 @@
 func (world *modelWorld) checkHeads() {
 	for _, head := range world.targets {
 		member := head.Membership
-		if member.Rank != 0 || member.State != greengageroute.MemberOpen {
+		if member.Rank != 0 || member.State != greengageroute.MemberOpen && member.State != greengageroute.MemberClosing {
 			head.stalledAt = time.Time{}
 			continue
 		}
@@ -336,6 +437,7 @@
 
 func (world *modelWorld) advance(length time.Duration) {
 	world.clock.now = world.clock.now.Add(length)
+	world.endOrders()
 	world.checkHeads()
 	for _, id := range slices.Sorted(maps.Keys(world.targets)) {
 		target := world.targets[id]
@@ -351,7 +453,7 @@
 // goOn ends the silence of a target.
 func (world *modelWorld) goOn(id string) {
 	world.targets[id].silent, world.targets[id].suspended = false, time.Time{}
-	world.directory.MarkResponding(mesh.TargetInstance{ID: id, StartUnixMilli: 1})
+	world.directory.MarkResponding(world.targets[id].Instance())
 }
 
 // publish has the list show a target as it is.
@@ -409,7 +511,7 @@
 	}
 	for _, id := range world.troubled {
 		target := world.targets[id]
-		instance := mesh.TargetInstance{ID: id, StartUnixMilli: 1}
+		instance := target.Instance()
 		switch {
 		case target.silent:
 			events = append(events, modelEvent{id + " goes on", func(world *modelWorld) {
@@ -438,6 +540,9 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(world.targets)) {
+		if world.takesTime && !world.targets[id].silent {
+			limited(id+" restarts", 1, func(world *modelWorld) { world.restart(id) })
+		}
 		if world.targets[id].earlier != nil {
 			limited("earlier row of "+id, 1, func(world *modelWorld) { world.publishLate(id) })
 		}
@@ -648,6 +753,38 @@
 	}
 }
 
+// TestTargetsAreAskedBeforeTheyJoin repeats sequences that random ones found, and guards against targets
+// that join another replica since the list still shows them free, or their head closed. Without a look
+// at the targets' state each sequence breaks the rule.
+func TestTargetsAreAskedBeforeTheyJoin(t *testing.T) {
+	for _, events := range [][]string{
+		{
+			"plan, answered", "plan, answered", "b restarts", "plan, answered", "plan, answered", "plan, answered", "plan, answered", "plan, answered", "plan, answered",
+			"plan, answered", "plan, answered", "c is cut off", "plan, answered", "rows", "plan, answered", "c is listed", "b restarts", "b is cut off",
+			"a is suspended", "a goes on", "a is silent", "a goes on", "b is listed", "plan, answered", "planner", "plan, answered",
+		},
+		{
+			"plan, answered", "plan, answered", "a is silent", "plan, answered", "plan, answered", "d is suspended", "c is silent", "b restarts", "rows", "plan, answered", "plan, unheard",
+			"c goes on", "plan, answered", "plan, answered", "plan, answered", "plan, answered", "plan, lost", "plan, answered", "4 s pass", "b restarts", "plan, answered", "plan, answered",
+			"a goes on", "a restarts", "plan, unheard", "plan, answered", "plan, answered", "c is silent", "planner", "plan, answered",
+		},
+	} {
+		for _, unchecked := range []bool{true, false} {
+			world := newModelWorld(modelGuard{unchecked: unchecked}, slowOrders)
+			for _, prefix := range events {
+				i := slices.IndexFunc(world.events(), func(event modelEvent) bool { return strings.HasPrefix(event.name, prefix) })
+				if i < 0 {
+					t.Fatalf("unchecked %t: there is no event %q", unchecked, prefix)
+				}
+				world.events()[i].run(world)
+			}
+			if broken := len(world.violations) > 0; broken != unchecked {
+				t.Errorf("unchecked %t: violations are %v", unchecked, world.violations)
+			}
+		}
+	}
+}
+
 // twoReplicas are two replicas that serve, and a spare.
 func twoReplicas(world *modelWorld) {
 	oneReplica(world)
@@ -657,8 +794,21 @@
 	world.repeats, world.troubled = 4, []string{"a", "b", "c", "d", "e"}
 }
 
+// slowOrders are the same targets, which take time for orders and restart.
+func slowOrders(world *modelWorld) {
+	twoReplicas(world)
+	world.takesTime = true
+}
+
+// refusesForming are the same, whose heads refuse orders while they form.
+func refusesForming(world *modelWorld) {
+	slowOrders(world)
+	world.refusesForming = true
+}
+
 // TestGroupsInRandomSequences follows long random sequences of the same events on two replicas and
-// a spare, and guards against faults that need more of them than a walk reaches. To run more:
+// a spare, also with orders that take time and targets that restart, and guards against faults that
+// need more of them than a walk reaches. To run more:
 //
 //	go test ./control -run GroupsInRandomSequences -sequences 100000
 func TestGroupsInRandomSequences(t *testing.T) {
@@ -666,8 +816,10 @@
 		t.Run(fmt.Sprint(worker), func(t *testing.T) {
 			t.Parallel()
 			for seed := worker; seed < *sequences; seed += 4 {
-				if names, violation := followSequence(*firstSequence + seed); violation != "" {
-					t.Fatalf("-first-sequence %d: %s after %q", *firstSequence+seed, violation, names)
+				for name, build := range map[string]func(world *modelWorld){"orders take no time": twoReplicas, "orders take time": slowOrders, "heads that form refuse": refusesForming} {
+					if names, violation := followSequence(*firstSequence+seed, build); violation != "" {
+						t.Fatalf("%s, -first-sequence %d: %s after %q", name, *firstSequence+seed, violation, names)
+					}
 				}
 			}
 		})
@@ -676,8 +828,8 @@
 
 // followSequence runs a random sequence of events. It returns their names and the first rule
 // broken.
-func followSequence(seed uint64) (names []string, violation string) {
-	world, random := newModelWorld(modelGuard{}, twoReplicas), rand.New(rand.NewPCG(seed, 1))
+func followSequence(seed uint64, build func(world *modelWorld)) (names []string, violation string) {
+	world, random := newModelWorld(modelGuard{}, build), rand.New(rand.NewPCG(seed, 1))
 	for range 60 {
 		events := world.events()
 		event := events[random.IntN(len(events))]
@@ -728,10 +880,10 @@
 				view.MemberLostAt[key] = view.AbsentSince["a"]
 			}
 		}}, oneReplica, 9},
-		{modelGuard{name: "a head that may have opened leaves first", events: []string{"plan, answered", "b ", "planner"}, beforePlan: func(_ *modelWorld, view *greengageroute.PoolView) {
+		{modelGuard{name: "a head that may have opened leaves first", unchecked: true, events: []string{"plan, answered", "b ", "planner"}, beforePlan: func(_ *modelWorld, view *greengageroute.PoolView) {
 			leaveUnheard(view)
 		}}, notOpen, 10},
-		{modelGuard{name: "an order to open is pending, and the head leaves first", events: []string{"plan, answered", "b "}, beforePlan: func(_ *modelWorld, view *greengageroute.PoolView) {
+		{modelGuard{name: "an order to open is pending, and the head leaves first", unchecked: true, events: []string{"plan, answered", "b "}, beforePlan: func(_ *modelWorld, view *greengageroute.PoolView) {
 			leaveUnheard(view)
 			view.PendingOpens = nil
 		}}, notOpen, 9},
@@ -744,7 +896,7 @@
 			if violation == "" {
 				t.Error("no sequence breaks a rule without the guard")
 			}
-			if sequence, violation, _ := explore(modelGuard{events: test.guard.events}, test.build, len(sequence)); violation != "" {
+			if sequence, violation, _ := explore(modelGuard{events: test.guard.events, unchecked: test.guard.unchecked}, test.build, len(sequence)); violation != "" {
 				t.Errorf("with the guard: %s after %q", violation, sequence)
 			}
 		})
--- a/control/headstate.go
+++ b/control/headstate.go
@@ -69,7 +69,8 @@
 func (planner *Planner) confirmUnanswered(target greengageroute.Target, err error) {
 	var refused *greengageroute.OrderRefusedError
 	var heldBack *greengageroute.BackoffError
-	if err != nil && !errors.As(err, &refused) && !errors.As(err, &heldBack) {
+	var outdated *OutdatedTargetError
+	if err != nil && !errors.As(err, &refused) && !errors.As(err, &heldBack) && !errors.As(err, &outdated) {
 		planner.Confirm([]mesh.TargetInstance{target.Instance()})
 	}
 }
--- a/control/planner.go
+++ b/control/planner.go
@@ -58,8 +58,11 @@
 const (
 	CountOrders = "orders"
 	// CountOrdersHeldBack counts orders not sent because the target had asked for a backoff.
-	CountOrdersHeldBack    = "orders-held-back"
-	CountOrdersRefused     = "orders-refused"
+	CountOrdersHeldBack = "orders-held-back"
+	CountOrdersRefused  = "orders-refused"
+	// CountOrdersOutdated counts orders that targets in another state than the list shows didn't
+	// get or refused.
+	CountOrdersOutdated    = "orders-outdated"
 	CountOrdersNotAnswered = "orders-not-answered"
 	CountReplicasAssigned  = "replicas-assigned"
 	// CountTargetShifts counts the times that targets were moved to a busier model.
@@ -481,11 +484,15 @@
 	planner.Counters.Add(CountOrders, 1)
 	var refused *greengageroute.OrderRefusedError
 	var heldBack *greengageroute.BackoffError
+	var outdated *OutdatedTargetError
 	outcome := "accepted"
 	switch {
 	case errors.As(err, &heldBack):
 		outcome = "not sent: the target asked for a backoff"
 		planner.Counters.Add(CountOrdersHeldBack, 1)
+	case errors.As(err, &outdated):
+		outcome = "not carried out: " + outdated.Reason
+		planner.Counters.Add(CountOrdersOutdated, 1)
 	case errors.As(err, &refused):
 		outcome = fmt.Sprintf("refused with %d", refused.Status)
 		planner.Counters.Add(CountOrdersRefused, 1)
--- /dev/null
+++ b/control/statecheck_test.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+)
+
+// fakeTargets answers reports and orders.
+type fakeTargets struct {
+	reports map[string]greengageroute.TargetReport // by target; missing: no response
+	refuse  int                                    // status of the response to orders; 0: they are accepted
+	sent    []greengageroute.TargetOrder
+	asked   []string
+}
+
+func (targets *fakeTargets) Report(_ context.Context, target greengageroute.Target, _ time.Duration) (greengageroute.TargetReport, error) {
+	targets.asked = append(targets.asked, target.ID)
+	report, found := targets.reports[target.ID]
+	if !found {
+		return greengageroute.TargetReport{}, errors.New("no response")
+	}
+	return report, nil
+}
+
+func (targets *fakeTargets) Send(_ context.Context, order greengageroute.TargetOrder, _ time.Duration) error {
+	targets.sent = append(targets.sent, order)
+	if targets.refuse != 0 {
+		return &greengageroute.OrderRefusedError{Target: order.Target.ID, Status: targets.refuse}
+	}
+	return nil
+}
+
+// TestJoinsNeedTheStateThatThePlannerKnows guards against targets that join another replica while the
+// head of theirs serves, since their row, or that of the head, is behind.
+func TestJoinsNeedTheStateThatThePlannerKnows(t *testing.T) {
+	orders := uint64(7)
+	in := func(replica string, epoch uint64, rank int, state greengageroute.MemberState) greengageroute.Membership {
+		return greengageroute.Membership{Replica: replica, Epoch: epoch, Rank: rank, State: state}
+	}
+	report := func(start int64, member greengageroute.Membership) greengageroute.TargetReport {
+		return greengageroute.TargetReport{StartUnixMilli: start, Membership: member, AcceptedOrders: &orders}
+	}
+	none := greengageroute.Membership{}
+	for _, test := range []struct {
+		name       string
+		row        greengageroute.Membership
+		report     greengageroute.TargetReport
+		silent     bool
+		formerHead greengageroute.Membership // by its report; none: there is no head to ask
+		refuse     int
+		sent       bool
+		outdated   bool
+	}{
+		{"both show it free", none, report(1, none), false, none, 0, true, false},
+		{"both show the same replica", in("r1", 3, 1, "ready"), report(1, in("r1", 3, 1, "ready")), false, none, 0, true, false},
+		{"it is in a replica", none, report(1, in("r1", 3, 1, "ready")), false, none, 0, false, true},
+		{"it is in a later epoch", in("r1", 3, 1, "ready"), report(1, in("r1", 4, 1, "ready")), false, none, 0, false, true},
+		{"it has left", in("r1", 3, 1, "ready"), report(1, none), false, none, 0, false, true},
+		{"it heads an open replica", in("r1", 3, 0, "ready"), report(1, in("r1", 3, 0, "open")), false, none, 0, false, true},
+		{"it has restarted", none, report(2, none), false, none, 0, false, true},
+		{"it doesn't respond", none, greengageroute.TargetReport{}, true, none, 0, false, false},
+		{"it has accepted another order since", none, report(1, none), false, none, 409, true, true},
+		{"it refuses the epoch", none, report(1, none), false, none, 412, true, false},
+		{"its head is a member", in("r1", 3, 1, "ready"), report(1, in("r1", 3, 1, "ready")), false, in("r1", 3, 0, "ready"), 0, false, true},
+		{"its head is broken", in("r1", 3, 1, "ready"), report(1, in("r1", 3, 1, "ready")), false, in("r1", 3, 0, "broken"), 0, true, false},
+		{"its head has moved on", in("r1", 3, 1, "ready"), report(1, in("r1", 3, 1, "ready")), false, in("r1", 4, 0, "open"), 0, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			targets := &fakeTargets{reports: map[string]greengageroute.TargetReport{}, refuse: test.refuse}
+			if !test.silent {
+				targets.reports["i-1"] = test.report
+			}
+			order := greengageroute.TargetOrder{
+				Kind: greengageroute.OrderJoin, Replica: "r2", Epoch: 9, Target: greengageroute.Target{ID: "i-1", StartUnixMilli: 1, Membership: test.row},
+			}
+			if test.formerHead != none {
+				order.FormerHead = &greengageroute.Target{ID: "i-head"}
+				targets.reports["i-head"] = report(1, test.formerHead)
+			}
+			err := NewStateCheck(targets, targets, greengageroute.RuntimeClock{}).Send(context.Background(), order, time.Second)
+			var outdated *OutdatedTargetError
+			if isOutdated := errors.As(err, &outdated); isOutdated != test.outdated {
+				t.Errorf("got error %v, which says that the target is outdated: %t, want %t", err, isOutdated, test.outdated)
+			}
+			if wantError := test.silent || test.refuse != 0 || test.outdated; (err != nil) != wantError {
+				t.Errorf("got error %v, want one: %t", err, wantError)
+			}
+			if sent := len(targets.sent) > 0; sent != test.sent {
+				t.Fatalf("the order was sent: %t, want %t", sent, test.sent)
+			}
+			if test.sent && (targets.sent[0].Expected == nil || *targets.sent[0].Expected != orders) {
+				t.Errorf("the order expects %v accepted orders, want %d", targets.sent[0].Expected, orders)
+			}
+		})
+	}
+}
+
+// TestAcceptedOrdersTellTheState guards against repairs that wait for a report from after the last
+// order, and against reports that are requested for orders that need none.
+func TestAcceptedOrdersTellTheState(t *testing.T) {
+	targets := &fakeTargets{reports: map[string]greengageroute.TargetReport{}}
+	clock := &modelClock{now: time.Unix(1000, 0)}
+	check := NewStateCheck(targets, targets, clock)
+	order := func(kind greengageroute.OrderKind) greengageroute.TargetOrder {
+		return greengageroute.TargetOrder{Kind: kind, Replica: "r1", Epoch: 3, Target: greengageroute.Target{ID: "i-1", StartUnixMilli: 1}}
+	}
+	for _, step := range []struct {
+		kind    greengageroute.OrderKind
+		after   time.Duration
+		asks    bool
+		refused bool
+	}{
+		{greengageroute.OrderStage, 0, false, false},
+		{greengageroute.OrderJoin, 0, true, true},
+		{greengageroute.OrderLeave, 0, false, false},
+		{greengageroute.OrderJoin, acceptedOrderTTL / 2, false, false},
+		{greengageroute.OrderOpen, 0, false, false},
+		{greengageroute.OrderJoin, acceptedOrderTTL * 2, true, true},
+	} {
+		targets.asked = nil
+		clock.now = clock.now.Add(step.after)
+		err := check.Send(context.Background(), order(step.kind), time.Second)
+		if asked := len(targets.asked) > 0; asked != step.asks || (err != nil) != step.refused {
+			t.Errorf("%s %s later: the target was asked: %t, want %t; got error %v", step.kind, step.after, asked, step.asks, err)
+		}
+	}
+}
--- a/formationadoption.go
+++ b/formationadoption.go
@@ -129,6 +129,9 @@
 		inOther := func(id string) bool { return formation.assigned.Has(id) && !slices.Contains(known.Members, id) }
 		isMissing := func(id string) bool { return !view.isPresent(id) }
 		isUnlisted := func(id string) bool { _, listed := view.Targets[id]; return !listed }
+		if !formation.names.Has(replica.Name) {
+			formation.unassignUnbegun(replica.Members, view)
+		}
 		switch {
 		case slices.ContainsFunc(replica.Members, inOther):
 		case index >= 0:
@@ -146,6 +149,22 @@
 	}
 }
 
+// unassignUnbegun removes the assignments of any of the members that no target has joined: they were
+// made from rows that were behind their targets.
+func (formation *Formation) unassignUnbegun(members []string, view PoolView) {
+	begun := map[ReplicaKey]bool{}
+	for _, targets := range []map[string]Target{view.Targets, view.Absent} {
+		for _, target := range targets {
+			begun[target.Membership.key()] = true
+		}
+	}
+	formation.unassign(func(assignment Assignment) bool {
+		return !assignment.Opened && !begun[assignment.key()] && slices.ContainsFunc(assignment.Members, func(id string) bool {
+			return id != "" && slices.Contains(members, id)
+		})
+	})
+}
+
 // hasUnknownHead reports whether an open head, listed or silent, belongs to no assignment.
 func (formation *Formation) hasUnknownHead(view PoolView) bool {
 	assigned := formation.assignedReplicas()
--- a/formationorders.go
+++ b/formationorders.go
@@ -52,7 +52,7 @@
 		frees = append(frees, formation.freeingOrders(target, constraint, view, closed)...)
 		join := TargetOrder{
 			Kind: OrderJoin, Target: target, Replica: assignment.Name, Epoch: assignment.Epoch,
-			Model: assignment.Model, Members: assignment.Members,
+			Model: assignment.Model, Members: assignment.Members, FormerHead: formation.formerHead(target, assignment.Name, view),
 		}
 		joins = append(joins, join)
 		if constraint.leavesFirst(target) {
@@ -137,6 +137,21 @@
 	return formation.absentConstraintOf(target, member, replica, view)
 }
 
+// formerHead returns the listed head of the replica that a target leaves by joining another one, if
+// that head isn't known to be a member there. Its row may be behind it.
+func (formation *Formation) formerHead(target Target, replica string, view PoolView) *Target {
+	member := target.Membership
+	if member.Replica == "" || member.Replica == replica || member.Rank == 0 {
+		return nil
+	}
+	id, _ := formation.headOf(target, member, view)
+	head, listed := view.Targets[id]
+	if !listed || id == target.ID {
+		return nil
+	}
+	return &head
+}
+
 // openPending reports whether the head was sent an order to open and may have
 // carried it out.
 func (view PoolView) openPending(head Target) bool {
--- a/formationspares.go
+++ b/formationspares.go
@@ -83,7 +83,7 @@
 	}
 	return TargetOrder{
 		Kind: OrderJoin, Target: target, Replica: preloadPrefix + strconv.FormatUint(ordered.epoch, 36), Epoch: ordered.epoch,
-		Model: model, Members: []string{target.ID},
+		Model: model, Members: []string{target.ID}, FormerHead: formation.formerHead(target, "", view),
 	}, true
 }
 
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -143,7 +143,7 @@
 	entry.source = relay.NewSource(entry.store, entry.node, relay.NewCache(clock), clock, count(CountStoreReads))
 	entry.follower = control.NewFollower(entry.source, entry.directory, entry.needsListAtOnce, entry.node.NewestConfig, clock, entry.counters, entry.log)
 	targetClient := platform.NewTargetClient(entry)
-	backoffFilter := control.NewBackoffFilter(targetClient, targetClient, entry, clock)
+	backoffFilter := control.NewBackoffFilter(control.NewStateCheck(targetClient, targetClient, clock), targetClient, entry, clock)
 	entry.prober = control.NewProber(deployment.DataCentre, backoffFilter, entry.directory, entry.node, clock, entry.counters, entry.log)
 	entry.planner = control.NewPlanner(control.PlannerOptions{
 		Lease: entry.lease, OrderSender: backoffFilter, Activity: entry.node, Directory: entry.directory, ListRevision: entry.follower.ListRevision, Routes: entry.follower.Routes,
--- a/target.go
+++ b/target.go
@@ -84,6 +84,8 @@
 		Slowdown       float64 // measured time over the published one; above 1 is slower
 		Staged         []string
 		Membership     Membership
+		// AcceptedOrders counts the orders that began something since the start; nil if unknown.
+		AcceptedOrders *uint64
 	}
 )
 
--- a/targetorder.go
+++ b/targetorder.go
@@ -29,6 +29,12 @@
 		Model     string
 		Members   []string
 		Immediate bool // close at once instead of waiting for running requests
+		// Expected is how many orders the target has to have accepted before this one; nil: any
+		// number. It refuses with status 409 otherwise.
+		Expected *uint64
+		// FormerHead is the head of the replica that the target leaves by joining another one, which
+		// it may do only once the head isn't a member there; nil if there is none to ask.
+		FormerHead *Target
 	}
 
 	// OrderRefusedError reports that a target refused an order.
