Tests: wait for the config that revokes a key, not for one that never had it

TestUsersPlatformEntryStartsFromAnOldCopy took a 401 by the first config, which lacks the second key too, for its revocation, and restored the store before any entry knew config 7. It waits until each entry has accepted the key, and then until each has refused it. The check that follows is the same.

--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -341,12 +341,19 @@
 	deployment := newEmptyDeployment(t)
 	deployment.startTargetsAndEntries(7, 2)
 	deployment.store.Put("op", "config", platformConfig(5, "key-1", "key-2"))
+	// The config before lacks the key too: only one that had it can show that it is revoked.
+	waitForKey := func(description string, want int) {
+		for _, entry := range deployment.entries {
+			deployment.waitFor(description, func() bool {
+				status, _ := deployment.send(entry, "GET", "/get/stock", deployment.nextAttemptID(), "key-2")
+				return status == want
+			})
+		}
+	}
+	waitForKey("the key is valid", http.StatusOK)
 	copied := deployment.store.Copy()
 	deployment.store.Put("op", "config", platformConfig(7, "key-1"))
-	deployment.waitFor("the key is revoked", func() bool {
-		status, _ := deployment.send(deployment.entries[1], "GET", "/get/stock", deployment.nextAttemptID(), "key-2")
-		return status == http.StatusUnauthorized
-	})
+	waitForKey("the key is revoked", http.StatusUnauthorized)
 	deployment.store.Restore(copied, false)
 	late := deployment.startEntry("entry-2")
 	started := time.Now()
