Forwarded calls: no attempt beside the other entry's own (BUDGET)

A call of an entry cut off from all targets ran at three targets where its route allows two, if one of them hung: the entry and the one that it forwards to hedge at the same time, each within the attempts that the route leaves. A forwarded attempt now takes all that are left; the other entry retries and hedges by itself, as it does for streams.

The new case of TestIsolatedEntryForwardsRequests fails without the fix.

--- a/edge/callattempt.go
+++ b/edge/callattempt.go
@@ -22,6 +22,7 @@
 		fromEntry bool // another entry forwards the call
 		cancelled bool // by this entry; its answer doesn't count
 		charged   bool // to the retry budget
+		reserved  int  // how many targets it may reach
 		hedged    bool // another attempt was started since it was silent
 	}
 
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -81,7 +81,8 @@
 }
 
 // TestIsolatedEntryForwardsRequests guards against callers who are refused by an entry that
-// has lost its targets, against calls that run twice, and against refusals that aren't true.
+// has lost its targets, against calls that run twice or, if they may be repeated, at more targets than
+// their route allows, and against refusals that aren't true.
 func TestIsolatedEntryForwardsRequests(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -110,6 +111,7 @@
 		{"a stream", "/chat/x", script{answers(200, events(1, 5))}, false, 200, events(1, 5), 1},
 		{"a stream, as the links are lost", "/chat/x", script{answers(200, events(1, 5))}, true, 200, events(1, 5), 1},
 		{"an action whose answer the other entry breaks off", "/post/x", script{unframed("ha"), answers(200, "twice")}, false, 502, "", 1},
+		{"a read that the other entry may hedge by itself", "/get/x", script{after(900*time.Millisecond, answers(200, "late")), answers(200, "a third run")}, false, 200, "late", 1},
 		{"a read whose answer the other entry breaks off", "/get/x", script{unframed("ha"), answers(200, "done")}, false, 200, "done", 2},
 		{"a stream that the other entry breaks off between events", "/chat/x", script{unframed(events(1, 2)), answers(200, events(3, 5))}, false, 200, events(1, 5), 2},
 		{"a stream that is cut is resumed through another entry", "/chat/x", script{aborts(events(1, 2)), answers(200, events(3, 5))}, false, 200, events(1, 5), 2},
--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -168,7 +168,12 @@
 		silent.hedged = true
 	}
 	call.attempts = append(call.attempts, attempt)
-	exchange.attemptsPending++
+	attempt.reserved = 1
+	if attempt.fromEntry {
+		// The other entry retries and hedges by itself.
+		attempt.reserved = max(exchange.route.Attempts-exchange.attemptsMade(), 1)
+	}
+	exchange.attemptsPending += attempt.reserved
 	attempt.start(ctx)
 	if exchange.attemptsMade() < exchange.route.Attempts {
 		call.hedgeTimer.Reset(time.Until(exchange.deadline) / 2)
@@ -180,7 +185,7 @@
 	attempt, exchange := result.attempt, call.exchange
 	call.attempts = slices.DeleteFunc(call.attempts, func(other *callAttempt) bool { return other == attempt })
 	attempt.cancel()
-	exchange.attemptsPending--
+	exchange.attemptsPending -= attempt.reserved
 	result.recordLatency()
 	var notSent *upstream.NotSentError
 	if errors.As(result.err, &notSent) {
