--- a/bodybudget_test.go
+++ b/bodybudget_test.go
@@ -98,6 +98,9 @@
 		{"an idle one before a new one", []CallerConnection{{ConnectionInHeader, time.Second}, {ConnectionIdle, time.Second}}, 1},
 		{"a stalled one last", []CallerConnection{{ConnectionStalled, time.Minute}, {ConnectionInHeader, time.Millisecond}}, 1},
 		{"a stalled one", []CallerConnection{{ConnectionBusy, time.Hour}, {ConnectionStalled, time.Minute}}, 1},
+		{"a stalled one before one that brings its body", []CallerConnection{{ConnectionReceiving, time.Minute}, {ConnectionStalled, time.Second}}, 1},
+		{"one that takes long for its body", []CallerConnection{{ConnectionBusy, time.Hour}, {ConnectionReceiving, 2 * time.Second}, {ConnectionReceiving, 9 * time.Second}}, 2},
+		{"one that has just begun its body", []CallerConnection{{ConnectionBusy, time.Hour}, {ConnectionReceiving, time.Second}}, -1},
 	} {
 		if chosen := ChooseClosed(test.connections); chosen != test.want {
 			t.Errorf("%s: connection %d is closed, want %d", test.name, chosen, test.want)
--- a/callerconnections.go
+++ b/callerconnections.go
@@ -14,6 +14,8 @@
 	// ConnectionStalled is a connection whose caller has stopped sending a body or reading
 	// an answer.
 	ConnectionStalled
+	// ConnectionReceiving is a connection with a request whose body still arrives.
+	ConnectionReceiving
 )
 
 const (
@@ -25,6 +27,9 @@
 	// headerGrace is how long a connection may take to bring a header before it is the
 	// first to be closed.
 	headerGrace = 3 * time.Second
+	// receivingGrace is how long a request may take to bring its body before its connection may
+	// be closed. A new connection then needn't wait until those that bring theirs slowly have ended.
+	receivingGrace = time.Second
 )
 
 type (
@@ -55,8 +60,8 @@
 
 // ChooseClosed returns the index of the connection to close in favour of a new one, or -1 if
 // all have requests that run: first those that take too long for a header, then idle ones,
-// then other ones in a header, then stalled ones, of each kind that which is longest in its
-// phase.
+// then other ones in a header, then stalled ones, then those that take long for a body, of each
+// kind that which is longest in its phase.
 func ChooseClosed(connections []CallerConnection) int {
 	chosen, highest := -1, 0
 	for i, connection := range connections {
@@ -72,12 +77,14 @@
 func (connection CallerConnection) closingRank() int {
 	switch {
 	case connection.Phase == ConnectionInHeader && connection.Since > headerGrace:
-		return 4
+		return 5
 	case connection.Phase == ConnectionIdle:
-		return 3
+		return 4
 	case connection.Phase == ConnectionInHeader:
-		return 2
+		return 3
 	case connection.Phase == ConnectionStalled:
+		return 2
+	case connection.Phase == ConnectionReceiving && connection.Since > receivingGrace:
 		return 1
 	default:
 		return 0
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -35,8 +35,9 @@
 	received      atomic.Int64
 	written       atomic.Int64
 	writing       atomic.Bool
-	stalledChecks atomic.Int32 // checks in a row in which a write made no progress
-	bodyStalled   atomic.Bool  // a body has brought nothing for some checks
+	stalledChecks atomic.Int32            // checks in a row in which a write made no progress
+	bodyStalled   atomic.Bool             // a body has brought nothing for some checks
+	reader        atomic.Pointer[Holding] // of the request whose body is being read; nil if none is
 
 	mu           sync.Mutex
 	busy         bool // carries a request
@@ -143,6 +144,8 @@
 		state.Phase, state.Since = greengageroute.ConnectionBusy, 0 // it closes already
 	case conn.busy && (conn.bodyStalled.Load() || conn.unread()):
 		state.Phase = greengageroute.ConnectionStalled
+	case conn.busy && conn.reader.Load() != nil:
+		state.Phase = greengageroute.ConnectionReceiving
 	case conn.busy:
 		state.Phase = greengageroute.ConnectionBusy
 	case !conn.used || conn.received.Load() > conn.receivedIdle:
--- a/intake/holding.go
+++ b/intake/holding.go
@@ -60,11 +60,12 @@
 	// repeats. The first three together are a small body.
 	partSizes = [...]int64{512, 4 << 10, greengageroute.SmallBody - (4 << 10) - 512, 64 << 10}
 
-	errOverBudget = &Refusal{http.StatusServiceUnavailable, "the entry holds as many bytes for its callers as it may", "retry after the given time", overBudgetRetryAfter}
-	errTooLong    = &Refusal{http.StatusRequestEntityTooLarge, "the request body is too long", "send a shorter body", 0}
-	errStalled    = &Refusal{http.StatusRequestTimeout, "the request body has stopped arriving", "send it again", 0}
-	errTooSlow    = &Refusal{http.StatusRequestTimeout, "the request body arrives too slowly", "send it again over a faster link", 0}
-	errReleased   = errors.New("the request has ended")
+	errOverBudget   = &Refusal{http.StatusServiceUnavailable, "the entry holds as many bytes for its callers as it may", "retry after the given time", overBudgetRetryAfter}
+	errTooLong      = &Refusal{http.StatusRequestEntityTooLarge, "the request body is too long", "send a shorter body", 0}
+	errStalled      = &Refusal{http.StatusRequestTimeout, "the request body has stopped arriving", "send it again", 0}
+	errTooSlow      = &Refusal{http.StatusRequestTimeout, "the request body arrives too slowly", "send it again over a faster link", 0}
+	errNoConnection = &Refusal{http.StatusServiceUnavailable, "the connection is needed for another caller", "retry after the given time", overBudgetRetryAfter}
+	errReleased     = errors.New("the request has ended")
 )
 
 func (refusal *Refusal) Error() string { return refusal.Reason + "; " + refusal.Remedy }
@@ -133,10 +134,27 @@
 	holding.reading = reading
 	if holding.conn != nil {
 		holding.conn.bodyStalled.Store(false)
+		if reading {
+			holding.conn.reader.Store(holding)
+		} else {
+			holding.conn.reader.Store(nil)
+		}
 	}
 	return holding.ended
 }
 
+// endReading ends a request whose body is being read. It reports false if the body has been read, or
+// the request was ended before.
+func (holding *Holding) endReading(cause error) bool {
+	holding.budget.mu.Lock()
+	defer holding.budget.mu.Unlock()
+	if !holding.reading || holding.ended != nil {
+		return false
+	}
+	holding.budget.end(holding, cause)
+	return true
+}
+
 // heldBytes describes the holding for the choice of a request to end.
 func (holding *Holding) heldBytes() greengageroute.HeldBytes {
 	return greengageroute.HeldBytes{
@@ -259,9 +277,21 @@
 		return
 	}
 	holding.writer.Header().Set("Connection", "close")
+	if holding.endedWith(errNoConnection) {
+		return // nothing more is read
+	}
 	BoundLeftover(holding.writer)
 }
 
+func (holding *Holding) endedWith(cause error) bool {
+	if holding.budget == nil {
+		return false
+	}
+	holding.budget.mu.Lock()
+	defer holding.budget.mu.Unlock()
+	return holding.ended == cause
+}
+
 // WithoutBody is middleware for handlers that read no bodies.
 func WithoutBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -117,10 +117,15 @@
 		return false
 	}
 	conn := conns[index]
-	if states[index].Phase == greengageroute.ConnectionStalled {
+	switch states[index].Phase {
+	case greengageroute.ConnectionStalled:
 		_ = conn.SetLinger(0) // an answer that was cut off must not look complete
 		_ = conn.Conn.Close()
-	} else {
+	case greengageroute.ConnectionReceiving:
+		if reader := conn.reader.Load(); reader == nil || !reader.endReading(errNoConnection) {
+			return false // the body has just been read
+		}
+	default:
 		conn.expireIfIdle() // a request that was just read is still served
 	}
 	listener.counters.Add(CountConnectionsClosed, 1)
--- a/intake/listener_test.go
+++ b/intake/listener_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
 )
 
 const testRequest = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok"
@@ -177,3 +179,52 @@
 		})
 	}
 }
+
+// TestBoundEndsSlowBodies guards against bodies that arrive piece by piece and take all connections, so
+// that no new one is served as long as they do.
+func TestBoundEndsSlowBodies(t *testing.T) {
+	const bound = 8
+	counters := new(expvar.Map).Init()
+	budget := NewBudget(greengageroute.BodyBudget{Total: bound * testLimit}, counters)
+	listener := intakeServer(t, budget)
+	listener.SetMaxConns(bound)
+	stop := make(chan struct{})
+	statuses := make(chan int, bound)
+	var senders sync.WaitGroup
+	for range bound {
+		conn, reader := dial(t, listener)
+		senders.Go(func() {
+			_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n")
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(50 * time.Millisecond):
+				}
+				if _, err := conn.Write(make([]byte, 4<<10)); err != nil {
+					break
+				}
+			}
+		})
+		go func() {
+			if response, err := http.ReadResponse(reader, nil); err == nil {
+				statuses <- response.StatusCode
+			}
+		}()
+	}
+	time.Sleep(1500 * time.Millisecond)
+	conn, reader := dial(t, listener)
+	_, _ = io.WriteString(conn, testRequest)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("a new connection beside slow bodies got %v, %v, want an answer", response, err)
+	}
+	if status := <-statuses; status != http.StatusServiceUnavailable {
+		t.Errorf("the slow body that made room was answered %d, want 503", status)
+	}
+	close(stop)
+	senders.Wait()
+	if closed := counters.Get(CountConnectionsClosed).String(); closed != "1" {
+		t.Errorf("%s connections were closed for one new one", closed)
+	}
+}
