Headers of many fields are charged to the budget (FAULT)

600 callers with headers of 15 KB in short fields, and large bodies that stop a byte short, took an entry of 206 MB to over 300 MB: a decoded header takes many times its length, is held as received and as it is forwarded, and was in no account. A header that takes over 16 KB once decoded is charged for both copies, on both interfaces; ordinary ones cost nothing.

--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -95,6 +95,11 @@
 		exchange.holding.Begin(request.Context(), budget, writer)
 		defer exchange.holding.Release()
 		ctx := context.WithValue(request.Context(), exchangeKey{}, exchange)
+		if err := exchange.holding.ReserveHeader(request.Header); err != nil {
+			exchange.holding.Abandon()
+			writeBodyRefusal(ctx, exchange, bodyError(err))
+			return
+		}
 		next.ServeHTTP(exchange, request.WithContext(ctx))
 	})
 }
@@ -115,11 +120,7 @@
 		}
 		raw, err := readBody(request.Context(), request.Body)
 		if err != nil {
-			exchangeFrom(request.Context()).retryAfter = refusalFor(err).RetryAfter
-			status, refusal := EncodeRefusal(err)
-			writer.Header().Set("Content-Type", contentJSON)
-			writer.WriteHeader(status)
-			_, _ = writer.Write(refusal) // if it fails, the caller has disconnected
+			writeBodyRefusal(request.Context(), writer, err)
 			return
 		}
 		buffered := request.WithContext(request.Context())
@@ -128,6 +129,15 @@
 	})
 }
 
+// writeBodyRefusal answers a request that wasn't read to its end.
+func writeBodyRefusal(ctx context.Context, writer http.ResponseWriter, err error) {
+	exchangeFrom(ctx).retryAfter = refusalFor(err).RetryAfter
+	status, refusal := EncodeRefusal(err)
+	writer.Header().Set("Content-Type", contentJSON)
+	writer.WriteHeader(status)
+	_, _ = writer.Write(refusal) // if it fails, the caller has disconnected
+}
+
 func exchangeFrom(ctx context.Context) *exchange {
 	found, ok := ctx.Value(exchangeKey{}).(*exchange)
 	if !ok {
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -333,7 +333,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	ctx := httpRequest.Context()
-	for _, step := range []filter{matchRoute, checkHelp, authenticate, checkPlacement, readBody, checkQuarantine, checkStop, forward} {
+	for _, step := range []filter{chargeHeader, matchRoute, checkHelp, authenticate, checkPlacement, readBody, checkQuarantine, checkStop, forward} {
 		if err := step(ctx, exchange); err != nil {
 			exchange.fail(err)
 			return
--- a/edge/filters.go
+++ b/edge/filters.go
@@ -87,6 +87,23 @@
 	return nil
 }
 
+// chargeHeader charges a long header to the budget.
+func chargeHeader(_ context.Context, exchange *exchange) error {
+	err := exchange.holding.ReserveHeader(exchange.httpRequest.Header)
+	var refused *intake.Refusal
+	if !errors.As(err, &refused) {
+		return err
+	}
+	exchange.holding.Abandon()
+	return exchange.refuseToHold(refused)
+}
+
+// refuseToHold returns the error of a request that isn't read to its end.
+func (exchange *exchange) refuseToHold(refused *intake.Refusal) error {
+	exchange.bodyRefused = true
+	return &Refusal{Status: refused.Status, Reason: refused.Reason, Remedy: refused.Remedy, RetryAfter: refused.RetryAfter}
+}
+
 // readBody buffers the whole body, so that it can be sent more than once.
 func readBody(_ context.Context, exchange *exchange) error {
 	if exchange.httpRequest.ContentLength == 0 {
@@ -98,8 +115,7 @@
 	var refused *intake.Refusal
 	switch {
 	case errors.As(err, &refused):
-		exchange.bodyRefused = true
-		return &Refusal{Status: refused.Status, Reason: refused.Reason, Remedy: refused.Remedy, RetryAfter: refused.RetryAfter}
+		return exchange.refuseToHold(refused)
 	case err != nil && exchange.service.running.Err() != nil:
 		return unavailable(stoppingReason, stopRetryAfter)
 	case isDisconnect(err):
--- a/intake/holding.go
+++ b/intake/holding.go
@@ -20,6 +20,10 @@
 	// stalledWriteChecks is the number of checks without progress after which a caller
 	// counts as one that doesn't read.
 	stalledWriteChecks = 2
+	// headerFieldBytes is what a field of a decoded header takes beside its text, and headerCopies
+	// how often a header is held: as received, and as it is forwarded.
+	headerFieldBytes = 128
+	headerCopies     = 2
 	// overBudgetRetryAfter is about as long as it takes until callers that have stopped can be
 	// told from those that send.
 	overBudgetRetryAfter = 2 * time.Second
@@ -101,6 +105,21 @@
 	return holding.reserve(bytes)
 }
 
+// ReserveHeader reserves what a long header takes until the end of the request. A header of many short
+// fields takes a multiple of its length. Shorter ones are part of what a connection takes.
+func (holding *Holding) ReserveHeader(header http.Header) error {
+	bytes := int64(0)
+	for name, values := range header {
+		for _, value := range values {
+			bytes += int64(len(name)+len(value)) + headerFieldBytes
+		}
+	}
+	if bytes *= headerCopies; bytes <= greengageroute.SmallBody {
+		return nil
+	}
+	return holding.Reserve(bytes)
+}
+
 // reserve does what Reserve does. The caller holds the budget's mu.
 func (holding *Holding) reserve(bytes int64) error {
 	budget := holding.budget
--- a/intake/holding_test.go
+++ b/intake/holding_test.go
@@ -159,3 +159,44 @@
 		t.Errorf("after the release: error %v, %d bytes held, want an error and 0", err, budget.Used())
 	}
 }
+
+// TestLongHeadersAreCharged guards against requests whose headers of many short fields take many times
+// their length, in no account, until the process is out of memory.
+func TestLongHeadersAreCharged(t *testing.T) {
+	fields := func(count int, value string) http.Header {
+		header := http.Header{}
+		for i := range count {
+			header.Set(fmt.Sprint("X-", i), value)
+		}
+		return header
+	}
+	budget := NewBudget(greengageroute.BodyBudget{Total: testLimit, SmallReserve: testLimit / 4}, new(expvar.Map).Init())
+	var holdings [4]Holding
+	for i, test := range []struct {
+		name        string
+		header      http.Header
+		least, most int64
+		refused     bool
+	}{
+		{"an ordinary one", fields(20, strings.Repeat("x", 100)), 0, 0, false},
+		{"many short fields", fields(1800, "x"), 460_000, 520_000, false},
+		{"one long field", fields(1, strings.Repeat("x", 15_000)), 30_000, 31_000, false},
+		{"many more of them", fields(1800, "x"), 0, 0, true},
+	} {
+		before, holding := budget.Used(), &holdings[i]
+		holding.Begin(context.Background(), budget, nil)
+		err := holding.ReserveHeader(test.header)
+		if refused := errors.Is(err, errOverBudget); refused != test.refused {
+			t.Errorf("%s: got error %v, want a refusal: %t", test.name, err, test.refused)
+		}
+		if charged := budget.Used() - before; charged < test.least || charged > test.most {
+			t.Errorf("%s: %d bytes are charged, want %d to %d", test.name, charged, test.least, test.most)
+		}
+	}
+	for i := range holdings {
+		holdings[i].Release()
+	}
+	if budget.Used() != 0 {
+		t.Errorf("%d bytes are still held", budget.Used())
+	}
+}
