Model of groups: the store comes back from a copy, and a fresh planner takes over

The random sequences have another event: the rows of all targets go back by some revisions, the planner's rows are gone, and an entry that knows no later rows plans.

--- a/control/groupmodel_test.go
+++ b/control/groupmodel_test.go
@@ -58,9 +58,10 @@
 		silent    bool
 		suspended time.Time // since when it is silent and its clock stands still; zero if it isn't
 		unlisted  bool
-		earlier   *greengageroute.Target // the row before the last one
-		published time.Time              // when the last row was written
-		stalledAt time.Time              // of a head that serves and lacks a member
+		earlier   *greengageroute.Target  // the row before the last one
+		rows      []greengageroute.Target // all that were written
+		published time.Time               // when the last row was written
+		stalledAt time.Time               // of a head that serves and lacks a member
 		seenEpoch uint64
 		readyAt   time.Time // when its join ends; zero if none is under way
 		opensAt   time.Time // when it opens after an order; zero if it had none
@@ -86,6 +87,7 @@
 		late       []greengageroute.TargetOrder
 		store      *fakeStore
 		revision   uint64
+		era        uint64 // of the store
 		fence      uint64
 		fate       fate
 		used       map[string]int // how often each limited event has happened
@@ -180,6 +182,28 @@
 	world.buildFormation()
 }
 
+// restore brings the store back from a copy of some revisions before, which lacks the planner's rows, and
+// has an entry that has just started take over. The targets write their rows again later. Who left a
+// replica of which the head may still serve isn't known any more: such a target is in no replica.
+func (world *modelWorld) restore(revisions uint64) {
+	world.era++
+	world.store = newFakeStore()
+	world.directory = NewDirectory(world.clock)
+	for _, id := range slices.Sorted(maps.Keys(world.targets)) {
+		target := world.targets[id]
+		target.earlier, target.former = nil, nil
+		for _, row := range slices.Backward(target.rows) {
+			if row.Revision.Version+revisions <= world.revision {
+				row.Revision.Era = world.era
+				world.directory.Apply([]greengageroute.Target{row}, nil, time.Time{})
+				break
+			}
+		}
+	}
+	world.replacePlanner()
+	world.before = world.planner
+}
+
 // returnPlanner has the planner of before take the lease again.
 func (world *modelWorld) returnPlanner() {
 	world.fence++
@@ -465,7 +489,8 @@
 	row := target.Target
 	target.published = world.clock.now
 	world.revision++
-	row.Revision, row.Statement = greengageroute.StoreRevision{Version: world.revision}, world.revision
+	row.Revision, row.Statement = greengageroute.StoreRevision{Era: world.era, Version: world.revision}, world.revision
+	target.rows = append(target.rows, row)
 	if known, listed := world.directory.View().Target(id); listed {
 		target.earlier = &known
 	}
@@ -483,7 +508,7 @@
 func (world *modelWorld) publishLate(id string) {
 	row := *world.targets[id].earlier
 	world.revision++
-	row.Revision = greengageroute.StoreRevision{Version: world.revision}
+	row.Revision = greengageroute.StoreRevision{Era: world.era, Version: world.revision}
 	world.directory.Apply([]greengageroute.Target{row}, nil, time.Time{})
 }
 
@@ -506,6 +531,9 @@
 	}
 	limited("4 s pass", 4, func(world *modelWorld) { world.advance(modelAdvance) })
 	limited("planner", 1, (*modelWorld).replacePlanner)
+	if world.takesTime {
+		limited("store restored", 1, func(world *modelWorld) { world.restore(uint64(4 * (1 + world.used["store restored"]%4))) })
+	}
 	if world.used["planner"] > 0 {
 		limited("first planner", 1, (*modelWorld).returnPlanner)
 	}
