--- a/control/groupmodel_test.go
+++ b/control/groupmodel_test.go
@@ -184,11 +184,13 @@
 
 // restore brings the store back from a copy of some revisions before, which lacks the planner's rows, and
 // has an entry that has just started take over. The targets write their rows again later. Who left a
-// replica of which the head may still serve isn't known any more: such a target is in no replica.
+// replica of which the head may still serve isn't known any more, also if the order to leave is still on
+// its way: such a target is in no replica.
 func (world *modelWorld) restore(revisions uint64) {
 	world.era++
 	world.store = newFakeStore()
 	world.directory = NewDirectory(world.clock)
+	world.late = slices.DeleteFunc(world.late, func(order greengageroute.TargetOrder) bool { return order.Kind == greengageroute.OrderLeave })
 	for _, id := range slices.Sorted(maps.Keys(world.targets)) {
 		target := world.targets[id]
 		target.earlier, target.former = nil, nil
