Orders to join after a close or a stage: reports may not count these yet

A report is some hundred milliseconds old. An order to join that follows an accepted order to stage expects no number of orders, and one that follows an accepted close asks for no report: it would have been held back or refused, and repeated 0.7 s later only.

--- a/control/statecheck.go
+++ b/control/statecheck.go
@@ -13,8 +13,8 @@
 	"greengageroute.example/greengageroute/mesh"
 )
 
-// acceptedOrderTTL is how long an accepted order to join or leave tells a target's state. Until then
-// reports may be from before it.
+// acceptedOrderTTL is how long an accepted order tells a target's state. Until then reports may be from
+// before it.
 const acceptedOrderTTL = time.Second
 
 type (
@@ -26,13 +26,14 @@
 		clock    greengageroute.Clock
 
 		mu       sync.Mutex
-		accepted map[mesh.TargetInstance]acceptedOrder // the last one to join or leave
+		accepted map[mesh.TargetInstance]acceptedOrder // the last one
 	}
 
-	// acceptedOrder is an order to join or leave that a target accepted.
+	// acceptedOrder is an order that a target accepted.
 	acceptedOrder struct {
-		joined greengageroute.ReplicaKey // zero if it left
-		at     time.Time
+		kind    greengageroute.OrderKind
+		replica greengageroute.ReplicaKey
+		at      time.Time
 	}
 
 	// OutdatedTargetError reports that an order wasn't sent or executed, since the target isn't in
@@ -81,7 +82,8 @@
 // confirmTarget returns an error unless the target is in the state that the planner knows. It returns
 // the number of orders that the target has accepted, if known.
 func (check *StateCheck) confirmTarget(ctx context.Context, target greengageroute.Target, timeout time.Duration) (*uint64, error) {
-	if _, accepted := check.lastAccepted(target); accepted {
+	last, accepted := check.lastAccepted(target)
+	if accepted && last.tellsReplica() {
 		return nil, nil
 	}
 	report, err := check.reporter.Report(ctx, target, timeout)
@@ -91,6 +93,9 @@
 	if reason := differenceFrom(target, report); reason != "" {
 		return nil, &OutdatedTargetError{target.ID, reason}
 	}
+	if accepted {
+		return nil, nil // the report may not count that order
+	}
 	return report.AcceptedOrders, nil
 }
 
@@ -102,8 +107,8 @@
 		return nil
 	}
 	last, accepted := check.lastAccepted(*head)
-	isMember := last.joined == former
-	if !accepted {
+	isMember := last.replica == former && last.kind != greengageroute.OrderLeave
+	if !accepted || !last.tellsReplica() {
 		report, err := check.reporter.Report(ctx, *head, timeout)
 		if err != nil {
 			return &OutdatedTargetError{head.ID, "its state isn't known (" + err.Error() + ")"}
@@ -143,18 +148,21 @@
 	return last, accepted && check.clock.Now().Sub(last.at) < acceptedOrderTTL
 }
 
-func (check *StateCheck) recordAccepted(order greengageroute.TargetOrder) {
-	var joined greengageroute.ReplicaKey
-	switch order.Kind {
-	case greengageroute.OrderJoin:
-		joined = order.Key()
-	case greengageroute.OrderLeave:
+// tellsReplica reports whether a target that accepted the order is known to be in its replica, and not
+// to serve there, or to have left it.
+func (order acceptedOrder) tellsReplica() bool {
+	switch order.kind {
+	case greengageroute.OrderJoin, greengageroute.OrderClose, greengageroute.OrderLeave:
+		return true
 	default:
-		return
+		return false
 	}
+}
+
+func (check *StateCheck) recordAccepted(order greengageroute.TargetOrder) {
 	check.mu.Lock()
 	defer check.mu.Unlock()
 	now := check.clock.Now()
 	maps.DeleteFunc(check.accepted, func(_ mesh.TargetInstance, last acceptedOrder) bool { return now.Sub(last.at) >= acceptedOrderTTL })
-	check.accepted[order.Target.Instance()] = acceptedOrder{joined, now}
+	check.accepted[order.Target.Instance()] = acceptedOrder{order.Kind, order.Key(), now}
 }
--- a/formationorders.go
+++ b/formationorders.go
@@ -137,8 +137,8 @@
 	return formation.absentConstraintOf(target, member, replica, view)
 }
 
-// formerHead returns the listed head of the replica that a target leaves by joining another one, if
-// that head isn't known to be a member there. Its row may be behind it.
+// formerHead returns the head of the replica that a target leaves by joining another one, if it is
+// listed. Its row may be behind it.
 func (formation *Formation) formerHead(target Target, replica string, view PoolView) *Target {
 	member := target.Membership
 	if member.Replica == "" || member.Replica == replica || member.Rank == 0 {
