A spare that has the model loaded isn't replaced while it joins

A target joins a replica of the model of the one before at once, whatever its host has staged; the planner records that model. Without the comparison the test's member is replaced, as the case with another model shows.

--- a/control/heads.go
+++ b/control/heads.go
@@ -204,6 +204,7 @@
 	clear(planner.unknownHeads)
 	clear(planner.lostMembers)
 	clear(planner.left)
+	clear(planner.loaded)
 	clear(planner.storedHeads)
 	clear(planner.storedReleases)
 	clear(planner.headsVersions)
--- a/control/headstate.go
+++ b/control/headstate.go
@@ -51,6 +51,26 @@
 	}
 }
 
+// recordLoaded records the replica that a target is listed in, and returns the model that it had loaded
+// before, if that is known. The caller holds the lock.
+func (planner *Planner) recordLoaded(target greengageroute.Target) string {
+	member := target.Membership
+	last, known := planner.loaded[target.ID]
+	if !known || last.startUnixMilli != target.StartUnixMilli {
+		last = loadedModel{startUnixMilli: target.StartUnixMilli}
+	}
+	if key := replicaIDOf(&target).ReplicaKey; member.Replica != "" && last.replica != key {
+		before := ""
+		if last.formed || last.before == last.model {
+			before = last.model
+		}
+		last = loadedModel{startUnixMilli: target.StartUnixMilli, replica: key, model: member.Model, before: before}
+	}
+	last.formed = last.formed || member.Replica != "" && member.Formed()
+	planner.loaded[target.ID] = last
+	return last.before
+}
+
 // recordStageResult forgets that a target stages a model if it has refused to.
 func (planner *Planner) recordStageResult(order greengageroute.TargetOrder, err error) {
 	var refused *greengageroute.OrderRefusedError
--- a/control/planner.go
+++ b/control/planner.go
@@ -143,6 +143,7 @@
 		mu      sync.Mutex
 		sent    map[string]sentOrder // last order by sentKey
 		staging map[string]stagingModel
+		loaded  map[string]loadedModel // by target
 		// absentHeads holds what is known of heads that were ordered to close, until they
 		// are listed again.
 		absentHeads map[replicaID]absentHead
@@ -205,6 +206,16 @@
 		at             time.Time
 	}
 
+	// loadedModel is the replica that one run of a target was last listed in, and the model that it
+	// had loaded before.
+	loadedModel struct {
+		startUnixMilli int64
+		replica        greengageroute.ReplicaKey
+		model          string
+		formed         bool
+		before         string
+	}
+
 	// stagingModel is a model that one run of a target was ordered to stage.
 	stagingModel struct {
 		model          string
@@ -217,7 +228,7 @@
 func NewPlanner(options PlannerOptions) *Planner {
 	return &Planner{
 		PlannerOptions: options, wake: make(chan struct{}, 1),
-		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staging: map[string]stagingModel{},
+		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staging: map[string]stagingModel{}, loaded: map[string]loadedModel{},
 		loggedStates: map[string]string{}, unknownHeads: map[string]datedTarget{}, oddHeads: map[string]oddHeads{}, pendingOpens: map[string]pendingOpen{}, storedHeads: map[string]string{},
 		absentHeads: map[replicaID]absentHead{}, lostMembers: map[replicaID]lostMember{},
 		storedReleases: map[string]map[storedRelease]bool{}, headsVersions: map[string]uint64{}, left: map[string]leftReplica{},
@@ -324,6 +335,7 @@
 		if slow.Has(target.ID) && target.State == greengageroute.TargetReady {
 			target.State = greengageroute.TargetSlow
 		}
+		target.Loaded = planner.recordLoaded(target)
 		targets[target.ID] = target
 	}
 	absent, absentSince := maps.Clone(view.Absent), maps.Clone(view.AbsentSince)
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -487,3 +487,31 @@
 		}
 	})
 }
+
+// TestLoadedModelOfJoiningTargets guards against members that count as loading although their last
+// replica had the same model.
+func TestLoadedModelOfJoiningTargets(t *testing.T) {
+	planner, _ := newTestPlanner(fakeActivity{})
+	listed := func(start int64, replica string, epoch uint64, model string, state greengageroute.MemberState) greengageroute.Target {
+		return greengageroute.Target{ID: "i-1", Pool: "llm", StartUnixMilli: start, Membership: greengageroute.Membership{Replica: replica, Epoch: epoch, Model: model, State: state}}
+	}
+	for _, step := range []struct {
+		name string
+		row  greengageroute.Target
+		want string
+	}{
+		{"it loads", listed(1, "spare-1", 1, "m", greengageroute.MemberJoining), ""},
+		{"it joins again before the load has ended", listed(1, "r1", 2, "m", greengageroute.MemberJoining), ""},
+		{"it has formed", listed(1, "r1", 2, "m", greengageroute.MemberReady), ""},
+		{"it is in no replica", listed(1, "", 0, "", ""), ""},
+		{"it joins one of the same model", listed(1, "r2", 3, "m", greengageroute.MemberJoining), "m"},
+		{"it joins another one before it has formed", listed(1, "r3", 4, "m", greengageroute.MemberJoining), "m"},
+		{"it joins one of another model", listed(1, "r4", 5, "n", greengageroute.MemberJoining), "m"},
+		{"it joins one of the first model again", listed(1, "r5", 6, "m", greengageroute.MemberJoining), ""},
+		{"it has restarted", listed(2, "r6", 7, "m", greengageroute.MemberJoining), ""},
+	} {
+		if got := planner.recordLoaded(step.row); step.row.Membership.State == greengageroute.MemberJoining && got != step.want {
+			t.Errorf("%s: the loaded model is %q, want %q", step.name, got, step.want)
+		}
+	}
+}
--- a/target.go
+++ b/target.go
@@ -40,6 +40,9 @@
 		Staged         []string
 		Staging        string // model that the target is staging by order; empty once done
 		Membership     Membership
+		// Loaded is the model of the replica in which the target was before the one that it joins.
+		// It joins one of the same model at once, whatever its host has staged.
+		Loaded string
 		// Revision is the revision of the list's row, so that an older reading never
 		// replaces a newer one.
 		Revision StoreRevision
@@ -110,7 +113,8 @@
 // joinsWithLoad reports whether the target is joining a replica and loads the weights
 // for it.
 func (target Target) joinsWithLoad() bool {
-	return target.Membership.State == MemberJoining && !target.HasStaged(target.Membership.Model)
+	model := target.Membership.Model
+	return target.Membership.State == MemberJoining && !target.HasStaged(model) && target.Loaded != model
 }
 
 // StatedAfter reports whether the target wrote its row after another one, also if the
