Checks of links count only if they began after the failure they explain

An entry that loses its links to a pool by resets, and had checked them up to 150 ms before, took the loss for crashes of the targets: it refused the requests that it had sent as if they crashed targets, for 30 s and, as reports and verdicts spread, at all entries, and it told the others that sound members of replicas had failed. Callers saw 503 with Retry-After from 30 s down.

Cause: the result of a check counts for 150 ms, a crash is checked 50 ms after an answer is lost, and a failed probe at once. Checks are made whenever an attempt fails, so that one lies shortly before a cut as soon as anything else fails.

TestLinksLostAfterTheirCheckAreNotFailedTargets: two sound targets count as failed, and the others are told so. A check that begins after the loss finds it. Losses within 50 ms share one.

--- a/control/prober.go
+++ b/control/prober.go
@@ -122,6 +122,7 @@
 		state   greengageroute.LinkState
 		check   chan struct{} // holds a token while targets are probed
 		targets int           // at the last check
+		began   time.Time     // the last check
 	}
 
 	// Prober probes the members of unresponsive replicas and reports those that are
@@ -208,7 +209,7 @@
 		prober.log.Info("unresponsive replica is healthy; all members answered a probe", "replica", replica.Name, "epoch", replica.Epoch)
 		return
 	}
-	if !prober.LinksWork(replica.Pool) {
+	if !prober.LinksWorkSince(replica.Pool, prober.clock.Now()) {
 		prober.counters.Add(CountFailuresInDoubt, int64(len(failed)))
 		return
 	}
@@ -337,7 +338,7 @@
 				}
 				return
 			}
-			if !prober.LinksWork(target.Pool) {
+			if !prober.LinksWorkSince(target.Pool, prober.clock.Now()) {
 				prober.counters.Add(CountFailuresInDoubt, 1)
 				return
 			}
@@ -418,10 +419,23 @@
 
 // linksWork does the same, by the last check if it was done within the given time.
 func (prober *Prober) linksWork(pool string, within time.Duration) bool {
+	return prober.linksWorkUnless(pool, func(links *poolLinks) bool {
+		return links.state.CheckedWithin(within, prober.clock.Now())
+	})
+}
+
+// LinksWorkSince does the same by a check that began no earlier than the given time, at which
+// something failed: an earlier one can't tell whether it was the links.
+func (prober *Prober) LinksWorkSince(pool string, since time.Time) bool {
+	return prober.linksWorkUnless(pool, func(links *poolLinks) bool { return !links.began.Before(since) })
+}
+
+// linksWorkUnless does the same by the last check if that suffices.
+func (prober *Prober) linksWorkUnless(pool string, suffices func(links *poolLinks) bool) bool {
 	links := prober.poolLinks(pool)
 	links.check <- struct{}{}
 	defer func() { <-links.check }()
-	if !links.state.CheckedWithin(within, prober.clock.Now()) {
+	if !suffices(links) {
 		prober.checkLinks(pool, links)
 	}
 	prober.mu.Lock()
@@ -445,6 +459,7 @@
 // work if most of either respond: the other data centres may be cut off, and this one may be
 // dark. The caller holds the pool's check.
 func (prober *Prober) checkLinks(pool string, links *poolLinks) {
+	links.began = prober.clock.Now()
 	serving := prober.directory.Serving()
 	total := len(serving)
 	targets := slices.DeleteFunc(slices.Clone(serving), func(target greengageroute.Target) bool { return target.Pool != pool })
--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -279,6 +279,61 @@
 	})
 }
 
+// cutReporter responds for all targets until it is cut off from them; then they refuse connections.
+type cutReporter struct{ cut atomic.Bool }
+
+func (reporter *cutReporter) Report(context.Context, greengageroute.Target, time.Duration) (greengageroute.TargetReport, error) {
+	if reporter.cut.Load() {
+		return greengageroute.TargetReport{}, errors.New("connection refused")
+	}
+	time.Sleep(2 * time.Millisecond)
+	return greengageroute.TargetReport{StartUnixMilli: 1}, nil
+}
+
+// TestLinksLostAfterTheirCheckAreNotFailedTargets guards against an entry that tells the others that
+// sound targets failed, since its links worked as it checked them shortly before.
+func TestLinksLostAfterTheirCheckAreNotFailedTargets(t *testing.T) {
+	probes := map[string]func(prober *Prober, members []greengageroute.Target){
+		"members of a silent replica": func(prober *Prober, members []greengageroute.Target) {
+			prober.ProbeReplica(greengageroute.Replica{Name: "r", Epoch: 1, Pool: "llm", Members: members})
+		},
+		"targets that others report": func(prober *Prober, members []greengageroute.Target) {
+			prober.ConfirmReports([]mesh.TargetInstance{members[0].Instance(), members[1].Instance()})
+		},
+	}
+	for name, probe := range probes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				directory := NewDirectory(greengageroute.RuntimeClock{})
+				var targets []greengageroute.Target
+				for i := range 10 {
+					targets = append(targets, greengageroute.Target{ID: fmt.Sprint("a-", i), Pool: "llm", DataCentre: "a", StartUnixMilli: 1})
+				}
+				directory.Replace(targets, time.Time{})
+				reporter, notifier := &cutReporter{}, &fakeNotifier{}
+				prober := NewProber("a", reporter, directory, notifier, greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
+				if !prober.LinksWork("llm") {
+					t.Error("the links don't work before the cut")
+				}
+				reporter.cut.Store(true)
+				probe(prober, targets[:2])
+				time.Sleep(time.Second)
+				if found := notifier.reportedUnreachable(); len(found) > 0 {
+					t.Errorf("the others are told that %v failed", found)
+				}
+				if found := directory.Unreachable(); len(found) > 0 {
+					t.Errorf("%d targets count as failed", len(found))
+				}
+				if !prober.LostPool("llm") {
+					t.Error("the links count as working after the cut")
+				}
+				reporter.cut.Store(false)
+				time.Sleep(2 * time.Second) // lets other probes end
+			})
+		})
+	}
+}
+
 // except returns the ids of all targets but one.
 func except(id string) (ids []string) {
 	for i := range 10 {
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -43,6 +43,10 @@
 	return !entry.isolated
 }
 
+func (entry *isolatedEntry) LinksWorkSince(pool string, _ time.Time) bool {
+	return entry.LinksWork(pool)
+}
+
 func (entry *isolatedEntry) Do(ctx context.Context, _ greengageroute.Request, attempt greengageroute.Attempt) (*upstream.Answer, error) {
 	if !attempt.ToEntry && entry.target != nil {
 		return entry.target(ctx, attempt)
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -54,6 +54,7 @@
 		return // a target that is silent hasn't crashed
 	}
 	service, lostAt := exchange.service, time.Now()
+	report := func() { exchange.reportCrash(target, sentAt, lostAt, progress) }
 	checked := make(chan struct{})
 	time.AfterFunc(crashCheckDelay, func() {
 		defer close(checked)
@@ -61,18 +62,10 @@
 			return
 		}
 		service.probeHead(target)
-		if progress.IsSound() || !service.Prober.LinksWork(target.Pool) {
-			return
-		}
-		service.Counters.Add(CountCrashReports, 1)
-		suspects := service.quarantine.Suspects(exchange.partCauses, lostAt)
-		service.Log.Info("target crashed while running a request", "id", exchange.ID, "target", target.ID, "born", target.StartUnixMilli, "digest", exchange.cause.String(),
-			"prompt-parts", strings.Join(exchange.PromptParts, " "), "suspects", len(suspects), "events", progress.Pieces(),
-			"sent-ms-before", lostAt.Sub(sentAt).Milliseconds(), "first-event-ms-before", progress.SinceFirst(lostAt).Milliseconds())
-		crashID := target.ID + "/" + strconv.FormatInt(target.StartUnixMilli, 10)
-		for _, report := range greengageroute.NewCrashReports(crashID, exchange.cause, suspects) {
-			service.RecordCrash(report)
-			service.Peers.ReportCrash(report)
+		switch {
+		case progress.IsSound() || !service.Prober.LinksWorkSince(target.Pool, lostAt):
+		default:
+			report()
 		}
 	})
 	if !progress.IsSound() && service.quarantine.Suspected(exchange.cause, exchange.partCauses) {
@@ -84,6 +77,21 @@
 	}
 }
 
+// reportCrash records that the target crashed while it ran the request, and tells the other entries.
+func (exchange *exchange) reportCrash(target greengageroute.Target, sentAt, lostAt time.Time, progress greengageroute.AnswerProgress) {
+	service := exchange.service
+	service.Counters.Add(CountCrashReports, 1)
+	suspects := service.quarantine.Suspects(exchange.partCauses, lostAt)
+	service.Log.Info("target crashed while running a request", "id", exchange.ID, "target", target.ID, "born", target.StartUnixMilli, "digest", exchange.cause.String(),
+		"prompt-parts", strings.Join(exchange.PromptParts, " "), "suspects", len(suspects), "events", progress.Pieces(),
+		"sent-ms-before", lostAt.Sub(sentAt).Milliseconds(), "first-event-ms-before", progress.SinceFirst(lostAt).Milliseconds())
+	crashID := target.ID + "/" + strconv.FormatInt(target.StartUnixMilli, 10)
+	for _, report := range greengageroute.NewCrashReports(crashID, exchange.cause, suspects) {
+		service.RecordCrash(report)
+		service.Peers.ReportCrash(report)
+	}
+}
+
 // probeHead requests a health check of the replica whose head can't be connected to.
 func (service *Service) probeHead(head greengageroute.Target) {
 	if replica, found := service.Directory.View().ReplicaOf(head); found {
