Small pools: lost links aren't taken for crashes

An entry that is cut off from a pool of up to four targets by resets refused sound requests for 30 s, "targets crashed while running this request", and so did the others that it told.

Cause: in a pool of fewer than five targets that all fail, the links count as working, so that a pool that ends as a whole is noticed. The entry knew at the same time that it reached none of them, and forwarded requests. Now such a crash is reported once the list of targets shows that the target has ended, by its absence or by a later start.

--- a/control/directory.go
+++ b/control/directory.go
@@ -319,6 +319,13 @@
 	return renewed
 }
 
+// Lists reports whether a target is listed with the same start time, be it unreachable or not.
+func (directory *Directory) Lists(instance mesh.TargetInstance) bool {
+	directory.mu.Lock()
+	defer directory.mu.Unlock()
+	return directory.lists(instance)
+}
+
 // lists reports whether a target is listed with the same start time. The caller holds the lock.
 func (directory *Directory) lists(instance mesh.TargetInstance) bool {
 	target, listed := directory.targets[instance.ID]
--- a/edge/lostlinks_test.go
+++ b/edge/lostlinks_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/control"
 )
 
 // TestLostLinksAreNoCrashes guards against sound requests that are refused since an entry takes
@@ -15,8 +19,11 @@
 		pools   []string
 		checked bool // the links are checked just before the cut
 	}{
+		{"a small pool", []string{"ledger"}, false},
+		{"a small pool, links checked before", []string{"ledger"}, true},
 		{"a large pool", []string{"llm"}, false},
 		{"a large pool, links checked before", []string{"llm"}, true},
+		{"both pools, links checked before", bothPools, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -56,3 +63,65 @@
 		})
 	}
 }
+
+// lostPoolProber is a prober that reaches no target of a small pool since the first check of its
+// links. The targets may have ended as well.
+type lostPoolProber struct {
+	calmDependencies
+	lost atomic.Bool
+}
+
+func (prober *lostPoolProber) LostPool(string) bool { return prober.lost.Load() }
+
+func (prober *lostPoolProber) LinksWork(string) bool {
+	prober.lost.Store(true)
+	return true // small pools say nothing about links
+}
+
+func (prober *lostPoolProber) LinksWorkSince(pool string, _ time.Time) bool {
+	return prober.LinksWork(pool)
+}
+
+func (prober *lostPoolProber) AcceptsConnections(greengageroute.Target) bool { return false }
+
+// TestCrashesOfSmallPoolsAreReported guards against requests that crash all targets of a small pool
+// and are sent again as these return, as if only the links to them were lost.
+func TestCrashesOfSmallPoolsAreReported(t *testing.T) {
+	ended := func(directory *control.Directory, target greengageroute.Target) {
+		directory.Apply(nil, []string{target.ID}, time.Now())
+	}
+	tests := []struct {
+		name    string
+		change  func(directory *control.Directory, target greengageroute.Target) // within a second of the loss
+		reports int
+	}{
+		{"it is no longer listed", ended, 1},
+		{
+			"it is listed with a later start", func(directory *control.Directory, target greengageroute.Target) {
+				target.StartUnixMilli++
+				directory.Apply([]greengageroute.Target{target}, nil, time.Now())
+			}, 1,
+		},
+		{"it stays listed", func(*control.Directory, greengageroute.Target) {}, 0},
+		{
+			"it writes its row again", func(directory *control.Directory, target greengageroute.Target) {
+				directory.Apply([]greengageroute.Target{target}, nil, time.Now())
+			}, 0,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fixture := newFixture(script{resets})
+				fixture.service.Prober = &lostPoolProber{}
+				fixture.serve(newRequest("POST", "/post/x"))
+				sent := fixture.attempts[0].Target
+				time.AfterFunc(time.Second, func() { test.change(fixture.service.Directory, sent) })
+				time.Sleep(10 * time.Second)
+				if len(fixture.crashes) != test.reports {
+					t.Errorf("%d crashes are reported, want %d", len(fixture.crashes), test.reports)
+				}
+			})
+		})
+	}
+}
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -18,6 +18,13 @@
 // process that crashes closes its listener together with its connections.
 const crashCheckDelay = 50 * time.Millisecond
 
+const (
+	// endedRowTime is how long the row of a target that may have ended is watched: rows lapse
+	// within a few heartbeats.
+	endedRowTime     = 8 * time.Second
+	endedRowInterval = 100 * time.Millisecond
+)
+
 // checkQuarantine refuses requests that crash targets.
 func checkQuarantine(_ context.Context, exchange *exchange) error {
 	exchange.cause = greengageroute.BodyCause(exchange.Body, exchange.Workspace, exchange.Method, exchange.Host, exchange.URI)
@@ -47,7 +54,7 @@
 
 // checkCrash checks whether the target crashed while running the request. If so, and
 // the request may be the cause, it reports the crash to the other entries. It waits for
-// the result only if the request is suspected already.
+// the result only if the request is suspected already, and not for one in doubt.
 func (exchange *exchange) checkCrash(ctx context.Context, target greengageroute.Target, sentAt time.Time, progress greengageroute.AnswerProgress, cause error) {
 	var lost *upstream.AnswerLostError
 	if !errors.As(cause, &lost) || ctx.Err() != nil || errors.Is(cause, os.ErrDeadlineExceeded) {
@@ -64,6 +71,13 @@
 		service.probeHead(target)
 		switch {
 		case progress.IsSound() || !service.Prober.LinksWorkSince(target.Pool, lostAt):
+		case service.Prober.LostPool(target.Pool):
+			// A small pool, of which nothing responds: either all targets have ended, or the links are lost.
+			go func() {
+				if service.awaitEnd(target) {
+					report()
+				}
+			}()
 		default:
 			report()
 		}
@@ -77,6 +91,17 @@
 	}
 }
 
+// awaitEnd reports whether the list of targets shows within endedRowTime that a target has ended.
+func (service *Service) awaitEnd(target greengageroute.Target) bool {
+	for end := time.Now().Add(endedRowTime); time.Now().Before(end) && service.running.Err() == nil; {
+		greengageroute.Sleep(service.running, endedRowInterval)
+		if !service.Directory.Lists(target.Instance()) {
+			return true
+		}
+	}
+	return false
+}
+
 // reportCrash records that the target crashed while it ran the request, and tells the other entries.
 func (exchange *exchange) reportCrash(target greengageroute.Target, sentAt, lostAt time.Time, progress greengageroute.AnswerProgress) {
 	service := exchange.service
