--- a/edge/forward.go
+++ b/edge/forward.go
@@ -84,7 +84,7 @@
 
 // checkHelp refuses a request of another entry if this one reaches its pool no better.
 func checkHelp(_ context.Context, exchange *exchange) error {
-	if exchange.forwarded && exchange.service.Prober.LostPool(exchange.pool.Name) {
+	if exchange.forwarded && !exchange.mayHaveRun && exchange.service.Prober.LostPool(exchange.pool.Name) {
 		return errCannotHelp
 	}
 	return nil
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -190,6 +191,37 @@
 	}
 }
 
+// TestHelperThatLosesItsLinksSaysSo guards against callers who are refused, as if the targets were at
+// capacity, by an entry that finds out by a forwarded request that it is cut off too.
+func TestHelperThatLosesItsLinksSaysSo(t *testing.T) {
+	tests := []struct {
+		path   string
+		target step
+		status int
+		notRun bool
+	}{
+		{"/post/x", unreachable, 421, true},
+		{"/get/x", unreachable, 421, true},
+		{"/chat/x", unreachable, 421, true},
+		{"/post/x", resets, 502, false}, // may have run
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%s %d", test.path, test.status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				entry := &isolatedEntry{lost: true, target: test.target}
+				request := newRequest("POST", test.path)
+				request.Header.Set("Entry-Attempts", "0")
+				recorder := httptest.NewRecorder()
+				entry.service().ServeForwarded(recorder, request)
+				if notRun := recorder.Header().Get("X-Greengageroute-Not-Executed") != ""; recorder.Code != test.status || notRun != test.notRun {
+					t.Errorf("got %d, marked as not run: %t, want %d, %t", recorder.Code, notRun, test.status, test.notRun)
+				}
+				time.Sleep(10 * time.Second) // lets the crash checks of lost answers finish
+			})
+		})
+	}
+}
+
 // TestForwardedRequests guards against requests that entries pass around, against a refusal
 // that the forwarding entry can't tell from one after a run, and against more attempts than
 // the route allows.
--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -120,6 +120,9 @@
 			return err
 		}
 	}
+	if err := checkHelp(ctx, exchange); err != nil {
+		return err
+	}
 	if call.starts >= maxTargetsTried {
 		return errNoTarget
 	}
--- a/edge/streamsearch.go
+++ b/edge/streamsearch.go
@@ -124,6 +124,9 @@
 			return err
 		}
 	}
+	if err := checkHelp(ctx, exchange); err != nil {
+		return err
+	}
 	if stream.starts >= maxTargetsTried {
 		return errNoReplica
 	}
