--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -18,6 +18,13 @@
 // process that crashes closes its listener together with its connections.
 const crashCheckDelay = 50 * time.Millisecond
 
+const (
+	// endedRowTime is how long the row of a target that may have ended is watched: rows lapse
+	// within a few heartbeats.
+	endedRowTime     = 8 * time.Second
+	endedRowInterval = 100 * time.Millisecond
+)
+
 // checkQuarantine refuses requests that crash targets.
 func checkQuarantine(_ context.Context, exchange *exchange) error {
 	exchange.cause = greengageroute.BodyCause(exchange.Body, exchange.Workspace, exchange.Method, exchange.Host, exchange.URI)
@@ -47,13 +54,14 @@
 
 // checkCrash checks whether the target crashed while running the request. If so, and
 // the request may be the cause, it reports the crash to the other entries. It waits for
-// the result only if the request is suspected already.
+// the result only if the request is suspected already, and not for one in doubt.
 func (exchange *exchange) checkCrash(ctx context.Context, target greengageroute.Target, sentAt time.Time, progress greengageroute.AnswerProgress, cause error) {
 	var lost *upstream.AnswerLostError
 	if !errors.As(cause, &lost) || ctx.Err() != nil || errors.Is(cause, os.ErrDeadlineExceeded) {
 		return // a target that is silent hasn't crashed
 	}
 	service, lostAt := exchange.service, time.Now()
+	report := func() { exchange.reportCrash(target, sentAt, lostAt, progress) }
 	checked := make(chan struct{})
 	time.AfterFunc(crashCheckDelay, func() {
 		defer close(checked)
@@ -61,18 +69,17 @@
 			return
 		}
 		service.probeHead(target)
-		if progress.IsSound() || !service.Prober.LinksWork(target.Pool) {
-			return
-		}
-		service.Counters.Add(CountCrashReports, 1)
-		suspects := service.quarantine.Suspects(exchange.partCauses, lostAt)
-		service.Log.Info("target crashed while running a request", "id", exchange.ID, "target", target.ID, "born", target.StartUnixMilli, "digest", exchange.cause.String(),
-			"prompt-parts", strings.Join(exchange.PromptParts, " "), "suspects", len(suspects), "events", progress.Pieces(),
-			"sent-ms-before", lostAt.Sub(sentAt).Milliseconds(), "first-event-ms-before", progress.SinceFirst(lostAt).Milliseconds())
-		crashID := target.ID + "/" + strconv.FormatInt(target.StartUnixMilli, 10)
-		for _, report := range greengageroute.NewCrashReports(crashID, exchange.cause, suspects) {
-			service.RecordCrash(report)
-			service.Peers.ReportCrash(report)
+		switch {
+		case progress.IsSound() || !service.Prober.LinksWorkSince(target.Pool, lostAt):
+		case service.Prober.LostPool(target.Pool):
+			// A small pool, of which nothing responds: either all targets have ended, or the links are lost.
+			go func() {
+				if service.awaitEnd(target) {
+					report()
+				}
+			}()
+		default:
+			report()
 		}
 	})
 	if !progress.IsSound() && service.quarantine.Suspected(exchange.cause, exchange.partCauses) {
@@ -84,6 +91,32 @@
 	}
 }
 
+// awaitEnd reports whether the list of targets shows within endedRowTime that a target has ended.
+func (service *Service) awaitEnd(target greengageroute.Target) bool {
+	for end := time.Now().Add(endedRowTime); time.Now().Before(end) && service.running.Err() == nil; {
+		greengageroute.Sleep(service.running, endedRowInterval)
+		if !service.Directory.Lists(target.Instance()) {
+			return true
+		}
+	}
+	return false
+}
+
+// reportCrash records that the target crashed while it ran the request, and tells the other entries.
+func (exchange *exchange) reportCrash(target greengageroute.Target, sentAt, lostAt time.Time, progress greengageroute.AnswerProgress) {
+	service := exchange.service
+	service.Counters.Add(CountCrashReports, 1)
+	suspects := service.quarantine.Suspects(exchange.partCauses, lostAt)
+	service.Log.Info("target crashed while running a request", "id", exchange.ID, "target", target.ID, "born", target.StartUnixMilli, "digest", exchange.cause.String(),
+		"prompt-parts", strings.Join(exchange.PromptParts, " "), "suspects", len(suspects), "events", progress.Pieces(),
+		"sent-ms-before", lostAt.Sub(sentAt).Milliseconds(), "first-event-ms-before", progress.SinceFirst(lostAt).Milliseconds())
+	crashID := target.ID + "/" + strconv.FormatInt(target.StartUnixMilli, 10)
+	for _, report := range greengageroute.NewCrashReports(crashID, exchange.cause, suspects) {
+		service.RecordCrash(report)
+		service.Peers.ReportCrash(report)
+	}
+}
+
 // probeHead requests a health check of the replica whose head can't be connected to.
 func (service *Service) probeHead(head greengageroute.Target) {
 	if replica, found := service.Directory.View().ReplicaOf(head); found {
