A model that a member loads doesn't count as staged, whatever its row says

After the return of all machines one model was served 9.5 to 11 s late (15 allowed): its replica waited for a member that loaded the weights for 16 s, while targets that have them staged were free.

The planner took that for what its host had before, so that the replica didn't count as waiting, and its member wasn't replaced. It now goes by what the target was listed with before it joined.

TestModelsListedAsTheyLoadAreNotStaged fails without it. A planner that has just taken over doesn't know what a joining target had staged, and goes by the row.

--- a/control/headstate.go
+++ b/control/headstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
@@ -51,24 +52,30 @@
 	}
 }
 
-// recordLoaded records the replica that a target is listed in, and returns the model that it had loaded
-// before, if that is known. The caller holds the lock.
-func (planner *Planner) recordLoaded(target greengageroute.Target) string {
+// recordLoaded records the replica that a target is listed in. It returns the target with the model
+// that it had loaded before, if that is known, and without a model that it still loads: it may be listed
+// as staged as soon as the load begins. The caller holds the lock.
+func (planner *Planner) recordLoaded(target greengageroute.Target) greengageroute.Target {
 	member := target.Membership
 	last, known := planner.loaded[target.ID]
 	if !known || last.startUnixMilli != target.StartUnixMilli {
-		last = loadedModel{startUnixMilli: target.StartUnixMilli}
+		last, known = loadedModel{startUnixMilli: target.StartUnixMilli}, false
 	}
 	if key := replicaIDOf(&target).ReplicaKey; member.Replica != "" && last.replica != key {
 		before := ""
 		if last.formed || last.before == last.model {
 			before = last.model
 		}
-		last = loadedModel{startUnixMilli: target.StartUnixMilli, replica: key, model: member.Model, before: before}
+		loads := known && before != member.Model && !slices.Contains(last.staged, member.Model)
+		last = loadedModel{startUnixMilli: target.StartUnixMilli, replica: key, model: member.Model, before: before, loads: loads}
 	}
 	last.formed = last.formed || member.Replica != "" && member.Formed()
+	if last.loads && !last.formed && member.Replica != "" {
+		target.Staged = slices.DeleteFunc(slices.Clone(target.Staged), func(model string) bool { return model == member.Model })
+	}
+	last.staged, target.Loaded = target.Staged, last.before
 	planner.loaded[target.ID] = last
-	return last.before
+	return target
 }
 
 // recordStageResult forgets that a target stages a model if it has refused to.
--- a/control/planner.go
+++ b/control/planner.go
@@ -214,6 +214,8 @@
 		model          string
 		formed         bool
 		before         string
+		loads          bool     // it had neither loaded nor staged the model before
+		staged         []string // at the last sight, without a model that it loads
 	}
 
 	// stagingModel is a model that one run of a target was ordered to stage.
@@ -335,8 +337,7 @@
 		if slow.Has(target.ID) && target.State == greengageroute.TargetReady {
 			target.State = greengageroute.TargetSlow
 		}
-		target.Loaded = planner.recordLoaded(target)
-		targets[target.ID] = target
+		targets[target.ID] = planner.recordLoaded(target)
 	}
 	absent, absentSince := maps.Clone(view.Absent), maps.Clone(view.AbsentSince)
 	maps.DeleteFunc(planner.unknownHeads, func(id string, _ datedTarget) bool {
--- a/control/planner_test.go
+++ b/control/planner_test.go
@@ -510,8 +510,36 @@
 		{"it joins one of the first model again", listed(1, "r5", 6, "m", greengageroute.MemberJoining), ""},
 		{"it has restarted", listed(2, "r6", 7, "m", greengageroute.MemberJoining), ""},
 	} {
-		if got := planner.recordLoaded(step.row); step.row.Membership.State == greengageroute.MemberJoining && got != step.want {
+		if got := planner.recordLoaded(step.row).Loaded; step.row.Membership.State == greengageroute.MemberJoining && got != step.want {
 			t.Errorf("%s: the loaded model is %q, want %q", step.name, got, step.want)
 		}
 	}
 }
+
+// TestModelsListedAsTheyLoadAreNotStaged guards against a replica that waits for a load, since the member
+// that loads is listed with the model as staged, while a target that has it staged is free.
+func TestModelsListedAsTheyLoadAreNotStaged(t *testing.T) {
+	planner, _ := newTestPlanner(fakeActivity{})
+	listed := func(start int64, replica, model string, state greengageroute.MemberState, staged ...string) greengageroute.Target {
+		return greengageroute.Target{ID: "i-1", Pool: "llm", StartUnixMilli: start, Staged: staged, Membership: greengageroute.Membership{Replica: replica, Epoch: 1, Model: model, State: state}}
+	}
+	for _, step := range []struct {
+		name string
+		row  greengageroute.Target
+		want []string
+	}{
+		{"another model is staged", listed(1, "", "", "", "n"), []string{"n"}},
+		{"it loads", listed(1, "r1", "m", greengageroute.MemberJoining, "m"), nil},
+		{"it joins another replica while it loads", listed(1, "r2", "m", greengageroute.MemberJoining, "m"), nil},
+		{"it is in no replica, and may load on", listed(1, "", "", "", "m"), []string{"m"}},
+		{"it joins with the model staged", listed(1, "r3", "m", greengageroute.MemberJoining, "m"), []string{"m"}},
+		{"it has formed", listed(1, "r3", "m", greengageroute.MemberReady, "m"), []string{"m"}},
+		{"it joins one of another model", listed(1, "r4", "n", greengageroute.MemberJoining, "n"), nil},
+		{"that load has ended", listed(1, "r4", "n", greengageroute.MemberReady, "n"), []string{"n"}},
+		{"it has restarted", listed(2, "r5", "m", greengageroute.MemberJoining, "m"), []string{"m"}},
+	} {
+		if got := planner.recordLoaded(step.row).Staged; !slices.Equal(got, step.want) {
+			t.Errorf("%s: the staged models are %q, want %q", step.name, got, step.want)
+		}
+	}
+}
