--- a/formation.go
+++ b/formation.go
@@ -270,30 +270,36 @@
 	formation.recordOpened(view)
 	changed := formation.repair(view)
 	changed = append(changed, formation.grow(view)...)
-	if formation.rebalance(view) || formation.shift(view) {
+	if formed, rebalanced := formation.rebalance(view); rebalanced {
+		changed = append(changed, formed)
+		changed = append(changed, formation.grow(view)...)
+	} else if formation.shift(view) {
 		changed = append(changed, formation.grow(view)...)
 	}
 	return changed
 }
 
-// rebalance makes room for a replica of the model with the fewest targets per
-// share: it dissolves replicas of the model with the most, in the domain where the
-// fewest replicas have to be dissolved. It reports whether it dissolved any.
-func (formation *Formation) rebalance(view PoolView) bool {
+// rebalance forms a replica of the model with the fewest targets per share: it dissolves
+// replicas of the model with the most, in the domain where the fewest replicas have to be
+// dissolved. It reports whether it did.
+func (formation *Formation) rebalance(view PoolView) (formed Assignment, rebalanced bool) {
 	targets := formation.targetsByModel(view.Engine)
 	models := slices.Clone(view.Engine.Models)
 	if len(models) < 2 {
-		return false
+		return Assignment{}, false
 	}
 	perShare := func(model EngineModel) float64 { return targets[model.Name] / formation.share(model) }
 	slices.SortStableFunc(models, func(a, b EngineModel) int { return cmp.Compare(perShare(a), perShare(b)) })
 	underserved, overserved := models[0], models[len(models)-1]
 	if view.HasTraffic && targets[underserved.Name] > 0 || perShare(underserved) >= rebalanceRatio*perShare(overserved) || targets[overserved.Name] < 2*float64(overserved.Size) {
-		return false
+		return Assignment{}, false
 	}
 	names, sizes := view.domainSizes()
 	best, fewest := "", 0
 	for _, name := range names {
+		if view.HasTraffic && view.recentlyListed(name) {
+			continue
+		}
 		shortfall := underserved.Size + reserveSize(sizes[name], targets[underserved.Name]) - len(formation.free(view, name, nil))
 		needed := (shortfall + overserved.Size - 1) / overserved.Size
 		if needed > 0 && needed <= formation.replicaCount(view, name, overserved.Name) && (best == "" || needed < fewest) {
@@ -302,18 +308,27 @@
 	}
 	remaining := targets[overserved.Name] - float64(fewest*overserved.Size)
 	if fewest == 0 || remaining/formation.share(overserved) < perShare(underserved) {
-		return false
+		return Assignment{}, false
 	}
-	dissolved := 0
+	var dissolved []Assignment
 	formation.unassign(func(assignment Assignment) bool {
-		if dissolved == fewest || assignment.Domain != best || assignment.Model != overserved.Name || !view.headListed(assignment) {
+		if len(dissolved) == fewest || assignment.Domain != best || assignment.Model != overserved.Name || !view.headListed(assignment) {
 			return false
 		}
-		dissolved++
-		formation.dissolved.Add(assignment.Name)
+		dissolved = append(dissolved, assignment)
 		return true
 	})
-	return true
+	if len(formation.free(view, best, nil)) < underserved.Size {
+		for _, assignment := range dissolved { // absent heads hold some of their members
+			formation.assign(assignment)
+		}
+		return Assignment{}, false
+	}
+	for _, assignment := range dissolved {
+		formation.dissolved.Add(assignment.Name)
+	}
+	// At once: the targets have the weights of the dissolved replicas, which would be formed again first.
+	return formation.form(view, underserved, best), true
 }
 
 func (view PoolView) headListed(assignment Assignment) bool {
--- a/formation_test.go
+++ b/formation_test.go
@@ -458,6 +458,63 @@
 	}
 }
 
+// TestDissolvedReplicasAreNotFormedAgain guards against a planner that dissolves a replica for a model
+// that has none, and forms it again from the same targets, round after round.
+func TestDissolvedReplicasAreNotFormedAgain(t *testing.T) {
+	pool, formation := newFormedPool(t, 1, 11)
+	large := formation.Assignments[slices.IndexFunc(formation.Assignments, func(assignment Assignment) bool { return assignment.Model == "large" })]
+	for _, id := range large.Members[2:] {
+		pool.targets[id].crashed = true
+	}
+	assigned := 0
+	for range 300 {
+		changed := formation.Update(pool.view(true))
+		assigned += len(changed)
+		for _, order := range formation.Orders(pool.view(true)) {
+			pool.apply(order)
+		}
+		pool.advance(100 * time.Millisecond)
+	}
+	if assigned > 3 {
+		t.Errorf("%d replicas were assigned in 30 s, want 3 at most", assigned)
+	}
+	if serving := pool.openByModel(); serving["large"] != 1 {
+		t.Errorf("30 s after the loss the open replicas are %v, want 1 large", serving)
+	}
+}
+
+// TestAssignmentsSettle guards against a planner that goes on changing replicas although it learns
+// nothing new, whatever was lost.
+func TestAssignmentsSettle(t *testing.T) {
+	const rounds = 12
+	for seed := range uint64(400) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		pool, formation := newFormedPool(t, 1+random.IntN(3), 5+random.IntN(8))
+		ids := slices.Sorted(maps.Keys(pool.targets))
+		for range 1 + random.IntN(len(ids)) {
+			target := pool.targets[ids[random.IntN(len(ids))]]
+			switch random.IntN(6) {
+			case 0, 1, 2:
+				target.crashed = true
+			case 3:
+				target.unlisted = true
+			case 4:
+				target.State = TargetLeaving
+			case 5:
+				target.Staged, target.Membership = []string{testEngine.Models[random.IntN(2)].Name}, Membership{}
+			}
+		}
+		view := pool.view(random.IntN(4) > 0)
+		var changed []Assignment
+		for range rounds {
+			changed = formation.Update(view)
+		}
+		if len(changed) > 0 {
+			t.Errorf("seed %d: round %d of the same view still assigns %v", seed, rounds, changed)
+		}
+	}
+}
+
 // Random losses, returns, restarts and changes of the planner, with orders that are
 // lost or carried out seconds later. Throughout, no target joins a second replica
 // while its first is open, and no replica opens without all of its members.
--- a/integration/return_test.go
+++ b/integration/return_test.go
@@ -59,6 +59,8 @@
 	returnTest struct {
 		name             string
 		entries, targets span
+		lateTargets      []int // by index
+		lateBy           time.Duration
 		store            time.Duration // when the store is back; 0: it never was away
 		fleet            int           // entries; 0: by flag
 		targetsPerDomain int           // 0: 10
@@ -122,6 +124,7 @@
 		{name: "rows stand, entries first", rowLapse: 10 * second, targets: span{5 * second, 5 * second}},
 		{name: "rows stand, targets one by one", rowLapse: 4 * second, targets: span{0, 8 * second}},
 		{name: "rows stand, store last", rowLapse: 20 * second, store: 6 * second, targets: span{0, 8 * second}},
+		{name: "rows stand, a member and its spare last", rowLapse: 4 * second, lateTargets: []int{1, 9}, lateBy: 5 * second},
 		{name: "targets one by one", targets: span{0, 8 * second}},
 		{name: "entries one by one", entries: span{0, 8 * second}},
 		{name: "all one by one, store last", entries: span{0, 6 * second}, targets: span{0, 6 * second}, store: 7 * second},
@@ -250,6 +253,9 @@
 	for i, index := range play.random.Perm(len(targets)) {
 		heartbeat := time.Duration(play.random.IntN(300)) * time.Millisecond // until its row is written
 		delay := max(play.test.targets.at(i, len(targets)), play.test.store+heartbeat)
+		if slices.Contains(play.test.lateTargets, index) {
+			delay = play.test.lateBy
+		}
 		after(delay, func() { targets[index].PowerOn(!play.test.hostsAreEmpty) })
 	}
 	var names []string
