--- a/integration/return_test.go
+++ b/integration/return_test.go
@@ -73,6 +73,7 @@
 		portsHeld        time.Duration // by another process, from the entries' return on
 		rowLapse         time.Duration // until the rows of targets lapse; 0: before any machine returns
 		losesControl     bool          // the store has lost the rows of the planner
+		any              bool          // times and targets are drawn
 	}
 
 	// requestKind is a kind of request.
@@ -126,6 +127,7 @@
 		{name: "rows stand, store last", rowLapse: 20 * second, store: 6 * second, targets: span{0, 8 * second}},
 		{name: "rows stand, a member and its spare last", rowLapse: 4 * second, lateTargets: []int{1, 9}, lateBy: 5 * second},
 		{name: "targets one by one", targets: span{0, 8 * second}},
+		{name: "times and targets drawn", any: true},
 		{name: "entries one by one", entries: span{0, 8 * second}},
 		{name: "all one by one, store last", entries: span{0, 6 * second}, targets: span{0, 6 * second}, store: 7 * second},
 		{name: "half of the entries at other addresses", moves: true, store: 2 * second},
@@ -147,7 +149,30 @@
 	}
 }
 
+// drawn returns the test with times and targets that are drawn.
+func (test returnTest) drawn(random *rand.Rand) returnTest {
+	upTo := func(most time.Duration) time.Duration {
+		if random.IntN(3) == 0 {
+			return 0
+		}
+		return time.Duration(random.Int64N(int64(most)))
+	}
+	test.rowLapse, test.entries.to, test.targets.to = upTo(10*time.Second), upTo(6*time.Second), upTo(8*time.Second)
+	if random.IntN(4) == 0 {
+		test.store = upTo(6 * time.Second)
+	}
+	test.targetsPerDomain = 6 + random.IntN(8)
+	test.moreDomains = random.IntN(2)
+	test.lateTargets = random.Perm(test.targetsPerDomain * (1 + test.moreDomains))[:random.IntN(test.targetsPerDomain)]
+	test.lateBy = test.targets.to + upTo(6*time.Second)
+	return test
+}
+
 func playReturn(t *testing.T, test returnTest, random *rand.Rand) {
+	if test.any {
+		test = test.drawn(random)
+		t.Logf("%+v", test)
+	}
 	play := &returnPlay{deployment: newEmptyDeployment(t), test: test, random: random}
 	play.start(cmp.Or(test.targetsPerDomain, 10))
 	addresses := play.balancedEntries()
