--- a/control/groupmodel_test.go
+++ b/control/groupmodel_test.go
@@ -836,6 +836,17 @@
 	world.refusesForming = true
 }
 
+// twoModels are two replicas of one model, and too few free targets for one of the other model.
+func twoModels(world *modelWorld) {
+	slowOrders(world)
+	world.engine.Models = []greengageroute.EngineModel{{Name: "m", Size: 2, Share: 0.5}, {Name: "n", Size: 3, Share: 0.5}}
+	world.add("f", "", 0, 0, "")
+	for _, id := range []string{"a", "b", "c", "d"} {
+		world.targets[id].Staged = []string{"m"}
+	}
+	world.troubled = append(world.troubled, "f")
+}
+
 // TestGroupsInRandomSequences follows long random sequences of the same events on two replicas and
 // a spare, also with orders that take time and targets that restart, and guards against faults that
 // need more of them than a walk reaches. To run more:
@@ -846,7 +857,7 @@
 		t.Run(fmt.Sprint(worker), func(t *testing.T) {
 			t.Parallel()
 			for seed := worker; seed < *sequences; seed += 4 {
-				for name, build := range map[string]func(world *modelWorld){"orders take no time": twoReplicas, "orders take time": slowOrders, "heads that form refuse": refusesForming} {
+				for name, build := range map[string]func(world *modelWorld){"orders take no time": twoReplicas, "orders take time": slowOrders, "heads that form refuse": refusesForming, "a model lacks a replica": twoModels} {
 					if names, violation := followSequence(*firstSequence+seed, build); violation != "" {
 						t.Fatalf("%s, -first-sequence %d: %s after %q", name, *firstSequence+seed, violation, names)
 					}
