Checks of links after a failure: by its age, not by a time of another clock

The prober's clock counts from the VM's boot, the time of a lost answer was the runtime's: a check never counted as later, and each lost answer had the links checked again, one after the other. TestChecksAfterAFailureAreShared has a prober with a clock of its own: one check for 20 answers that are lost together.

--- a/control/prober.go
+++ b/control/prober.go
@@ -209,7 +209,7 @@
 		prober.log.Info("unresponsive replica is healthy; all members answered a probe", "replica", replica.Name, "epoch", replica.Epoch)
 		return
 	}
-	if !prober.LinksWorkSince(replica.Pool, prober.clock.Now()) {
+	if !prober.LinksWorkSince(replica.Pool, 0) {
 		prober.counters.Add(CountFailuresInDoubt, int64(len(failed)))
 		return
 	}
@@ -338,7 +338,7 @@
 				}
 				return
 			}
-			if !prober.LinksWorkSince(target.Pool, prober.clock.Now()) {
+			if !prober.LinksWorkSince(target.Pool, 0) {
 				prober.counters.Add(CountFailuresInDoubt, 1)
 				return
 			}
@@ -424,10 +424,11 @@
 	})
 }
 
-// LinksWorkSince does the same by a check that began no earlier than the given time, at which
-// something failed: an earlier one can't tell whether it was the links.
-func (prober *Prober) LinksWorkSince(pool string, since time.Time) bool {
-	return prober.linksWorkUnless(pool, func(links *poolLinks) bool { return !links.began.Before(since) })
+// LinksWorkSince does the same by a check that began after something failed, so long ago: an earlier
+// one can't tell whether it was the links.
+func (prober *Prober) LinksWorkSince(pool string, ago time.Duration) bool {
+	failedAt := prober.clock.Now().Add(-ago)
+	return prober.linksWorkUnless(pool, func(links *poolLinks) bool { return !links.began.Before(failedAt) })
 }
 
 // linksWorkUnless does the same by the last check if that suffices.
--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -334,6 +334,38 @@
 	}
 }
 
+// offsetClock reads another time than the runtime's, as the clock of the VM's boot does.
+type offsetClock struct{}
+
+func (offsetClock) Now() time.Time { return time.Now().AddDate(-20, 0, 0) }
+
+// TestChecksAfterAFailureAreShared guards against a check of the links for each of the answers that are
+// lost together, and against one check for losses before and after it.
+func TestChecksAfterAFailureAreShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		directory := NewDirectory(offsetClock{})
+		for i := range 10 {
+			directory.Apply([]greengageroute.Target{{ID: fmt.Sprint("a-", i), Pool: "llm", DataCentre: "a", StartUnixMilli: 1}}, nil, time.Time{})
+		}
+		counters := new(expvar.Map).Init()
+		prober := NewProber("a", &cutReporter{}, directory, &fakeNotifier{}, offsetClock{}, counters, logr.Discard())
+		checks := func() int64 { return counters.Get(CountLinkProbes).(*expvar.Int).Value() / linkProbes }
+		lostAt := time.Now()
+		time.Sleep(50 * time.Millisecond)
+		for range 20 {
+			go prober.LinksWorkSince("llm", time.Since(lostAt))
+		}
+		time.Sleep(50 * time.Millisecond)
+		if made := checks(); made != 1 {
+			t.Errorf("%d checks are made for answers that were lost together, want 1", made)
+		}
+		prober.LinksWorkSince("llm", 10*time.Millisecond)
+		if made := checks(); made != 2 {
+			t.Errorf("%d checks are made after a later loss, want 2", made)
+		}
+	})
+}
+
 // except returns the ids of all targets but one.
 func except(id string) (ids []string) {
 	for i := range 10 {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -83,7 +83,7 @@
 func (fixture *fixture) AvoidHelper(string, string)                  {}
 func (fixture *fixture) EntryDataCentres() map[string]string         { return nil }
 func (fixture *fixture) LinksWork(string) bool                       { return true }
-func (fixture *fixture) LinksWorkSince(string, time.Time) bool       { return true }
+func (fixture *fixture) LinksWorkSince(string, time.Duration) bool   { return true }
 func (fixture *fixture) LostPool(string) bool                        { return false }
 func (fixture *fixture) Loads() map[string]greengageroute.EngineLoad { return fixture.loads }
 
@@ -140,7 +140,7 @@
 func (calmDependencies) AvoidHelper(string, string)                         {}
 func (calmDependencies) EntryDataCentres() map[string]string                { return nil }
 func (calmDependencies) LinksWork(string) bool                              { return true }
-func (calmDependencies) LinksWorkSince(string, time.Time) bool              { return true }
+func (calmDependencies) LinksWorkSince(string, time.Duration) bool          { return true }
 func (calmDependencies) LostPool(string) bool                               { return false }
 func (calmDependencies) ReportCrash(greengageroute.CrashReport)             {}
 func (calmDependencies) ReportLeaving(...greengageroute.TargetInstance)     {}
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -79,8 +79,8 @@
 		// LinksWork reports whether the targets of a pool respond to this entry, as far as
 		// that says anything about its links. It may probe some.
 		LinksWork(pool string) bool
-		// LinksWorkSince does the same by a check that began no earlier than the given time.
-		LinksWorkSince(pool string, since time.Time) bool
+		// LinksWorkSince does the same by a check that began after something failed, so long ago.
+		LinksWorkSince(pool string, ago time.Duration) bool
 		// LostPool reports whether most targets of a pool were found not to respond to this
 		// entry.
 		LostPool(pool string) bool
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -44,7 +44,7 @@
 	return !entry.isolated
 }
 
-func (entry *isolatedEntry) LinksWorkSince(pool string, _ time.Time) bool {
+func (entry *isolatedEntry) LinksWorkSince(pool string, _ time.Duration) bool {
 	return entry.LinksWork(pool)
 }
 
--- a/edge/lostlinks_test.go
+++ b/edge/lostlinks_test.go
@@ -78,7 +78,7 @@
 	return true // small pools say nothing about links
 }
 
-func (prober *lostPoolProber) LinksWorkSince(pool string, _ time.Time) bool {
+func (prober *lostPoolProber) LinksWorkSince(pool string, _ time.Duration) bool {
 	return prober.LinksWork(pool)
 }
 
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -70,7 +70,7 @@
 		}
 		service.probeHead(target)
 		switch {
-		case progress.IsSound() || !service.Prober.LinksWorkSince(target.Pool, lostAt):
+		case progress.IsSound() || !service.Prober.LinksWorkSince(target.Pool, time.Since(lostAt)):
 		case service.Prober.LostPool(target.Pool):
 			// A small pool, of which nothing responds: either all targets have ended, or the links are lost.
 			go func() {
