Targets keep the weights of a model that has no replica

Cause: a staged model without members in the domain counted as unused, also if it had none anywhere.

Evidence: TestWeightsOfALostModelAreKept fails without the fix. One staged target is still given to a model that has none.

--- a/formation_test.go
+++ b/formation_test.go
@@ -483,6 +483,30 @@
 	}
 }
 
+// TestWeightsOfALostModelAreKept guards against a model whose targets return and have to load its weights, as
+// those that were left staged another model meanwhile.
+func TestWeightsOfALostModelAreKept(t *testing.T) {
+	pool, formation := newFormedPool(t, 1, 11)
+	large := formation.Assignments[slices.IndexFunc(formation.Assignments, func(assignment Assignment) bool { return assignment.Model == "large" })]
+	lost := slices.Clone(large.Members[3:])
+	for _, spare := range formation.free(pool.view(true), "d0", nil) {
+		lost = append(lost, spare.ID)
+	}
+	for _, id := range lost {
+		pool.targets[id].crashed = true
+	}
+	pool.run(formation, 15*time.Second, true)
+	for _, id := range lost {
+		target := pool.targets[id]
+		target.crashed, target.Membership, target.ListedSince = false, Membership{}, pool.now
+		target.StartUnixMilli++
+	}
+	pool.run(formation, 4*time.Second, true)
+	if serving := pool.openByModel(); serving["large"] != 1 {
+		t.Errorf("4 s after the return the open replicas are %v, want 1 large", serving)
+	}
+}
+
 // TestAssignmentsSettle guards against a planner that goes on changing replicas although it learns
 // nothing new, whatever was lost.
 func TestAssignmentsSettle(t *testing.T) {
--- a/formationspares.go
+++ b/formationspares.go
@@ -33,6 +33,7 @@
 	replicaValues struct {
 		of      map[string]float64 // by model
 		anyIdle bool               // a model is known to use few of its slots
+		lacking Set[string]        // models without any replica
 	}
 )
 
@@ -144,7 +145,8 @@
 		}
 		empty := len(target.Staged) == 0
 		surplus := members[wanted.Name] > 0 && len(target.Staged) > 0 && values.isSurplus(target.Staged[0], wanted.Name, members, spares)
-		unused := len(target.Staged) > 0 && members[target.Staged[0]] == 0 && members[wanted.Name] > 0
+		// The weights of a model without any replica are kept for the return of those that it lacks.
+		unused := len(target.Staged) > 0 && members[target.Staged[0]] == 0 && members[wanted.Name] > 0 && !values.lacking.Has(target.Staged[0])
 		if empty || surplus || unused {
 			return TargetOrder{Kind: OrderStage, Target: target, Model: wanted.Name}, true
 		}
@@ -192,8 +194,11 @@
 			names.Add(assignment.Name)
 		}
 	}
-	values := replicaValues{of: map[string]float64{}}
+	values := replicaValues{of: map[string]float64{}, lacking: Set[string]{}}
 	for name, names := range replicas {
+		if len(names) == 0 {
+			values.lacking.Add(name)
+		}
 		demand, known := view.Demand[name]
 		use := modelUse{ModelDemand: ModelDemand{Running: max(demand.Peak, demand.Running)}, replicas: len(names)}
 		values.anyIdle = values.anyIdle || known && use.of(view.Engine.Slots) < idleUse
