--- a/edge/lostlinks_test.go
+++ b/edge/lostlinks_test.go
@@ -118,6 +118,8 @@
 				sent := fixture.attempts[0].Target
 				time.AfterFunc(time.Second, func() { test.change(fixture.service.Directory, sent) })
 				time.Sleep(10 * time.Second)
+				fixture.mu.Lock()
+				defer fixture.mu.Unlock()
 				if len(fixture.crashes) != test.reports {
 					t.Errorf("%d crashes are reported, want %d", len(fixture.crashes), test.reports)
 				}
