--- a/intake/listener_test.go
+++ b/intake/listener_test.go
@@ -123,7 +123,18 @@
 	var handled atomic.Int64
 	tracker := trackedServer(t, time.Millisecond, &handled)
 	tracker.SetMaxConns(8)
+	open := func() int {
+		tracker.mu.Lock()
+		defer tracker.mu.Unlock()
+		return len(tracker.conns)
+	}
 	for range 40 {
+		// A new connection is refused until the one that was chosen for the last has closed.
+		for deadline := time.Now().Add(5 * time.Second); open() > 8; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("a connection that was chosen at the bound does not close")
+			}
+		}
 		idle, reader := dial(t, tracker)
 		if !exchange(idle, reader) {
 			t.Fatal("a new connection is not served at the bound")
