Forwarded requests: the attempts of a lost entry count in full (BUDGET)

Requests of an entry without targets ran at three targets where their route allows two, if the connection to the entry that they were forwarded to ended after it had retried, hedged or resumed: a lost entry counted as one attempt, and the next one made the rest again.

The other entry now says how many attempts it has made, before it begins a further one: by interim responses, by comments within a stream, and in the header of its answer. Entries of earlier builds get no notices, and calls of theirs aren't hedged for them, since they may hedge by themselves.

--- a/edge/call.go
+++ b/edge/call.go
@@ -69,6 +69,7 @@
 		header[name] = values
 	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	exchange.nameAttempts()
 	exchange.writer.WriteHeader(answer.Status)
 	if _, err := exchange.writer.Write(body); err != nil {
 		return errCallerDisconnected
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -162,6 +162,7 @@
 		rejectedAsFull  bool                        // the last target that was tried rejected the request as full
 		mayHaveRun      bool                        // a target may have run the request
 		forwarded       bool                        // another entry, which reaches no target, sent the request
+		sender          platform.Forwarded          // what that entry says of it
 		resumed         bool                        // the request names the event after which its stream goes on
 		cause           greengageroute.CrashCause   // stands for the request in the quarantine
 		partCauses      []greengageroute.CrashCause // stand for the parts of its prompt, but the last
@@ -498,6 +499,30 @@
 	return exchange.attemptsSent + exchange.attemptsPending
 }
 
+// reportAttempts tells the entry that forwarded the request how many attempts were made at
+// targets, if that is more than it counts without a notice. The connection may end before the
+// answer's header says so.
+func (exchange *exchange) reportAttempts() {
+	made := exchange.attemptsMade() - exchange.sender.AttemptsSent
+	if !exchange.sender.TakesNotices || made < 2 {
+		return
+	}
+	if exchange.headerSent {
+		_, _ = exchange.writer.Write(platform.AttemptsComment(made)) // the next event fails too
+		_ = http.NewResponseController(exchange.writer).Flush()
+		return
+	}
+	exchange.nameAttempts()
+	exchange.writer.WriteHeader(http.StatusProcessing)
+}
+
+// nameAttempts names the attempts made in the header of the response to another entry.
+func (exchange *exchange) nameAttempts() {
+	if exchange.sender.TakesNotices {
+		platform.SetAttempts(exchange.writer.Header(), exchange.attemptsMade()-exchange.sender.AttemptsSent)
+	}
+}
+
 // returnAttempt takes back what allowAttempt charged for an attempt that reached no target.
 func (exchange *exchange) returnAttempt() {
 	exchange.retryBudget().ReturnRetry(time.Now())
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -113,6 +113,9 @@
 	// helperSender sends requests to other entries.
 	helperSender struct{ *fleetProcess }
 
+	// finalRecorder records the final response only.
+	finalRecorder struct{ *httptest.ResponseRecorder }
+
 	// firstTry is the outcome of a caller's first try.
 	firstTry struct {
 		entry  *fleetEntry
@@ -515,6 +518,13 @@
 	return greengageroute.TargetReport{StartUnixMilli: target.StartUnixMilli, Membership: target.Membership}, process.entry.passLink(ctx, target)
 }
 
+// WriteHeader implements http.ResponseWriter.
+func (recorder *finalRecorder) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		recorder.ResponseRecorder.WriteHeader(status)
+	}
+}
+
 // Do implements Sender.
 func (sender helperSender) Do(ctx context.Context, request greengageroute.Request, attempt greengageroute.Attempt) (*upstream.Answer, error) {
 	entries := sender.entry.fleet.all()
@@ -535,10 +545,10 @@
 	defer context.AfterFunc(helper.ctx, cancel)()
 	forwarded := httptest.NewRequestWithContext(ctx, request.Method, request.URI, bytes.NewReader(request.Body.Bytes()))
 	forwarded.Host, forwarded.RequestURI, forwarded.Header = request.Host, request.URI, platform.EncodeAttempt(request, attempt)
-	recorder := httptest.NewRecorder()
+	recorder := &finalRecorder{ResponseRecorder: httptest.NewRecorder()}
 	served := false
 	if isAborted(func() { served = helper.service.ServeForwarded(recorder, forwarded) }) || !served {
-		return nil, &upstream.AnswerLostError{Target: attempt.Target.ID, Cause: io.ErrUnexpectedEOF}
+		return nil, &upstream.AnswerLostError{Target: attempt.Target.ID, Cause: io.ErrUnexpectedEOF, AttemptsAtEntry: platform.DecodeAttempts(recorder.Header())}
 	}
 	if err := sleep(ctx, fleetDelay); err != nil {
 		return nil, &upstream.AnswerLostError{Target: attempt.Target.ID, Cause: err}
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -72,11 +72,14 @@
 // ServeForwarded serves a request that another entry forwards. It reports false for any
 // other request.
 func (service *Service) ServeForwarded(writer http.ResponseWriter, httpRequest *http.Request) bool {
-	request, attemptsSent, forwarded := platform.DecodeForwarded(httpRequest)
+	request, sender, forwarded := platform.DecodeForwarded(httpRequest)
 	if !forwarded {
 		return false
 	}
-	exchange := &exchange{Request: request, service: service, writer: writer, httpRequest: httpRequest, forwarded: true, attemptsSent: attemptsSent}
+	exchange := &exchange{
+		Request: request, service: service, writer: writer, httpRequest: httpRequest,
+		forwarded: true, sender: sender, attemptsSent: sender.AttemptsSent,
+	}
 	service.Counters.Add(CountHelped, 1)
 	service.serve(exchange)
 	return true
@@ -167,6 +170,20 @@
 	return attempt
 }
 
+// attemptsAtEntry returns how many attempts another entry made, as far as it said so before it
+// answered or the connection to it ended.
+func attemptsAtEntry(answer *upstream.Answer, err error) int {
+	var lost *upstream.AnswerLostError
+	switch {
+	case answer != nil:
+		return max(answer.AttemptsAtEntry, 1)
+	case errors.As(err, &lost):
+		return max(lost.AttemptsAtEntry, 1)
+	default:
+		return 1
+	}
+}
+
 // isRefusedByEntry reports whether another entry refused the request without having it run.
 func isRefusedByEntry(answer *upstream.Answer) bool {
 	return !answer.Signed && (answer.NotRun || answer.ID == "")
--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -14,6 +14,7 @@
 
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/control"
+	"greengageroute.example/greengageroute/platform"
 	"greengageroute.example/greengageroute/upstream"
 )
 
@@ -148,6 +149,85 @@
 	}
 }
 
+// helpedEntry is an isolated entry that forwards requests to entries at the given addresses.
+type helpedEntry struct {
+	isolatedEntry
+	helpers []string
+}
+
+func (entry *helpedEntry) Helpers(string) []string { return entry.helpers }
+
+// TestLostHelpersAttemptsCount guards against a request that reaches more targets than its route allows
+// because the connection to the entry that it was forwarded to ends after that entry made some attempts.
+func TestLostHelpersAttemptsCount(t *testing.T) {
+	named := http.Header{platform.HeaderAttemptID: {"id-1"}, "Content-Type": {"text/event-stream"}}
+	whole := func(body string) step {
+		return func(context.Context, greengageroute.Attempt) (*upstream.Answer, error) {
+			return &upstream.Answer{AnswerHead: greengageroute.AnswerHead{ID: "id-1", Status: http.StatusOK, Header: named}, Body: strings.NewReader(body)}, nil
+		}
+	}
+	cut := func(body string) step {
+		return func(ctx context.Context, attempt greengageroute.Attempt) (*upstream.Answer, error) {
+			answer, _ := aborts(body)(ctx, attempt) // never fails
+			answer.Header = named
+			return answer, nil
+		}
+	}
+	tests := []struct {
+		name   string
+		path   string
+		first  script // of the targets of the first entry, whose connections end during the last step
+		second script // of those of the second one
+		status int    // 0: broken off
+		runs   int    // at targets
+	}{
+		{"a call", "/get/x", script{hangs}, script{whole("done")}, 200, 2},
+		{"a call that was hedged", "/get/x", script{hangs, hangs}, script{whole("a third run")}, 502, 2},
+		{"a call that was retried", "/get/x", script{resets, hangs}, script{whole("a third run")}, 502, 2},
+		{"a stream", "/chat/x", script{hangs}, script{whole(events(1, 3))}, 200, 2},
+		{"a stream that was retried", "/chat/x", script{resets, hangs}, script{whole(events(1, 3))}, 502, 2},
+		{"a stream that was resumed", "/chat/x", script{cut(events(1, 2)), hangs}, script{whole(events(3, 5))}, 0, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			entry := &helpedEntry{isolatedEntry: isolatedEntry{isolated: true}}
+			runs := func() (sum int) { return 0 }
+			for number, steps := range []script{test.first, test.second} {
+				helper, earlier := newFixture(steps), runs
+				server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+					helper.service.ServeForwarded(writer, request)
+				}))
+				defer server.Close()
+				if last := len(steps) - 1; number == 0 {
+					steps[last] = func(ctx context.Context, _ greengageroute.Attempt) (*upstream.Answer, error) {
+						time.AfterFunc(50*time.Millisecond, server.CloseClientConnections)
+						return hangs(ctx, greengageroute.Attempt{})
+					}
+				}
+				entry.helpers = append(entry.helpers, server.Listener.Addr().String())
+				runs = func() int {
+					helper.mu.Lock()
+					defer helper.mu.Unlock()
+					return earlier() + len(helper.attempts)
+				}
+			}
+			service := entry.service()
+			service.Peers, service.PeerSender = entry, upstream.NewClient(func() {})
+			recorder := httptest.NewRecorder()
+			if isAborted(func() { service.ServeHTTP(recorder, newRequest("POST", test.path)) }) {
+				recorder.Code = 0
+			}
+			if recorder.Code != test.status || runs() != test.runs {
+				t.Errorf("got %d after %d runs, want %d after %d", recorder.Code, runs(), test.status, test.runs)
+			}
+			if strings.Contains(recorder.Body.String(), "entry-attempts") {
+				t.Errorf("the caller got a notice of the other entry: %q", recorder.Body.String())
+			}
+		})
+	}
+}
+
 // TestEntriesThatCannotHelpAreToldApart guards against an entry that is asked again although it
 // couldn't help, and against one that isn't asked for the pools that it reaches.
 func TestEntriesThatCannotHelpAreToldApart(t *testing.T) {
--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -85,6 +85,8 @@
 	switch {
 	case hedges && (!call.hedgeDue || !exchange.route.Retryable()):
 		return nil
+	case hedges && exchange.forwarded && !exchange.sender.TakesNotices:
+		return nil // entries of builds that take no notices may hedge by themselves
 	case !hedges && exchange.mayHaveRun && !exchange.route.Retryable():
 		return errNoTarget
 	}
@@ -112,8 +114,8 @@
 // startAttempt starts an attempt at a target or, for an isolated entry, through another one.
 func (call *hedgedCall) startAttempt(ctx context.Context, hedges bool) error {
 	exchange := call.exchange
-	if hedges && exchange.attemptsMade() >= exchange.route.Attempts {
-		return errAttemptsUsed
+	if made := exchange.attemptsMade(); made > 0 && made >= exchange.route.Attempts {
+		return errNoTarget
 	}
 	if exchange.isolated() {
 		if err := call.startAtEntry(ctx); !errors.Is(err, errNoTarget) || hedges || !exchange.mayTryTarget(call.tried) {
@@ -177,6 +179,7 @@
 		attempt.reserved = max(exchange.route.Attempts-exchange.attemptsMade(), 1)
 	}
 	exchange.attemptsPending += attempt.reserved
+	exchange.reportAttempts()
 	attempt.start(ctx)
 	if exchange.attemptsMade() < exchange.route.Attempts {
 		call.hedgeTimer.Reset(time.Until(exchange.deadline) / 2)
@@ -212,7 +215,7 @@
 		exchange.service.recordLeaving(result.answer.ForwardedFrom)
 	}
 	if result.answer == nil || !result.isRefusedByEntry() {
-		exchange.attemptsSent++
+		exchange.attemptsSent += attemptsAtEntry(result.answer, result.err)
 		exchange.mayHaveRun = true
 	}
 }
--- a/edge/hedgedstream.go
+++ b/edge/hedgedstream.go
@@ -70,14 +70,17 @@
 		serves bool
 	}
 
-	// streamMessage tells what an attempt received: the head of its answer, an event or the
-	// end.
+	// streamMessage tells what an attempt received: the head of its answer, a notice, an event or
+	// the end.
 	streamMessage struct {
 		attempt *streamAttempt
 		event   streamEvent // valid until the next message is received
-		ended   bool
-		rest    []byte // after the last event
-		err     error  // why the attempt ended; nil for a regular end
+		// attemptsAtEntry is how many attempts another entry has made; 0 in messages that are no
+		// notice of that.
+		attemptsAtEntry int
+		ended           bool
+		rest            []byte // after the last event
+		err             error  // why the attempt ended; nil for a regular end
 	}
 )
 
@@ -151,6 +154,8 @@
 		case message.ended:
 			stream.recordEnd(message)
 			message.attempt.close(false)
+		case message.attemptsAtEntry > 0:
+			stream.recordNotice(message)
 		case message.event.text == nil:
 			stream.recordAnswer(message.attempt)
 		}
@@ -172,6 +177,9 @@
 	switch {
 	case message.ended:
 		return stream.receiveEnd(ctx, message)
+	case message.attemptsAtEntry > 0:
+		stream.recordNotice(message)
+		return false, nil
 	case message.event.text == nil:
 		stream.recordAnswer(message.attempt)
 		return false, nil
@@ -196,7 +204,8 @@
 			exchange.service.recordLeaving(answer.ForwardedFrom)
 		}
 		if !attempt.isRefusedByEntry() {
-			exchange.attemptsSent++
+			attempt.attemptsAtEntry = attemptsAtEntry(answer, nil)
+			exchange.attemptsSent += attempt.attemptsAtEntry
 			exchange.mayHaveRun = true
 		}
 		return
@@ -206,6 +215,15 @@
 	exchange.recordNotices(attempt.head(), answer.AnswerHead, attempt.sentAt)
 }
 
+// recordNotice records the attempts that another entry has made since its answer began.
+func (stream *hedgedStream) recordNotice(message streamMessage) {
+	attempt := message.attempt
+	if further := message.attemptsAtEntry - attempt.attemptsAtEntry; further > 0 {
+		stream.exchange.attemptsSent += further
+		attempt.attemptsAtEntry = message.attemptsAtEntry
+	}
+}
+
 // recordEnd removes an attempt that has ended, and records whether it reached its target.
 func (stream *hedgedStream) recordEnd(message streamMessage) {
 	attempt, exchange := message.attempt, stream.exchange
@@ -227,7 +245,7 @@
 		return
 	}
 	if attempt.fromEntry {
-		exchange.attemptsSent++
+		exchange.attemptsSent += attemptsAtEntry(nil, message.err)
 		exchange.triedTargets += attempt.head().ID + " "
 	} else {
 		exchange.recordSent(attempt.head())
--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -75,6 +75,7 @@
 		if exchange.httpRequest.ContentLength != 0 && exchange.Body == nil {
 			intake.BoundLeftover(exchange.writer)
 		}
+		exchange.nameAttempts()
 		refusal.write(exchange.writer, exchange.ID)
 	default:
 		service.Counters.Add(CountResponsesAborted, 1)
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -173,6 +173,7 @@
 	for name, values := range answer.Header {
 		header[name] = values
 	}
+	exchange.nameAttempts()
 	exchange.writer.WriteHeader(answer.Status)
 }
 
--- a/edge/streamattempt.go
+++ b/edge/streamattempt.go
@@ -12,6 +12,7 @@
 
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/intake"
+	"greengageroute.example/greengageroute/platform"
 	"greengageroute.example/greengageroute/upstream"
 )
 
@@ -34,6 +35,7 @@
 		sentAt            time.Time
 		progress          greengageroute.AnswerProgress
 		inPrefill         atomic.Bool
+		attemptsAtEntry   int    // that another entry has made, as far as it said so
 		fromEntry         bool   // another entry forwards the stream
 		resumes           bool   // the stream had begun before
 		charged           bool   // to the retry budget
@@ -145,8 +147,15 @@
 		case err != nil:
 			return nil, err
 		}
+		message := streamMessage{attempt: attempt, event: event}
+		if attempt.fromEntry {
+			if made, found := platform.DecodeAttemptsComment(event.text); found {
+				event.release(&attempt.events)
+				message = streamMessage{attempt: attempt, attemptsAtEntry: max(made, 1)}
+			}
+		}
 		select {
-		case attempt.stream.messages <- streamMessage{attempt: attempt, event: event}:
+		case attempt.stream.messages <- message:
 		case <-ctx.Done():
 			return nil, context.Cause(ctx)
 		}
--- a/edge/streamsearch.go
+++ b/edge/streamsearch.go
@@ -213,6 +213,7 @@
 	}
 	stream.attempts = append(stream.attempts, attempt)
 	stream.exchange.attemptsPending++
+	stream.exchange.reportAttempts()
 	attempt.start(ctx)
 	stream.silenceTimer.reset(min(attempt.unresponsiveAfter, silenceRecheck))
 }
--- a/request.go
+++ b/request.go
@@ -65,6 +65,9 @@
 		ColdRemaining time.Duration
 		// Leaving reports that the target says that it is leaving.
 		Leaving bool
+		// AttemptsAtEntry is how many attempts another entry made at targets before it answered;
+		// 0 if it doesn't say so.
+		AttemptsAtEntry int
 		// ForwardedFrom is the target whose answer another entry passes on, if that target
 		// is leaving.
 		ForwardedFrom TargetInstance
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -48,6 +48,8 @@
 	// maxResponses is how many responses are read in search of the request's own.
 	// Late answers to earlier requests, copies of them and 1xx responses are skipped.
 	maxResponses = 3
+	// maxNotices is how many further interim responses another entry may send.
+	maxNotices = 16
 	// maxForeignWait is how long the request's own answer is awaited after a refusal that
 	// bears no id on a connection that has carried answers with ids.
 	maxForeignWait = time.Second
@@ -89,6 +91,9 @@
 	AnswerLostError struct {
 		Target string
 		Cause  error
+		// AttemptsAtEntry is how many attempts another entry is known to have made; 0 if it
+		// didn't say so.
+		AttemptsAtEntry int
 	}
 
 	// TooLongError reports that a target sent more than an answer may have.
@@ -182,24 +187,29 @@
 	target, sentAt := attempt.Target, time.Now()
 	conn.exchanges++
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	responses, attemptsAtEntry := maxResponses, 0
+	if attempt.ToEntry {
+		responses += maxNotices
+	}
 	lost := func(cause error) error {
 		stop()
 		conn.Close()
 		if ctx.Err() != nil {
 			cause = context.Cause(ctx)
 		}
-		return &AnswerLostError{Target: target.ID, Cause: cause}
+		return &AnswerLostError{Target: target.ID, Cause: cause, AttemptsAtEntry: attemptsAtEntry}
 	}
 	if err := conn.send(request, attempt); err != nil {
 		return nil, lost(err)
 	}
 	limited := false // the wait for the request's own answer
-	for range maxResponses {
+	for range responses {
 		response, err := conn.readHead(request.Method)
 		if err != nil {
 			return nil, lost(err)
 		}
 		if response.StatusCode < http.StatusOK {
+			attemptsAtEntry = max(attemptsAtEntry, platform.DecodeAttempts(response.Header))
 			continue
 		}
 		head := platform.DecodeAnswer(response)
