--- a/upstream/client.go
+++ b/upstream/client.go
@@ -229,10 +229,12 @@
 					return nil, lost(err)
 				}
 			}
+			body := io.Reader(response.Body)
 			if head.EndsWithConnection {
 				client.recordUnframed(target.Pool)
+				body = &unframedBody{conn: conn}
 			}
-			return &Answer{AnswerHead: head, Body: response.Body, SentAt: sentAt, client: client, conn: conn, key: key, stop: stop}, nil
+			return &Answer{AnswerHead: head, Body: body, SentAt: sentAt, client: client, conn: conn, key: key, stop: stop}, nil
 		}
 		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes))
 		if err == nil && skipped == maxForeignBytes {
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -164,6 +164,60 @@
 	}
 }
 
+// TestResetDuringTheUploadIsNoEnd guards against a truncated answer without length or chunks that looks
+// complete because the writing of the request's body is told of the reset, and the reading isn't.
+func TestResetDuringTheUploadIsNoEnd(t *testing.T) {
+	reset := func(conn *net.TCPConn) { _ = conn.SetLinger(0) } // closing then resets the connection
+	tests := []struct {
+		name  string
+		end   func(conn *net.TCPConn)
+		whole bool
+	}{
+		{"closed with unread data", func(*net.TCPConn) {}, false},
+		{"reset at once", reset, false},
+		{"reset after the end of the answer", func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			reset(conn)
+		}, false},
+		{"half closed, the body is read", func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			_, _ = io.Copy(io.Discard, conn)
+		}, true},
+		{"half closed, the body is not read", func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			<-t.Context().Done()
+		}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			target := serveRaw(t, func(conn net.Conn, reader *bufio.Reader) {
+				tcp := conn.(*net.TCPConn)
+				if err := tcp.SetReadBuffer(bufferSize); err != nil {
+					t.Error(err)
+				}
+				if _, err := http.ReadRequest(reader); err == nil {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+platform.HeaderAttemptID+": id-1\r\n\r\nown")
+					test.end(tcp)
+				}
+			})
+			answer, err := send(NewClient(func() {}), target, "id-1", make([]byte, 16<<20))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for deadline := time.Now().Add(5 * time.Second); !test.whole && len(answer.conn.written) == 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatal("the writing of the body didn't end")
+				}
+			}
+			body, err := io.ReadAll(answer.Body)
+			answer.Close(err == nil)
+			if (err == nil) != test.whole || string(body) != "own" {
+				t.Errorf("the answer ended with %q and error %v, want it complete: %t", body, err, test.whole)
+			}
+		})
+	}
+}
+
 func TestUnreachableTargetIsReportedAsNotSent(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
