--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/http1"
 	"greengageroute.example/greengageroute/platform"
 )
 
@@ -121,7 +122,7 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Source{
-		store: store, peers: peers, cache: cache, clock: clock, countStoreCall: countStoreCall, client: &http.Client{Transport: transport},
+		store: store, peers: peers, cache: cache, clock: clock, countStoreCall: countStoreCall, client: &http.Client{Transport: http1.NewTransport(transport)},
 		failoverDelay: minFailoverDelay + rand.N(2*minFailoverDelay), startedAt: clock.Now(), backoffUntil: map[string]time.Time{}, tables: map[string]*tableState{},
 	}
 }
--- a/target/target.go
+++ b/target/target.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"greengageroute.example/greengageroute/http1"
 	"greengageroute.example/greengageroute/intake"
 )
 
@@ -132,8 +133,8 @@
 	dialer := &net.Dialer{Timeout: DialTimeout}
 	client := &Client{
 		budget: budget, onTooLong: onTooLong,
-		pooled:   &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}},
-		unpooled: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}},
+		pooled:   newHTTPClient(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}),
+		unpooled: newHTTPClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}),
 	}
 	dialCounting := func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dialer.DialContext(ctx, network, address)
@@ -142,10 +143,15 @@
 		}
 		return countingConn{Conn: connection, count: &client.probeBytes}, nil
 	}
-	client.probePool = &http.Client{Transport: &http.Transport{DialContext: dialCounting, MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}}
+	client.probePool = newHTTPClient(&http.Transport{DialContext: dialCounting, MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: time.Minute})
 	return client
 }
 
+func newHTTPClient(transport *http.Transport) *http.Client {
+	transport.MaxResponseHeaderBytes = maxHeaderBytes
+	return &http.Client{Transport: http1.NewTransport(transport)}
+}
+
 // countTooLong reports an answer that was too long.
 func (client *Client) countTooLong(address string, err error) {
 	var tooLong *TooLongError
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -20,6 +20,7 @@
 
 	"github.com/gravitational/trace"
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/http1"
 	"greengageroute.example/greengageroute/platform"
 )
 
@@ -104,11 +105,12 @@
 	}
 
 	// limitedReader reads from a connection until the limit of the response's head is
-	// used up.
+	// used up, and keeps what it reads of the head.
 	limitedReader struct {
 		conn      net.Conn
 		remaining int
 		unlimited bool
+		head      []byte
 	}
 
 	conn struct {
@@ -150,15 +152,36 @@
 	}
 	read, err := limit.conn.Read(buffer[:min(len(buffer), limit.remaining)])
 	limit.remaining -= read
+	limit.head = append(limit.head, buffer[:read]...)
 	return read, err
 }
 
-// readHead reads the head of the next response.
+// readHead reads the head of the next response. The error is a *http1.MalformedError if there is
+// none.
 func (conn *conn) readHead(method string) (*http.Response, error) {
-	conn.limit.remaining, conn.limit.unlimited = maxHeadBytes, false
+	limit := conn.limit
+	buffered, _ := conn.reader.Peek(conn.reader.Buffered()) // never fails
+	limit.remaining, limit.unlimited, limit.head = maxHeadBytes, false, append(limit.head[:0], buffered...)
 	response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
-	conn.limit.unlimited = true
-	return response, err
+	limit.unlimited = true
+	defer limit.forget()
+	if err != nil {
+		if malformed := http1.CheckStart(limit.head, platform.SingleFields...); malformed != nil {
+			return nil, malformed
+		}
+		return nil, err
+	}
+	if err := http1.CheckHead(limit.head[:len(limit.head)-conn.reader.Buffered()], platform.SingleFields...); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+// forget drops a long head.
+func (limit *limitedReader) forget() {
+	if cap(limit.head) > bufferSize {
+		limit.head = nil
+	}
 }
 
 // NewClient returns a client that calls onDial before it dials a new connection.
@@ -229,7 +252,7 @@
 					return nil, lost(err)
 				}
 			}
-			body := io.Reader(response.Body)
+			body := io.Reader(http1.CheckedBody(response))
 			if head.EndsWithConnection {
 				client.recordUnframed(target.Pool)
 				body = &unframedBody{conn: conn}
