Targets that send malformed responses count as faulty

A target whose heads are no heads of responses was chosen like any other: only answers that are too long made it faulty, and orders, reports and health checks told nobody of either. It counts now as one whose answers are too long does, once a response, wherever the response is read, and the log shows the line (answers-malformed, at both interfaces). The check on a kept connection returns an error that tells a malformed answer from none.

TestFaultyTargetIsMetByFewCallers, its two cases with a malformed head, and TestMalformedResponsesAreReported.

--- a/edge/answerend.go
+++ b/edge/answerend.go
@@ -38,8 +38,9 @@
 			ctx, cancel = context.WithTimeout(ctx, confirmTimeout)
 			defer cancel()
 		}
-		var head greengageroute.AnswerHead
-		head, confirmed = service.Sender.ServesKeptConnection(ctx, target, exchange.pool.HealthPath, answer.SentAt)
+		head, err := service.Sender.CheckKeptConnection(ctx, target, exchange.pool.HealthPath, answer.SentAt)
+		confirmed = err == nil
+		exchange.recordFault(target, err)
 		exchange.recordAvailability(target, head) // not all health checks name the limit
 	}
 	service.Log.V(1).Info("answer ended with its connection", "id", exchange.ID, "target", target.ID, "born", target.StartUnixMilli, "status", answer.Status,
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -101,8 +101,11 @@
 	return fixture.serving || fixture.confirm()
 }
 
-func (fixture *fixture) ServesKeptConnection(_ context.Context, _ greengageroute.Target, path string, _ time.Time) (greengageroute.AnswerHead, bool) {
-	return fixture.health, fixture.confirm() && path == "/health"
+func (fixture *fixture) CheckKeptConnection(_ context.Context, _ greengageroute.Target, path string, _ time.Time) (greengageroute.AnswerHead, error) {
+	if !fixture.confirm() || path != "/health" {
+		return fixture.health, errors.New("not confirmed")
+	}
+	return fixture.health, nil
 }
 
 func (fixture *fixture) confirm() bool {
@@ -152,8 +155,8 @@
 func (calmDependencies) AcceptsConnections(greengageroute.Target) bool      { return true }
 func (calmDependencies) HasIdleConnection(greengageroute.Target, bool) bool { return true }
 func (calmDependencies) StillServes(greengageroute.Target) bool             { return true }
-func (calmDependencies) ServesKeptConnection(context.Context, greengageroute.Target, string, time.Time) (greengageroute.AnswerHead, bool) {
-	return greengageroute.AnswerHead{}, true
+func (calmDependencies) CheckKeptConnection(context.Context, greengageroute.Target, string, time.Time) (greengageroute.AnswerHead, error) {
+	return greengageroute.AnswerHead{}, nil
 }
 
 var (
--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -93,9 +93,9 @@
 		// target that a request may use. With atMostOnce, only a recently used one
 		// counts.
 		HasIdleConnection(target greengageroute.Target, atMostOnce bool) bool
-		// ServesKeptConnection reports whether a target answers a health check on a
+		// CheckKeptConnection returns the head of a target's answer to a health check on a
 		// connection that was opened before the given time.
-		ServesKeptConnection(ctx context.Context, target greengageroute.Target, healthPath string, openedBefore time.Time) (greengageroute.AnswerHead, bool)
+		CheckKeptConnection(ctx context.Context, target greengageroute.Target, healthPath string, openedBefore time.Time) (greengageroute.AnswerHead, error)
 	}
 
 	// Dependencies holds the parts that a Service needs.
@@ -229,6 +229,8 @@
 	CountEventsEnded = "stream-attempts-over-budget"
 	// CountAnswersTooLong counts answers with a part that is longer than the protocol allows.
 	CountAnswersTooLong = "answers-too-long"
+	// CountAnswersMalformed counts answers whose head is no head of an HTTP/1.1 response.
+	CountAnswersMalformed = "answers-malformed"
 	// CountForwarded counts requests sent to other entries because no target responds to
 	// this one, and CountHelped those of other entries.
 	CountForwarded = "requests-forwarded-to-entries"
--- a/edge/faultytarget.go
+++ b/edge/faultytarget.go
@@ -5,19 +5,34 @@
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/http1"
 	"greengageroute.example/greengageroute/upstream"
 )
 
-// recordTooLong records that a target's answer has a part that is longer than the protocol allows,
-// if that is why an attempt failed.
-func (exchange *exchange) recordTooLong(target greengageroute.Target, cause error) {
+// recordFault records that a target's answer breaks the protocol, if that is why an attempt failed.
+func (exchange *exchange) recordFault(target greengageroute.Target, cause error) {
+	exchange.service.recordFault(target, exchange.ID, cause)
+}
+
+// RecordFault records that a target's response to an order or a probe breaks the protocol, if that
+// is why it failed.
+func (service *Service) RecordFault(target greengageroute.Target, cause error) {
+	service.recordFault(target, "", cause)
+}
+
+func (service *Service) recordFault(target greengageroute.Target, id string, cause error) {
 	var tooLong *upstream.TooLongError
-	if !errors.As(cause, &tooLong) {
+	var malformed *http1.MalformedError
+	switch {
+	case errors.As(cause, &tooLong):
+		service.Counters.Add(CountAnswersTooLong, 1)
+		service.Log.Info("answer too long", "id", id, "target", target.ID, "born", target.StartUnixMilli, "part", tooLong.What, "bytes", tooLong.Bytes, "limit", tooLong.Limit)
+	case errors.As(cause, &malformed):
+		service.Counters.Add(CountAnswersMalformed, 1)
+		service.Log.Info("answer malformed", "id", id, "target", target.ID, "born", target.StartUnixMilli, "reason", malformed.Reason, "line", malformed.Line)
+	default:
 		return
 	}
-	service := exchange.service
-	service.Counters.Add(CountAnswersTooLong, 1)
-	service.Log.Info("answer too long", "id", exchange.ID, "target", target.ID, "born", target.StartUnixMilli, "part", tooLong.What, "bytes", tooLong.Bytes, "limit", tooLong.Limit)
 	service.tracker.RecordFault(target)
 }
 
--- a/edge/faultytarget_test.go
+++ b/edge/faultytarget_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/http1"
 	"greengageroute.example/greengageroute/upstream"
 )
 
@@ -26,6 +27,9 @@
 			return nil, &upstream.AnswerLostError{Target: attempt.Target.ID, Cause: &upstream.TooLongError{What: part, Bytes: 64 << 10, Limit: 64 << 10}}
 		}}
 	}
+	malformed := script{func(_ context.Context, attempt greengageroute.Attempt) (*upstream.Answer, error) {
+		return nil, &upstream.AnswerLostError{Target: attempt.Target.ID, Cause: &http1.MalformedError{Reason: "an invalid status"}}
+	}}
 	for _, test := range []struct {
 		name, path string
 		faulty     script
@@ -36,6 +40,8 @@
 		{"stream of a plain target, event", "/feed/x", script{answers(http.StatusOK, events(1, 1)+strings.Repeat("x", maxEventBytes+1))}},
 		{"stream, body of an error", "/talk/x", script{answers(http.StatusTeapot, strings.Repeat("x", maxAnswerBytes+1))}},
 		{"call, head", "/get/x", lost("the head of the response")},
+		{"stream, malformed head", "/chat/x", malformed},
+		{"call, malformed head", "/get/x", malformed},
 		{"call, body", "/get/x", script{answers(http.StatusOK, strings.Repeat("x", maxAnswerBytes+1))}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -201,7 +201,7 @@
 		return
 	}
 	if !attempt.fromEntry {
-		exchange.recordTooLong(attempt.target, result.err)
+		exchange.recordFault(attempt.target, result.err)
 		exchange.recordSent(attempt.target)
 		exchange.rejectedAsFull = result.isRejection()
 		exchange.mayHaveRun = exchange.mayHaveRun || result.answer == nil || !result.answer.NotRun
--- a/edge/hedgedcall_test.go
+++ b/edge/hedgedcall_test.go
@@ -127,12 +127,12 @@
 	silence time.Duration
 }
 
-func (sender *lateConfirmations) ServesKeptConnection(ctx context.Context, _ greengageroute.Target, _ string, _ time.Time) (greengageroute.AnswerHead, bool) {
+func (sender *lateConfirmations) CheckKeptConnection(ctx context.Context, _ greengageroute.Target, _ string, _ time.Time) (greengageroute.AnswerHead, error) {
 	select {
 	case <-time.After(sender.silence):
-		return greengageroute.AnswerHead{}, true
+		return greengageroute.AnswerHead{}, nil
 	case <-ctx.Done():
-		return greengageroute.AnswerHead{}, false
+		return greengageroute.AnswerHead{}, ctx.Err()
 	}
 }
 
--- a/edge/hedgedstream.go
+++ b/edge/hedgedstream.go
@@ -319,7 +319,7 @@
 	if attempt.fromEntry {
 		return
 	}
-	exchange.recordTooLong(attempt.head(), cause)
+	exchange.recordFault(attempt.head(), cause)
 	switch {
 	case notSent != nil:
 		exchange.service.probeHead(attempt.head())
--- a/entry/counters.go
+++ b/entry/counters.go
@@ -19,6 +19,7 @@
 	CountVMsGivenBack        = "vms-given-back"
 	CountSupplyRefused       = "supply-refused"
 	CountTooLong             = "answers-too-long"
+	CountMalformed           = "answers-malformed"
 	CountCallersDisconnected = "callers-gone"
 	CountForwardRefused      = "forward-refused-" // followed by the error code
 	CountRefused             = "refused-"         // followed by the request class
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"net/http"
 	"sync"
@@ -15,6 +16,7 @@
 	"github.com/gravitational/trace"
 	greengageroute "greengageroute.example/greengageroute"
 	"greengageroute.example/greengageroute/caller"
+	"greengageroute.example/greengageroute/http1"
 	"greengageroute.example/greengageroute/intake"
 	"greengageroute.example/greengageroute/peer"
 	"greengageroute.example/greengageroute/table"
@@ -67,7 +69,7 @@
 		budget         *intake.Budget
 		server         *http.Server
 		stopping       atomic.Bool
-		tooLongLogged  atomic.Int64 // Unix second of the last log line on an answer that was too long
+		faultLogged    atomic.Int64 // Unix second of the last log line on an answer that was too long or malformed
 		forwards       runningForwards
 		ready          atomic.Bool
 		lifetime       context.Context // ends when Run does
@@ -96,7 +98,7 @@
 	}
 	limits := settings.Limits()
 	entry.budget = intake.NewBudget(greengageroute.NewBodyBudget(limits), entry.counters)
-	entry.targets = target.NewClient(entry.budget, entry.recordTooLong)
+	entry.targets = target.NewClient(entry.budget, entry.recordFault)
 	entry.quarantine = greengageroute.NewQuarantine(entry.logQuarantine)
 	entry.probeResults = greengageroute.NewProbeResults(entry.handleUnhealthyGroup)
 	entry.chatAdmission = greengageroute.NewAdmission(0, entry.countRefused)
@@ -122,13 +124,18 @@
 	return entry, nil
 }
 
-// recordTooLong counts an answer that exceeded a bound of its length, and logs one a second.
-func (entry *Entry) recordTooLong(address string, err error) {
-	entry.counters.Add(CountTooLong, 1)
-	if second := time.Now().Unix(); entry.tooLongLogged.Swap(second) == second {
+// recordFault counts an answer that was too long or malformed, and logs one a second.
+func (entry *Entry) recordFault(address string, err error) {
+	count, message := CountTooLong, "answer too long"
+	var malformed *http1.MalformedError
+	if errors.As(err, &malformed) {
+		count, message = CountMalformed, "answer malformed"
+	}
+	entry.counters.Add(count, 1)
+	if second := time.Now().Unix(); entry.faultLogged.Swap(second) == second {
 		return
 	}
-	entry.log.Info("answer too long", "target", address, "error", err.Error())
+	entry.log.Info(message, "target", address, "error", err.Error())
 }
 
 func (entry *Entry) countRefused(class string) { entry.counters.Add(CountRefused+class, 1) }
--- a/http1/readers_test.go
+++ b/http1/readers_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
+	"greengageroute.example/greengageroute/http1"
 	"greengageroute.example/greengageroute/platform"
 	"greengageroute.example/greengageroute/relay"
 	"greengageroute.example/greengageroute/table"
@@ -28,12 +29,24 @@
 )
 
 type (
-	noNotices struct{}
-	noStore   struct{}
-	oneReader string
+	// recordedFaults counts malformed responses of targets.
+	recordedFaults struct{ count int }
+	noStore        struct{}
+	oneReader      string
 )
 
-func (noNotices) RecordAvailability(greengageroute.Target, greengageroute.AnswerHead) {}
+func (*recordedFaults) RecordAvailability(greengageroute.Target, greengageroute.AnswerHead) {}
+
+func (faults *recordedFaults) RecordFault(_ greengageroute.Target, cause error) {
+	faults.record("", cause)
+}
+
+func (faults *recordedFaults) record(_ string, cause error) {
+	var malformed *http1.MalformedError
+	if errors.As(cause, &malformed) {
+		faults.count++
+	}
+}
 
 func (noStore) Read(context.Context, string) (platform.Rows, error) {
 	return platform.Rows{}, errors.New("no store")
@@ -102,9 +115,7 @@
 	}
 	_, err = io.ReadAll(answer.Body)
 	answer.Close(err == nil)
-	if _, serves := client.ServesKeptConnection(ctx, target, "/health", time.Now()); !serves {
-		return errors.New("not confirmed")
-	}
+	_, err = client.CheckKeptConnection(ctx, target, "/health", time.Now())
 	return err
 }
 
@@ -121,10 +132,10 @@
 		{"a request to another entry", "{}", false, forward(true)},
 		{"a health check on a kept connection", "{}", true, checkKeptConnection},
 		{"an order", "{}", false, func(ctx context.Context, address string) error {
-			return platform.NewTargetClient(noNotices{}).Send(ctx, greengageroute.TargetOrder{Kind: greengageroute.OrderOpen, Target: greengageroute.Target{ID: "i-1", Address: address}}, time.Second)
+			return platform.NewTargetClient(&recordedFaults{}).Send(ctx, greengageroute.TargetOrder{Kind: greengageroute.OrderOpen, Target: greengageroute.Target{ID: "i-1", Address: address}}, time.Second)
 		}},
 		{"a report", "{}", false, func(ctx context.Context, address string) error {
-			_, err := platform.NewTargetClient(noNotices{}).Report(ctx, greengageroute.Target{ID: "i-1", Address: address}, time.Second)
+			_, err := platform.NewTargetClient(&recordedFaults{}).Report(ctx, greengageroute.Target{ID: "i-1", Address: address}, time.Second)
 			return err
 		}},
 		{"rows of the store", "{}", false, func(ctx context.Context, address string) error {
@@ -229,6 +240,42 @@
 	}
 }
 
+// TestMalformedResponsesAreReported guards against a faulty target that nobody hears of, or that counts
+// more than once for one response.
+func TestMalformedResponsesAreReported(t *testing.T) {
+	tests := []struct {
+		name string
+		read func(ctx context.Context, address string, faults *recordedFaults) error
+	}{
+		{"an order", func(ctx context.Context, address string, faults *recordedFaults) error {
+			return platform.NewTargetClient(faults).Send(ctx, greengageroute.TargetOrder{Kind: greengageroute.OrderOpen, Target: greengageroute.Target{ID: "i-1", Address: address}}, time.Second)
+		}},
+		{"a report", func(ctx context.Context, address string, faults *recordedFaults) error {
+			_, err := platform.NewTargetClient(faults).Report(ctx, greengageroute.Target{ID: "i-1", Address: address}, time.Second)
+			return err
+		}},
+		{"a call of a service", func(ctx context.Context, address string, faults *recordedFaults) error {
+			_, err := target.NewClient(nil, faults.record).Call(ctx, address, target.ServiceCall{Method: "GET", Path: "/x"})
+			return err
+		}},
+		{"an order of an engine", func(ctx context.Context, address string, faults *recordedFaults) error {
+			return target.NewClient(nil, faults.record).SendOrder(ctx, greengageroute.EngineOrder{Address: address})
+		}},
+		{"a stream of an engine", func(ctx context.Context, address string, faults *recordedFaults) error {
+			_, err := target.NewClient(nil, faults.record).Generate(ctx, address, target.GenerateRequest{}, func() time.Time { return time.Now().Add(time.Hour) }, func() {})
+			return err
+		}},
+	}
+	for _, test := range tests {
+		for head, count := range map[string]int{sound: 0, sound + "X bad: 1\r\n": 1} {
+			address, faults := serveBytes(t, func(int) string { return head + "Content-Length: 2\r\n\r\n{}" }), &recordedFaults{}
+			if err := test.read(t.Context(), address, faults); (err != nil) != (count > 0) || faults.count != count {
+				t.Errorf("%s: got error %v and %d reports, want %d", test.name, err, faults.count, count)
+			}
+		}
+	}
+}
+
 // TestTrailersAreChecked guards against a body whose framing is lost in what follows it.
 func TestTrailersAreChecked(t *testing.T) {
 	tests := []struct {
--- a/serve/peers.go
+++ b/serve/peers.go
@@ -176,6 +176,11 @@
 	entry.service.RecordAvailability(target, answer)
 }
 
+// RecordFault implements platform.Notices.
+func (entry *Entry) RecordFault(target greengageroute.Target, cause error) {
+	entry.service.RecordFault(target, cause)
+}
+
 // Backoff implements control.Backoffs.
 func (entry *Entry) Backoff(target greengageroute.Target) greengageroute.TargetBackoff {
 	return entry.service.Backoff(target)
--- a/target/engine.go
+++ b/target/engine.go
@@ -37,7 +37,7 @@
 	var report greengageroute.EngineReport
 	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
 	defer cancel()
-	response, err := send(ctx, httpClient, http.MethodGet, address, "/report", body{})
+	response, err := client.send(ctx, httpClient, http.MethodGet, address, "/report", body{})
 	if err != nil {
 		return report, err
 	}
@@ -46,8 +46,8 @@
 	if err := json.NewDecoder(limited).Decode(&report); err != nil {
 		if limited.N <= 0 {
 			err = &TooLongError{What: "the report", Limit: maxReportBytes, Unit: "bytes"}
-			client.countTooLong(address, err)
 		}
+		client.reportFault(address, err)
 		return report, &AnswerLostError{Address: address, Cause: err}
 	}
 	return report, nil
@@ -62,7 +62,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
 	defer cancel()
-	response, err := send(ctx, client.unpooled, http.MethodPost, order.Address, "/order", body{bytes: encoded})
+	response, err := client.send(ctx, client.unpooled, http.MethodPost, order.Address, "/order", body{bytes: encoded})
 	if err != nil {
 		return err
 	}
@@ -72,7 +72,7 @@
 // send makes a call. Its error is a *RefusedError if the target refused the call
 // or the deadline for sending it passed, an *UnreachableError if no connection was
 // made, and an *AnswerLostError if the call failed later.
-func send(ctx context.Context, httpClient *http.Client, method, address, path string, body body) (*http.Response, error) {
+func (client *Client) send(ctx context.Context, httpClient *http.Client, method, address, path string, body body) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body.reader())
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -85,6 +85,7 @@
 		return nil, &RefusedError{Address: address, Reason: errSendDeadline.Error()}
 	}
 	if err != nil {
+		client.reportFault(address, err)
 		return nil, classifyError(address, err)
 	}
 	if response.StatusCode >= http.StatusMultipleChoices {
--- a/target/service.go
+++ b/target/service.go
@@ -53,6 +53,7 @@
 	}
 	response, err := httpClient.Do(request)
 	if err != nil {
+		client.reportFault(address, err)
 		return greengageroute.Answer{}, classifyError(address, err)
 	}
 	defer response.Body.Close()
@@ -61,7 +62,7 @@
 		err = errNoLength
 	}
 	if err != nil {
-		client.countTooLong(address, err)
+		client.reportFault(address, err)
 		return greengageroute.Answer{}, &AnswerLostError{Address: address, Cause: err}
 	}
 	return greengageroute.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
--- a/target/stream.go
+++ b/target/stream.go
@@ -51,7 +51,7 @@
 		cancel context.CancelFunc
 		opened chan error // result of the request, once the header is received
 		lines  chan line
-		budget *intake.Budget
+		client *Client
 		reader atomic.Pointer[lineReader] // nil until the header is received
 		// repeated reports whether the last line was a duplicate. Only the stream uses it.
 		repeated bool
@@ -152,7 +152,7 @@
 	if ctx.Err() != nil {
 		return trace.Wrap(context.Cause(ctx))
 	}
-	stream.client.countTooLong(stream.address, cause)
+	stream.client.reportFault(stream.address, cause)
 	report, err := stream.client.ProbeNewConnection(ctx, stream.address)
 	if err != nil {
 		return &AnswerLostError{Address: stream.address, Cause: cause}
@@ -180,7 +180,7 @@
 		return trace.Wrap(err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	stream.connection = &connection{cancel: cancel, opened: make(chan error, 1), lines: make(chan line, bufferedLines), budget: stream.client.budget}
+	stream.connection = &connection{cancel: cancel, opened: make(chan error, 1), lines: make(chan line, bufferedLines), client: stream.client}
 	go stream.connection.read(ctx, httpClient, stream.address, body{bytes: encoded, deadline: stream.deadline()})
 	stall := time.NewTimer(StallTimeout)
 	defer stall.Stop()
@@ -206,13 +206,13 @@
 }
 
 func (connection *connection) read(ctx context.Context, httpClient *http.Client, address string, body body) {
-	response, err := send(ctx, httpClient, http.MethodPost, address, "/generate", body)
+	response, err := connection.client.send(ctx, httpClient, http.MethodPost, address, "/generate", body)
 	connection.opened <- err
 	if err != nil {
 		return
 	}
 	defer response.Body.Close()
-	reader := newLineReader(response.Body, connection.budget)
+	reader := newLineReader(response.Body, connection.client.budget)
 	connection.reader.Store(reader)
 	defer reader.free()
 	for {
--- a/target/target.go
+++ b/target/target.go
@@ -39,7 +39,7 @@
 		probePool  *http.Client // reuses connections; for probes only
 		probeBytes atomic.Int64 // sent and received by probes over probePool
 		budget     *intake.Budget
-		onTooLong  func(address string, err error)
+		onFault    func(address string, err error)
 	}
 
 	// countingConn counts the bytes sent and received over a connection.
@@ -124,15 +124,15 @@
 func (err *AnswerLostError) Unwrap() error { return err.Cause }
 
 // NewClient returns a client with its own pool of connections. What answers hold is charged to
-// the budget, unless it is nil. onTooLong, unless it is nil, is called for each answer that
-// exceeds a bound of its length.
-func NewClient(budget *intake.Budget, onTooLong func(address string, err error)) *Client {
-	if onTooLong == nil {
-		onTooLong = func(string, error) {}
+// the budget, unless it is nil. onFault, unless it is nil, is called for each answer that
+// exceeds a bound of its length or whose head is no head of a response.
+func NewClient(budget *intake.Budget, onFault func(address string, err error)) *Client {
+	if onFault == nil {
+		onFault = func(string, error) {}
 	}
 	dialer := &net.Dialer{Timeout: DialTimeout}
 	client := &Client{
-		budget: budget, onTooLong: onTooLong,
+		budget: budget, onFault: onFault,
 		pooled:   newHTTPClient(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}),
 		unpooled: newHTTPClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}),
 	}
@@ -152,11 +152,12 @@
 	return &http.Client{Transport: http1.NewTransport(transport)}
 }
 
-// countTooLong reports an answer that was too long.
-func (client *Client) countTooLong(address string, err error) {
+// reportFault reports an answer that was too long or malformed.
+func (client *Client) reportFault(address string, err error) {
 	var tooLong *TooLongError
-	if errors.As(err, &tooLong) {
-		client.onTooLong(address, err)
+	var malformed *http1.MalformedError
+	if errors.As(err, &tooLong) || errors.As(err, &malformed) {
+		client.onFault(address, err)
 	}
 }
 
--- a/upstream/keptconnection.go
+++ b/upstream/keptconnection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -13,11 +14,19 @@
 // defaultCheckTimeout is the timeout that a target is told if the context has none.
 const defaultCheckTimeout = time.Second
 
-// ServesKeptConnection reports whether a target answers a health check on a connection
+var (
+	// errNoKeptConnection is returned if no connection from before the given time is open.
+	errNoKeptConnection = errors.New("no connection from before the request is open")
+	// errNotNamed is returned for an answer that doesn't name the target.
+	errNotNamed = errors.New("the answer doesn't name the target")
+)
+
+// CheckKeptConnection returns the head of a target's answer to a health check on a connection
 // that was opened before the given time. A process that ends closes all its connections,
-// so the one that answers is the one that was running then. It returns the answer's head,
-// which is zero if there is none. The context bounds how long a silent target is waited for.
-func (client *Client) ServesKeptConnection(ctx context.Context, target greengageroute.Target, healthPath string, openedBefore time.Time) (greengageroute.AnswerHead, bool) {
+// so the one that answers is the one that was running then. The error is an *AnswerLostError if
+// what the target sent isn't the answer. The context bounds how long a silent target is waited for.
+func (client *Client) CheckKeptConnection(ctx context.Context, target greengageroute.Target, healthPath string, openedBefore time.Time) (greengageroute.AnswerHead, error) {
+	err := errNoKeptConnection
 	key := poolKey(target)
 	for conn := client.popOpenedBefore(key, openedBefore); conn != nil; conn = client.popOpenedBefore(key, openedBefore) {
 		if !conn.usable() {
@@ -25,19 +34,23 @@
 			continue
 		}
 		request := greengageroute.Request{Method: http.MethodGet, URI: healthPath, Host: target.Address, Header: http.Header{}}
-		answer, err := client.exchange(ctx, conn, key, request, greengageroute.Attempt{Target: target, Remaining: remaining(ctx)})
+		var answer *Answer
+		answer, err = client.exchange(ctx, conn, key, request, greengageroute.Attempt{Target: target, Remaining: remaining(ctx)})
 		if err != nil && ctx.Err() != nil {
 			break // the others are as silent
 		}
 		if err != nil {
 			continue
 		}
-		_, err = io.Copy(io.Discard, io.LimitReader(answer.Body, maxForeignBytes))
+		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxForeignBytes))
 		answer.Close(err == nil)
 		// Any status will do, but a copy of an earlier answer names no instance.
-		return answer.AnswerHead, answer.Instance == target.ID
+		if answer.Instance != target.ID {
+			return answer.AnswerHead, errNotNamed
+		}
+		return answer.AnswerHead, nil
 	}
-	return greengageroute.AnswerHead{}, false
+	return greengageroute.AnswerHead{}, err
 }
 
 // remaining returns the time until a context's deadline, or defaultCheckTimeout without one.
--- a/upstream/keptconnection_test.go
+++ b/upstream/keptconnection_test.go
@@ -95,13 +95,13 @@
 	sendUnframed(t, client, target, true)
 	sentAt := sendUnframed(t, client, target, true)
 	process.silence.Store(int64(600 * time.Millisecond))
-	if _, confirmed := client.ServesKeptConnection(t.Context(), target, "/health", sentAt); !confirmed {
+	if _, err := client.CheckKeptConnection(t.Context(), target, "/health", sentAt); err != nil {
 		t.Error("a process that goes on after a silence isn't taken for the one that answered")
 	}
 	sentAt = sendUnframed(t, client, target, true)
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	if _, confirmed := client.ServesKeptConnection(ctx, target, "/health", sentAt); confirmed {
+	if _, err := client.CheckKeptConnection(ctx, target, "/health", sentAt); err == nil {
 		t.Error("confirmed beyond the context's deadline")
 	}
 }
@@ -127,15 +127,15 @@
 			process := startProcess(t, "i-1", "127.0.0.1:0")
 			target, client := process.target(), NewClient(func() {})
 			sentAt := sendUnframed(t, client, target, true)
-			if _, confirmed := client.ServesKeptConnection(context.Background(), target, "/health", sentAt); confirmed {
+			if _, err := client.CheckKeptConnection(context.Background(), target, "/health", sentAt); err == nil {
 				t.Fatal("confirmed without a connection from before the request")
 			}
 			// The target is now known to send such answers.
 			sentAt = sendUnframed(t, client, target, true)
 			test.after(t, process)
 			time.Sleep(20 * time.Millisecond) // the connections' end arrives
-			if _, confirmed := client.ServesKeptConnection(context.Background(), target, "/health", sentAt); confirmed != test.confirmed {
-				t.Errorf("confirmed: %t, want %t", confirmed, test.confirmed)
+			if _, err := client.CheckKeptConnection(context.Background(), target, "/health", sentAt); (err == nil) != test.confirmed {
+				t.Errorf("got error %v, want it confirmed: %t", err, test.confirmed)
 			}
 		})
 	}
