--- a/http1/readers_test.go
+++ b/http1/readers_test.go
@@ -240,6 +240,53 @@
 	}
 }
 
+// TestRedirectsAreNotFollowed guards against an action that runs at a server that nobody chose, and
+// against the answer of another server in place of the one that was asked.
+func TestRedirectsAreNotFollowed(t *testing.T) {
+	tests := []struct {
+		name string
+		read func(ctx context.Context, address string) (status int, err error)
+	}{
+		{"a call of a service", func(ctx context.Context, address string) (int, error) {
+			answer, err := target.NewClient(nil, nil).Call(ctx, address, target.ServiceCall{Method: "GET", Path: "/x"})
+			return answer.Status, err
+		}},
+		{"an action of a service", func(ctx context.Context, address string) (int, error) {
+			answer, err := target.NewClient(nil, nil).Call(ctx, address, target.ServiceCall{Method: "POST", Path: "/x", Key: "k", Body: []byte("pay")})
+			return answer.Status, err
+		}},
+		{"a probe of an engine", func(ctx context.Context, address string) (int, error) {
+			_, err := target.NewClient(nil, nil).Probe(ctx, address)
+			var refused *target.RefusedError
+			if errors.As(err, &refused) {
+				return refused.Status, nil
+			}
+			return 0, err
+		}},
+		{"an order", func(ctx context.Context, address string) (int, error) {
+			err := platform.NewTargetClient(&recordedFaults{}).Send(ctx, greengageroute.TargetOrder{Kind: greengageroute.OrderOpen, Target: greengageroute.Target{ID: "i-1", Address: address}}, time.Second)
+			var refused *greengageroute.OrderRefusedError
+			if errors.As(err, &refused) {
+				return refused.Status, nil
+			}
+			return 0, err
+		}},
+	}
+	for _, test := range tests {
+		var asked atomic.Bool
+		other := serveBytes(t, func(int) string {
+			asked.Store(true)
+			return sound + "Content-Length: 2\r\n\r\n{}"
+		})
+		address := serveBytes(t, func(int) string {
+			return "HTTP/1.1 307 Temporary Redirect\r\nLocation: http://" + other + "/y\r\nContent-Length: 0\r\n\r\n"
+		})
+		if status, err := test.read(t.Context(), address); status != http.StatusTemporaryRedirect || err != nil || asked.Load() {
+			t.Errorf("%s: got status %d and error %v, another server was asked: %t; want the redirect", test.name, status, err, asked.Load())
+		}
+	}
+}
+
 // TestMalformedResponsesAreReported guards against a faulty target that nobody hears of, or that counts
 // more than once for one response.
 func TestMalformedResponsesAreReported(t *testing.T) {
--- a/http1/transport.go
+++ b/http1/transport.go
@@ -47,6 +47,15 @@
 	return &Transport{inner: inner, singles: singles}
 }
 
+// NewClient returns a client that takes no malformed response and follows no redirect: what another
+// server says isn't the answer of the one that was asked.
+func NewClient(inner *http.Transport, singles ...string) *http.Client {
+	return &http.Client{
+		Transport:     NewTransport(inner, singles...),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var conn *checkedConn
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -122,7 +122,7 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Source{
-		store: store, peers: peers, cache: cache, clock: clock, countStoreCall: countStoreCall, client: &http.Client{Transport: http1.NewTransport(transport)},
+		store: store, peers: peers, cache: cache, clock: clock, countStoreCall: countStoreCall, client: http1.NewClient(transport),
 		failoverDelay: minFailoverDelay + rand.N(2*minFailoverDelay), startedAt: clock.Now(), backoffUntil: map[string]time.Time{}, tables: map[string]*tableState{},
 	}
 }
--- a/table/client.go
+++ b/table/client.go
@@ -62,7 +62,7 @@
 		MaxIdleConnsPerHost: 16, MaxResponseHeaderBytes: maxHeaderBytes,
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 	}
-	return &Client{baseURL: "http://" + address, http: &http.Client{Transport: http1.NewTransport(transport)}, turn: make(chan struct{}, 1)}
+	return &Client{baseURL: "http://" + address, http: http1.NewClient(transport), turn: make(chan struct{}, 1)}
 }
 
 // Read implements Table.
--- a/target/target.go
+++ b/target/target.go
@@ -149,7 +149,7 @@
 
 func newHTTPClient(transport *http.Transport) *http.Client {
 	transport.MaxResponseHeaderBytes = maxHeaderBytes
-	return &http.Client{Transport: http1.NewTransport(transport)}
+	return http1.NewClient(transport)
 }
 
 // reportFault reports an answer that was too long or malformed.
