--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -114,10 +114,11 @@
 // startAttempt starts an attempt at a target or, for an isolated entry, through another one.
 func (call *hedgedCall) startAttempt(ctx context.Context, hedges bool) error {
 	exchange := call.exchange
-	if made := exchange.attemptsMade(); made > 0 && made >= exchange.route.Attempts {
+	isolated := exchange.isolated()
+	if made := exchange.attemptsMade(); made > 0 && made >= exchange.route.Attempts && (hedges || isolated) {
 		return errNoTarget
 	}
-	if exchange.isolated() {
+	if isolated {
 		if err := call.startAtEntry(ctx); !errors.Is(err, errNoTarget) || hedges || !exchange.mayTryTarget(call.tried) {
 			return err
 		}
--- a/http1/head.go
+++ b/http1/head.go
@@ -42,7 +42,7 @@
 		version0 bool // HTTP/1.0
 		length   bool
 		codings  bool
-		seen     []bool // by index in singles
+		seen     uint64 // bits by index in singles
 		err      error
 	}
 )
@@ -56,7 +56,7 @@
 }
 
 // CheckHead returns a *MalformedError unless the bytes are the whole head of one response, with its
-// empty line. The given fields, which the protocol above uses, occur once at most.
+// empty line. The given fields, up to 64 that the protocol above uses, occur once at most.
 func CheckHead(head []byte, singles ...string) error {
 	check := headCheck{singles: singles}
 	rest := check.feed(head)
@@ -181,13 +181,10 @@
 	if index < 0 {
 		return nil
 	}
-	if check.seen == nil {
-		check.seen = make([]bool, len(check.singles))
-	}
-	if check.seen[index] {
+	if check.seen&(1<<index) != 0 {
 		return malformed("a field that occurs twice", line)
 	}
-	check.seen[index] = true
+	check.seen |= 1 << index
 	return nil
 }
 
--- a/upstream/keptconnection.go
+++ b/upstream/keptconnection.go
@@ -42,8 +42,8 @@
 		if err != nil {
 			continue
 		}
-		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxForeignBytes))
-		answer.Close(err == nil)
+		_, readErr := io.Copy(io.Discard, io.LimitReader(answer.Body, maxForeignBytes))
+		answer.Close(readErr == nil)
 		// Any status will do, but a copy of an earlier answer names no instance.
 		if answer.Instance != target.ID {
 			return answer.AnswerHead, errNotNamed
