Notices of attempts within streams bear a token of the request

A target whose stream holds a comment like a notice would have had it taken out of the answer to a caller behind a forwarding entry. The forwarding entry sends a random token along, which targets don't see; only comments with it are notices. TestLostHelpersAttemptsCount, "a stream with a comment like a notice", fails without it.

--- a/edge/exchange.go
+++ b/edge/exchange.go
@@ -506,11 +506,11 @@
 // answer's header says so.
 func (exchange *exchange) reportAttempts() {
 	made := exchange.attemptsMade() - exchange.sender.AttemptsSent
-	if !exchange.sender.TakesNotices || made < 2 {
+	if exchange.sender.NoticeToken == "" || made < 2 {
 		return
 	}
 	if exchange.headerSent {
-		_, _ = exchange.writer.Write(platform.AttemptsComment(made)) // the next event fails too
+		_, _ = exchange.writer.Write(platform.AttemptsComment(exchange.sender.NoticeToken, made)) // the next event fails too
 		_ = http.NewResponseController(exchange.writer).Flush()
 		return
 	}
@@ -520,7 +520,7 @@
 
 // nameAttempts names the attempts made in the header of the response to another entry.
 func (exchange *exchange) nameAttempts() {
-	if exchange.sender.TakesNotices {
+	if exchange.sender.NoticeToken != "" {
 		platform.SetAttempts(exchange.writer.Header(), exchange.attemptsMade()-exchange.sender.AttemptsSent)
 	}
 }
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
@@ -167,6 +169,7 @@
 	attempt := exchange.newAttempt(helper)
 	// An idle connection may have been dropped without notice.
 	attempt.ToEntry, attempt.AtMostOnce, attempt.AttemptsSent = true, true, exchange.attemptsMade()
+	attempt.NoticeToken = strconv.FormatUint(rand.Uint64(), 36)
 	return attempt
 }
 
--- a/edge/hedgedcall.go
+++ b/edge/hedgedcall.go
@@ -85,7 +85,7 @@
 	switch {
 	case hedges && (!call.hedgeDue || !exchange.route.Retryable()):
 		return nil
-	case hedges && exchange.forwarded && !exchange.sender.TakesNotices:
+	case hedges && exchange.forwarded && exchange.sender.NoticeToken == "":
 		return nil // entries of builds that take no notices may hedge by themselves
 	case !hedges && exchange.mayHaveRun && !exchange.route.Retryable():
 		return errNoTarget
--- a/edge/streamattempt.go
+++ b/edge/streamattempt.go
@@ -149,7 +149,7 @@
 		}
 		message := streamMessage{attempt: attempt, event: event}
 		if attempt.fromEntry {
-			if made, found := platform.DecodeAttemptsComment(event.text); found {
+			if made, found := platform.DecodeAttemptsComment(event.text, attempt.attempt.NoticeToken); found {
 				event.release(&attempt.events)
 				message = streamMessage{attempt: attempt, attemptsAtEntry: max(made, 1)}
 			}
--- a/request.go
+++ b/request.go
@@ -38,6 +38,8 @@
 		ToEntry bool
 		// AttemptsSent is how many attempts were sent before, for another entry.
 		AttemptsSent int
+		// NoticeToken marks another entry's notices of the attempts that it makes.
+		NoticeToken string
 		// NeedsSpare asks for a second connection to a target whose answers lately had
 		// neither a length nor chunks. It shows later whether the target's process ended.
 		NeedsSpare bool
