--- a/control/planner.go
+++ b/control/planner.go
@@ -64,7 +64,12 @@
 	// get or refused.
 	CountOrdersOutdated    = "orders-outdated"
 	CountOrdersNotAnswered = "orders-not-answered"
-	CountReplicasAssigned  = "replicas-assigned"
+	// CountOrdersLate counts orders whose timeout this entry noticed late; they say nothing about
+	// their targets. CountOrdersDeferred counts planning rounds whose orders had to wait for those
+	// under way.
+	CountOrdersLate       = "orders-late"
+	CountOrdersDeferred   = "orders-deferred"
+	CountReplicasAssigned = "replicas-assigned"
 	// CountTargetShifts counts the times that targets were moved to a busier model.
 	CountTargetShifts     = "target-shifts"
 	CountLeaseStepsFailed = "lease-steps-failed"
@@ -142,6 +147,7 @@
 
 		mu      sync.Mutex
 		sent    map[string]sentOrder // last order by sentKey
+		window  greengageroute.OrderWindow
 		staging map[string]stagingModel
 		loaded  map[string]loadedModel // by target
 		// absentHeads holds what is known of heads that were ordered to close, until they
@@ -230,7 +236,7 @@
 func NewPlanner(options PlannerOptions) *Planner {
 	return &Planner{
 		PlannerOptions: options, wake: make(chan struct{}, 1),
-		formations: map[string]*greengageroute.Formation{}, sent: map[string]sentOrder{}, staging: map[string]stagingModel{}, loaded: map[string]loadedModel{},
+		formations: map[string]*greengageroute.Formation{}, window: greengageroute.NewOrderWindow(), sent: map[string]sentOrder{}, staging: map[string]stagingModel{}, loaded: map[string]loadedModel{},
 		loggedStates: map[string]string{}, unknownHeads: map[string]datedTarget{}, oddHeads: map[string]oddHeads{}, pendingOpens: map[string]pendingOpen{}, storedHeads: map[string]string{},
 		absentHeads: map[replicaID]absentHead{}, lostMembers: map[replicaID]lostMember{},
 		storedReleases: map[string]map[storedRelease]bool{}, headsVersions: map[string]uint64{}, left: map[string]leftReplica{},
@@ -262,7 +268,10 @@
 			}
 		case <-planner.wake:
 		}
+		started := planner.Clock.Now()
 		planner.plan(ctx)
+		// Half of the processor is left to the orders and to callers, however many changes there are.
+		greengageroute.Sleep(ctx, min(planner.Clock.Now().Sub(started), planInterval))
 	}
 }
 
@@ -389,14 +398,13 @@
 	}
 	orders := formation.Orders(view)
 	planner.storeHeads(ctx, view, formation)
-	for _, order := range orders {
-		if planner.maySend(order, formation, view.Pool) {
-			planner.send(ctx, order, view)
-		}
-	}
 	planner.logPoolState(view, formation, len(orders))
-	for _, order := range slices.Concat(formation.StagingOrders(view, planner.spareLoadBudget(view)), formation.PreloadOrders(view)) {
-		planner.send(ctx, order, view)
+	orders = slices.DeleteFunc(orders, func(order greengageroute.TargetOrder) bool { return !planner.maySend(order, formation, view.Pool) })
+	for _, order := range slices.Concat(orders, formation.StagingOrders(view, planner.spareLoadBudget(view)), formation.PreloadOrders(view)) {
+		if !planner.send(ctx, order, view) {
+			planner.Counters.Add(CountOrdersDeferred, 1)
+			return // the end of an order under way triggers the next round
+		}
 	}
 }
 
@@ -434,8 +442,9 @@
 
 // send sends an order in the background, unless the same order was sent within
 // its retry interval. An order that needs a load is skipped, to be sent later,
-// while the loads of the last second reach the rate that the weights' store allows.
-func (planner *Planner) send(ctx context.Context, order greengageroute.TargetOrder, view greengageroute.PoolView) {
+// while the loads of the last second reach the rate that the weights' store allows, and so is one that is
+// sent again while many of these are under way. It reports whether further orders may be sent.
+func (planner *Planner) send(ctx context.Context, order greengageroute.TargetOrder, view greengageroute.PoolView) bool {
 	now := planner.Clock.Now()
 	text := fmt.Sprint(order)
 	planner.mu.Lock()
@@ -448,15 +457,21 @@
 			retryInterval = absentRetryInterval
 		}
 	}
-	if last.text == text && now.Sub(last.at) < retryInterval {
+	repeat := last.text == text
+	if repeat && (now.Sub(last.at) < retryInterval || !planner.window.Admits(repeat)) {
 		planner.mu.Unlock()
-		return
+		return true
 	}
 	loading := needsLoad(order)
 	if loading && view.HasTraffic && planner.recentLoads(now) >= int(view.Engine.LoadsPerSecond) {
 		planner.mu.Unlock()
-		return
+		return true
+	}
+	if !planner.window.Admits(repeat) {
+		planner.mu.Unlock()
+		return false
 	}
+	planner.window = planner.window.WithBegun(repeat)
 	if key != order.Target.ID {
 		delete(planner.sent, order.Target.ID)
 		maps.DeleteFunc(planner.sent, func(_ string, last sentOrder) bool { return now.Sub(last.at) > sentTTL })
@@ -476,7 +491,14 @@
 		planner.loadStarts = append(planner.loadStarts, now)
 	}
 	planner.mu.Unlock()
-	planner.sending.Go(func() { planner.deliver(context.WithoutCancel(ctx), order, timeout) })
+	planner.sending.Go(func() {
+		answered, late := planner.deliver(context.WithoutCancel(ctx), order, timeout)
+		planner.mu.Lock()
+		planner.window = planner.window.WithEnded(repeat, answered, late)
+		planner.mu.Unlock()
+		planner.Wake()
+	})
+	return true
 }
 
 // sentKey returns what an order is the last one of: a target has one to close or leave for each
@@ -488,18 +510,24 @@
 	return order.Target.ID
 }
 
-func (planner *Planner) deliver(ctx context.Context, order greengageroute.TargetOrder, timeout time.Duration) {
+// deliver sends an order and records its result. It reports whether the target answered, and whether this
+// entry noticed the end of the timeout late.
+func (planner *Planner) deliver(ctx context.Context, order greengageroute.TargetOrder, timeout time.Duration) (answered, late bool) {
 	if !planner.Lease.Held().Holds(planner.Clock.Now(), OrderTimeout) {
-		return
+		return false, false
 	}
 	started := planner.Clock.Now()
 	err := planner.OrderSender.Send(ctx, order, timeout)
+	took := planner.Clock.Now().Sub(started)
+	late = greengageroute.TookTooLong(took, timeout)
 	planner.Counters.Add(CountOrders, 1)
 	var refused *greengageroute.OrderRefusedError
 	var heldBack *greengageroute.BackoffError
 	var outdated *OutdatedTargetError
 	outcome := "accepted"
 	switch {
+	case err == nil:
+		answered = true
 	case errors.As(err, &heldBack):
 		outcome = "not sent: the target asked for a backoff"
 		planner.Counters.Add(CountOrdersHeldBack, 1)
@@ -509,12 +537,18 @@
 	case errors.As(err, &refused):
 		outcome = fmt.Sprintf("refused with %d", refused.Status)
 		planner.Counters.Add(CountOrdersRefused, 1)
-	case err != nil:
+		answered = true
+	case late:
+		outcome = "not answered, and this entry is late: " + err.Error()
+		planner.Counters.Add(CountOrdersLate, 1)
+	default:
 		outcome = "not answered: " + err.Error()
 		planner.Counters.Add(CountOrdersNotAnswered, 1)
 	}
-	planner.recordResult(order, err)
+	if answered || !late {
+		planner.recordResult(order, err)
+	}
 	planner.Log.Info("order sent", "kind", order.Kind.String(), "target", order.Target.ID, "replica", order.Replica, "epoch", order.Epoch,
-		"model", order.Model, "cut", order.Immediate, "took", planner.Clock.Now().Sub(started).String(), "outcome", outcome)
-	planner.Wake()
+		"model", order.Model, "cut", order.Immediate, "took", took.String(), "outcome", outcome)
+	return answered, late
 }
