--- a/control/groupmodel_test.go
+++ b/control/groupmodel_test.go
@@ -830,6 +830,14 @@
 	world.takesTime = true
 }
 
+// unstaged are the same, and no row shows that a target has accepted orders.
+func unstaged(world *modelWorld) {
+	slowOrders(world)
+	for _, target := range world.targets {
+		target.Staged = nil
+	}
+}
+
 // refusesForming are the same, whose heads refuse orders while they form.
 func refusesForming(world *modelWorld) {
 	slowOrders(world)
@@ -857,7 +865,7 @@
 		t.Run(fmt.Sprint(worker), func(t *testing.T) {
 			t.Parallel()
 			for seed := worker; seed < *sequences; seed += 4 {
-				for name, build := range map[string]func(world *modelWorld){"orders take no time": twoReplicas, "orders take time": slowOrders, "heads that form refuse": refusesForming, "a model lacks a replica": twoModels} {
+				for name, build := range map[string]func(world *modelWorld){"orders take no time": twoReplicas, "orders take time": slowOrders, "heads that form refuse": refusesForming, "a model lacks a replica": twoModels, "nothing is staged": unstaged} {
 					if names, violation := followSequence(*firstSequence+seed, build); violation != "" {
 						t.Fatalf("%s, -first-sequence %d: %s after %q", name, *firstSequence+seed, violation, names)
 					}
--- a/control/statecheck.go
+++ b/control/statecheck.go
@@ -53,32 +53,59 @@
 	return fmt.Sprintf("target %q isn't in the state that the list shows: %s; wait for its row", err.Target, err.Reason)
 }
 
-// Send sends an order. An order to join is preceded by requests for the reports of the target and
-// its former head, and takes effect only if the target has accepted no other order since. Otherwise
-// the error is an *OutdatedTargetError. The timeout holds for all requests together.
+// Send sends an order. An order to join takes effect only if the target is in the state that the planner
+// knows. Otherwise the error is an *OutdatedTargetError. One that is listed without any trace of an order
+// has to have accepted none; others, and those for which that isn't so, are asked for their reports
+// first, and so is the former head. The timeout holds for all requests together.
 func (check *StateCheck) Send(ctx context.Context, order greengageroute.TargetOrder, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if order.Kind == greengageroute.OrderJoin {
-		if err := check.confirmLeft(ctx, order, timeout); err != nil {
-			return err
-		}
-		var err error
-		if order.Expected, err = check.confirmTarget(ctx, order.Target, timeout); err != nil {
+	if order.Kind != greengageroute.OrderJoin {
+		return check.send(ctx, order, timeout)
+	}
+	if check.isUntouched(order.Target) {
+		untouched := order
+		untouched.Expected = new(uint64)
+		if err := check.send(ctx, untouched, timeout); !isConflict(err) {
 			return err
 		}
 	}
+	if err := check.confirmLeft(ctx, order, timeout); err != nil {
+		return err
+	}
+	var err error
+	if order.Expected, err = check.confirmTarget(ctx, order.Target, timeout); err != nil {
+		return err
+	}
+	err = check.send(ctx, order, timeout)
+	if order.Expected != nil && isConflict(err) {
+		return &OutdatedTargetError{order.Target.ID, "it has accepted another order"}
+	}
+	return err
+}
+
+// send sends an order and records that it was accepted.
+func (check *StateCheck) send(ctx context.Context, order greengageroute.TargetOrder, timeout time.Duration) error {
 	err := check.orders.Send(ctx, order, timeout)
-	var refused *greengageroute.OrderRefusedError
-	switch {
-	case err == nil:
+	if err == nil {
 		check.recordAccepted(order)
-	case order.Expected != nil && errors.As(err, &refused) && refused.Status == http.StatusConflict:
-		return &OutdatedTargetError{order.Target.ID, "it has accepted another order"}
 	}
 	return err
 }
 
+// isConflict reports whether a target refused an order since its state, or the number of orders that it
+// has accepted, is another one.
+func isConflict(err error) bool {
+	var refused *greengageroute.OrderRefusedError
+	return errors.As(err, &refused) && refused.Status == http.StatusConflict
+}
+
+// isUntouched reports whether nothing is known of any order that a target has accepted since its start.
+func (check *StateCheck) isUntouched(target greengageroute.Target) bool {
+	_, accepted := check.lastAccepted(target)
+	return !accepted && target.Membership.Replica == "" && len(target.Staged) == 0 && target.Staging == ""
+}
+
 // confirmTarget returns an error unless the target is in the state that the planner knows. It returns
 // the number of orders that the target has accepted, if known.
 func (check *StateCheck) confirmTarget(ctx context.Context, target greengageroute.Target, timeout time.Duration) (*uint64, error) {
--- a/control/statecheck_test.go
+++ b/control/statecheck_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	greengageroute "greengageroute.example/greengageroute"
 )
 
-// fakeTargets answers reports and orders.
+// fakeTargets answers reports and orders. A target without a report doesn't respond, and others refuse orders
+// that expect another number of accepted ones than their reports tell.
 type fakeTargets struct {
 	reports map[string]greengageroute.TargetReport // by target; missing: no response
 	refuse  int                                    // status of the response to orders; 0: they are accepted
@@ -27,6 +30,13 @@
 }
 
 func (targets *fakeTargets) Send(_ context.Context, order greengageroute.TargetOrder, _ time.Duration) error {
+	report, found := targets.reports[order.Target.ID]
+	if !found {
+		return errors.New("no response")
+	}
+	if order.Expected != nil && *order.Expected != *report.AcceptedOrders {
+		return &greengageroute.OrderRefusedError{Target: order.Target.ID, Status: http.StatusConflict}
+	}
 	targets.sent = append(targets.sent, order)
 	if targets.refuse != 0 {
 		return &greengageroute.OrderRefusedError{Target: order.Target.ID, Status: targets.refuse}
@@ -138,3 +148,32 @@
 		}
 	}
 }
+
+// TestUntouchedTargetsAreNotAsked guards against a request for a report before each of a fleet's first
+// orders, and against targets that are taken for untouched although they aren't.
+func TestUntouchedTargetsAreNotAsked(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		row      greengageroute.Target
+		accepted uint64
+		asked    []string
+		expected uint64
+	}{
+		{"it has just started", greengageroute.Target{}, 0, nil, 0},
+		{"its row doesn't show an order", greengageroute.Target{}, 2, []string{"i-1"}, 2},
+		{"it has weights staged", greengageroute.Target{Staged: []string{"m"}}, 1, []string{"i-1"}, 1},
+		{"it was told to stage weights", greengageroute.Target{Staging: "m"}, 1, []string{"i-1"}, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			test.row.ID = "i-1"
+			targets := &fakeTargets{reports: map[string]greengageroute.TargetReport{"i-1": {AcceptedOrders: &test.accepted}}}
+			order := greengageroute.TargetOrder{Kind: greengageroute.OrderJoin, Replica: "r1", Epoch: 3, Target: test.row}
+			if err := NewStateCheck(targets, targets, greengageroute.RuntimeClock{}).Send(context.Background(), order, time.Second); err != nil {
+				t.Fatal(err)
+			}
+			if !slices.Equal(targets.asked, test.asked) || *targets.sent[0].Expected != test.expected {
+				t.Errorf("asked %q and expected %d accepted orders, want %q and %d", targets.asked, *targets.sent[0].Expected, test.asked, test.expected)
+			}
+		})
+	}
+}
