--- a/control/backofffilter_test.go
+++ b/control/backofffilter_test.go
@@ -69,8 +69,8 @@
 				filter := NewBackoffFilter(busy, busy, busy, greengageroute.RuntimeClock{})
 				filter.accepts = func(greengageroute.Target) bool { return busy.accepts }
 				prober := NewProber("a", filter, NewDirectory(greengageroute.RuntimeClock{}), &fakeNotifier{}, greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
-				if _, alive, _ := prober.probeTarget(target); alive != test.alive {
-					t.Errorf("counts as alive: %t, want %t", alive, test.alive)
+				if result := prober.probeTarget(target); result.alive != test.alive {
+					t.Errorf("counts as alive: %t, want %t", result.alive, test.alive)
 				}
 				err := filter.Send(context.Background(), greengageroute.TargetOrder{Kind: greengageroute.OrderClose, Target: target}, time.Second)
 				var heldBack *greengageroute.BackoffError
--- a/control/prober.go
+++ b/control/prober.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -23,8 +24,10 @@
 	// probeHedgeDelay is the delay before a second probe on another connection, as
 	// one packet may be lost.
 	probeHedgeDelay = 30 * time.Millisecond
-	// probeAttempts is how often a target is probed if this entry itself was stalled.
+	// probeAttempts is how often a target is probed if this entry itself was late.
 	probeAttempts = 2
+	// maxProbesUnderWay bounds the probes that an entry has under way, whatever it suspects; others wait.
+	maxProbesUnderWay = 24
 	// probeInterval is the minimum interval between probes of a replica; it spares
 	// replicas whose members all respond.
 	probeInterval = 700 * time.Millisecond
@@ -91,6 +94,11 @@
 	// CountFailuresInDoubt the targets that were not taken for failed because of that.
 	CountIsolations      = "isolations"
 	CountFailuresInDoubt = "target-failures-in-doubt"
+	// CountProbesLate counts probes, and checks of links, without a response whose timeout this entry
+	// noticed late; they say nothing about the targets. CountProbesDeferred counts probes that had to
+	// wait for those under way.
+	CountProbesLate     = "probes-late"
+	CountProbesDeferred = "probes-deferred"
 	// CountPoolsLost counts how often it lost its links to the targets of a pool.
 	CountPoolsLost = "pools-lost"
 )
@@ -111,6 +119,14 @@
 		EntriesSharingLinks() int
 	}
 
+	// probeResult is what a probe tells of a target.
+	probeResult struct {
+		report   greengageroute.TargetReport
+		alive    bool // the listed process answered
+		answered bool // something answered
+		late     bool // nothing answered, and this entry noticed that late
+	}
+
 	// failedProbe is a target that didn't respond, or for which another process answered.
 	failedProbe struct {
 		target   greengageroute.Target
@@ -123,6 +139,8 @@
 		check   chan struct{} // holds a token while targets are probed
 		targets int           // at the last check
 		began   time.Time     // the last check
+		ended   time.Time
+		inDoubt bool // the last check found nothing, and was late
 	}
 
 	// Prober probes the members of unresponsive replicas and reports those that are
@@ -135,6 +153,7 @@
 		clock      greengageroute.Clock
 		counters   *expvar.Map
 		log        logr.Logger
+		underWay   chan struct{} // holds a token for each probe under way
 
 		mu          sync.Mutex
 		links       map[string]*poolLinks // by pool
@@ -148,7 +167,7 @@
 // NewProber returns the prober of an entry in the given data centre.
 func NewProber(dataCentre string, reporter Reporter, directory *Directory, notifier Notifier, clock greengageroute.Clock, counters *expvar.Map, log logr.Logger) *Prober {
 	return &Prober{
-		dataCentre: dataCentre, reporter: reporter, directory: directory, notifier: notifier, clock: clock, counters: counters, log: log,
+		dataCentre: dataCentre, reporter: reporter, directory: directory, notifier: notifier, clock: clock, counters: counters, log: log, underWay: make(chan struct{}, maxProbesUnderWay),
 		links: map[string]*poolLinks{}, probedAt: map[replicaID]time.Time{}, confirmedAt: map[mesh.TargetInstance]time.Time{}, awaited: map[mesh.TargetInstance]*awaitedTarget{},
 	}
 }
@@ -191,19 +210,27 @@
 		return
 	}
 	failed := make(chan failedProbe, len(replica.Members))
+	var inDoubt atomic.Int64
 	var probes sync.WaitGroup
 	for _, member := range replica.Members {
 		probes.Go(func() {
-			report, alive, answered := prober.probeTarget(member)
-			if !alive {
-				failed <- failedProbe{member, answered}
-			} else if report.Slowdown >= slowdownLimit {
-				prober.reportSlow(member, report.Slowdown)
+			result := prober.probeTarget(member)
+			switch {
+			case result.late:
+				inDoubt.Add(1)
+			case !result.alive:
+				failed <- failedProbe{member, result.answered}
+			case result.report.Slowdown >= slowdownLimit:
+				prober.reportSlow(member, result.report.Slowdown)
 			}
 		})
 	}
 	probes.Wait()
 	close(failed)
+	prober.counters.Add(CountFailuresInDoubt, inDoubt.Load())
+	if len(failed) == 0 && inDoubt.Load() > 0 {
+		return
+	}
 	if len(failed) == 0 {
 		prober.counters.Add(CountFalseAlarms, 1)
 		prober.log.Info("unresponsive replica is healthy; all members answered a probe", "replica", replica.Name, "epoch", replica.Epoch)
@@ -248,23 +275,20 @@
 	}
 }
 
-// probeTarget returns a member's report, whether the member is alive, and whether anything
-// answered. A refusal by another target at the same address doesn't count as alive.
-func (prober *Prober) probeTarget(member greengageroute.Target) (report greengageroute.TargetReport, alive, answered bool) {
+// probeTarget probes a member. A refusal by another target at the same address doesn't count as alive.
+func (prober *Prober) probeTarget(member greengageroute.Target) (result probeResult) {
 	for range probeAttempts {
-		started := prober.clock.Now()
-		report, alive, answered = prober.hedgedProbe(member)
-		// If the timers of this entry fired late, it may have read the responses late
-		// too: probe again.
-		if answered || prober.clock.Now().Sub(started) < 2*(probeHedgeDelay+probeTimeout) {
-			return report, alive, answered
+		if result = prober.hedgedProbe(member); !result.late {
+			break
 		}
+		prober.counters.Add(CountProbesLate, 1)
 	}
-	return greengageroute.TargetReport{}, false, false
+	return result
 }
 
-// hedgedProbe probes a member on two connections, the second shortly after the first.
-func (prober *Prober) hedgedProbe(member greengageroute.Target) (report greengageroute.TargetReport, alive, answered bool) {
+// hedgedProbe probes a member on two connections, the second shortly after the first. If the timers of
+// this entry fired late, it may have read the responses late too.
+func (prober *Prober) hedgedProbe(member greengageroute.Target) probeResult {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	type reply struct {
@@ -273,31 +297,60 @@
 	}
 	replies := make(chan reply, 2)
 	probe := func() {
-		prober.counters.Add(CountProbes, 1)
+		defer prober.endProbe()
 		report, err := prober.reporter.Report(ctx, member, probeTimeout)
 		replies <- reply{report, err}
 	}
+	prober.beginProbe()
+	started := prober.clock.Now()
 	go probe()
 	hedge := time.NewTimer(probeHedgeDelay)
 	defer hedge.Stop()
 	for pending := 2; pending > 0; {
 		select {
 		case <-hedge.C:
+			if !prober.tryBeginProbe() {
+				pending--
+				continue
+			}
 			go probe()
 		case got := <-replies:
 			pending--
 			var refused *greengageroute.OrderRefusedError
 			switch {
 			case got.err == nil:
-				return got.report, got.report.StartUnixMilli == member.StartUnixMilli || got.report.StartUnixMilli == 0, true
+				return probeResult{report: got.report, alive: got.report.StartUnixMilli == member.StartUnixMilli || got.report.StartUnixMilli == 0, answered: true}
 			case errors.As(got.err, &refused):
-				return got.report, false, true
+				return probeResult{report: got.report, answered: true}
 			}
 		}
 	}
-	return greengageroute.TargetReport{}, false, false
+	return probeResult{late: prober.clock.Now().Sub(started) >= 2*(probeHedgeDelay+probeTimeout)}
+}
+
+// beginProbe waits until another probe may be under way, which endProbe ends.
+func (prober *Prober) beginProbe() {
+	if prober.tryBeginProbe() {
+		return
+	}
+	prober.counters.Add(CountProbesDeferred, 1)
+	prober.underWay <- struct{}{}
+	prober.counters.Add(CountProbes, 1)
+}
+
+// tryBeginProbe reports whether another probe may be under way now, and begins it then.
+func (prober *Prober) tryBeginProbe() bool {
+	select {
+	case prober.underWay <- struct{}{}:
+		prober.counters.Add(CountProbes, 1)
+		return true
+	default:
+		return false
+	}
 }
 
+func (prober *Prober) endProbe() { <-prober.underWay }
+
 // Confirm probes members that are no longer listed and marks those that don't respond. It also
 // probes marked targets until they respond, as this entry may only have been told of them.
 func (prober *Prober) Confirm(unlisted []mesh.TargetInstance) {
@@ -331,18 +384,17 @@
 			continue
 		}
 		go func() {
-			report, alive, answered := prober.probeTarget(target)
-			if alive {
-				if report.StartUnixMilli == instance.StartUnixMilli {
+			result := prober.probeTarget(target)
+			switch {
+			case result.alive:
+				if result.report.StartUnixMilli == instance.StartUnixMilli {
 					responds(instance)
 				}
-				return
-			}
-			if !prober.LinksWorkSince(target.Pool, 0) {
+			case result.late || !prober.LinksWorkSince(target.Pool, 0):
 				prober.counters.Add(CountFailuresInDoubt, 1)
-				return
+			default:
+				prober.markUnreachable(failedProbe{target, result.answered})
 			}
-			prober.markUnreachable(failedProbe{target, answered})
 		}()
 	}
 }
@@ -366,11 +418,11 @@
 // the time of its start, and serves its replica: one that has lost a member, or was told to
 // abort its requests, doesn't.
 func (prober *Prober) StillServes(head greengageroute.Target) bool {
-	report, alive, _ := prober.probeTarget(head)
-	if !alive || report.StartUnixMilli == 0 || report.StartUnixMilli != head.StartUnixMilli {
+	result := prober.probeTarget(head)
+	if !result.alive || result.report.StartUnixMilli == 0 || result.report.StartUnixMilli != head.StartUnixMilli {
 		return false
 	}
-	member := report.Membership
+	member := result.report.Membership
 	return member.BelongsTo(head.Membership.Replica, head.Membership.Epoch) &&
 		(member.State == greengageroute.MemberOpen || member.State == greengageroute.MemberClosing)
 }
@@ -420,7 +472,7 @@
 // linksWork does the same, by the last check if it was done within the given time.
 func (prober *Prober) linksWork(pool string, within time.Duration) bool {
 	return prober.linksWorkUnless(pool, func(links *poolLinks) bool {
-		return links.state.CheckedWithin(within, prober.clock.Now())
+		return !links.ended.IsZero() && prober.clock.Now().Sub(links.ended) < within
 	})
 }
 
@@ -431,7 +483,8 @@
 	return prober.linksWorkUnless(pool, func(links *poolLinks) bool { return !links.began.Before(failedAt) })
 }
 
-// linksWorkUnless does the same by the last check if that suffices.
+// linksWorkUnless does the same by the last check if that suffices. A check that was late, and found
+// nothing, shows neither that the links work nor that they don't.
 func (prober *Prober) linksWorkUnless(pool string, suffices func(links *poolLinks) bool) bool {
 	links := prober.poolLinks(pool)
 	links.check <- struct{}{}
@@ -442,7 +495,7 @@
 	prober.mu.Lock()
 	small := links.targets < minTargetsIsolated
 	prober.mu.Unlock()
-	return (small || !links.state.Isolated()) && !prober.Isolated()
+	return !links.inDoubt && (small || !links.state.Isolated()) && !prober.Isolated()
 }
 
 func (prober *Prober) poolLinks(pool string) *poolLinks {
@@ -465,14 +518,20 @@
 	total := len(serving)
 	targets := slices.DeleteFunc(slices.Clone(serving), func(target greengageroute.Target) bool { return target.Pool != pool })
 	local, remote := prober.sample(targets)
+	var late atomic.Bool
 	results := make(chan bool, 2)
-	go func() { results <- prober.mostRespond(local) }()
-	go func() { results <- prober.mostRespond(remote) }()
+	go func() { results <- prober.mostRespond(local, &late) }()
+	go func() { results <- prober.mostRespond(remote, &late) }()
 	work := len(targets) == 0 || <-results || <-results
+	links.ended, links.inDoubt = prober.clock.Now(), !work && late.Load()
 	wasIsolated := prober.Isolated()
 	prober.mu.Lock()
 	links.targets, prober.targets = len(targets), total
 	prober.mu.Unlock()
+	if links.inDoubt {
+		prober.counters.Add(CountProbesLate, 1)
+		return
+	}
 	changed, since := links.state.RecordCheck(work, prober.clock.Now())
 	if isolated := prober.Isolated(); isolated && !wasIsolated {
 		prober.counters.Add(CountIsolations, 1)
@@ -512,11 +571,12 @@
 	return local, remote
 }
 
-// mostRespond probes targets and reports whether more than half of them respond.
-func (prober *Prober) mostRespond(targets []greengageroute.Target) bool {
+// mostRespond probes targets and reports whether more than half of them respond. It sets late if this
+// entry noticed the end of a probe's timeout late.
+func (prober *Prober) mostRespond(targets []greengageroute.Target, late *atomic.Bool) bool {
 	responses := make(chan bool, len(targets))
 	for _, target := range targets {
-		go func() { responses <- prober.responds(target) }()
+		go func() { responses <- prober.responds(target, late) }()
 	}
 	count := 0
 	for range targets {
@@ -531,12 +591,20 @@
 }
 
 // responds reports whether a target responds to a probe on a new connection, with whatever.
-func (prober *Prober) responds(target greengageroute.Target) bool {
-	prober.counters.Add(CountProbes, 1)
+func (prober *Prober) responds(target greengageroute.Target, late *atomic.Bool) bool {
+	prober.beginProbe()
+	defer prober.endProbe()
 	prober.counters.Add(CountLinkProbes, 1)
+	started := prober.clock.Now()
 	_, err := prober.reporter.Report(context.Background(), target, probeTimeout)
 	var refused *greengageroute.OrderRefusedError
-	return err == nil || errors.As(err, &refused)
+	if err == nil || errors.As(err, &refused) {
+		return true
+	}
+	if prober.clock.Now().Sub(started) >= 2*probeTimeout {
+		late.Store(true)
+	}
+	return false
 }
 
 // RunLinkChecks tries the links to lost pools again until the context ends.
--- a/control/prober_test.go
+++ b/control/prober_test.go
@@ -108,9 +108,9 @@
 				prober := NewProber("a", &scriptedReporter{script: test.script}, NewDirectory(greengageroute.RuntimeClock{}), &fakeNotifier{},
 					greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
 				started := time.Now()
-				_, alive, _ := prober.probeTarget(greengageroute.Target{ID: "i-1", StartUnixMilli: 7})
-				if took := time.Since(started); alive != test.alive || took > test.within {
-					t.Errorf("alive: %t after %s, want %t within %s", alive, took, test.alive, test.within)
+				result := prober.probeTarget(greengageroute.Target{ID: "i-1", StartUnixMilli: 7})
+				if took := time.Since(started); result.alive != test.alive || took > test.within {
+					t.Errorf("alive: %t after %s, want %t within %s", result.alive, took, test.alive, test.within)
 				}
 				time.Sleep(2 * time.Second) // lets open probes end
 			})
--- a/control/slowplanner_test.go
+++ b/control/slowplanner_test.go
@@ -180,3 +180,73 @@
 		})
 	}
 }
+
+// lateReporter answers nothing, and its callers notice that late.
+type lateReporter struct{ delay time.Duration }
+
+func (reporter lateReporter) Report(_ context.Context, _ greengageroute.Target, timeout time.Duration) (greengageroute.TargetReport, error) {
+	time.Sleep(timeout + reporter.delay)
+	return greengageroute.TargetReport{}, context.DeadlineExceeded
+}
+
+// TestLateEntriesDontJudgeTargets guards against entries without processor time that take targets for
+// failed, and themselves for cut off, as they read responses too late; and against entries that find
+// no failures at all.
+func TestLateEntriesDontJudgeTargets(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		delay    time.Duration
+		isolated bool
+	}{
+		{"the entry is on time", 0, true},
+		{"its timers fire a little late", 20 * time.Millisecond, true},
+		{"it has no processor time", 400 * time.Millisecond, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				directory := NewDirectory(greengageroute.RuntimeClock{})
+				var targets []greengageroute.Target
+				for i := range 10 {
+					targets = append(targets, greengageroute.Target{ID: fmt.Sprint("a-", i), DataCentre: "a", Pool: "llm", StartUnixMilli: 1, State: greengageroute.TargetReady})
+				}
+				directory.Replace(targets, time.Time{})
+				notifier := &fakeNotifier{}
+				prober := NewProber("a", lateReporter{test.delay}, directory, notifier, greengageroute.RuntimeClock{}, new(expvar.Map).Init(), logr.Discard())
+				prober.ProbeReplica(greengageroute.Replica{Pool: "llm", Name: "r", Epoch: 1, Members: targets[:4]})
+				time.Sleep(5 * time.Second)
+				if found := len(directory.View().Absent) + len(notifier.reportedUnreachable()); found > 0 {
+					t.Errorf("%d targets count as unreachable, though nothing responds to the entry", found)
+				}
+				if prober.Isolated() != test.isolated {
+					t.Errorf("isolated: %t, want %t", prober.Isolated(), test.isolated)
+				}
+				if works := prober.LinksWork("llm"); works {
+					t.Error("the links are taken to work")
+				}
+			})
+		})
+	}
+}
+
+// TestProbesOfAnEntryAreBounded guards against probes that rise with the number of replicas that an entry
+// suspects at once.
+func TestProbesOfAnEntryAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		vm := &slowVM{world: newModelWorld(modelGuard{}, oneReplica), cost: 4 * time.Millisecond, processor: make(chan struct{}, 1)}
+		directory := NewDirectory(greengageroute.RuntimeClock{})
+		member := vm.world.targets["a"].Target
+		directory.Replace([]greengageroute.Target{member}, time.Time{})
+		counters := new(expvar.Map).Init()
+		prober := NewProber("", vm, directory, &fakeNotifier{}, greengageroute.RuntimeClock{}, counters, logr.Discard())
+		for epoch := range uint64(400) {
+			prober.ProbeReplica(greengageroute.Replica{Pool: "llm", Name: "r", Epoch: epoch, Members: []greengageroute.Target{member}})
+		}
+		time.Sleep(time.Second)
+		probes, _ := strconv.Atoi(counters.Get(CountProbes).String())
+		// Those that have ended in one second, at 4 ms each, and those under way.
+		if most := 250 + maxProbesUnderWay; probes > most || probes < 100 {
+			t.Errorf("%d probes in a second, want 100 to %d", probes, most)
+		}
+		time.Sleep(time.Minute) // lets the probes end
+	})
+}
--- a/linkstate.go
+++ b/linkstate.go
@@ -8,10 +8,9 @@
 // LinkState records whether an entry's own links to the targets work, as opposed to the
 // targets themselves. It is safe for use by several goroutines.
 type LinkState struct {
-	mu        sync.Mutex
-	checkedAt time.Time
-	isolated  bool
-	since     time.Time // of the isolation
+	mu       sync.Mutex
+	isolated bool
+	since    time.Time // of the isolation
 }
 
 // RecordCheck records whether targets responded in a check that ended at the given time.
@@ -20,20 +19,13 @@
 	state.mu.Lock()
 	defer state.mu.Unlock()
 	wasIsolated := state.isolated
-	state.isolated, state.checkedAt = !responded, now
+	state.isolated = !responded
 	if state.isolated && !wasIsolated {
 		state.since = now
 	}
 	return state.isolated != wasIsolated, state.since
 }
 
-// CheckedWithin reports whether the links were checked within the given time.
-func (state *LinkState) CheckedWithin(within time.Duration, now time.Time) bool {
-	state.mu.Lock()
-	defer state.mu.Unlock()
-	return !state.checkedAt.IsZero() && now.Sub(state.checkedAt) < within
-}
-
 // Isolated reports whether most targets don't respond to this entry.
 func (state *LinkState) Isolated() bool {
 	state.mu.Lock()
