Probes: lost links are found beside the probes of many members (RECOVER)

The bound holds for probes of members only now; a check has six of its own at most. Members of a pool to which the links are known to be lost aren't probed: they couldn't be found failed anyway.

--- a/control/awaitresponse.go
+++ b/control/awaitresponse.go
@@ -91,10 +91,9 @@
 		if !requested && !prober.hasProbeTurn(awaited) {
 			continue
 		}
-		prober.beginProbe()
+		prober.counters.Add(CountProbes, 1)
 		prober.counters.Add(CountAwaitProbes, 1)
 		report, err := prober.reporter.Report(context.Background(), target, probeTimeout)
-		prober.endProbe()
 		if err != nil || report.StartUnixMilli != 0 && report.StartUnixMilli != target.StartUnixMilli {
 			prober.renewMark(instance)
 			continue
--- a/control/prober.go
+++ b/control/prober.go
@@ -26,7 +26,8 @@
 	probeHedgeDelay = 30 * time.Millisecond
 	// probeAttempts is how often a target is probed if this entry itself was late.
 	probeAttempts = 2
-	// maxProbesUnderWay bounds the probes that an entry has under way, whatever it suspects; others wait.
+	// maxProbesUnderWay bounds the probes of members that an entry has under way, whatever it suspects;
+	// others wait. Checks of links, and probes of unreachable targets, have bounds of their own.
 	maxProbesUnderWay = 24
 	// probeInterval is the minimum interval between probes of a replica; it spares
 	// replicas whose members all respond.
@@ -124,7 +125,7 @@
 		report   greengageroute.TargetReport
 		alive    bool // the listed process answered
 		answered bool // something answered
-		late     bool // nothing answered, and this entry noticed that late
+		inDoubt  bool // nothing answered, and this entry noticed that late or has lost its links
 	}
 
 	// failedProbe is a target that didn't respond, or for which another process answered.
@@ -216,7 +217,7 @@
 		probes.Go(func() {
 			result := prober.probeTarget(member)
 			switch {
-			case result.late:
+			case result.inDoubt:
 				inDoubt.Add(1)
 			case !result.alive:
 				failed <- failedProbe{member, result.answered}
@@ -278,10 +279,9 @@
 // probeTarget probes a member. A refusal by another target at the same address doesn't count as alive.
 func (prober *Prober) probeTarget(member greengageroute.Target) (result probeResult) {
 	for range probeAttempts {
-		if result = prober.hedgedProbe(member); !result.late {
+		if result = prober.hedgedProbe(member); !result.inDoubt {
 			break
 		}
-		prober.counters.Add(CountProbesLate, 1)
 	}
 	return result
 }
@@ -302,6 +302,11 @@
 		replies <- reply{report, err}
 	}
 	prober.beginProbe()
+	if prober.linksLost(member.Pool) {
+		prober.endProbe()
+		return probeResult{inDoubt: true}
+	}
+	prober.counters.Add(CountProbes, 1)
 	started := prober.clock.Now()
 	go probe()
 	hedge := time.NewTimer(probeHedgeDelay)
@@ -313,6 +318,7 @@
 				pending--
 				continue
 			}
+			prober.counters.Add(CountProbes, 1)
 			go probe()
 		case got := <-replies:
 			pending--
@@ -325,7 +331,20 @@
 			}
 		}
 	}
-	return probeResult{late: prober.clock.Now().Sub(started) >= 2*(probeHedgeDelay+probeTimeout)}
+	late := prober.clock.Now().Sub(started) >= 2*(probeHedgeDelay+probeTimeout)
+	if late {
+		prober.counters.Add(CountProbesLate, 1)
+	}
+	return probeResult{inDoubt: late}
+}
+
+// linksLost reports whether this entry knows that its links to a pool are lost, also by its links to others.
+func (prober *Prober) linksLost(pool string) bool {
+	prober.mu.Lock()
+	links, known := prober.links[pool]
+	lost := known && links.targets >= minTargetsIsolated && links.state.Isolated()
+	prober.mu.Unlock()
+	return lost || prober.Isolated()
 }
 
 // beginProbe waits until another probe may be under way, which endProbe ends.
@@ -335,14 +354,12 @@
 	}
 	prober.counters.Add(CountProbesDeferred, 1)
 	prober.underWay <- struct{}{}
-	prober.counters.Add(CountProbes, 1)
 }
 
 // tryBeginProbe reports whether another probe may be under way now, and begins it then.
 func (prober *Prober) tryBeginProbe() bool {
 	select {
 	case prober.underWay <- struct{}{}:
-		prober.counters.Add(CountProbes, 1)
 		return true
 	default:
 		return false
@@ -390,7 +407,7 @@
 				if result.report.StartUnixMilli == instance.StartUnixMilli {
 					responds(instance)
 				}
-			case result.late || !prober.LinksWorkSince(target.Pool, 0):
+			case result.inDoubt || !prober.LinksWorkSince(target.Pool, 0):
 				prober.counters.Add(CountFailuresInDoubt, 1)
 			default:
 				prober.markUnreachable(failedProbe{target, result.answered})
@@ -592,8 +609,7 @@
 
 // responds reports whether a target responds to a probe on a new connection, with whatever.
 func (prober *Prober) responds(target greengageroute.Target, late *atomic.Bool) bool {
-	prober.beginProbe()
-	defer prober.endProbe()
+	prober.counters.Add(CountProbes, 1)
 	prober.counters.Add(CountLinkProbes, 1)
 	started := prober.clock.Now()
 	_, err := prober.reporter.Report(context.Background(), target, probeTimeout)
--- a/control/slowplanner_test.go
+++ b/control/slowplanner_test.go
@@ -250,3 +250,36 @@
 		time.Sleep(time.Minute) // lets the probes end
 	})
 }
+
+// TestLostLinksAreFoundBesideManyProbes guards against an entry that is cut off from all targets and finds
+// that out only after it has probed the members of all the replicas that it suspects, and against probes
+// that go on once it knows.
+func TestLostLinksAreFoundBesideManyProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		directory := NewDirectory(greengageroute.RuntimeClock{})
+		var targets []greengageroute.Target
+		for i := range 800 {
+			targets = append(targets, greengageroute.Target{ID: fmt.Sprint("a-", i), DataCentre: "a", Pool: "llm", StartUnixMilli: 1, State: greengageroute.TargetReady})
+		}
+		directory.Replace(targets, time.Time{})
+		counters := new(expvar.Map).Init()
+		prober := NewProber("a", lateReporter{}, directory, &fakeNotifier{}, greengageroute.RuntimeClock{}, counters, logr.Discard())
+		for i := range 50 {
+			prober.ProbeReplica(greengageroute.Replica{Pool: "llm", Name: fmt.Sprint("r-", i), Epoch: 1, Members: targets[16*i : 16*i+16]})
+		}
+		time.Sleep(500 * time.Millisecond)
+		go prober.LinksWork("llm")
+		time.Sleep(500 * time.Millisecond)
+		if !prober.Isolated() {
+			t.Error("the entry doesn't count as cut off")
+		}
+		begun := counters.Get(CountProbes).String()
+		time.Sleep(time.Minute)
+		if ended := counters.Get(CountProbes).String(); ended != begun {
+			t.Errorf("%s probes, %s of them before it knew that it is cut off", ended, begun)
+		}
+		if found := len(directory.View().Absent); found > 0 {
+			t.Errorf("%d targets are taken for failed", found)
+		}
+	})
+}
