--- a/control/planner.go
+++ b/control/planner.go
@@ -35,8 +35,10 @@
 	// stagingShare is the share of the permitted load rate that spares may use; the
 	// rest is for joins.
 	stagingShare = 0.8
-	// poolLogInterval is the minimum interval between log lines on the state of pools.
-	poolLogInterval = 250 * time.Millisecond
+	// poolLogInterval is the minimum interval between log lines on the state of pools, and
+	// deferralLogInterval between those on orders that wait.
+	poolLogInterval     = 250 * time.Millisecond
+	deferralLogInterval = time.Second
 	// unansweredOrderLimit is how many orders in a row go unanswered before a head is
 	// suspected.
 	unansweredOrderLimit = 2
@@ -141,6 +143,7 @@
 
 		loggedStates map[string]string // the last state logged, by pool
 		loggedAt     time.Time
+		deferralAt   time.Time // when it was last logged that orders wait
 
 		fence      uint64
 		formations map[string]*greengageroute.Formation
@@ -402,12 +405,25 @@
 	orders = slices.DeleteFunc(orders, func(order greengageroute.TargetOrder) bool { return !planner.maySend(order, formation, view.Pool) })
 	for _, order := range slices.Concat(orders, formation.StagingOrders(view, planner.spareLoadBudget(view)), formation.PreloadOrders(view)) {
 		if !planner.send(ctx, order, view) {
-			planner.Counters.Add(CountOrdersDeferred, 1)
+			planner.recordDeferral(view)
 			return // the end of an order under way triggers the next round
 		}
 	}
 }
 
+// recordDeferral counts and logs that orders wait for those under way.
+func (planner *Planner) recordDeferral(view greengageroute.PoolView) {
+	planner.Counters.Add(CountOrdersDeferred, 1)
+	if view.Now.Sub(planner.deferralAt) < deferralLogInterval {
+		return
+	}
+	planner.deferralAt = view.Now
+	planner.mu.Lock()
+	limit := planner.window.Limit()
+	planner.mu.Unlock()
+	planner.Log.Info("orders wait for those under way", "pool", view.Pool, "window", limit)
+}
+
 // listStable reports whether the list is likely complete. Targets that start
 // together are listed within about a heartbeat of each other; replicas formed from
 // the first of them would serve only the first models.
