--- a/control/prober.go
+++ b/control/prober.go
@@ -229,12 +229,11 @@
 	probes.Wait()
 	close(failed)
 	prober.counters.Add(CountFailuresInDoubt, inDoubt.Load())
-	if len(failed) == 0 && inDoubt.Load() > 0 {
-		return
-	}
 	if len(failed) == 0 {
-		prober.counters.Add(CountFalseAlarms, 1)
-		prober.log.Info("unresponsive replica is healthy; all members answered a probe", "replica", replica.Name, "epoch", replica.Epoch)
+		if inDoubt.Load() == 0 {
+			prober.counters.Add(CountFalseAlarms, 1)
+			prober.log.Info("unresponsive replica is healthy; all members answered a probe", "replica", replica.Name, "epoch", replica.Epoch)
+		}
 		return
 	}
 	if !prober.LinksWorkSince(replica.Pool, 0) {
